--- /dev/null
+++ b/crates/core/src/member/peer.rs
@@ -0,0 +1,19 @@
+//! What is known of another instance.
+
+use std::net::SocketAddr;
+
+use super::Beat;
+use crate::Millis;
+
+/// Another instance.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Its last heartbeat.
+    pub beat: Beat,
+    /// Address that the heartbeat came from or that it names.
+    pub addr: SocketAddr,
+    /// When it was last heard.
+    pub heard: Millis,
+    /// Since when it has been heard without a gap.
+    pub steady: Millis,
+}
--- /dev/null
+++ b/crates/core/src/member/peers.rs
@@ -0,0 +1,130 @@
+//! The set of known instances.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Beat, Peer, Role};
+use crate::Millis;
+
+/// Times of the membership; in milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MemberSettings {
+    /// Time between heartbeats.
+    pub beat: Millis,
+    /// Time without a heartbeat after which an instance counts as dead.
+    pub dead: Millis,
+    /// Time after which a dead instance is forgotten.
+    pub forget: Millis,
+    /// Contacts in each other zone.
+    pub contacts: usize,
+}
+
+impl Default for MemberSettings {
+    fn default() -> MemberSettings {
+        MemberSettings {
+            beat: 500,
+            dead: 2_500,
+            forget: 600_000,
+            contacts: 2,
+        }
+    }
+}
+
+/// Known instances, sorted by id.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    settings: MemberSettings,
+    peers: Vec<Peer>,
+}
+
+impl Peers {
+    /// Returns an empty set.
+    pub fn new(settings: MemberSettings) -> Peers {
+        Peers {
+            settings,
+            peers: Vec::new(),
+        }
+    }
+
+    /// Takes note of a heartbeat; late and repeated ones change nothing.
+    ///
+    /// Returns whether it was news.
+    pub fn hear(&mut self, now: Millis, beat: Beat) -> bool {
+        let addr = beat.addr;
+        let peer = Peer {
+            beat,
+            addr,
+            heard: now,
+            steady: now,
+        };
+        match self
+            .peers
+            .binary_search_by(|p| p.beat.id.cmp(&peer.beat.id))
+        {
+            Err(i) => {
+                self.peers.insert(i, peer);
+                true
+            }
+            Ok(i) => {
+                let old = &mut self.peers[i];
+                let order = |b: &Beat| (b.incarnation, b.seq);
+                if order(&peer.beat) <= order(&old.beat) {
+                    return false;
+                }
+                let gap = now.saturating_sub(old.heard) > self.settings.dead;
+                let reborn = peer.beat.incarnation != old.beat.incarnation;
+                let steady = if gap || reborn { now } else { old.steady };
+                *old = Peer { steady, ..peer };
+                true
+            }
+        }
+    }
+
+    /// Forgets instances that have been dead for long.
+    pub fn forget(&mut self, now: Millis) {
+        let limit = self.settings.forget;
+        self.peers.retain(|p| now.saturating_sub(p.heard) < limit);
+    }
+
+    /// Returns the instances that are alive, leaving ones included.
+    pub fn live(&self, now: Millis) -> Vec<&Peer> {
+        let mut out = Vec::new();
+        for p in &self.peers {
+            if now.saturating_sub(p.heard) <= self.settings.dead {
+                out.push(p);
+            }
+        }
+        out
+    }
+
+    /// Returns the live instances of a role in a zone that are not leaving.
+    pub fn staying(&self, now: Millis, role: Role, zone: &str) -> Vec<&Peer> {
+        let mut out = self.live(now);
+        out.retain(|p| p.beat.role == role && *p.beat.zone == *zone && !p.beat.leaving);
+        out
+    }
+
+    /// Returns every known instance.
+    pub fn all(&self) -> &[Peer] {
+        &self.peers
+    }
+
+    /// Returns the instance with this id.
+    pub fn get(&self, id: &str) -> Option<&Peer> {
+        let i = self.peers.binary_search_by(|p| (*p.beat.id).cmp(id)).ok()?;
+        Some(&self.peers[i])
+    }
+
+    /// Returns the live owner of a shard with the newest epoch.
+    pub fn owner_of(&self, now: Millis, shard: u32) -> Option<&Peer> {
+        let mut best: Option<(u64, &Peer)> = None;
+        for p in self.live(now) {
+            for c in &p.beat.shards {
+                if c.shard == shard && best.is_none_or(|b| c.epoch > b.0) {
+                    best = Some((c.epoch, p));
+                }
+            }
+        }
+        best.map(|b| b.1)
+    }
+}
--- /dev/null
+++ b/crates/core/src/owner/mod.rs
@@ -0,0 +1,17 @@
+//! Ownership of shards by leases in the table service.
+//!
+//! A shard's row names its owner and carries an epoch that only grows. Every
+//! append to the journal is a conditional write on that row's version, so that
+//! an owner that lost the shard can't append. Contenders never compare clocks:
+//! a row whose version did not change for a lease, by the contender's own
+//! clock, has no owner.
+
+mod claim;
+mod resolve;
+mod row;
+mod tenure;
+
+pub use claim::Claim;
+pub use resolve::{Resolved, resolve};
+pub use row::ShardRow;
+pub use tenure::Tenure;
--- /dev/null
+++ b/crates/core/src/owner/row.rs
@@ -0,0 +1,28 @@
+//! The row of a shard.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::Name;
+
+/// What the table service keeps of a shard besides its journal.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShardRow {
+    /// Grows with each change of owner.
+    pub epoch: u64,
+    /// Instance that owns the shard; none after a release.
+    pub owner: Option<Name>,
+    /// Address at which the owner's peers reach it.
+    pub addr: SocketAddr,
+    /// Chosen anew for each write, to recognise one's own.
+    pub token: u64,
+    /// Number of the next journal record.
+    pub next: u64,
+    /// Number of the first record after the snapshot; 0 without one.
+    pub snapshot: u64,
+    /// Number of the journal's next row.
+    pub row: u64,
+    /// Number of the first row after the snapshot.
+    pub first_row: u64,
+}
--- /dev/null
+++ b/crates/core/src/place/history.rs
@@ -0,0 +1,69 @@
+//! What ran on a worker and when, by the worker's clock.
+
+use crate::{Millis, shard::AttemptId};
+
+/// How long an interval is kept after its end.
+const KEEP: Millis = 60_000;
+
+/// An attempt that ran at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CoRunner {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Class of its job.
+    pub class: u16,
+}
+
+#[derive(Debug, Clone)]
+struct Interval {
+    who: CoRunner,
+    from: Millis,
+    to: Option<Millis>,
+}
+
+/// Intervals in which attempts ran; late samples are matched against them.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    intervals: Vec<Interval>,
+}
+
+impl History {
+    /// Notes that an attempt runs from `at` on; a repeated note changes nothing.
+    pub fn begin(&mut self, who: CoRunner, at: Millis) {
+        let known = self.intervals.iter().any(|i| i.who.attempt == who.attempt);
+        if !known {
+            self.intervals.push(Interval {
+                who,
+                from: at,
+                to: None,
+            });
+        }
+    }
+
+    /// Notes that an attempt no longer runs, and forgets old intervals.
+    pub fn end(&mut self, attempt: AttemptId, at: Millis) {
+        for i in &mut self.intervals {
+            if i.who.attempt == attempt && i.to.is_none() {
+                i.to = Some(at);
+            }
+        }
+        let start = at.saturating_sub(KEEP);
+        self.intervals.retain(|i| i.to.is_none_or(|t| t >= start));
+    }
+
+    /// Forgets everything, since the worker's clock started anew.
+    pub fn clear(&mut self) {
+        self.intervals.clear();
+    }
+
+    /// Returns the attempts that ran at `at`.
+    pub fn running_at(&self, at: Millis) -> Vec<CoRunner> {
+        let mut out = Vec::new();
+        for i in &self.intervals {
+            if i.from <= at && i.to.is_none_or(|t| at < t) {
+                out.push(i.who);
+            }
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/core/src/place/mod.rs
@@ -0,0 +1,11 @@
+//! Choosing places: policies, and what was learned of interference.
+
+mod band;
+mod history;
+mod pairs;
+mod policy;
+
+pub use band::{BANDS, Band};
+pub use history::{CoRunner, History};
+pub use pairs::{Estimate, Pairs};
+pub use policy::PlacePolicy;
--- /dev/null
+++ b/crates/core/src/route/admit.rs
@@ -0,0 +1,219 @@
+//! Admission: send, wait, retry, or refuse at once.
+
+use super::{
+    Arrival, Refusal, RoutePolicy, Router, TryEnd,
+    router::COME_AGAIN,
+    waiting::{Request, Turn},
+};
+use crate::{
+    Millis,
+    route::{Outcome, RouteAction},
+};
+
+/// Share of the deadline that must be left for a retry to make sense: the
+/// service's mean time times this.
+const ROOM: f64 = 1.0;
+
+/// Shares of a retry are counted in thousandths, templates in hundredths.
+const TENFOLD: u32 = 10;
+
+impl Router {
+    pub(super) fn arrive(&mut self, now: Millis, a: &Arrival) {
+        self.counts.requests += 1;
+        let share = self.settings.share;
+        let hedges = self.settings.hedges;
+        let org = self.org(&a.org);
+        org.retries.earn(a.retries * TENFOLD);
+        org.hedges.earn(hedges);
+        let (here, waiting) = (org.here, org.waiting);
+        let Some(service) = self.service(&a.org, &a.service) else {
+            return self.turn_away(a.req, Refusal::NoTarget);
+        };
+        if self.services[service].targets.iter().all(|t| t.leaving) {
+            return self.turn_away(a.req, Refusal::NoTarget);
+        }
+        if here >= share {
+            return self.turn_away(a.req, Refusal::OverShare);
+        }
+        let request = Request {
+            req: a.req,
+            service,
+            priority: a.priority,
+            deadline: a.deadline,
+            repeatable: a.repeatable,
+            retries: a.retries,
+            tries: 0,
+            open: Vec::new(),
+            failed: Vec::new(),
+            doubt: false,
+        };
+        let Err(i) = self.requests.binary_search_by_key(&a.req, |r| r.req) else {
+            return self.turn_away(a.req, Refusal::QueueFull);
+        };
+        self.requests.insert(i, request);
+        self.org(&a.org).here += 1;
+        let first = self.services[service].waiting.is_empty();
+        let ahead = self.ahead(service, a.priority);
+        if (first || ahead == 0) && self.send(now, i) {
+            return;
+        }
+        if waiting >= a.queue as usize && !self.displace(service, a) {
+            return self.refuse(i, Refusal::QueueFull);
+        }
+        let wait = self.expected_wait(now, service, ahead);
+        if now as f64 + wait > a.deadline as f64 {
+            return self.refuse(i, Refusal::TooLate);
+        }
+        self.wait(i);
+    }
+
+    /// Refuses a request that was not taken on the books.
+    fn turn_away(&mut self, req: u64, why: Refusal) {
+        self.counts.refused += 1;
+        self.out.push(RouteAction::Refuse {
+            req,
+            outcome: Outcome::NotRun,
+            why,
+            after: COME_AGAIN,
+        });
+    }
+
+    /// Returns how many waiting requests go before a new one of `priority`.
+    fn ahead(&self, service: usize, priority: crate::template::Priority) -> usize {
+        let waiting = &self.services[service].waiting;
+        waiting.partition_point(|t| t.priority <= priority)
+    }
+
+    /// Refuses the last waiting request if it is of a lower priority than `a`.
+    fn displace(&mut self, service: usize, a: &Arrival) -> bool {
+        let Some(last) = self.services[service].waiting.last().copied() else {
+            return false;
+        };
+        if last.priority <= a.priority {
+            return false;
+        }
+        self.leave_queue(service, last);
+        let Ok(i) = self.requests.binary_search_by_key(&last.req, |r| r.req) else {
+            return false;
+        };
+        self.refuse(i, Refusal::QueueFull);
+        true
+    }
+
+    /// Returns the time until a request behind `ahead` others is answered.
+    fn expected_wait(&self, now: Millis, service: usize, ahead: usize) -> f64 {
+        let s = &self.services[service];
+        let mut capacity = 0;
+        for t in &s.targets {
+            if t.ejected <= now && !t.leaving {
+                capacity += t.allowed(now, self.entries, &self.settings);
+            }
+        }
+        let rounds = (ahead + 1) as f64 / f64::from(capacity.max(1));
+        s.mean * (1.0 + rounds)
+    }
+
+    fn wait(&mut self, i: usize) {
+        let r = &self.requests[i];
+        let turn = Turn {
+            priority: r.priority,
+            deadline: r.deadline,
+            req: r.req,
+        };
+        let s = &mut self.services[r.service];
+        let Err(k) = s.waiting.binary_search(&turn) else {
+            return;
+        };
+        s.waiting.insert(k, turn);
+        let org = s.org.clone();
+        self.org(&org).waiting += 1;
+    }
+
+    pub(super) fn leave_queue(&mut self, service: usize, turn: Turn) {
+        let s = &mut self.services[service];
+        let Ok(k) = s.waiting.binary_search(&turn) else {
+            return;
+        };
+        s.waiting.remove(k);
+        let org = s.org.clone();
+        let o = self.org(&org);
+        o.waiting = o.waiting.saturating_sub(1);
+    }
+
+    /// Sends waiting requests while there are targets for them.
+    pub(super) fn dispatch(&mut self, now: Millis, service: usize) {
+        while let Some(turn) = self.services[service].waiting.first().copied() {
+            let Ok(i) = self.requests.binary_search_by_key(&turn.req, |r| r.req) else {
+                self.leave_queue(service, turn);
+                continue;
+            };
+            if !self.send(now, i) {
+                return;
+            }
+            self.leave_queue(service, turn);
+        }
+    }
+
+    /// Refuses waiting requests that can't be answered in time any more.
+    pub(super) fn expire(&mut self, now: Millis, service: usize) {
+        let mean = self.services[service].mean;
+        let late = |t: &Turn| now as f64 + mean * ROOM > t.deadline as f64;
+        let mut gone = Vec::new();
+        for turn in &self.services[service].waiting {
+            if late(turn) {
+                gone.push(*turn);
+            }
+        }
+        for turn in gone {
+            self.leave_queue(service, turn);
+            if let Ok(i) = self.requests.binary_search_by_key(&turn.req, |r| r.req) {
+                self.refuse(i, Refusal::TooLate);
+            }
+        }
+    }
+
+    /// Decides what becomes of a request after a try that did not answer it.
+    pub(super) fn try_again(&mut self, now: Millis, i: usize, end: TryEnd) {
+        let r = &self.requests[i];
+        if r.deadline == 0 || !r.open.is_empty() {
+            if r.deadline == 0 && r.open.is_empty() {
+                self.drop_request(i);
+            }
+            return;
+        }
+        let safe = !r.doubt || r.repeatable;
+        let late = now as f64 + self.services[r.service].mean * ROOM > r.deadline as f64;
+        if !safe || r.tries >= self.settings.attempts || late {
+            return self.refuse(i, Refusal::Failed);
+        }
+        let full = matches!(end, TryEnd::Declined { busy: Some(_), .. });
+        let free = full || self.settings.policy == RoutePolicy::RoundRobin;
+        let org = self.services[r.service].org.clone();
+        if !free && !self.org(&org).retries.spend() {
+            return self.refuse(i, Refusal::Failed);
+        }
+        if !self.send(now, i) {
+            self.wait(i);
+        }
+    }
+
+    /// Sends a second try beside the first, within the budget.
+    pub(super) fn hedge(&mut self, now: Millis, req: u64) {
+        let Ok(i) = self.requests.binary_search_by_key(&req, |r| r.req) else {
+            return;
+        };
+        let r = &self.requests[i];
+        let one = r.open.len() == 1 && r.deadline > now;
+        if !one || !r.repeatable || r.tries >= self.settings.attempts {
+            return;
+        }
+        let service = r.service;
+        let org = self.services[service].org.clone();
+        if !self.services[service].waiting.is_empty() || !self.org(&org).hedges.spend() {
+            return;
+        }
+        if self.send(now, i) {
+            self.counts.hedges += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/budget.rs
@@ -0,0 +1,35 @@
+//! Budgets that grow with requests.
+
+/// Most units that can be saved up.
+const CAP: u64 = 10_000;
+
+/// Units that one use costs.
+const COST: u64 = 1_000;
+
+/// A budget: each request adds a share of a use; uses are refused when it is empty.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    units: u64,
+}
+
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget { units: CAP }
+    }
+}
+
+impl Budget {
+    /// Adds the share of one request, in thousandths of a use.
+    pub fn earn(&mut self, thousandths: u32) {
+        self.units = (self.units + u64::from(thousandths)).min(CAP);
+    }
+
+    /// Takes one use, if there is one.
+    pub fn spend(&mut self) -> bool {
+        if self.units < COST {
+            return false;
+        }
+        self.units -= COST;
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/choose.rs
@@ -0,0 +1,127 @@
+//! Choice of a target.
+
+use rand::Rng;
+
+use super::{RouteAction, RoutePolicy, Router};
+use crate::{Millis, name::Name};
+
+/// Random targets that are looked at before all are.
+const PROBES: usize = 6;
+
+/// A second try is asked for after the service's mean time times this.
+const HEDGE: f64 = 4.0;
+
+/// Least time before a second try.
+const MIN_HEDGE: Millis = 20;
+
+impl Router {
+    /// Sends a request if a target can take it.
+    pub(super) fn send(&mut self, now: Millis, i: usize) -> bool {
+        let service = self.requests[i].service;
+        let found = match self.settings.policy {
+            RoutePolicy::RoundRobin => self.next_in_turn(service),
+            RoutePolicy::TwoChoices => self.better_of_two(now, i),
+        };
+        let Some(t) = found else { return false };
+        let hedge = self.hedge_after(i);
+        let target = &mut self.services[service].targets[t];
+        target.mine += 1;
+        let (worker, addr) = (target.worker.clone(), target.addr);
+        let r = &mut self.requests[i];
+        r.tries += 1;
+        r.open.push((r.tries, worker.clone()));
+        self.counts.tries += 1;
+        self.out.push(RouteAction::Send {
+            req: r.req,
+            attempt: r.tries,
+            worker,
+            addr,
+            hedge,
+        });
+        true
+    }
+
+    fn hedge_after(&self, i: usize) -> Millis {
+        let r = &self.requests[i];
+        if !r.repeatable || self.settings.hedges == 0 {
+            return 0;
+        }
+        let mean = self.services[r.service].mean;
+        ((mean * HEDGE) as Millis).max(MIN_HEDGE)
+    }
+
+    fn next_in_turn(&mut self, service: usize) -> Option<usize> {
+        let s = &mut self.services[service];
+        let n = s.targets.len();
+        for _ in 0..n {
+            s.turn = (s.turn + 1) % n;
+            if s.targets[s.turn].near && !s.targets[s.turn].leaving {
+                return Some(s.turn);
+            }
+        }
+        None
+    }
+
+    /// Returns the better of two usable targets: near ones first, and others
+    /// only when none of the near ones can take the request.
+    fn better_of_two(&mut self, now: Millis, i: usize) -> Option<usize> {
+        for near in [true, false] {
+            let mut two = Vec::with_capacity(2);
+            self.probe(now, i, near, &mut two);
+            if two.len() < 2 {
+                two = self.scan(now, i, near);
+            }
+            let targets = &self.services[self.requests[i].service].targets;
+            let score = |t: &usize| targets[*t].score(now, &self.settings);
+            let best = two.into_iter().min_by(|a, b| score(a).total_cmp(&score(b)));
+            if best.is_some() {
+                return best;
+            }
+        }
+        None
+    }
+
+    fn can_take(&self, now: Millis, i: usize, t: usize, near: bool) -> bool {
+        let r = &self.requests[i];
+        let target = &self.services[r.service].targets[t];
+        let tried = |w: &Name| *w == target.worker;
+        target.near == near
+            && target.usable(now, self.entries, &self.settings)
+            && !r.failed.iter().any(tried)
+            && !r.open.iter().any(|o| tried(&o.1))
+    }
+
+    fn probe(&mut self, now: Millis, i: usize, near: bool, two: &mut Vec<usize>) {
+        let n = self.services[self.requests[i].service].targets.len();
+        if n == 0 {
+            return;
+        }
+        for _ in 0..PROBES {
+            let t = self.rng.random_range(0..n);
+            if two.contains(&t) || !self.can_take(now, i, t, near) {
+                continue;
+            }
+            two.push(t);
+            if two.len() == 2 {
+                return;
+            }
+        }
+    }
+
+    /// Returns two random ones of all usable targets.
+    fn scan(&mut self, now: Millis, i: usize, near: bool) -> Vec<usize> {
+        let n = self.services[self.requests[i].service].targets.len();
+        let mut usable = Vec::new();
+        for t in 0..n {
+            if self.can_take(now, i, t, near) {
+                usable.push(t);
+            }
+        }
+        if usable.len() <= 2 {
+            return usable;
+        }
+        let a = self.rng.random_range(0..usable.len());
+        let b = (a + self.rng.random_range(1..usable.len())) % usable.len();
+        vec![usable[a], usable[b]]
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/router.rs
@@ -0,0 +1,353 @@
+//! The router's state machine.
+
+use rand::{SeedableRng, rngs::SmallRng};
+
+use super::{
+    Budget, Outcome, Refusal, RouteAction, RouteEvent, RouteSettings, Target, TargetList, TryEnd,
+    waiting::{Request, Turn},
+};
+use crate::{Millis, name::Name};
+
+/// Time after which a refused caller may come again.
+pub(super) const COME_AGAIN: Millis = 1_000;
+
+/// Share of a new time in a service's running mean.
+const SHARE: f64 = 0.05;
+
+/// Targets and waiting requests of one service.
+#[derive(Debug)]
+pub(super) struct Service {
+    pub org: Name,
+    pub name: Name,
+    /// Sorted by worker.
+    pub targets: Vec<Target>,
+    /// Sorted; the first is served next.
+    pub waiting: Vec<Turn>,
+    /// Running mean of the time of an answer.
+    pub mean: f64,
+    /// Next target of the round-robin baseline.
+    pub turn: usize,
+}
+
+/// What an organisation uses of this instance.
+#[derive(Debug)]
+pub(super) struct OrgUse {
+    pub org: Name,
+    pub here: usize,
+    pub waiting: usize,
+    pub retries: Budget,
+    pub hedges: Budget,
+}
+
+/// A shard's list that was taken over.
+#[derive(Debug)]
+struct Known {
+    shard: u32,
+    epoch: u64,
+    version: u64,
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RouteCounts {
+    /// Requests that came.
+    pub requests: u64,
+    /// Tries that were sent.
+    pub tries: u64,
+    /// Requests that were refused or given up.
+    pub refused: u64,
+    /// Second tries beside the first.
+    pub hedges: u64,
+    /// Ejections of targets.
+    pub ejections: u64,
+}
+
+/// Routes the requests of one entry instance.
+#[derive(Debug)]
+pub struct Router {
+    pub(super) settings: RouteSettings,
+    pub(super) rng: SmallRng,
+    pub(super) services: Vec<Service>,
+    pub(super) orgs: Vec<OrgUse>,
+    pub(super) requests: Vec<Request>,
+    pub(super) entries: u32,
+    pub(super) out: Vec<RouteAction>,
+    pub(super) counts: RouteCounts,
+    known: Vec<Known>,
+    leaving: Vec<Name>,
+}
+
+impl Router {
+    /// Returns a router without targets.
+    pub fn new(settings: RouteSettings, seed: u64) -> Router {
+        Router {
+            settings,
+            rng: SmallRng::seed_from_u64(seed),
+            services: Vec::new(),
+            orgs: Vec::new(),
+            requests: Vec::new(),
+            entries: 1,
+            out: Vec::new(),
+            counts: RouteCounts::default(),
+            known: Vec::new(),
+            leaving: Vec::new(),
+        }
+    }
+
+    /// Handles one event and returns what is to be done.
+    pub fn step(&mut self, now: Millis, event: &RouteEvent) -> Vec<RouteAction> {
+        match event {
+            RouteEvent::Arrive(a) => self.arrive(now, a),
+            RouteEvent::Ended { req, attempt, end } => self.ended(now, *req, *attempt, *end),
+            RouteEvent::Hedge { req } => self.hedge(now, *req),
+            RouteEvent::Targets(list) => self.take_list(now, list),
+            RouteEvent::Leaving(names) => self.set_leaving(names),
+            RouteEvent::Entries(n) => self.entries = (*n).max(1),
+            RouteEvent::Tick => self.tick(now),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns the counts since the start.
+    pub fn counts(&self) -> RouteCounts {
+        self.counts
+    }
+
+    /// Returns the number of requests that wait for a target.
+    pub fn waiting(&self) -> usize {
+        self.services.iter().map(|s| s.waiting.len()).sum()
+    }
+
+    /// Returns the number of requests that are not settled.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns the epoch and version of the list known of a shard.
+    pub fn known(&self, shard: u32) -> Option<(u64, u64)> {
+        let i = self.known.binary_search_by_key(&shard, |k| k.shard).ok()?;
+        Some((self.known[i].epoch, self.known[i].version))
+    }
+
+    /// Returns the targets of a service, sorted by worker.
+    pub fn targets(&self, org: &str, service: &str) -> &[Target] {
+        let found = self
+            .services
+            .iter()
+            .find(|s| *s.org == *org && *s.name == *service);
+        found.map_or(&[], |s| &s.targets)
+    }
+
+    pub(super) fn service(&self, org: &str, name: &str) -> Option<usize> {
+        self.services
+            .binary_search_by(|s| (&*s.org, &*s.name).cmp(&(org, name)))
+            .ok()
+    }
+
+    fn make_service(&mut self, org: &Name, name: &Name) -> usize {
+        let found = self
+            .services
+            .binary_search_by(|s| (&*s.org, &*s.name).cmp(&(&**org, &**name)));
+        let Err(i) = found else {
+            return found.unwrap_or(0);
+        };
+        let service = Service {
+            org: org.clone(),
+            name: name.clone(),
+            targets: Vec::new(),
+            waiting: Vec::new(),
+            mean: 5.0,
+            turn: 0,
+        };
+        self.services.insert(i, service);
+        for r in &mut self.requests {
+            r.service += usize::from(r.service >= i);
+        }
+        i
+    }
+
+    pub(super) fn org(&mut self, org: &Name) -> &mut OrgUse {
+        let i = match self.orgs.binary_search_by(|o| o.org.cmp(org)) {
+            Ok(i) => i,
+            Err(i) => {
+                let new = OrgUse {
+                    org: org.clone(),
+                    here: 0,
+                    waiting: 0,
+                    retries: Budget::default(),
+                    hedges: Budget::default(),
+                };
+                self.orgs.insert(i, new);
+                i
+            }
+        };
+        &mut self.orgs[i]
+    }
+
+    fn take_list(&mut self, now: Millis, list: &TargetList) {
+        let new = Known {
+            shard: list.shard,
+            epoch: list.epoch,
+            version: list.version,
+        };
+        match self.known.binary_search_by_key(&list.shard, |k| k.shard) {
+            Ok(i) => {
+                let old = &self.known[i];
+                if (old.epoch, old.version) >= (new.epoch, new.version) {
+                    return;
+                }
+                self.known[i] = new;
+            }
+            Err(i) => self.known.insert(i, new),
+        }
+        for s in &mut self.services {
+            s.targets.retain(|t| {
+                t.shard != list.shard
+                    || list.targets.iter().any(|n| {
+                        n.worker == t.worker
+                            && n.addr == t.addr
+                            && n.org == s.org
+                            && n.service == s.name
+                    })
+            });
+        }
+        for info in &list.targets {
+            let s = self.make_service(&info.org, &info.service);
+            let left = self.leaving.binary_search(&info.worker).is_ok();
+            let targets = &mut self.services[s].targets;
+            match targets.binary_search_by(|t| t.worker.cmp(&info.worker)) {
+                Ok(i) => {
+                    targets[i].slots = info.slots;
+                    targets[i].connections = info.connections;
+                    targets[i].leaving = info.leaving || left;
+                }
+                Err(i) => {
+                    let mut target = Target::new(info, list.shard, list.near, now);
+                    target.leaving |= left;
+                    targets.insert(i, target);
+                }
+            }
+        }
+        self.dispatch_all(now);
+    }
+
+    fn set_leaving(&mut self, names: &[Name]) {
+        self.leaving = names.to_vec();
+        self.leaving.sort();
+        for s in &mut self.services {
+            for t in &mut s.targets {
+                t.leaving |= self.leaving.binary_search(&t.worker).is_ok();
+            }
+        }
+    }
+
+    fn ended(&mut self, now: Millis, req: u64, attempt: u32, end: TryEnd) {
+        let Ok(i) = self.requests.binary_search_by_key(&req, |r| r.req) else {
+            return;
+        };
+        let r = &mut self.requests[i];
+        let Some(k) = r.open.iter().position(|o| o.0 == attempt) else {
+            return;
+        };
+        let (_, worker) = r.open.swap_remove(k);
+        let service = r.service;
+        self.note_end(now, service, &worker, end);
+        match end {
+            TryEnd::Answered { .. } => self.settle(i),
+            TryEnd::NotSent | TryEnd::Declined { .. } => {
+                self.requests[i].failed.push(worker);
+                self.try_again(now, i, end);
+            }
+            TryEnd::Failed => {
+                self.requests[i].failed.push(worker);
+                self.requests[i].doubt = true;
+                self.try_again(now, i, end);
+            }
+        }
+        self.dispatch(now, service);
+    }
+
+    fn note_end(&mut self, now: Millis, service: usize, worker: &Name, end: TryEnd) {
+        let may = self.may_eject(now, service);
+        let settings = &self.settings;
+        let s = &mut self.services[service];
+        let Ok(t) = s.targets.binary_search_by(|t| t.worker.cmp(worker)) else {
+            return;
+        };
+        let t = &mut s.targets[t];
+        t.mine = t.mine.saturating_sub(1);
+        match end {
+            TryEnd::Answered { took, busy } => {
+                t.answered(now, took, busy);
+                s.mean += SHARE * (took as f64 - s.mean);
+            }
+            TryEnd::Declined { busy, leaving } => {
+                t.report(now, busy);
+                t.leaving |= leaving;
+                if busy.is_none() && !leaving {
+                    t.failed(now, settings, may);
+                }
+            }
+            TryEnd::NotSent | TryEnd::Failed => {
+                let before = t.ejections;
+                t.failed(now, settings, may);
+                self.counts.ejections += u64::from(t.ejections > before);
+            }
+        }
+    }
+
+    /// Tells whether one more target of a service may be ejected.
+    fn may_eject(&self, now: Millis, service: usize) -> bool {
+        let targets = &self.services[service].targets;
+        let near = targets.iter().filter(|t| t.near).count();
+        let out = targets.iter().filter(|t| t.near && t.ejected > now).count();
+        (out + 1) * 100 <= near * self.settings.max_ejected as usize
+    }
+
+    /// Takes a request off the books once no try is under way.
+    fn settle(&mut self, i: usize) {
+        let r = &mut self.requests[i];
+        r.deadline = 0;
+        if r.open.is_empty() {
+            self.drop_request(i);
+        }
+    }
+
+    pub(super) fn drop_request(&mut self, i: usize) {
+        let r = self.requests.remove(i);
+        let org = self.services[r.service].org.clone();
+        let o = self.org(&org);
+        o.here = o.here.saturating_sub(1);
+    }
+
+    /// Gives a request up at once; it is never held back.
+    pub(super) fn refuse(&mut self, i: usize, why: Refusal) {
+        let r = &self.requests[i];
+        let outcome = if r.doubt {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        self.counts.refused += 1;
+        self.out.push(RouteAction::Refuse {
+            req: r.req,
+            outcome,
+            why,
+            after: COME_AGAIN,
+        });
+        self.settle(i);
+    }
+
+    fn tick(&mut self, now: Millis) {
+        for s in 0..self.services.len() {
+            self.expire(now, s);
+            self.dispatch(now, s);
+        }
+    }
+
+    fn dispatch_all(&mut self, now: Millis) {
+        for s in 0..self.services.len() {
+            self.dispatch(now, s);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/target.rs
@@ -0,0 +1,146 @@
+//! An entry's view of a target.
+
+use std::net::SocketAddr;
+
+use super::RouteSettings;
+use crate::{Millis, name::Name, shard::TargetInfo};
+
+/// Share of a new time in the running mean.
+const SHARE: f64 = 0.2;
+
+/// Time taken for a target that has not answered yet, in milliseconds.
+const FIRST: f64 = 5.0;
+
+/// Factor by which a returning target looks slower at first.
+const COLD: f64 = 4.0;
+
+/// A target and what this entry knows of it.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Worker that it is on.
+    pub worker: Name,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Shard that announced it.
+    pub shard: u32,
+    /// Whether it is in this entry's zone.
+    pub near: bool,
+    /// Requests that it runs at one time.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// Requests that this entry has under way there.
+    pub mine: u32,
+    /// Slots that others used at the last report.
+    pub others: u32,
+    /// When that was; 0 for never.
+    pub reported: Millis,
+    /// Running mean of its times.
+    pub mean: f64,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Ejections in a row.
+    pub ejections: u32,
+    /// End of the ejection.
+    pub ejected: Millis,
+    /// When it came back or was first seen.
+    pub since: Millis,
+}
+
+impl Target {
+    /// Returns a target that has not been used.
+    pub fn new(info: &TargetInfo, shard: u32, near: bool, now: Millis) -> Target {
+        Target {
+            worker: info.worker.clone(),
+            addr: info.addr,
+            shard,
+            near,
+            slots: info.slots,
+            connections: info.connections,
+            leaving: info.leaving,
+            mine: 0,
+            others: 0,
+            reported: 0,
+            mean: FIRST,
+            failures: 0,
+            ejections: 0,
+            ejected: 0,
+            since: now,
+        }
+    }
+
+    /// Returns how many requests this entry may have there now.
+    pub fn allowed(&self, now: Millis, entries: u32, set: &RouteSettings) -> u32 {
+        let entries = entries.max(1);
+        let fair = if self.near {
+            self.slots.div_ceil(entries)
+        } else {
+            1
+        };
+        let most = (self.connections / entries).max(1);
+        let fresh = self.reported > 0 && now.saturating_sub(self.reported) <= set.fresh;
+        let free = if fresh {
+            self.slots.saturating_sub(self.others)
+        } else {
+            0
+        };
+        fair.max(free).min(most)
+    }
+
+    /// Tells whether it can take one more request.
+    pub fn usable(&self, now: Millis, entries: u32, set: &RouteSettings) -> bool {
+        let back = self.ejected <= now;
+        let probing = self.ejections > 0 && self.mine > 0;
+        back && !probing && !self.leaving && self.mine < self.allowed(now, entries, set)
+    }
+
+    /// Returns the expected time of one more request; lower is better.
+    pub fn score(&self, now: Millis, set: &RouteSettings) -> f64 {
+        let fresh = now.saturating_sub(self.reported) <= set.fresh;
+        let others = if fresh { self.others } else { 0 };
+        let load = f64::from(self.mine + others + 1) / f64::from(self.slots.max(1));
+        let age = now.saturating_sub(self.since) as f64;
+        let warm = (age / set.slow_start.max(1) as f64).min(1.0);
+        let cold = if self.ejections > 0 {
+            COLD - (COLD - 1.0) * warm
+        } else {
+            1.0
+        };
+        self.mean * (0.25 + load) * cold
+    }
+
+    /// Takes note of a whole answer.
+    pub fn answered(&mut self, now: Millis, took: Millis, busy: Option<u32>) {
+        self.failures = 0;
+        if self.ejections > 0 {
+            self.since = now;
+        }
+        self.ejections = 0;
+        let took = (took as f64).max(0.5);
+        self.mean += SHARE * (took - self.mean);
+        self.report(now, busy);
+    }
+
+    /// Takes note of the slots that the target reported in use.
+    pub fn report(&mut self, now: Millis, busy: Option<u32>) {
+        let Some(busy) = busy else { return };
+        self.others = busy.saturating_sub(self.mine + 1);
+        self.reported = now;
+    }
+
+    /// Takes note of a failure; ejects after enough in a row if `may`.
+    pub fn failed(&mut self, now: Millis, set: &RouteSettings, may: bool) {
+        self.failures += 1;
+        let probing = self.ejections > 0;
+        if !may || (self.failures < set.failures && !probing) {
+            return;
+        }
+        let length = (set.eject << self.ejections.min(16)).min(set.max_eject);
+        self.ejected = now + length;
+        self.ejections += 1;
+        self.failures = 0;
+        self.since = self.ejected;
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/answer.rs
@@ -0,0 +1,163 @@
+//! What workers answer.
+
+use super::{Action, AttemptId, End, Health, Machine, Reason, StopWhy, WorkerAnswer, WorkerEnd};
+use crate::{Millis, name::Name, place::CoRunner};
+
+impl Machine {
+    /// Takes a worker's answer.
+    pub(super) fn answer(&mut self, now: Millis, worker: &Name, a: &WorkerAnswer) {
+        let Ok(i) = self.workers.binary_search_by(|w| w.name.cmp(worker)) else {
+            return;
+        };
+        let w = &mut self.workers[i];
+        if a.seq == w.seq {
+            w.busy = false;
+        }
+        if let Some(reason) = a.refused {
+            if reason == Reason::OldEpoch && a.epoch > self.epoch {
+                self.out.push(Action::Fenced { epoch: a.epoch });
+            }
+            return;
+        }
+        if w.boot == a.boot && a.clock < w.echo {
+            return;
+        }
+        self.note_contact(now, i, a);
+        self.take_ends(now, i, a);
+        self.take_running(now, i, a);
+        self.take_missing(now, i, a);
+        self.end_unsent(now, i);
+        self.learn(now, i, a);
+    }
+
+    /// Takes note that an exchange has no answer.
+    pub(super) fn no_answer(&mut self, worker: &Name, seq: u64) {
+        let Ok(i) = self.workers.binary_search_by(|w| w.name.cmp(worker)) else {
+            return;
+        };
+        let w = &mut self.workers[i];
+        if w.seq == seq {
+            w.busy = false;
+        }
+    }
+
+    fn note_contact(&mut self, now: Millis, i: usize, a: &WorkerAnswer) {
+        let w = &mut self.workers[i];
+        if w.boot != a.boot {
+            w.history.clear();
+        }
+        w.boot = a.boot;
+        w.echo = a.clock;
+        w.echo_at = now;
+        w.seen_at = now;
+        if w.total != a.size {
+            w.total = a.size;
+            self.stirred = true;
+        }
+        if w.health != Health::Good {
+            w.health = Health::Good;
+            w.basis = now;
+            w.dirty = true;
+            self.stirred = true;
+            self.targets += 1;
+        }
+        if a.leaving && !w.leaving {
+            w.leaving = true;
+            self.targets += 1;
+            self.empty_worker(now, i);
+        }
+    }
+
+    fn take_ends(&mut self, now: Millis, i: usize, a: &WorkerAnswer) {
+        let w = &mut self.workers[i];
+        w.acks
+            .retain(|(_, id)| a.ended.iter().any(|e| e.attempt == *id));
+        for report in &a.ended {
+            let id = report.attempt;
+            let w = &self.workers[i];
+            if let Some(r) = w.resident(id) {
+                let end = end_of(report.end, r.stop);
+                let number = self.end_attempt(now, i, id, end);
+                self.workers[i].acks.push((number, id));
+            } else if !w.acks.iter().any(|(_, k)| *k == id) {
+                self.workers[i].acks.push((0, id));
+            }
+            self.workers[i].dirty = true;
+        }
+    }
+
+    fn take_running(&mut self, now: Millis, i: usize, a: &WorkerAnswer) {
+        let w = &mut self.workers[i];
+        let had = !w.strays.is_empty();
+        w.strays.clear();
+        for &id in &a.running {
+            let clock = w.echo;
+            let Some(r) = w.resident_mut(id) else {
+                w.strays.push(id);
+                continue;
+            };
+            if r.seen {
+                continue;
+            }
+            r.seen = true;
+            let class = r.class;
+            r.since = now;
+            let service = r.service;
+            let who = CoRunner { attempt: id, class };
+            w.history.begin(who, clock);
+            self.targets += u64::from(service);
+        }
+        w.dirty |= !w.strays.is_empty();
+        self.stirred |= had && w.strays.is_empty();
+    }
+
+    /// Ends the attempts that the worker should have and does not have.
+    fn take_missing(&mut self, now: Millis, i: usize, a: &WorkerAnswer) {
+        let mut missing = Vec::new();
+        for r in &self.workers[i].residents {
+            let sent = r.sent.is_some_and(|s| s <= a.seq);
+            if sent && !a.running.contains(&r.attempt) {
+                missing.push(r.attempt);
+            }
+        }
+        for id in missing {
+            self.end_attempt(now, i, id, End::Lost);
+        }
+    }
+
+    /// Ends the attempts that are to stop and were never sent.
+    pub(super) fn end_unsent(&mut self, now: Millis, i: usize) {
+        let mut unsent = Vec::new();
+        for r in &self.workers[i].residents {
+            let Some(why) = r.stop else { continue };
+            if r.sent.is_none() {
+                unsent.push((r.attempt, why));
+            }
+        }
+        for (id, why) in unsent {
+            let end = match why {
+                StopWhy::Unwanted => End::Stopped,
+                StopWhy::Preempted | StopWhy::Noisy | StopWhy::Leaving => End::Refused,
+            };
+            self.end_attempt(now, i, id, end);
+        }
+    }
+
+    /// Returns whether the worker runs an attempt that the book has there.
+    pub fn runs(&self, worker: &str, id: AttemptId) -> bool {
+        let found = self.workers.binary_search_by(|w| (*w.name).cmp(worker));
+        found.is_ok_and(|i| self.workers[i].resident(id).is_some_and(|r| r.seen))
+    }
+}
+
+fn end_of(end: WorkerEnd, stop: Option<StopWhy>) -> End {
+    match (end, stop) {
+        (WorkerEnd::Done, _) => End::Done,
+        (WorkerEnd::Failed, _) => End::Failed,
+        (WorkerEnd::Refused, _) => End::Refused,
+        (WorkerEnd::Stopped { .. }, Some(StopWhy::Unwanted)) => End::Stopped,
+        (WorkerEnd::Stopped { saved }, Some(_)) => End::Evicted { saved },
+        (WorkerEnd::Stopped { saved: true }, None) => End::Evicted { saved: true },
+        (WorkerEnd::Stopped { saved: false }, None) => End::Lost,
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/class.rs
@@ -0,0 +1,18 @@
+//! Classes of tasks: a kind of job or a service of an organisation.
+
+use crate::{Millis, name::Name, size::Size, template::Weights};
+
+/// What a machine knows of a class.
+#[derive(Debug, Clone)]
+pub(super) struct Class {
+    pub org: Name,
+    pub kind: Name,
+    pub service: bool,
+    pub weights: Weights,
+    pub hold: Millis,
+    pub evictions: u32,
+    /// Most processors and memory that a task was seen to use.
+    pub seen: Size,
+    pub done: u64,
+    pub failed: u64,
+}
--- /dev/null
+++ b/crates/core/src/shard/effects.rs
@@ -0,0 +1,159 @@
+//! The soft state follows the book.
+
+use super::{AttemptId, Effect, Health, Machine, Resident, StopWhy, TaskRef, WorkerInfo};
+use crate::{Millis, name::Name, size::Size};
+
+impl Machine {
+    /// Brings the soft state in line with one effect of record `number`.
+    pub(super) fn follow(&mut self, now: Millis, effect: Effect, number: u64, delay: Millis) {
+        match effect {
+            Effect::Queued(task) => self.enqueue(now, task, delay),
+            Effect::Reserved {
+                attempt,
+                worker,
+                size,
+            } => self.reserve(now, attempt, &worker, &size, number),
+            Effect::Freed { attempt, worker } => self.free(attempt, &worker),
+            Effect::Unwanted { attempt, worker } => self.unwant(attempt, &worker),
+            Effect::Finished { job } => self.finish(now, job),
+        }
+    }
+
+    /// Puts a queued task into its lane.
+    pub(super) fn enqueue(&mut self, now: Millis, task: TaskRef, delay: Millis) {
+        let Some(job) = self.book.job(task.job) else {
+            return;
+        };
+        let (org, team) = (job.spec.key.org.clone(), job.spec.team.clone());
+        let (priority, service) = (job.spec.priority, job.spec.service);
+        let team = self.team(&org, &team, service);
+        if delay > 0 {
+            self.queue.push_later(now + delay, priority, team, task);
+        } else {
+            self.queue.push(priority, team, task);
+        }
+        self.stirred = true;
+    }
+
+    /// Reserves room on a worker for an attempt.
+    pub(super) fn reserve(
+        &mut self,
+        now: Millis,
+        attempt: AttemptId,
+        worker: &Name,
+        size: &Size,
+        record: u64,
+    ) {
+        let Some(job) = self.book.job(attempt.job) else {
+            return;
+        };
+        let spec = &job.spec;
+        let (org, kind, team) = (spec.key.org.clone(), spec.kind.clone(), spec.team.clone());
+        let (priority, service) = (spec.priority, spec.service);
+        let class = self.class(&org, &kind, service);
+        let hold = self.classes[usize::from(class)].hold;
+        let team = self.team(&org, &team, service);
+        let team = &mut self.teams[usize::from(team)];
+        team.used = team.used.plus(size);
+        let Ok(i) = self.workers.binary_search_by(|w| w.name.cmp(worker)) else {
+            return;
+        };
+        let w = &mut self.workers[i];
+        if w.reserve
+            .is_some_and(|r| r.task.job == attempt.job && r.task.task == attempt.task)
+        {
+            w.reserve = None;
+        }
+        w.add(Resident {
+            attempt,
+            size: *size,
+            class,
+            priority,
+            service,
+            hold,
+            record,
+            sent: None,
+            seen: false,
+            since: now,
+            stop: None,
+            percent: 100,
+            slow: 1.0,
+            turned: 0,
+        });
+        if service {
+            self.targets += 1;
+        }
+    }
+
+    fn free(&mut self, attempt: AttemptId, worker: &Name) {
+        self.stirred = true;
+        let Ok(i) = self.workers.binary_search_by(|w| w.name.cmp(worker)) else {
+            return;
+        };
+        let Some(resident) = self.workers[i].remove(attempt) else {
+            return;
+        };
+        let clock = self.workers[i].echo;
+        self.workers[i].history.end(attempt, clock);
+        if resident.service {
+            self.targets += 1;
+        }
+        let Some(job) = self.book.job(attempt.job) else {
+            return;
+        };
+        let (org, team) = (job.spec.key.org.clone(), job.spec.team.clone());
+        let team = self.team(&org, &team, resident.service);
+        let team = &mut self.teams[usize::from(team)];
+        team.used = team.used.minus(&resident.size);
+    }
+
+    fn unwant(&mut self, attempt: AttemptId, worker: &Name) {
+        let Ok(i) = self.workers.binary_search_by(|w| w.name.cmp(worker)) else {
+            return;
+        };
+        let w = &mut self.workers[i];
+        w.dirty = true;
+        if let Some(r) = w.resident_mut(attempt) {
+            r.stop = Some(StopWhy::Unwanted);
+            self.targets += u64::from(r.service);
+        }
+    }
+
+    fn finish(&mut self, now: Millis, job: u32) {
+        let service = self.book.job(job).is_none_or(|j| j.spec.service);
+        if !service {
+            self.closing.push_back((now + self.settings.retain, job));
+        }
+    }
+
+    /// Marks every task on a leaving worker to be moved.
+    pub(super) fn empty_worker(&mut self, _now: Millis, i: usize) {
+        let w = &mut self.workers[i];
+        for r in &mut w.residents {
+            if r.stop.is_none() {
+                r.stop = Some(StopWhy::Leaving);
+            }
+        }
+        w.dirty = true;
+    }
+
+    /// Returns workers as others are told of them.
+    pub fn worker_infos(&self) -> Vec<WorkerInfo> {
+        let mut out = Vec::new();
+        for w in &self.workers {
+            if w.health == Health::New {
+                continue;
+            }
+            out.push(WorkerInfo {
+                name: w.name.clone(),
+                zone: self.place.name.clone(),
+                rack: w.rack.clone(),
+                addr: w.addr,
+                target: w.target,
+                size: w.total,
+                leaving: w.leaving,
+            });
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/ended.rs
@@ -0,0 +1,93 @@
+//! Ends of attempts, and whose fault a failure is.
+
+use super::{AttemptId, End, Machine, Record, TaskRef};
+use crate::Millis;
+
+/// Delay before a failed task runs again; doubles with each failure.
+const RETRY: Millis = 500;
+
+/// Longest delay before a failed task runs again.
+const MAX_RETRY: Millis = 60_000;
+
+/// Delay before a refused start is tried elsewhere.
+const REFUSED: Millis = 100;
+
+/// Longest delay of a replica of a service.
+const MAX_REPLICA: Millis = 5_000;
+
+impl Machine {
+    /// Records the end of an attempt on worker `i` and returns the record's number.
+    pub(super) fn end_attempt(&mut self, now: Millis, i: usize, id: AttemptId, end: End) -> u64 {
+        self.judge(now, i, id, end);
+        let delay = self.retry_delay(id, end);
+        self.record(now, Record::Ended { attempt: id, end }, delay)
+    }
+
+    fn retry_delay(&self, id: AttemptId, end: End) -> Millis {
+        let Some((job, task, _)) = self.book.active(id) else {
+            return 0;
+        };
+        let most = if job.spec.service {
+            MAX_REPLICA
+        } else {
+            MAX_RETRY
+        };
+        match end {
+            End::Failed => (RETRY << task.fails.min(10)).min(most),
+            End::Refused => REFUSED,
+            End::Done if job.spec.service => RETRY,
+            End::Done | End::Lost | End::Evicted { .. } | End::Stopped => 0,
+        }
+    }
+
+    /// Counts an end for or against the worker.
+    ///
+    /// A failure counts against the worker only if tasks of the class do
+    /// mostly well elsewhere; otherwise it is the task's fault.
+    fn judge(&mut self, now: Millis, i: usize, id: AttemptId, end: End) {
+        let w = &self.workers[i];
+        let Some(r) = w.resident(id) else { return };
+        let class = r.class;
+        let done = match end {
+            End::Done => true,
+            End::Failed => false,
+            End::Lost | End::Refused | End::Evicted { .. } | End::Stopped => return,
+        };
+        let here = w.tally(class);
+        let c = &mut self.classes[usize::from(class)];
+        let done_elsewhere = c.done.saturating_sub(here.done.into());
+        let failed_elsewhere = c.failed.saturating_sub(here.failed.into());
+        if done {
+            c.done += 1;
+        } else {
+            c.failed += 1;
+        }
+        let w = &mut self.workers[i];
+        w.count(class, done);
+        if done {
+            w.strikes.clear();
+            self.stirred |= w.bans > 0;
+            w.bans = 0;
+            return;
+        }
+        if failed_elsewhere > done_elsewhere {
+            return;
+        }
+        let task = TaskRef {
+            job: id.job,
+            task: id.task,
+        };
+        if w.strikes.contains(&task) {
+            return;
+        }
+        w.strikes.push(task);
+        let probing = w.bans > 0;
+        if w.strikes.len() < self.settings.strikes && !probing {
+            return;
+        }
+        let length = (self.settings.ban << w.bans.min(16)).min(self.settings.max_ban);
+        w.ban_until = now + length;
+        w.bans += 1;
+        w.strikes.clear();
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/event.rs
@@ -0,0 +1,41 @@
+//! What a shard's machine is told.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{JobKey, JobSpec, WorkerAnswer, WorkerInfo};
+use crate::{name::Name, template::Organisation};
+
+/// An event for a shard's machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Event {
+    /// The templates in force.
+    Organisations(Vec<Arc<Organisation>>),
+    /// The workers of the shard, by the membership list.
+    Workers(Vec<WorkerInfo>),
+    /// Jobs found in the inbox.
+    Submit(Vec<JobSpec>),
+    /// Jobs that their callers cancelled.
+    Cancel(Vec<JobKey>),
+    /// A worker answered an exchange.
+    Answer {
+        /// The worker.
+        worker: Name,
+        /// Its answer.
+        answer: WorkerAnswer,
+    },
+    /// An exchange has no answer.
+    NoAnswer {
+        /// The worker.
+        worker: Name,
+        /// Number of the exchange.
+        seq: u64,
+    },
+    /// Records up to this number are in the journal.
+    Committed(u64),
+    /// The table service answered; ownership is proved.
+    StoreSeen,
+    /// Time passed.
+    Tick,
+}
--- /dev/null
+++ b/crates/core/src/shard/evict.rs
@@ -0,0 +1,154 @@
+//! Noisy tasks: throttled, then evicted, then left alone.
+//!
+//! Each step waits for the one before to show its effect. An eviction needs an
+//! expected gain above its cost, and is bounded for each task and each minute.
+
+use super::{AttemptId, Machine, StopWhy};
+use crate::{Millis, place::Band};
+
+/// Time between two looks at a worker.
+const LOOK: Millis = 500;
+
+/// Slowdown of a service from which its neighbours are looked at.
+const SLOW: f32 = 1.25;
+
+/// Slowdown of a service below which throttles are lifted.
+const CALM: f32 = 1.08;
+
+/// Weighted gain from which a neighbour is throttled.
+const THROTTLE_AT: f32 = 0.08;
+
+/// Weighted gain, above the weighted cost, from which a neighbour is evicted.
+const EVICT_AT: f32 = 0.12;
+
+/// Share of its processors that a throttled task keeps, in hundredths.
+const THROTTLED: u32 = 50;
+
+/// Time for which a throttle is watched before an eviction.
+const PATIENCE: Millis = 3_000;
+
+/// Time after which a throttle may be lifted.
+const RELEASE: Millis = 5_000;
+
+/// Least run time of a task before it may be evicted.
+const YOUNG: Millis = 1_000;
+
+const MINUTE: Millis = 60_000;
+
+impl Machine {
+    /// Looks for tasks that slow services and acts on the worst of each worker.
+    pub(super) fn tune(&mut self, now: Millis) {
+        if now < self.tuned_at + LOOK {
+            return;
+        }
+        self.tuned_at = now;
+        while self.evicted.front().is_some_and(|t| t + MINUTE <= now) {
+            self.evicted.pop_front();
+        }
+        if self.settings.policy != crate::place::PlacePolicy::Interference {
+            return;
+        }
+        for i in 0..self.workers.len() {
+            self.tune_worker(now, i);
+        }
+    }
+
+    fn tune_worker(&mut self, now: Millis, i: usize) {
+        let mut worst = 1.0f32;
+        for r in &self.workers[i].residents {
+            if r.service && r.seen {
+                worst = worst.max(r.slow);
+            }
+        }
+        if worst < CALM {
+            self.release(now, i);
+        }
+        if worst < SLOW {
+            return;
+        }
+        let Some((id, gain)) = self.noisiest(i) else {
+            return;
+        };
+        let Some(r) = self.workers[i].resident(id) else {
+            return;
+        };
+        let (class, percent, turned, since) = (r.class, r.percent, r.turned, r.since);
+        if percent == 100 {
+            if gain >= THROTTLE_AT {
+                self.throttle(now, i, id, THROTTLED);
+            }
+            return;
+        }
+        let settled = now >= turned + PATIENCE && now >= since + YOUNG;
+        if settled && gain >= EVICT_AT + self.eviction_cost(class) && self.may_evict(id, class) {
+            self.evicted.push_back(now);
+            let w = &mut self.workers[i];
+            w.dirty = true;
+            if let Some(r) = w.resident_mut(id) {
+                r.stop = Some(StopWhy::Noisy);
+            }
+        }
+    }
+
+    /// Returns the task that slows the services on a worker most, and by how
+    /// much, weighted by those who bear it.
+    fn noisiest(&self, i: usize) -> Option<(AttemptId, f32)> {
+        let w = &self.workers[i];
+        let band = Band::of(w.used.load(&w.total));
+        let mut best: Option<(AttemptId, f32)> = None;
+        for r in &w.residents {
+            if r.service || !r.seen || r.stop.is_some() {
+                continue;
+            }
+            let mut gain = 0.0;
+            for v in &w.residents {
+                if !v.service {
+                    continue;
+                }
+                let e = self.pairs.estimate(v.class, r.class, band);
+                if e.known {
+                    gain += self.bears(v.class) * e.adds;
+                }
+            }
+            if best.is_none_or(|b| gain > b.1) {
+                best = Some((r.attempt, gain));
+            }
+        }
+        best
+    }
+
+    fn eviction_cost(&self, class: u16) -> f32 {
+        let w = &self.classes[usize::from(class)].weights;
+        (0.5 * w.evictions + 0.25 * w.throughput) as f32
+    }
+
+    fn may_evict(&self, id: AttemptId, class: u16) -> bool {
+        let limit = self.classes[usize::from(class)].evictions;
+        let few = self
+            .book
+            .active(id)
+            .is_some_and(|(_, t, _)| t.evictions < limit);
+        few && self.evicted.len() < self.settings.evictions as usize
+    }
+
+    fn throttle(&mut self, now: Millis, i: usize, id: AttemptId, percent: u32) {
+        let w = &mut self.workers[i];
+        w.dirty = true;
+        if let Some(r) = w.resident_mut(id) {
+            r.percent = percent;
+            r.turned = now;
+        }
+    }
+
+    fn release(&mut self, now: Millis, i: usize) {
+        let mut ids = Vec::new();
+        for r in &self.workers[i].residents {
+            if r.percent < 100 && now >= r.turned + RELEASE {
+                ids.push(r.attempt);
+            }
+        }
+        for id in ids {
+            self.throttle(now, i, id, 100);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/exchanges.rs
@@ -0,0 +1,160 @@
+//! What is sent to workers, and when.
+
+use super::{
+    Action, Health, JobSpec, Machine, Resident, StartOrder, StopOrder, StopWhy, Task, Throttle,
+    Worker, WorkerRequest,
+};
+use crate::{Millis, name::Name};
+
+/// Least time between two exchanges with a worker.
+const GAP: Millis = 10;
+
+/// Returns the key of the checkpoint that an attempt writes.
+fn checkpoint_key(shard: &str, r: &super::AttemptId, attempt: u32) -> Name {
+    format!("checkpoint/{shard}/{}.{}.{attempt}", r.job, r.task).into()
+}
+
+impl Machine {
+    /// Sends an exchange to each worker that is due.
+    pub(super) fn send_exchanges(&mut self, now: Millis) {
+        for i in 0..self.workers.len() {
+            let w = &self.workers[i];
+            let wait = if w.dirty { GAP } else { self.settings.exchange };
+            if w.busy || now < w.sent_at + wait || w.addr.port() == 0 {
+                continue;
+            }
+            self.send_exchange(now, i);
+        }
+    }
+
+    fn send_exchange(&mut self, now: Millis, i: usize) {
+        let renew = self.workers[i].health == Health::Good;
+        let seq = self.workers[i].seq + 1;
+        let starts = if renew {
+            self.starts(now, i, seq)
+        } else {
+            Vec::new()
+        };
+        let lapse = self.lapsing(now, &self.workers[i]);
+        let committed = self.committed;
+        let w = &mut self.workers[i];
+        w.seq = seq;
+        w.busy = true;
+        w.dirty = false;
+        w.sent_at = now;
+        if renew {
+            w.basis = w.basis.max(w.echo_at);
+        }
+        let mut acks = Vec::new();
+        for (record, attempt) in &w.acks {
+            if *record < committed {
+                acks.push(*attempt);
+            }
+        }
+        let request = WorkerRequest {
+            shard: self.place.name.clone(),
+            epoch: self.epoch,
+            seq,
+            boot: w.boot,
+            echo: w.echo,
+            lease: self.settings.lease,
+            renew,
+            lapse,
+            starts,
+            stops: stops(w, &self.book),
+            throttles: throttles(w),
+            acks,
+        };
+        let (worker, addr) = (w.name.clone(), w.addr);
+        self.out.push(Action::Exchange {
+            worker,
+            addr,
+            request,
+        });
+    }
+
+    /// Returns the attempts whose organisation's hold is over.
+    fn lapsing(&self, now: Millis, w: &Worker) -> Vec<super::AttemptId> {
+        let away = now.saturating_sub(self.store_at);
+        let mut out = Vec::new();
+        for r in &w.residents {
+            if !r.service && away > r.hold {
+                out.push(r.attempt);
+            }
+        }
+        out
+    }
+
+    /// Returns the starts that are in the journal and not reported as running.
+    fn starts(&mut self, now: Millis, i: usize, seq: u64) -> Vec<StartOrder> {
+        let committed = self.committed;
+        let away = now.saturating_sub(self.store_at);
+        let mut out = Vec::new();
+        let w = &mut self.workers[i];
+        for r in &mut w.residents {
+            let due = r.record < committed && !r.seen && r.stop.is_none();
+            if !due || (!r.service && away > r.hold) {
+                continue;
+            }
+            let Some((job, task, _)) = self.book.active(r.attempt) else {
+                continue;
+            };
+            r.sent.get_or_insert(seq);
+            out.push(start_order(&self.place.name, r, &job.spec, task));
+        }
+        out
+    }
+}
+
+fn start_order(shard: &str, r: &Resident, spec: &JobSpec, task: &Task) -> StartOrder {
+    let key = &spec.key;
+    let resume = (task.checkpoint > 0).then(|| checkpoint_key(shard, &r.attempt, task.checkpoint));
+    let checkpoint = spec
+        .checkpoint
+        .then(|| checkpoint_key(shard, &r.attempt, r.attempt.attempt));
+    StartOrder {
+        attempt: r.attempt,
+        name: format!("{}/{}/{}", key.org, key.id, r.attempt.task).into(),
+        kind: spec.kind.clone(),
+        size: r.size,
+        run: spec.run,
+        resume,
+        checkpoint,
+        service: r.service,
+    }
+}
+
+fn stops(w: &Worker, book: &super::Book) -> Vec<StopOrder> {
+    let mut out = Vec::new();
+    for r in &w.residents {
+        let Some(why) = r.stop else { continue };
+        if r.sent.is_none() {
+            continue;
+        }
+        let can = book.job(r.attempt.job).is_some_and(|j| j.spec.checkpoint);
+        out.push(StopOrder {
+            attempt: r.attempt,
+            save: can && why != StopWhy::Unwanted,
+        });
+    }
+    for &attempt in &w.strays {
+        out.push(StopOrder {
+            attempt,
+            save: false,
+        });
+    }
+    out
+}
+
+fn throttles(w: &Worker) -> Vec<Throttle> {
+    let mut out = Vec::new();
+    for r in &w.residents {
+        if r.percent < 100 || r.turned > 0 {
+            out.push(Throttle {
+                attempt: r.attempt,
+                percent: r.percent,
+            });
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/core/src/shard/job.rs
@@ -0,0 +1,112 @@
+//! Jobs and their state.
+
+use serde::{Deserialize, Serialize};
+
+use super::{Task, TaskState};
+use crate::{Millis, name::Name, size::Size, template::Priority};
+
+/// A job's organisation and its caller's id for it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct JobKey {
+    /// Organisation.
+    pub org: Name,
+    /// Caller's id.
+    pub id: Name,
+}
+
+/// A job as it was accepted; later changes of the template don't touch it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Organisation and id.
+    pub key: JobKey,
+    /// Kind of job or name of the service.
+    pub kind: Name,
+    /// Team whose quota it uses; empty for services.
+    pub team: Name,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Declared size of a task.
+    pub size: Size,
+    /// Declared run time of a task; 0 runs until it is cancelled.
+    pub run: Millis,
+    /// Priority.
+    pub priority: Priority,
+    /// Whether tasks can write checkpoints.
+    pub checkpoint: bool,
+    /// Failures after which a task has failed for good.
+    pub attempts: u32,
+    /// Whether the tasks are replicas of a service, which may run twice.
+    pub service: bool,
+}
+
+/// State of a job as its caller sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobState {
+    /// Accepted; no task has started.
+    Queued,
+    /// At least one task has started.
+    Running,
+    /// Every task is done.
+    Done,
+    /// At least one task has failed for good and none is open.
+    Failed,
+    /// Cancelled before every task was done.
+    Cancelled,
+}
+
+/// A job with its tasks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// Number in its shard.
+    pub no: u32,
+    /// What was accepted.
+    pub spec: JobSpec,
+    /// Tasks by index.
+    pub tasks: Vec<Task>,
+    /// Tasks that are neither done, failed nor cancelled.
+    pub open: u32,
+    /// Whether its caller cancelled it.
+    pub cancelled: bool,
+    /// Why it failed, if it did.
+    pub reason: Option<Name>,
+}
+
+impl Job {
+    /// Returns a job whose tasks are all queued.
+    pub fn new(no: u32, spec: JobSpec) -> Job {
+        let tasks = vec![Task::default(); spec.tasks as usize];
+        Job {
+            no,
+            open: spec.tasks,
+            tasks,
+            spec,
+            cancelled: false,
+            reason: None,
+        }
+    }
+
+    /// Returns the state that its caller sees.
+    pub fn state(&self) -> JobState {
+        if self.open == 0 {
+            return self.final_state();
+        }
+        let started = self.tasks.iter().any(|t| t.attempt > 0);
+        if started {
+            JobState::Running
+        } else {
+            JobState::Queued
+        }
+    }
+
+    fn final_state(&self) -> JobState {
+        let any = |s: TaskState| self.tasks.iter().any(|t| t.state == s);
+        if any(TaskState::Failed) || self.reason.is_some() {
+            JobState::Failed
+        } else if any(TaskState::Cancelled) {
+            JobState::Cancelled
+        } else {
+            JobState::Done
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/lapse.rs
@@ -0,0 +1,57 @@
+//! Workers that stop answering, and the ends of their leases.
+
+use super::{AttemptId, End, Health, Machine};
+use crate::Millis;
+
+/// Share of a lease added for the difference of clock rates: one in this many.
+const DRIFT: Millis = 100;
+
+impl Machine {
+    /// Marks silent workers and ends the attempts whose leases have lapsed.
+    pub(super) fn watch_workers(&mut self, now: Millis) {
+        for i in 0..self.workers.len() {
+            let w = &mut self.workers[i];
+            let quiet = now.saturating_sub(w.seen_at) > self.settings.silent;
+            if w.health == Health::Good && quiet {
+                w.health = Health::Silent;
+                self.targets += 1;
+            }
+            if w.health != Health::Good && quiet {
+                self.end_replicas(now, i);
+                self.end_lapsed(now, i);
+            }
+            self.end_unsent(now, i);
+        }
+    }
+
+    /// Ends the replicas on a silent worker, which may run twice.
+    fn end_replicas(&mut self, now: Millis, i: usize) {
+        let ids = self.ids(i, true);
+        for id in ids {
+            self.end_attempt(now, i, id, End::Lost);
+        }
+    }
+
+    /// Ends the other attempts once no owner's renewal can still hold.
+    fn end_lapsed(&mut self, now: Millis, i: usize) {
+        let lease = self.settings.lease;
+        let end = self.workers[i].basis + lease + lease / DRIFT + self.settings.margin;
+        if now <= end {
+            return;
+        }
+        let ids = self.ids(i, false);
+        for id in ids {
+            self.end_attempt(now, i, id, End::Lost);
+        }
+    }
+
+    fn ids(&self, i: usize, service: bool) -> Vec<AttemptId> {
+        let mut ids = Vec::new();
+        for r in &self.workers[i].residents {
+            if r.service == service {
+                ids.push(r.attempt);
+            }
+        }
+        ids
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/learn.rs
@@ -0,0 +1,42 @@
+//! Late samples.
+
+use super::{Machine, Sample, WorkerAnswer};
+use crate::{Millis, place::Band};
+
+/// Share of a new sample in the running mean of a slowdown.
+const SHARE: f32 = 0.3;
+
+/// What a slowdown of 1 is in samples.
+const UNIT: f32 = 1000.0;
+
+impl Machine {
+    /// Learns from the samples in an answer.
+    pub(super) fn learn(&mut self, now: Millis, i: usize, a: &WorkerAnswer) {
+        for sample in &a.samples {
+            self.learn_one(now, i, sample);
+        }
+    }
+
+    /// Matches a sample with what ran when it was measured.
+    fn learn_one(&mut self, now: Millis, i: usize, sample: &Sample) {
+        let slow = sample.slow as f32 / UNIT;
+        let w = &mut self.workers[i];
+        let band = Band::of(w.used.load(&w.total));
+        let ran = w.history.running_at(sample.at);
+        if let Some(r) = w.resident_mut(sample.attempt) {
+            r.slow += SHARE * (slow - r.slow);
+        }
+        let Some(me) = ran.iter().find(|c| c.attempt == sample.attempt) else {
+            return;
+        };
+        let mut others = Vec::with_capacity(ran.len());
+        for c in &ran {
+            if c.attempt != sample.attempt {
+                others.push(c.class);
+            }
+        }
+        let class = &mut self.classes[usize::from(me.class)];
+        class.seen = class.seen.most(&sample.used);
+        self.pairs.learn(me.class, &others, band, slow, now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/machine.rs
@@ -0,0 +1,474 @@
+//! The state machine of a shard's owner.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use rand::{SeedableRng, rngs::SmallRng};
+
+use super::{
+    Action, AttemptId, Book, Event, JobKey, JobSpec, Queue, Record, ShardSettings, TaskRef,
+    TaskState, Worker, WorkerInfo, class::Class, team_use::TeamUse,
+};
+use crate::{
+    Millis,
+    name::Name,
+    place::Pairs,
+    size::Size,
+    template::{OrgLimits, Organisation, Weights},
+};
+
+/// Place of a shard among all shards of the system.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ShardPlace {
+    /// Name of the shard.
+    pub name: Name,
+    /// Its index among all shards.
+    pub index: u32,
+    /// Number of all shards.
+    pub count: u32,
+}
+
+/// Owns a shard: decides starts, stops and ends.
+#[derive(Debug)]
+pub struct Machine {
+    pub(super) place: ShardPlace,
+    pub(super) settings: ShardSettings,
+    pub(super) epoch: u64,
+    pub(super) rng: SmallRng,
+    pub(super) orgs: Vec<Arc<Organisation>>,
+    pub(super) book: Book,
+    pub(super) workers: Vec<Worker>,
+    pub(super) queue: Queue,
+    pub(super) classes: Vec<Class>,
+    pub(super) teams: Vec<TeamUse>,
+    pub(super) pairs: Pairs,
+    pub(super) pending: Vec<Record>,
+    /// Number of the next record.
+    pub(super) next: u64,
+    /// Records below this number are in the journal.
+    pub(super) committed: u64,
+    /// Last contact with the table service.
+    pub(super) store_at: Millis,
+    /// When this owner took over.
+    pub(super) start: Millis,
+    /// Finished jobs by the time at which they leave the book.
+    pub(super) closing: VecDeque<(Millis, u32)>,
+    pub(super) evicted: VecDeque<Millis>,
+    /// Whether something changed that may let a task be placed.
+    pub(super) stirred: bool,
+    pub(super) placed_at: Millis,
+    pub(super) tuned_at: Millis,
+    pub(super) out: Vec<Action>,
+    pub(super) targets: u64,
+}
+
+impl Machine {
+    /// Takes over a shard with the book that was recovered from its journal.
+    ///
+    /// `next` is the number of the first record that is not in the journal.
+    pub fn new(
+        place: ShardPlace,
+        settings: ShardSettings,
+        epoch: u64,
+        seed: u64,
+        book: Book,
+        next: u64,
+        now: Millis,
+    ) -> Machine {
+        let mut machine = Machine {
+            place,
+            settings,
+            epoch,
+            rng: SmallRng::seed_from_u64(seed),
+            orgs: Vec::new(),
+            book,
+            workers: Vec::new(),
+            queue: Queue::default(),
+            classes: Vec::new(),
+            teams: Vec::new(),
+            pairs: Pairs::default(),
+            pending: Vec::new(),
+            next,
+            committed: next,
+            store_at: now,
+            start: now,
+            closing: VecDeque::new(),
+            evicted: VecDeque::new(),
+            stirred: true,
+            placed_at: 0,
+            tuned_at: 0,
+            out: Vec::new(),
+            targets: 1,
+        };
+        machine.recover(now);
+        machine
+    }
+
+    /// Returns the epoch of this ownership.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the book.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// Returns the workers, sorted by name.
+    pub fn workers(&self) -> &[Worker] {
+        &self.workers
+    }
+
+    /// Returns the number of the next record.
+    pub fn next_record(&self) -> u64 {
+        self.next
+    }
+
+    /// Handles one event and returns what is to be done.
+    pub fn step(&mut self, now: Millis, event: &Event) -> Vec<Action> {
+        match event {
+            Event::Organisations(orgs) => self.set_orgs(now, orgs),
+            Event::Workers(list) => self.set_workers(now, list),
+            Event::Submit(specs) => self.submit(now, specs),
+            Event::Cancel(keys) => self.cancel(now, keys),
+            Event::Answer { worker, answer } => self.answer(now, worker, answer),
+            Event::NoAnswer { worker, seq } => self.no_answer(worker, *seq),
+            Event::Committed(upto) => self.commit(now, *upto),
+            Event::StoreSeen => self.store_at = now,
+            Event::Tick => self.tick(now),
+        }
+        self.flush();
+        std::mem::take(&mut self.out)
+    }
+
+    fn tick(&mut self, now: Millis) {
+        self.queue.wake(now);
+        self.watch_workers(now);
+        self.close_jobs(now);
+        self.tune(now);
+        self.place_tasks(now);
+        self.send_exchanges(now);
+    }
+
+    fn flush(&mut self) {
+        if self.pending.is_empty() {
+            return;
+        }
+        let records = std::mem::take(&mut self.pending);
+        let first = self.next - records.len() as u64;
+        self.out.push(Action::Append { first, records });
+    }
+
+    fn commit(&mut self, now: Millis, upto: u64) {
+        self.store_at = now;
+        if upto <= self.committed {
+            return;
+        }
+        self.committed = upto;
+        for w in &mut self.workers {
+            let starts = w
+                .residents
+                .iter()
+                .any(|r| r.sent.is_none() && r.record < upto);
+            let acks = w.acks.iter().any(|a| a.0 < upto);
+            w.dirty |= starts || acks;
+        }
+    }
+
+    /// Applies a record to the book and queues it for the journal.
+    ///
+    /// Returns the record's number.
+    pub(super) fn record(&mut self, now: Millis, record: Record, delay: Millis) -> u64 {
+        let number = self.next;
+        let effects = self.book.apply(&record);
+        self.next += 1;
+        self.pending.push(record);
+        for effect in effects {
+            self.follow(now, effect, number, delay);
+        }
+        number
+    }
+
+    fn recover(&mut self, now: Millis) {
+        let mut queued = Vec::new();
+        let mut finished = Vec::new();
+        for job in self.book.jobs() {
+            if job.open == 0 && !job.spec.service {
+                finished.push(job.no);
+            }
+            for (i, task) in job.tasks.iter().enumerate() {
+                if task.state == TaskState::Queued {
+                    queued.push(TaskRef {
+                        job: job.no,
+                        task: i as u32,
+                    });
+                }
+            }
+        }
+        for task in queued {
+            self.enqueue(now, task, 0);
+        }
+        for job in finished {
+            self.closing.push_back((now + self.settings.retain, job));
+        }
+    }
+
+    fn set_orgs(&mut self, now: Millis, orgs: &[Arc<Organisation>]) {
+        self.orgs = orgs.to_vec();
+        self.orgs.sort_by(|a, b| a.name.cmp(&b.name));
+        for class in &mut self.classes {
+            let found = self.orgs.binary_search_by(|o| o.name.cmp(&class.org));
+            let Ok(i) = found else { continue };
+            let org = &self.orgs[i];
+            class.weights = org.weights;
+            class.hold = org.limits.hold;
+            class.evictions = org.limits.evictions;
+        }
+        let count = u64::from(self.place.count);
+        for team in &mut self.teams {
+            let Ok(i) = self.orgs.binary_search_by(|o| o.name.cmp(&team.org)) else {
+                continue;
+            };
+            if team.quota.is_some() {
+                let quota = self.orgs[i].team(&team.team).map(|t| t.quota.share(count));
+                team.quota = Some(quota.unwrap_or_default());
+            }
+        }
+        self.stirred = true;
+        self.set_services(now);
+    }
+
+    /// Returns the longest time that an earlier owner may have gone on without
+    /// the table service.
+    fn longest_hold(&self) -> Millis {
+        self.orgs.iter().map(|o| o.limits.hold).max().unwrap_or(0)
+    }
+
+    fn set_workers(&mut self, now: Millis, list: &[WorkerInfo]) {
+        for w in &mut self.workers {
+            w.listed = false;
+        }
+        for info in list {
+            match self.workers.binary_search_by(|w| w.name.cmp(&info.name)) {
+                Ok(i) => self.update_worker(now, i, info),
+                Err(i) => self.add_worker(now, i, info),
+            }
+        }
+        let before = self.workers.len();
+        self.workers.retain(|w| w.listed || !w.residents.is_empty());
+        if self.workers.len() != before {
+            self.targets += 1;
+        }
+        self.adopt_unlisted(now);
+    }
+
+    fn update_worker(&mut self, now: Millis, i: usize, info: &WorkerInfo) {
+        let w = &mut self.workers[i];
+        w.listed = true;
+        w.rack = info.rack.clone();
+        if w.addr != info.addr || w.target != info.target {
+            w.addr = info.addr;
+            w.target = info.target;
+            self.targets += 1;
+        }
+        if info.leaving && !w.leaving {
+            w.leaving = true;
+            self.targets += 1;
+            self.empty_worker(now, i);
+        } else if !info.leaving && w.leaving {
+            w.leaving = false;
+            self.targets += 1;
+            self.stirred = true;
+        }
+    }
+
+    fn add_worker(&mut self, now: Millis, i: usize, info: &WorkerInfo) {
+        let basis = now + self.longest_hold();
+        self.workers.insert(i, Worker::new(info, now, basis));
+        self.targets += 1;
+        self.place_residents(now, i);
+    }
+
+    /// Puts the attempts that the book has on a worker into its view.
+    fn place_residents(&mut self, now: Millis, i: usize) {
+        let name = self.workers[i].name.clone();
+        let mut found = Vec::new();
+        for job in self.book.jobs() {
+            for (t, task) in job.tasks.iter().enumerate() {
+                let TaskState::Active(on) = &task.state else {
+                    continue;
+                };
+                if *on != name {
+                    continue;
+                }
+                let attempt = AttemptId {
+                    job: job.no,
+                    task: t as u32,
+                    attempt: task.attempt,
+                };
+                let unwanted = job.cancelled || t as u32 >= job.spec.tasks;
+                found.push((attempt, job.spec.size, unwanted));
+            }
+        }
+        for (attempt, size, unwanted) in found {
+            self.reserve(now, attempt, &name, &size, 0);
+            let Some(r) = self.workers[i].resident_mut(attempt) else {
+                continue;
+            };
+            r.sent = Some(0);
+            if unwanted {
+                r.stop = Some(super::StopWhy::Unwanted);
+            }
+        }
+    }
+
+    /// Adds workers that the book has attempts on and the list no longer has.
+    fn adopt_unlisted(&mut self, now: Millis) {
+        if now < self.start + self.settings.silent {
+            return;
+        }
+        let mut names: Vec<Name> = Vec::new();
+        for job in self.book.jobs() {
+            for task in &job.tasks {
+                let TaskState::Active(on) = &task.state else {
+                    continue;
+                };
+                let known = self.workers.binary_search_by(|w| w.name.cmp(on)).is_ok();
+                if known || names.contains(on) {
+                    continue;
+                }
+                names.push(on.clone());
+            }
+        }
+        let nowhere = ([0, 0, 0, 0], 0).into();
+        for name in names {
+            let info = WorkerInfo {
+                name: name.clone(),
+                zone: name.clone(),
+                rack: name.clone(),
+                addr: nowhere,
+                target: nowhere,
+                size: Size::default(),
+                leaving: true,
+            };
+            let Err(i) = self.workers.binary_search_by(|w| w.name.cmp(&name)) else {
+                continue;
+            };
+            self.add_worker(now, i, &info);
+            self.workers[i].listed = false;
+        }
+    }
+
+    fn submit(&mut self, now: Millis, specs: &[JobSpec]) {
+        for spec in specs {
+            if self.book.find(&spec.key).is_some() {
+                continue;
+            }
+            let job = self.book.next_job();
+            let reason = self.refusal(spec);
+            self.record(now, Record::Submitted(spec.clone()), 0);
+            if let Some(reason) = reason {
+                self.record(now, Record::Rejected { job, reason }, 0);
+            }
+        }
+        self.stirred = true;
+    }
+
+    /// Returns why a job can never run, as far as that is known.
+    fn refusal(&self, spec: &JobSpec) -> Option<Name> {
+        let mut largest = Size::default();
+        let mut fits = self.workers.is_empty();
+        for w in &self.workers {
+            fits |= spec.size.fits(&w.total);
+            largest = largest.most(&w.total);
+        }
+        if !fits {
+            return Some(format!("no worker holds {}; the largest is {largest}", spec.size).into());
+        }
+        let over = self.teams.iter().any(|t| {
+            t.org == spec.key.org
+                && t.team == spec.team
+                && t.quota.is_some_and(|q| !spec.size.fits(&q))
+        });
+        over.then(|| format!("a task is larger than the quota share of {}", spec.team).into())
+    }
+
+    fn cancel(&mut self, now: Millis, keys: &[JobKey]) {
+        for key in keys {
+            let Some(job) = self.book.find(key) else {
+                continue;
+            };
+            if job.cancelled || job.open == 0 {
+                continue;
+            }
+            let job = job.no;
+            self.record(now, Record::Cancelled { job }, 0);
+        }
+    }
+
+    fn close_jobs(&mut self, now: Millis) {
+        while self.closing.front().is_some_and(|c| c.0 <= now) {
+            let Some((_, job)) = self.closing.pop_front() else {
+                return;
+            };
+            self.record(now, Record::Closed { job }, 0);
+        }
+    }
+
+    /// Returns the index of a class, which is made if it is new.
+    pub(super) fn class(&mut self, org: &Name, kind: &Name, service: bool) -> u16 {
+        let found = self
+            .classes
+            .iter()
+            .position(|c| c.org == *org && c.kind == *kind);
+        if let Some(i) = found {
+            return i as u16;
+        }
+        let known = self.orgs.iter().find(|o| o.name == *org);
+        let (weights, limits) =
+            known.map_or((Weights::default(), None), |o| (o.weights, Some(&o.limits)));
+        let hold = limits.map_or(0, |l: &OrgLimits| l.hold);
+        let evictions = limits.map_or(0, |l| l.evictions);
+        self.classes.push(Class {
+            org: org.clone(),
+            kind: kind.clone(),
+            service,
+            weights,
+            hold,
+            evictions,
+            seen: Size::default(),
+            done: 0,
+            failed: 0,
+        });
+        self.pairs.grow(self.classes.len());
+        (self.classes.len() - 1) as u16
+    }
+
+    /// Returns the index of a team, which is made if it is new.
+    pub(super) fn team(&mut self, org: &Name, team: &Name, service: bool) -> u16 {
+        let found = self
+            .teams
+            .iter()
+            .position(|t| t.org == *org && t.team == *team);
+        if let Some(i) = found {
+            return i as u16;
+        }
+        let count = u64::from(self.place.count);
+        let quota = self
+            .orgs
+            .iter()
+            .find(|o| o.name == *org)
+            .and_then(|o| o.team(team));
+        let quota = quota.map(|t| t.quota.share(count));
+        self.teams.push(TeamUse {
+            org: org.clone(),
+            team: team.clone(),
+            used: Size::default(),
+            quota: if service {
+                None
+            } else {
+                Some(quota.unwrap_or_default())
+            },
+        });
+        (self.teams.len() - 1) as u16
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/mod.rs
@@ -0,0 +1,54 @@
+//! A shard: a set of workers with the tasks that run there or wait for them.
+//!
+//! One owner at a time runs the [`Machine`] of a shard. What must last is the
+//! [`Book`], changed only by [`Record`]s that the owner appends to the shard's
+//! journal; everything else is soft state that is rebuilt from the book and
+//! from what the workers report. A start is sent only after its record was
+//! committed, so that a new owner knows of every attempt that may run.
+//!
+//! Limits: one owner thread handles all workers of a shard, so the number of
+//! shards, not the code, sets how many workers a zone can have.
+
+mod action;
+mod answer;
+mod attempt;
+mod book;
+mod class;
+mod effects;
+mod ended;
+mod event;
+mod evict;
+mod exchange;
+mod exchanges;
+mod job;
+mod lapse;
+mod learn;
+mod machine;
+mod place_tasks;
+mod queue;
+mod record;
+mod resident;
+mod services;
+mod settings;
+mod status;
+mod task;
+mod team_use;
+mod worker;
+
+pub use action::Action;
+pub use attempt::AttemptId;
+pub use book::{Book, Effect};
+pub use event::Event;
+pub use exchange::{
+    EndReport, Reason, Sample, StartOrder, StopOrder, Throttle, WorkerAnswer, WorkerEnd,
+    WorkerInfo, WorkerRequest,
+};
+pub use job::{Job, JobKey, JobSpec, JobState};
+pub use machine::{Machine, ShardPlace};
+pub use queue::{Queue, TaskRef};
+pub use record::{End, Record};
+pub use resident::{Resident, StopWhy};
+pub use settings::ShardSettings;
+pub use status::{JobStatus, ShardStatus, TargetInfo, WorkerStatus};
+pub use task::{Task, TaskState};
+pub use worker::{Health, Reserve, Tally, Worker};
--- /dev/null
+++ b/crates/core/src/shard/place_tasks.rs
@@ -0,0 +1,330 @@
+//! Placement of queued tasks.
+
+use rand::Rng;
+
+use super::{AttemptId, Job, Machine, Record, Reserve, StopWhy, Task, TaskRef, TaskState, Worker};
+use crate::{
+    Millis,
+    place::{Band, PlacePolicy},
+    size::Size,
+    template::Priority,
+};
+
+/// Workers that are compared for one task.
+const PROBES: usize = 32;
+
+/// Shards up to this many workers compare all of them.
+const FULL: usize = 48;
+
+/// Tasks of a lane that may be passed over in one round.
+const LOOKAHEAD: usize = 8;
+
+/// Time after which placement is tried although nothing changed.
+const RETRY: Millis = 200;
+
+/// Added for each replica of the same service in the rack.
+const RACK: f32 = 0.2;
+
+/// Share of the load in the score of the learning policy.
+const LOAD: f32 = 0.25;
+
+/// Added where the task failed before.
+const FAILED_HERE: f32 = 1_000.0;
+
+/// Most that the observed size may exceed the declared one.
+const CORRECTION: u64 = 4;
+
+/// What a placement needs to know of a task.
+#[derive(Debug)]
+pub(super) struct Wanted {
+    pub task: TaskRef,
+    pub size: Size,
+    pub class: u16,
+    pub service: bool,
+    pub priority: Priority,
+    pub avoid: Vec<crate::name::Name>,
+}
+
+/// Lanes of a priority that still have something to place.
+struct Round {
+    lanes: Vec<u16>,
+    skipped: Vec<(u16, TaskRef)>,
+    stuck: Vec<Size>,
+}
+
+impl Machine {
+    /// Gives queued tasks to workers: urgent first, teams by their use.
+    pub(super) fn place_tasks(&mut self, now: Millis) {
+        if !self.stirred && now < self.placed_at + RETRY {
+            return;
+        }
+        self.stirred = false;
+        self.placed_at = now;
+        let mut left = self.settings.batch;
+        for priority in Priority::ALL {
+            let mut round = Round {
+                lanes: self.queue.teams(priority),
+                skipped: Vec::new(),
+                stuck: Vec::new(),
+            };
+            while left > 0 && !round.lanes.is_empty() {
+                left -= 1;
+                self.place_next(now, priority, &mut round);
+            }
+            for (team, task) in round.skipped.into_iter().rev() {
+                self.queue.push_front(priority, team, task);
+            }
+        }
+        self.stirred |= left == 0;
+    }
+
+    /// Takes one task of the lane whose team uses least.
+    fn place_next(&mut self, now: Millis, priority: Priority, round: &mut Round) {
+        let mut best = 0;
+        for k in 1..round.lanes.len() {
+            let load = |k: usize| self.teams[usize::from(round.lanes[k])].load();
+            if load(k) < load(best) {
+                best = k;
+            }
+        }
+        let team = round.lanes[best];
+        let Some(task) = self.queue.pop(priority, team) else {
+            round.lanes.swap_remove(best);
+            return;
+        };
+        let Some(wanted) = self.wanted(task) else {
+            return;
+        };
+        let stuck = round.stuck.iter().any(|s| s.fits(&wanted.size));
+        let within = self.teams[usize::from(team)].allows(&wanted.size);
+        if within && !stuck && self.place_one(now, &wanted) {
+            return;
+        }
+        if within && !stuck && !wanted.service {
+            round.stuck.push(wanted.size);
+        }
+        round.skipped.push((team, task));
+        let passed = round.skipped.iter().filter(|s| s.0 == team).count();
+        if !within || passed >= LOOKAHEAD {
+            round.lanes.swap_remove(best);
+        }
+    }
+
+    /// Returns what placing `task` needs, or nothing if it is no longer queued.
+    fn wanted(&mut self, task: TaskRef) -> Option<Wanted> {
+        let job = self.book.job(task.job)?;
+        let t = job.tasks.get(task.task as usize)?;
+        if t.state != TaskState::Queued {
+            return None;
+        }
+        let (org, kind) = (job.spec.key.org.clone(), job.spec.kind.clone());
+        let (service, priority, declared) = (job.spec.service, job.spec.priority, job.spec.size);
+        let avoid = t.failed_on.clone();
+        let class = self.class(&org, &kind, service);
+        Some(Wanted {
+            task,
+            size: self.corrected(class, &declared),
+            class,
+            service,
+            priority,
+            avoid,
+        })
+    }
+
+    /// Returns the declared size, raised to what tasks of the class were seen to use.
+    fn corrected(&self, class: u16, declared: &Size) -> Size {
+        let seen = &self.classes[usize::from(class)].seen;
+        let cap = Size {
+            cpu: declared.cpu * CORRECTION,
+            memory: declared.memory * CORRECTION,
+            accels: declared.accels,
+        };
+        declared.most(&seen.least(&cap))
+    }
+
+    fn place_one(&mut self, now: Millis, wanted: &Wanted) -> bool {
+        let Some(i) = self.choose(now, wanted) else {
+            if wanted.priority == Priority::Urgent && !wanted.service {
+                self.preempt(now, wanted);
+            }
+            return false;
+        };
+        let Some(next) = self.next_attempt(wanted.task) else {
+            return false;
+        };
+        let worker = self.workers[i].name.clone();
+        let record = Record::Started {
+            attempt: next,
+            worker,
+            size: wanted.size,
+        };
+        self.record(now, record, 0);
+        true
+    }
+
+    fn next_attempt(&self, task: TaskRef) -> Option<AttemptId> {
+        let job: &Job = self.book.job(task.job)?;
+        let t: &Task = job.tasks.get(task.task as usize)?;
+        Some(AttemptId {
+            job: task.job,
+            task: task.task,
+            attempt: t.attempt + 1,
+        })
+    }
+
+    /// Returns the best worker with room, or nothing.
+    fn choose(&mut self, now: Millis, wanted: &Wanted) -> Option<usize> {
+        let n = self.workers.len();
+        if n <= FULL {
+            return self.best(now, wanted, 0..n);
+        }
+        let mut probes = [0; PROBES];
+        for p in &mut probes {
+            *p = self.rng.random_range(0..n);
+        }
+        let found = self.best(now, wanted, probes.into_iter());
+        found.or_else(|| self.best(now, wanted, 0..n))
+    }
+
+    fn best(
+        &mut self,
+        now: Millis,
+        wanted: &Wanted,
+        candidates: impl Iterator<Item = usize>,
+    ) -> Option<usize> {
+        let mut best = None;
+        let mut least = f32::INFINITY;
+        for i in candidates {
+            let w = &self.workers[i];
+            if !w.open(now) || !wanted.size.fits(&w.room_for(wanted.task, now)) {
+                continue;
+            }
+            let twin = |r: &super::Resident| r.attempt.job == wanted.task.job;
+            if wanted.service && w.residents.iter().any(twin) {
+                continue;
+            }
+            let mut score = match self.settings.policy {
+                PlacePolicy::Random => self.rng.random::<f32>(),
+                PlacePolicy::LeastLoaded => load_after(w, &wanted.size),
+                PlacePolicy::Interference => self.expected_cost(w, wanted),
+            };
+            if wanted.avoid.contains(&w.name) {
+                score += FAILED_HERE;
+            }
+            if wanted.service {
+                score += RACK * self.in_rack(&w.rack, wanted.task.job) as f32;
+            }
+            if score < least {
+                least = score;
+                best = Some(i);
+            }
+        }
+        best
+    }
+
+    fn in_rack(&self, rack: &str, job: u32) -> usize {
+        let mut count = 0;
+        for w in &self.workers {
+            if *w.rack != *rack {
+                continue;
+            }
+            count += usize::from(w.residents.iter().any(|r| r.attempt.job == job));
+        }
+        count
+    }
+
+    /// Returns the expected slowdown that the placement adds, by the weights of
+    /// those who bear it, and a share of the load.
+    fn expected_cost(&self, w: &Worker, wanted: &Wanted) -> f32 {
+        let load = load_after(w, &wanted.size);
+        let band = Band::of(f64::from(load));
+        let mut cost = LOAD * load;
+        let mine = self.bears(wanted.class);
+        for r in &w.residents {
+            let to_them = self.pairs.estimate(r.class, wanted.class, band);
+            let to_me = self.pairs.estimate(wanted.class, r.class, band);
+            cost += self.bears(r.class) * to_them.adds + mine * to_me.adds;
+        }
+        cost
+    }
+
+    /// Returns the weight of a slowdown of a class.
+    pub(super) fn bears(&self, class: u16) -> f32 {
+        let c = &self.classes[usize::from(class)];
+        let weight = if c.service {
+            c.weights.tail
+        } else {
+            c.weights.throughput
+        };
+        weight as f32
+    }
+
+    /// Makes room for an urgent task by evicting others.
+    fn preempt(&mut self, now: Millis, wanted: &Wanted) {
+        let task = wanted.task;
+        let kept = |w: &Worker| w.reserve.is_some_and(|r| r.task == task && r.until > now);
+        if self.workers.iter().any(kept) {
+            return;
+        }
+        let mut best: Option<(usize, Vec<AttemptId>)> = None;
+        for i in 0..self.workers.len() {
+            let w = &self.workers[i];
+            let taken = w.reserve.is_some_and(|r| r.until > now);
+            if !w.open(now) || taken || !wanted.size.fits(&w.total) {
+                continue;
+            }
+            let Some(victims) = self.victims(w, &wanted.size) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|b| victims.len() < b.1.len()) {
+                best = Some((i, victims));
+            }
+        }
+        let Some((i, victims)) = best else { return };
+        let w = &mut self.workers[i];
+        w.reserve = Some(Reserve {
+            task,
+            size: wanted.size,
+            until: now + self.settings.reserve,
+        });
+        w.dirty = true;
+        for id in victims {
+            if let Some(r) = w.resident_mut(id) {
+                r.stop = Some(StopWhy::Preempted);
+            }
+        }
+    }
+
+    /// Returns the fewest residents whose end makes room: bulk first, then the
+    /// ones that started last.
+    fn victims(&self, w: &Worker, size: &Size) -> Option<Vec<AttemptId>> {
+        let mut order = Vec::new();
+        let mut room = w.room();
+        for r in &w.residents {
+            if r.stop.is_some() {
+                room = room.plus(&r.size);
+                continue;
+            }
+            let limit = self.classes[usize::from(r.class)].evictions;
+            let (_, task, _) = self.book.active(r.attempt)?;
+            if r.service || r.priority == Priority::Urgent || task.evictions >= limit {
+                continue;
+            }
+            order.push((r.priority, r.since, r.attempt, r.size));
+        }
+        order.sort_by_key(|o| std::cmp::Reverse((o.0, o.1, o.2)));
+        let mut out = Vec::new();
+        for (_, _, id, held) in order {
+            if size.fits(&room) {
+                break;
+            }
+            room = room.plus(&held);
+            out.push(id);
+        }
+        size.fits(&room).then_some(out)
+    }
+}
+
+fn load_after(w: &Worker, size: &Size) -> f32 {
+    w.used.plus(size).load(&w.total) as f32
+}
--- /dev/null
+++ b/crates/core/src/shard/resident.rs
@@ -0,0 +1,50 @@
+//! Attempts that hold room on a worker.
+
+use super::AttemptId;
+use crate::{Millis, size::Size, template::Priority};
+
+/// Why an attempt is to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopWhy {
+    /// Its job was cancelled or its service shrank.
+    Unwanted,
+    /// It makes room for an urgent task.
+    Preempted,
+    /// It slows others too much.
+    Noisy,
+    /// Its worker leaves.
+    Leaving,
+}
+
+/// Soft state of an attempt on a worker.
+#[derive(Debug, Clone)]
+pub struct Resident {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Room that is reserved.
+    pub size: Size,
+    /// Class of its job.
+    pub class: u16,
+    /// Priority.
+    pub priority: Priority,
+    /// Whether it is a replica of a service.
+    pub service: bool,
+    /// How long it goes on without the table service.
+    pub hold: Millis,
+    /// Number of the record that started it; sent when that is committed.
+    pub record: u64,
+    /// First exchange that carried the start.
+    pub sent: Option<u64>,
+    /// Whether the worker reported it as running.
+    pub seen: bool,
+    /// When its start was recorded, by the owner's clock.
+    pub since: Millis,
+    /// Why it is to stop, if it is.
+    pub stop: Option<StopWhy>,
+    /// Share of its processors in hundredths.
+    pub percent: u32,
+    /// How much slower than alone it was at the last sample; 1 is not slowed.
+    pub slow: f32,
+    /// When it was last throttled or released, by the owner's clock.
+    pub turned: Millis,
+}
--- /dev/null
+++ b/crates/core/src/shard/services.rs
@@ -0,0 +1,88 @@
+//! Replicas of services as jobs of the shard.
+
+use super::{JobKey, JobSpec, Machine, Record};
+use crate::{
+    Millis,
+    name::Name,
+    template::{Organisation, Priority, Service},
+};
+
+/// Starts the ids of jobs that are services; callers' ids can't contain it.
+const MARK: char = '@';
+
+/// Failures are not counted for replicas.
+const UNLIMITED: u32 = u32::MAX / 8;
+
+impl Machine {
+    /// Brings the replicas of every service to the number that the templates want.
+    pub(super) fn set_services(&mut self, now: Millis) {
+        let orgs = self.orgs.clone();
+        for org in &orgs {
+            for service in &org.services {
+                self.set_service(now, org, service);
+            }
+        }
+        self.drop_services(now);
+    }
+
+    fn set_service(&mut self, now: Millis, org: &Organisation, service: &Service) {
+        let tasks = share(service.replicas, self.place.index, self.place.count);
+        let key = service_key(&org.name, &service.name);
+        let Some(job) = self.book.find(&key) else {
+            let spec = spec(key, service, tasks);
+            self.record(now, Record::Submitted(spec), 0);
+            return;
+        };
+        if job.spec.tasks != tasks && !job.cancelled {
+            let job = job.no;
+            self.record(now, Record::Resized { job, tasks }, 0);
+        }
+    }
+
+    /// Shrinks the services that no template has any more.
+    fn drop_services(&mut self, now: Millis) {
+        let mut gone = Vec::new();
+        for job in self.book.jobs() {
+            if !job.spec.service || job.spec.tasks == 0 {
+                continue;
+            }
+            let org = self.orgs.iter().find(|o| o.name == job.spec.key.org);
+            let Some(org) = org else { continue };
+            if org.service(&job.spec.kind).is_none() {
+                gone.push(job.no);
+            }
+        }
+        for job in gone {
+            self.record(now, Record::Resized { job, tasks: 0 }, 0);
+        }
+    }
+}
+
+/// Returns the key of the job that holds a service's replicas.
+fn service_key(org: &Name, service: &Name) -> JobKey {
+    JobKey {
+        org: org.clone(),
+        id: format!("{MARK}{service}").into(),
+    }
+}
+
+/// Returns how many of `total` replicas fall to shard `index` of `count`.
+fn share(total: u32, index: u32, count: u32) -> u32 {
+    let count = count.max(1);
+    total / count + u32::from(index < total % count)
+}
+
+fn spec(key: JobKey, service: &Service, tasks: u32) -> JobSpec {
+    JobSpec {
+        key,
+        kind: service.name.clone(),
+        team: Name::from(""),
+        tasks,
+        size: service.size,
+        run: 0,
+        priority: Priority::Urgent,
+        checkpoint: false,
+        attempts: UNLIMITED,
+        service: true,
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/status.rs
@@ -0,0 +1,202 @@
+//! What a shard tells of itself.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Health, Job, JobState, Machine, TaskState};
+use crate::{Millis, name::Name, size::Size};
+
+/// A job as its caller sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobStatus {
+    /// State.
+    pub state: JobState,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Tasks that wait for a worker.
+    pub queued: u32,
+    /// Tasks that may be running.
+    pub active: u32,
+    /// Tasks that are done.
+    pub done: u32,
+    /// Tasks that failed for good.
+    pub failed: u32,
+    /// Tasks that were cancelled.
+    pub cancelled: u32,
+    /// Evictions so far.
+    pub evictions: u32,
+    /// Why it failed or waits, if known.
+    pub reason: Option<Name>,
+}
+
+impl JobStatus {
+    /// Counts the tasks of a job.
+    pub fn of(job: &Job) -> JobStatus {
+        let mut s = JobStatus {
+            state: job.state(),
+            tasks: job.spec.tasks,
+            queued: 0,
+            active: 0,
+            done: 0,
+            failed: 0,
+            cancelled: 0,
+            evictions: 0,
+            reason: job.reason.clone(),
+        };
+        for t in &job.tasks {
+            s.evictions += t.evictions;
+            match t.state {
+                TaskState::Queued => s.queued += 1,
+                TaskState::Active(_) => s.active += 1,
+                TaskState::Done => s.done += 1,
+                TaskState::Failed => s.failed += 1,
+                TaskState::Cancelled => s.cancelled += 1,
+            }
+        }
+        if s.failed > 0 && s.reason.is_none() {
+            s.reason = Some("a task failed on every worker that was tried".into());
+        }
+        s
+    }
+}
+
+/// A replica of a service that may be sent requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TargetInfo {
+    /// Organisation.
+    pub org: Name,
+    /// Service.
+    pub service: Name,
+    /// Worker.
+    pub worker: Name,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Requests that it runs at one time.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+}
+
+/// A worker as operators see it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkerStatus {
+    /// Name.
+    pub name: Name,
+    /// Health.
+    pub health: Health,
+    /// Whether it is quarantined now.
+    pub quarantined: bool,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// What it can hold.
+    pub total: Size,
+    /// What is reserved.
+    pub used: Size,
+    /// Attempts on it.
+    pub residents: u32,
+}
+
+/// A shard as operators see it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShardStatus {
+    /// Name.
+    pub shard: Name,
+    /// Epoch of its owner.
+    pub epoch: u64,
+    /// Open jobs.
+    pub jobs: u32,
+    /// Queued tasks, at most.
+    pub queued: u32,
+    /// Attempts that may be running.
+    pub active: u32,
+    /// Milliseconds since the last contact with the table service.
+    pub store_age: Millis,
+    /// Workers.
+    pub workers: Vec<WorkerStatus>,
+    /// Jobs that wait although no worker is large enough.
+    pub blocked: Vec<Name>,
+}
+
+impl Machine {
+    /// Returns a number that grows with each change of [`Machine::targets`].
+    pub fn targets_version(&self) -> u64 {
+        self.targets
+    }
+
+    /// Returns the replicas that may be sent requests.
+    pub fn targets(&self) -> Vec<TargetInfo> {
+        let mut out = Vec::new();
+        for w in &self.workers {
+            for r in &w.residents {
+                if !r.service || !r.seen {
+                    continue;
+                }
+                let Some(job) = self.book.job(r.attempt.job) else {
+                    continue;
+                };
+                let org = self.orgs.iter().find(|o| o.name == job.spec.key.org);
+                let service = org.and_then(|o| o.service(&job.spec.kind));
+                let Some(service) = service else { continue };
+                out.push(TargetInfo {
+                    org: job.spec.key.org.clone(),
+                    service: service.name.clone(),
+                    worker: w.name.clone(),
+                    addr: w.target,
+                    slots: service.slots,
+                    connections: service.connections,
+                    leaving: w.leaving || r.stop.is_some(),
+                });
+            }
+        }
+        out
+    }
+
+    /// Returns the largest worker.
+    pub fn largest(&self) -> Size {
+        let mut size = Size::default();
+        for w in &self.workers {
+            size = size.most(&w.total);
+        }
+        size
+    }
+
+    /// Returns what operators see.
+    pub fn status(&self, now: Millis) -> ShardStatus {
+        let largest = self.largest();
+        let mut status = ShardStatus {
+            shard: self.place.name.clone(),
+            epoch: self.epoch,
+            jobs: 0,
+            queued: self.queue.len() as u32,
+            active: 0,
+            store_age: now.saturating_sub(self.store_at),
+            workers: Vec::with_capacity(self.workers.len()),
+            blocked: Vec::new(),
+        };
+        for job in self.book.jobs() {
+            if job.open == 0 || job.spec.service {
+                continue;
+            }
+            status.jobs += 1;
+            if !job.spec.size.fits(&largest) {
+                status.blocked.push(job.spec.key.id.clone());
+            }
+        }
+        for w in &self.workers {
+            status.active += w.residents.len() as u32;
+            status.workers.push(WorkerStatus {
+                name: w.name.clone(),
+                health: w.health,
+                quarantined: w.bans > 0 && now < w.ban_until,
+                leaving: w.leaving,
+                total: w.total,
+                used: w.used,
+                residents: w.residents.len() as u32,
+            });
+        }
+        status
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard/worker.rs
@@ -0,0 +1,234 @@
+//! The owner's view of a worker.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::{AttemptId, Resident, TaskRef, WorkerInfo};
+use crate::{Millis, name::Name, place::History, size::Size};
+
+/// What the owner thinks of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Health {
+    /// No answer under this epoch yet.
+    New,
+    /// It answers.
+    Good,
+    /// It stopped answering; its leases are not renewed.
+    Silent,
+}
+
+/// Room that is kept for a task that others are evicted for.
+#[derive(Debug, Clone, Copy)]
+pub struct Reserve {
+    /// The task.
+    pub task: TaskRef,
+    /// Its size.
+    pub size: Size,
+    /// End of the reservation.
+    pub until: Millis,
+}
+
+/// How the tasks of a class ended on a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Tally {
+    /// Class of the tasks.
+    pub class: u16,
+    /// Tasks that were done.
+    pub done: u32,
+    /// Tasks that failed.
+    pub failed: u32,
+}
+
+/// Soft state of a worker.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// Name.
+    pub name: Name,
+    /// Rack.
+    pub rack: Name,
+    /// Address for exchanges.
+    pub addr: SocketAddr,
+    /// Address of its services.
+    pub target: SocketAddr,
+    /// What it can hold.
+    pub total: Size,
+    /// What its residents reserve.
+    pub used: Size,
+    /// Attempts on it, sorted by id.
+    pub residents: Vec<Resident>,
+    /// Health.
+    pub health: Health,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// Whether the membership list has it.
+    pub listed: bool,
+    /// Number of its last exchange.
+    pub seq: u64,
+    /// Whether an exchange is under way.
+    pub busy: bool,
+    /// When the last exchange was sent.
+    pub sent_at: Millis,
+    /// When the last answer came.
+    pub seen_at: Millis,
+    /// Its boot; 0 before the first answer.
+    pub boot: u64,
+    /// Its clock in the last answer.
+    pub echo: Millis,
+    /// When that answer came.
+    pub echo_at: Millis,
+    /// Latest `echo_at` that a renewal was based on, by any owner.
+    pub basis: Millis,
+    /// Whether something new waits to be sent.
+    pub dirty: bool,
+    /// Ended attempts that it may forget after the record given.
+    pub acks: Vec<(u64, AttemptId)>,
+    /// Attempts that it runs and the book does not know.
+    pub strays: Vec<AttemptId>,
+    /// Distinct tasks that failed in a row.
+    pub strikes: Vec<TaskRef>,
+    /// How tasks ended here, sorted by class.
+    pub tallies: Vec<Tally>,
+    /// Quarantines in a row.
+    pub bans: u32,
+    /// End of the last quarantine.
+    pub ban_until: Millis,
+    /// Room that is kept for a task.
+    pub reserve: Option<Reserve>,
+    /// What ran when, to match late samples.
+    pub history: History,
+}
+
+impl Worker {
+    /// Returns a worker that was never heard of.
+    ///
+    /// `basis` is the latest time at which an earlier owner may have renewed.
+    pub fn new(info: &WorkerInfo, now: Millis, basis: Millis) -> Worker {
+        Worker {
+            name: info.name.clone(),
+            rack: info.rack.clone(),
+            addr: info.addr,
+            target: info.target,
+            total: info.size,
+            used: Size::default(),
+            residents: Vec::new(),
+            health: Health::New,
+            leaving: info.leaving,
+            listed: true,
+            seq: 0,
+            busy: false,
+            sent_at: 0,
+            seen_at: now,
+            boot: 0,
+            echo: 0,
+            echo_at: 0,
+            basis,
+            dirty: true,
+            acks: Vec::new(),
+            strays: Vec::new(),
+            strikes: Vec::new(),
+            tallies: Vec::new(),
+            bans: 0,
+            ban_until: 0,
+            reserve: None,
+            history: History::default(),
+        }
+    }
+
+    /// Returns the room that is not reserved.
+    pub fn room(&self) -> Size {
+        self.total.minus(&self.used)
+    }
+
+    /// Returns the room that `task` may use.
+    pub fn room_for(&self, task: TaskRef, now: Millis) -> Size {
+        match &self.reserve {
+            Some(r) if r.task != task && r.until > now => self.room().minus(&r.size),
+            _ => self.room(),
+        }
+    }
+
+    /// Tells whether it may be given tasks.
+    ///
+    /// After a quarantine it gets one task at a time until one is done.
+    pub fn open(&self, now: Millis) -> bool {
+        let well = self.health == Health::Good && self.listed && !self.leaving;
+        let trusted = self.bans == 0 || (now >= self.ban_until && self.residents.is_empty());
+        well && trusted && self.strays.is_empty()
+    }
+
+    /// Counts the end of a task of `class`.
+    pub fn count(&mut self, class: u16, done: bool) {
+        let i = match self.tallies.binary_search_by_key(&class, |t| t.class) {
+            Ok(i) => i,
+            Err(i) => {
+                let new = Tally {
+                    class,
+                    done: 0,
+                    failed: 0,
+                };
+                self.tallies.insert(i, new);
+                i
+            }
+        };
+        let tally = &mut self.tallies[i];
+        if done {
+            tally.done += 1;
+        } else {
+            tally.failed += 1;
+        }
+    }
+
+    /// Returns how tasks of `class` ended here.
+    pub fn tally(&self, class: u16) -> Tally {
+        let none = Tally {
+            class,
+            done: 0,
+            failed: 0,
+        };
+        let found = self.tallies.binary_search_by_key(&class, |t| t.class);
+        found.map_or(none, |i| self.tallies[i])
+    }
+
+    /// Returns the resident with this id.
+    pub fn resident(&self, id: AttemptId) -> Option<&Resident> {
+        let i = self
+            .residents
+            .binary_search_by_key(&id, |r| r.attempt)
+            .ok()?;
+        Some(&self.residents[i])
+    }
+
+    /// Returns the resident with this id.
+    pub fn resident_mut(&mut self, id: AttemptId) -> Option<&mut Resident> {
+        let i = self
+            .residents
+            .binary_search_by_key(&id, |r| r.attempt)
+            .ok()?;
+        Some(&mut self.residents[i])
+    }
+
+    /// Adds a resident and reserves its room.
+    pub fn add(&mut self, resident: Resident) {
+        let Err(i) = self
+            .residents
+            .binary_search_by_key(&resident.attempt, |r| r.attempt)
+        else {
+            return;
+        };
+        self.used = self.used.plus(&resident.size);
+        self.residents.insert(i, resident);
+        self.dirty = true;
+    }
+
+    /// Removes a resident and frees its room.
+    pub fn remove(&mut self, id: AttemptId) -> Option<Resident> {
+        let i = self
+            .residents
+            .binary_search_by_key(&id, |r| r.attempt)
+            .ok()?;
+        let resident = self.residents.remove(i);
+        self.used = self.used.minus(&resident.size);
+        Some(resident)
+    }
+}
--- /dev/null
+++ b/crates/core/src/size.rs
@@ -0,0 +1,93 @@
+//! Amounts of a worker's processors, memory and accelerators.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Processors, memory and accelerators, as integers so that sums don't drift.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    /// Processors in thousandths of a core.
+    pub cpu: u64,
+    /// Memory in bytes.
+    pub memory: u64,
+    /// Accelerators.
+    pub accels: u32,
+}
+
+impl Size {
+    /// Returns a size.
+    pub const fn new(cpu: u64, memory: u64, accels: u32) -> Size {
+        Size {
+            cpu,
+            memory,
+            accels,
+        }
+    }
+
+    /// Tells whether `self` fits into `room` in every dimension.
+    pub fn fits(&self, room: &Size) -> bool {
+        self.cpu <= room.cpu && self.memory <= room.memory && self.accels <= room.accels
+    }
+
+    /// Adds; saturates at the largest value.
+    pub fn plus(&self, other: &Size) -> Size {
+        Size {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accels: self.accels.saturating_add(other.accels),
+        }
+    }
+
+    /// Subtracts; stops at zero.
+    pub fn minus(&self, other: &Size) -> Size {
+        Size {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory: self.memory.saturating_sub(other.memory),
+            accels: self.accels.saturating_sub(other.accels),
+        }
+    }
+
+    /// Returns the smaller value of each dimension.
+    pub fn least(&self, other: &Size) -> Size {
+        Size {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            accels: self.accels.min(other.accels),
+        }
+    }
+
+    /// Returns the larger value of each dimension.
+    pub fn most(&self, other: &Size) -> Size {
+        Size {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            accels: self.accels.max(other.accels),
+        }
+    }
+
+    /// Divides by `n`, rounding down.
+    pub fn share(&self, n: u64) -> Size {
+        let n = n.max(1);
+        Size {
+            cpu: self.cpu / n,
+            memory: self.memory / n,
+            accels: (u64::from(self.accels) / n) as u32,
+        }
+    }
+
+    /// Returns the largest used fraction of any dimension of `total`.
+    pub fn load(&self, total: &Size) -> f64 {
+        let part = |a: u64, b: u64| if b == 0 { 0.0 } else { a as f64 / b as f64 };
+        part(self.cpu, total.cpu)
+            .max(part(self.memory, total.memory))
+            .max(part(self.accels.into(), total.accels.into()))
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mib = self.memory >> 20;
+        write!(f, "{}m cpu, {mib} MiB, {} accels", self.cpu, self.accels)
+    }
+}
--- /dev/null
+++ b/crates/core/src/template/limits.rs
@@ -0,0 +1,20 @@
+//! Limits of an organisation.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Millis;
+
+/// Limits on what an organisation may ask for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OrgLimits {
+    /// Most open jobs in a shard.
+    pub jobs: u32,
+    /// Most requests waiting at one entry instance.
+    pub queue: u32,
+    /// Share of recent requests that may be sent again, in hundredths.
+    pub retries: u32,
+    /// Most evictions of one task.
+    pub evictions: u32,
+    /// How long tasks go on without the table service.
+    pub hold: Millis,
+}
--- /dev/null
+++ b/crates/core/src/template/weights.rs
@@ -0,0 +1,25 @@
+//! What an organisation cares about.
+
+use serde::{Deserialize, Serialize};
+
+/// Shares of the three measures in placement; they sum to 1.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Weights {
+    /// Tail latency of services.
+    pub tail: f64,
+    /// Batch throughput.
+    pub throughput: f64,
+    /// Evictions.
+    pub evictions: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        let third = 1.0 / 3.0;
+        Weights {
+            tail: third,
+            throughput: third,
+            evictions: third,
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/logging.rs
@@ -0,0 +1,123 @@
+//! Logs by `log` and `fern`, as text or as one JSON object a line.
+
+use std::{io, path::PathBuf};
+
+use log::LevelFilter;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::{
+    clock::wall_ms,
+    exit::{Blame, FAILED},
+};
+
+/// The form of a log line.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    /// Time, level, program and message.
+    #[default]
+    Text,
+    /// The same as a JSON object.
+    Json,
+}
+
+/// The lowest level that is logged.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Failures that need an operator.
+    Error,
+    /// Failures that the system handles by itself.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Decisions.
+    Debug,
+}
+
+/// Settings of the log.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Lowest level.
+    pub level: LogLevel,
+    /// File to append to; standard error if absent.
+    pub file: Option<PathBuf>,
+}
+
+/// Why logging can't start.
+#[derive(Debug, Snafu)]
+pub enum LogError {
+    /// The file can't be opened.
+    #[snafu(display("{}: can't open log", path.display()))]
+    Open {
+        /// The file.
+        path: PathBuf,
+        /// The system's answer.
+        source: io::Error,
+    },
+    /// A logger was installed before.
+    #[snafu(display("log already started"))]
+    Twice {
+        /// The library's answer.
+        source: log::SetLoggerError,
+    },
+}
+
+impl Blame for LogError {
+    fn code(&self) -> u8 {
+        FAILED
+    }
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    ms: u64,
+    level: &'a str,
+    program: &'a str,
+    id: &'a str,
+    message: &'a str,
+}
+
+/// Starts logging for the program `program` running as instance `id`.
+pub fn start(settings: &LogSettings, program: &'static str, id: &str) -> Result<(), LogError> {
+    let level = match settings.level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+    };
+    let format = settings.format;
+    let id = id.to_owned();
+    let mut dispatch = fern::Dispatch::new()
+        .level(level)
+        .format(move |out, message, record| {
+            let (ms, level) = (wall_ms(), record.level().as_str());
+            match format {
+                LogFormat::Text => {
+                    out.finish(format_args!("{ms} {level} {program}[{id}] {message}"))
+                }
+                LogFormat::Json => {
+                    let message = message.to_string();
+                    let line = Line {
+                        ms,
+                        level,
+                        program,
+                        id: &id,
+                        message: &message,
+                    };
+                    let text = serde_json::to_string(&line).unwrap_or_default();
+                    out.finish(format_args!("{text}"));
+                }
+            }
+        });
+    dispatch = match &settings.file {
+        None => dispatch.chain(io::stderr()),
+        Some(path) => dispatch.chain(fern::log_file(path).context(OpenSnafu { path })?),
+    };
+    dispatch.apply().context(TwiceSnafu)
+}
--- /dev/null
+++ b/crates/runtime/src/metrics.rs
@@ -0,0 +1,88 @@
+//! Metrics by `cadence`, sent as StatsD datagrams.
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+};
+
+use cadence::{
+    BufferedUdpMetricSink, Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
+};
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu};
+
+use crate::exit::{Blame, FAILED};
+
+/// Datagrams that may wait for the network; more are dropped.
+const QUEUE: usize = 1024;
+
+/// Settings of the metrics.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MetricSettings {
+    /// Address of a StatsD collector; without it metrics are dropped.
+    pub statsd: Option<SocketAddr>,
+}
+
+/// Why metrics can't start.
+#[derive(Debug, Snafu)]
+pub enum MetricError {
+    /// No socket can be bound.
+    #[snafu(display("can't bind a socket for metrics"))]
+    Bind {
+        /// The system's answer.
+        source: std::io::Error,
+    },
+    /// The collector's address is refused.
+    #[snafu(display("can't send metrics"))]
+    Sink {
+        /// The library's answer.
+        source: cadence::MetricError,
+    },
+}
+
+impl Blame for MetricError {
+    fn code(&self) -> u8 {
+        FAILED
+    }
+}
+
+/// Sends counters, gauges and timings; never blocks and never fails its caller.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+}
+
+impl Metrics {
+    /// Connects to the collector, if one is set; names get the prefix `gorsespur.<role>`.
+    pub fn start(settings: &MetricSettings, role: &str) -> Result<Metrics, MetricError> {
+        let prefix = format!("gorsespur.{role}");
+        let client = match settings.statsd {
+            None => StatsdClient::from_sink(&prefix, NopMetricSink),
+            Some(addr) => {
+                let socket = UdpSocket::bind("0.0.0.0:0").context(BindSnafu)?;
+                socket.set_nonblocking(true).context(BindSnafu)?;
+                let udp = BufferedUdpMetricSink::from(addr, socket).context(SinkSnafu)?;
+                StatsdClient::from_sink(&prefix, QueuingMetricSink::with_capacity(udp, QUEUE))
+            }
+        };
+        Ok(Metrics {
+            client: Arc::new(client),
+        })
+    }
+
+    /// Adds `n` to a counter.
+    pub fn count(&self, name: &str, n: i64) {
+        let _ = self.client.count(name, n);
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        let _ = self.client.gauge(name, value);
+    }
+
+    /// Records a duration in milliseconds.
+    pub fn time(&self, name: &str, ms: u64) {
+        let _ = self.client.time(name, ms);
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/server.rs
@@ -0,0 +1,387 @@
+//! An HTTP server on `tiny_http`, the base of `rouille`, with bounds.
+//!
+//! `rouille` gives no access to its listener and has no time limits, so slow
+//! callers could hold its threads for ever. Here the listening socket has a
+//! read and a write timeout, which accepted sockets inherit. `accept` then
+//! times out too and ends that server; the next one is built on the same
+//! listener while the earlier one is drained.
+//!
+//! Limits: a caller that sends a byte of its head within every read timeout
+//! keeps one thread; the balancer in front bounds heads. The number of
+//! connections is bounded by the process's limit on open files.
+
+use std::{
+    io::{self, ErrorKind},
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use flume::{Receiver, Sender, TrySendError};
+use snafu::{ResultExt, Snafu};
+use socket2::SockRef;
+use tiny_http::{Header, Response, Server};
+
+use crate::{
+    cancel::Cancel,
+    client::{Field, field},
+    exit::{Blame, FAILED},
+};
+
+/// Field that tells a caller whether the request ran.
+pub const OUTCOME: &str = "x-outcome";
+
+/// Pause before the next server after `accept` failed.
+const REBUILD: Duration = Duration::from_millis(20);
+
+/// Bounds of a server.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Most bytes of request line and header fields together.
+    pub head: usize,
+    /// Most bytes of a body.
+    pub body: usize,
+    /// Time limit of one read or write on a connection.
+    pub io_time: Duration,
+    /// Time limit of reading a whole body.
+    pub body_time: Duration,
+    /// Threads that run the handler.
+    pub handlers: usize,
+    /// Requests that may wait for a thread; more are refused as not run.
+    pub waiting: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            head: 16 << 10,
+            body: 1 << 20,
+            io_time: Duration::from_secs(5),
+            body_time: Duration::from_secs(5),
+            handlers: 8,
+            waiting: 64,
+        }
+    }
+}
+
+/// A whole request.
+#[derive(Debug, Clone)]
+pub struct Incoming {
+    /// Method in upper case.
+    pub method: String,
+    /// Path without the query.
+    pub path: String,
+    /// Query without the question mark; empty if absent.
+    pub query: String,
+    /// Header fields, names in lower case.
+    pub fields: Vec<Field>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+impl Incoming {
+    /// Returns the value of the first field called `name` (lower case).
+    pub fn field(&self, name: &str) -> Option<&str> {
+        field(&self.fields, name)
+    }
+
+    /// Returns the non-empty segments of the path.
+    pub fn segments(&self) -> Vec<&str> {
+        self.path.split('/').filter(|s| !s.is_empty()).collect()
+    }
+}
+
+/// What a handler answers.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Status code.
+    pub status: u16,
+    /// Header fields besides the length.
+    pub fields: Vec<Field>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// Returns a reply with a body and no fields.
+    pub fn new(status: u16, body: Vec<u8>) -> Reply {
+        Reply {
+            status,
+            fields: Vec::new(),
+            body,
+        }
+    }
+
+    /// Returns a plain text reply.
+    pub fn text(status: u16, text: impl Into<String>) -> Reply {
+        Reply::new(status, text.into().into_bytes()).field("content-type", "text/plain")
+    }
+
+    /// Adds a header field.
+    pub fn field(mut self, name: &str, value: impl Into<String>) -> Reply {
+        self.fields.push(Field::new(name, value));
+        self
+    }
+}
+
+/// Why a server can't start.
+#[derive(Debug, Snafu)]
+pub enum ServeError {
+    /// The address can't be bound.
+    #[snafu(display("can't listen on {addr}"))]
+    Bind {
+        /// The address.
+        addr: SocketAddr,
+        /// The system's answer.
+        source: io::Error,
+    },
+    /// The socket refuses its time limits.
+    #[snafu(display("can't set time limits"))]
+    Option {
+        /// The system's answer.
+        source: io::Error,
+    },
+    /// A thread can't be started.
+    #[snafu(display("can't start a thread"))]
+    Spawn {
+        /// The system's answer.
+        source: io::Error,
+    },
+}
+
+impl Blame for ServeError {
+    fn code(&self) -> u8 {
+        FAILED
+    }
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Serving {
+    /// The address that was bound.
+    pub addr: SocketAddr,
+    active: Arc<AtomicUsize>,
+}
+
+impl Serving {
+    /// Returns the number of requests that were taken and not yet answered.
+    pub fn active(&self) -> usize {
+        self.active.load(Ordering::Acquire)
+    }
+
+    /// Waits until no request is in flight, at most `limit`.
+    pub fn drain(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while self.active() > 0 {
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        true
+    }
+}
+
+/// Binds `addr` and serves until `cancel`.
+pub fn serve<H>(
+    addr: SocketAddr,
+    name: &'static str,
+    limits: Limits,
+    cancel: &Cancel,
+    handler: H,
+) -> Result<Serving, ServeError>
+where
+    H: Fn(Incoming) -> Reply + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind(addr).context(BindSnafu { addr })?;
+    let addr = listener.local_addr().context(BindSnafu { addr })?;
+    let sock = SockRef::from(&listener);
+    sock.set_read_timeout(Some(limits.io_time))
+        .context(OptionSnafu)?;
+    sock.set_write_timeout(Some(limits.io_time))
+        .context(OptionSnafu)?;
+    sock.set_tcp_nodelay(true).context(OptionSnafu)?;
+    let (tx, rx) = flume::bounded(limits.waiting);
+    let active = Arc::new(AtomicUsize::new(0));
+    let handler = Arc::new(handler);
+    let limits = Arc::new(limits);
+    for i in 0..limits.handlers {
+        let (rx, handler, limits) = (rx.clone(), handler.clone(), limits.clone());
+        let active = active.clone();
+        thread::Builder::new()
+            .name(format!("{name}-{i}"))
+            .spawn(move || handle_all(&rx, &limits, &active, handler.as_ref()))
+            .context(SpawnSnafu)?;
+    }
+    let (count, cancel) = (active.clone(), cancel.clone());
+    thread::Builder::new()
+        .name(format!("{name}-accept"))
+        .spawn(move || accept_all(&listener, limits.io_time, &tx, &count, &cancel))
+        .context(SpawnSnafu)?;
+    Ok(Serving { addr, active })
+}
+
+fn accept_all(
+    listener: &TcpListener,
+    io_time: Duration,
+    tx: &Sender<tiny_http::Request>,
+    active: &Arc<AtomicUsize>,
+    cancel: &Cancel,
+) {
+    while !cancel.is_cancelled() {
+        let built = listener.try_clone().map(|l| Server::from_listener(l, None));
+        let Ok(Ok(server)) = built else {
+            cancel.wait(REBUILD);
+            continue;
+        };
+        let server = Arc::new(server);
+        loop {
+            match server.recv_timeout(Duration::from_millis(200)) {
+                Ok(Some(req)) => pass_on(req, tx, active),
+                Ok(None) if cancel.is_cancelled() => return,
+                Ok(None) => continue,
+                Err(_) => break,
+            }
+        }
+        let (tx, active) = (tx.clone(), active.clone());
+        thread::spawn(move || drain_server(&server, io_time * 2, &tx, &active));
+    }
+}
+
+/// Serves the connections of a server that no longer accepts.
+///
+/// A connection that is idle for the read timeout closes, so that after twice
+/// that time without a request none is left.
+fn drain_server(
+    server: &Server,
+    quiet: Duration,
+    tx: &Sender<tiny_http::Request>,
+    active: &AtomicUsize,
+) {
+    while let Ok(Some(req)) = server.recv_timeout(quiet) {
+        pass_on(req, tx, active);
+    }
+}
+
+fn pass_on(req: tiny_http::Request, tx: &Sender<tiny_http::Request>, active: &AtomicUsize) {
+    active.fetch_add(1, Ordering::AcqRel);
+    let Err(TrySendError::Full(req) | TrySendError::Disconnected(req)) = tx.try_send(req) else {
+        return;
+    };
+    let reply = refuse(503, "no thread is free").field("retry-after", "1");
+    respond(req, reply);
+    active.fetch_sub(1, Ordering::AcqRel);
+}
+
+fn handle_all<H>(
+    rx: &Receiver<tiny_http::Request>,
+    limits: &Limits,
+    active: &AtomicUsize,
+    handler: &H,
+) where
+    H: Fn(Incoming) -> Reply,
+{
+    for mut req in rx.iter() {
+        let reply = match read_request(&mut req, limits) {
+            Ok(incoming) => handler(incoming),
+            Err(reply) => reply,
+        };
+        respond(req, reply);
+        active.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn refuse(status: u16, text: &str) -> Reply {
+    Reply::text(status, text).field(OUTCOME, "not-run")
+}
+
+fn read_request(req: &mut tiny_http::Request, limits: &Limits) -> Result<Incoming, Reply> {
+    let mut head = req.url().len();
+    let mut fields = Vec::with_capacity(req.headers().len());
+    for h in req.headers() {
+        let (name, value) = (h.field.as_str().as_str(), h.value.as_str());
+        head += name.len() + value.len();
+        fields.push(Field::new(name, value));
+    }
+    if head > limits.head {
+        return Err(refuse(431, "head is too long"));
+    }
+    let announced = req.body_length();
+    if announced.is_some_and(|n| n > limits.body) {
+        return Err(refuse(413, "body is too long"));
+    }
+    let body = read_body(req, announced, limits)?;
+    let (path, query) = match req.url().split_once('?') {
+        Some((path, query)) => (path, query),
+        None => (req.url(), ""),
+    };
+    Ok(Incoming {
+        method: req.method().to_string(),
+        path: path.to_owned(),
+        query: query.to_owned(),
+        fields,
+        body,
+    })
+}
+
+fn read_body(
+    req: &mut tiny_http::Request,
+    announced: Option<usize>,
+    limits: &Limits,
+) -> Result<Vec<u8>, Reply> {
+    let end = Instant::now() + limits.body_time;
+    let mut body = Vec::with_capacity(announced.unwrap_or(0));
+    if announced == Some(0) {
+        return Ok(body);
+    }
+    let mut chunk = [0u8; 8 * 1024];
+    loop {
+        if Instant::now() >= end {
+            return Err(refuse(408, "body took too long"));
+        }
+        let n = match req.as_reader().read(&mut chunk) {
+            Ok(0) => break,
+            Ok(n) => n,
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return Err(refuse(408, "body took too long"));
+            }
+            Err(_) => return Err(refuse(400, "body is cut short")),
+        };
+        body.extend_from_slice(&chunk[..n]);
+        if body.len() > limits.body {
+            return Err(refuse(413, "body is too long"));
+        }
+        if announced == Some(body.len()) {
+            break;
+        }
+    }
+    if announced.is_some_and(|n| n != body.len()) {
+        return Err(refuse(400, "body is cut short"));
+    }
+    Ok(body)
+}
+
+fn respond(req: tiny_http::Request, reply: Reply) {
+    let len = reply.body.len();
+    let mut out = Response::new(
+        reply.status.into(),
+        Vec::with_capacity(reply.fields.len()),
+        io::Cursor::new(reply.body),
+        Some(len),
+        None,
+    )
+    .with_chunked_threshold(usize::MAX);
+    for f in &reply.fields {
+        if let Ok(header) = Header::from_bytes(f.name.as_bytes(), f.value.as_bytes()) {
+            out.add_header(header);
+        }
+    }
+    if let Err(err) = req.respond(out) {
+        log::debug!("server: caller left before its answer: {err}");
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/signals.rs
@@ -0,0 +1,27 @@
+//! SIGTERM and SIGINT as cancellation.
+
+use std::{io, thread};
+
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+use crate::cancel::Cancel;
+
+/// Cancels `cancel` at the first SIGTERM or SIGINT.
+///
+/// Errors: the system refuses the handler.
+pub fn cancel_on_signal(cancel: &Cancel) -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let cancel = cancel.clone();
+    thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            if let Some(signal) = signals.forever().next() {
+                log::info!("signals: stopping on signal {signal}");
+                cancel.cancel();
+            }
+        })?;
+    Ok(())
+}
