--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod owner;
 pub mod place;
 pub mod problem;
+pub mod retry;
 pub mod route;
 pub mod shard;
 pub mod size;
--- a/crates/core/src/owner/row.rs
+++ b/crates/core/src/owner/row.rs
@@ -25,4 +25,7 @@
     pub row: u64,
     /// Number of the first row after the snapshot.
     pub first_row: u64,
+    /// Longest time in milliseconds for which this owner goes on without the
+    /// table service.
+    pub hold: u64,
 }
--- a/crates/core/src/route/admit.rs
+++ b/crates/core/src/route/admit.rs
@@ -41,7 +41,6 @@
             priority: a.priority,
             deadline: a.deadline,
             repeatable: a.repeatable,
-            retries: a.retries,
             tries: 0,
             open: Vec::new(),
             failed: Vec::new(),
@@ -60,6 +59,9 @@
         if waiting >= a.queue as usize && !self.displace(service, a) {
             return self.refuse(i, Refusal::QueueFull);
         }
+        let Ok(i) = self.requests.binary_search_by_key(&a.req, |r| r.req) else {
+            return;
+        };
         let wait = self.expected_wait(now, service, ahead);
         if now as f64 + wait > a.deadline as f64 {
             return self.refuse(i, Refusal::TooLate);
--- a/crates/core/src/route/router.rs
+++ b/crates/core/src/route/router.rs
@@ -1,6 +1,7 @@
 //! The router's state machine.
 
 use rand::{SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
 
 use super::{
     Budget, Outcome, Refusal, RouteAction, RouteEvent, RouteSettings, Target, TargetList, TryEnd,
@@ -48,7 +49,7 @@
 }
 
 /// Counts since the start.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteCounts {
     /// Requests that came.
     pub requests: u64,
--- a/crates/core/src/route/waiting.rs
+++ b/crates/core/src/route/waiting.rs
@@ -10,7 +10,6 @@
     pub priority: Priority,
     pub deadline: Millis,
     pub repeatable: bool,
-    pub retries: u32,
     /// Tries so far.
     pub tries: u32,
     /// Workers of the tries under way, by number of the try.
--- a/crates/core/src/shard/action.rs
+++ b/crates/core/src/shard/action.rs
@@ -4,9 +4,18 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Record, WorkerRequest};
+use super::{JobSpec, JobStatus, Record, WorkerRequest};
 use crate::name::Name;
 
+/// A job without open tasks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FinishedJob {
+    /// The job.
+    pub spec: JobSpec,
+    /// Its last state.
+    pub status: JobStatus,
+}
+
 /// An action of a shard's machine.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Action {
@@ -16,6 +25,8 @@
         first: u64,
         /// The records.
         records: Vec<Record>,
+        /// Jobs that these records finish.
+        finished: Vec<FinishedJob>,
     },
     /// Send this request to a worker.
     Exchange {
--- a/crates/core/src/shard/effects.rs
+++ b/crates/core/src/shard/effects.rs
@@ -1,6 +1,9 @@
 //! The soft state follows the book.
 
-use super::{AttemptId, Effect, Health, Machine, Resident, StopWhy, TaskRef, WorkerInfo};
+use super::{
+    AttemptId, Effect, FinishedJob, Health, JobStatus, Machine, Resident, StopWhy, TaskRef,
+    WorkerInfo,
+};
 use crate::{Millis, name::Name, size::Size};
 
 impl Machine {
@@ -120,10 +123,17 @@
     }
 
     fn finish(&mut self, now: Millis, job: u32) {
-        let service = self.book.job(job).is_none_or(|j| j.spec.service);
-        if !service {
-            self.closing.push_back((now + self.settings.retain, job));
+        let Some(found) = self.book.job(job) else {
+            return;
+        };
+        if found.spec.service {
+            return;
         }
+        self.finished.push(FinishedJob {
+            spec: found.spec.clone(),
+            status: JobStatus::of(found),
+        });
+        self.closing.push_back((now + self.settings.retain, job));
     }
 
     /// Marks every task on a leaving worker to be moved.
--- a/crates/core/src/shard/event.rs
+++ b/crates/core/src/shard/event.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{JobKey, JobSpec, WorkerAnswer, WorkerInfo};
-use crate::{name::Name, template::Organisation};
+use crate::{Millis, name::Name, template::Organisation};
 
 /// An event for a shard's machine.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -34,8 +34,9 @@
     },
     /// Records up to this number are in the journal.
     Committed(u64),
-    /// The table service answered; ownership is proved.
-    StoreSeen,
+    /// The table service answered, and the shard's row now states this hold in
+    /// milliseconds.
+    StoreSeen(Millis),
     /// Time passed.
     Tick,
 }
--- a/crates/core/src/shard/exchanges.rs
+++ b/crates/core/src/shard/exchanges.rs
@@ -78,7 +78,7 @@
         let away = now.saturating_sub(self.store_at);
         let mut out = Vec::new();
         for r in &w.residents {
-            if !r.service && away > r.hold {
+            if !r.service && away > r.hold.min(self.hold_cap) {
                 out.push(r.attempt);
             }
         }
@@ -87,13 +87,13 @@
 
     /// Returns the starts that are in the journal and not reported as running.
     fn starts(&mut self, now: Millis, i: usize, seq: u64) -> Vec<StartOrder> {
-        let committed = self.committed;
+        let (committed, cap) = (self.committed, self.hold_cap);
         let away = now.saturating_sub(self.store_at);
         let mut out = Vec::new();
         let w = &mut self.workers[i];
         for r in &mut w.residents {
             let due = r.record < committed && !r.seen && r.stop.is_none();
-            if !due || (!r.service && away > r.hold) {
+            if !due || (!r.service && away > r.hold.min(cap)) {
                 continue;
             }
             let Some((job, task, _)) = self.book.active(r.attempt) else {
--- a/crates/core/src/shard/machine.rs
+++ b/crates/core/src/shard/machine.rs
@@ -3,10 +3,11 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use rand::{SeedableRng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
 
 use super::{
-    Action, AttemptId, Book, Event, JobKey, JobSpec, Queue, Record, ShardSettings, TaskRef,
-    TaskState, Worker, WorkerInfo, class::Class, team_use::TeamUse,
+    Action, AttemptId, Book, Event, FinishedJob, JobKey, JobSpec, Queue, Record, ShardSettings,
+    TaskRef, TaskState, Worker, WorkerInfo, class::Class, team_use::TeamUse,
 };
 use crate::{
     Millis,
@@ -17,7 +18,7 @@
 };
 
 /// Place of a shard among all shards of the system.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardPlace {
     /// Name of the shard.
     pub name: Name,
@@ -27,6 +28,19 @@
     pub count: u32,
 }
 
+/// What an owner starts from.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Takeover {
+    /// Epoch of the new ownership.
+    pub epoch: u64,
+    /// Book that was recovered from the journal.
+    pub book: Book,
+    /// Number of the first record that is not in the journal.
+    pub next: u64,
+    /// Hold that the shard's row states.
+    pub inherited: Millis,
+}
+
 /// Owns a shard: decides starts, stops and ends.
 #[derive(Debug)]
 pub struct Machine {
@@ -42,12 +56,17 @@
     pub(super) teams: Vec<TeamUse>,
     pub(super) pairs: Pairs,
     pub(super) pending: Vec<Record>,
+    pub(super) finished: Vec<FinishedJob>,
     /// Number of the next record.
     pub(super) next: u64,
     /// Records below this number are in the journal.
     pub(super) committed: u64,
     /// Last contact with the table service.
     pub(super) store_at: Millis,
+    /// Hold that the shard's row states; an owner does not go beyond it.
+    pub(super) hold_cap: Millis,
+    /// Hold that an earlier owner stated.
+    pub(super) inherited: Millis,
     /// When this owner took over.
     pub(super) start: Millis,
     /// Finished jobs by the time at which they leave the book.
@@ -62,18 +81,20 @@
 }
 
 impl Machine {
-    /// Takes over a shard with the book that was recovered from its journal.
-    ///
-    /// `next` is the number of the first record that is not in the journal.
+    /// Takes over a shard.
     pub fn new(
         place: ShardPlace,
         settings: ShardSettings,
-        epoch: u64,
         seed: u64,
-        book: Book,
-        next: u64,
+        takeover: Takeover,
         now: Millis,
     ) -> Machine {
+        let Takeover {
+            epoch,
+            book,
+            next,
+            inherited,
+        } = takeover;
         let mut machine = Machine {
             place,
             settings,
@@ -87,9 +108,12 @@
             teams: Vec::new(),
             pairs: Pairs::default(),
             pending: Vec::new(),
+            finished: Vec::new(),
             next,
             committed: next,
             store_at: now,
+            hold_cap: inherited,
+            inherited,
             start: now,
             closing: VecDeque::new(),
             evicted: VecDeque::new(),
@@ -133,7 +157,10 @@
             Event::Answer { worker, answer } => self.answer(now, worker, answer),
             Event::NoAnswer { worker, seq } => self.no_answer(worker, *seq),
             Event::Committed(upto) => self.commit(now, *upto),
-            Event::StoreSeen => self.store_at = now,
+            Event::StoreSeen(hold) => {
+                self.store_at = now;
+                self.hold_cap = *hold;
+            }
             Event::Tick => self.tick(now),
         }
         self.flush();
@@ -155,7 +182,12 @@
         }
         let records = std::mem::take(&mut self.pending);
         let first = self.next - records.len() as u64;
-        self.out.push(Action::Append { first, records });
+        let finished = std::mem::take(&mut self.finished);
+        self.out.push(Action::Append {
+            first,
+            records,
+            finished,
+        });
     }
 
     fn commit(&mut self, now: Millis, upto: u64) {
@@ -237,10 +269,11 @@
         self.set_services(now);
     }
 
-    /// Returns the longest time that an earlier owner may have gone on without
-    /// the table service.
-    fn longest_hold(&self) -> Millis {
-        self.orgs.iter().map(|o| o.limits.hold).max().unwrap_or(0)
+    /// Returns the longest time for which any owner may go on without the
+    /// table service.
+    pub fn longest_hold(&self) -> Millis {
+        let wanted = self.orgs.iter().map(|o| o.limits.hold).max();
+        wanted.unwrap_or(0).max(self.inherited)
     }
 
     fn set_workers(&mut self, now: Millis, list: &[WorkerInfo]) {
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -35,7 +35,7 @@
 mod team_use;
 mod worker;
 
-pub use action::Action;
+pub use action::{Action, FinishedJob};
 pub use attempt::AttemptId;
 pub use book::{Book, Effect};
 pub use event::Event;
@@ -44,7 +44,7 @@
     WorkerInfo, WorkerRequest,
 };
 pub use job::{Job, JobKey, JobSpec, JobState};
-pub use machine::{Machine, ShardPlace};
+pub use machine::{Machine, ShardPlace, Takeover};
 pub use queue::{Queue, TaskRef};
 pub use record::{End, Record};
 pub use resident::{Resident, StopWhy};
--- /dev/null
+++ b/crates/peer/src/agent.rs
@@ -0,0 +1,90 @@
+//! The agent's threads.
+
+use std::{net::UdpSocket, sync::Arc, thread, time::Duration};
+
+use gorsespur_platform::{Members, Table};
+use gorsespur_runtime::{
+    cancel::Cancel,
+    server::{Incoming, Reply},
+};
+use gorsespur_wire::{
+    codec::{CONTENT_TYPE, decode, encode},
+    paths::PEER_CONFIG,
+    peer::{ConfigAnswer, ConfigRequest},
+};
+use snafu::ResultExt;
+
+use crate::{
+    AgentSettings, PeerError, Shared, beats, config,
+    error::{BindSnafu, SpawnSnafu},
+    list,
+};
+
+/// Time limit of waiting for a heartbeat, after which cancellation is looked at.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Keeps an instance in touch with its peers.
+#[derive(Debug)]
+pub struct Agent {
+    shared: Arc<Shared>,
+}
+
+impl Agent {
+    /// Starts the threads; they end with `cancel`.
+    pub fn start(
+        settings: AgentSettings,
+        table: Arc<dyn Table>,
+        members: Arc<dyn Members>,
+        cancel: &Cancel,
+    ) -> Result<Agent, PeerError> {
+        let addr = settings.listen;
+        let socket = UdpSocket::bind(addr).context(BindSnafu { addr })?;
+        socket
+            .set_read_timeout(Some(LOOK))
+            .context(BindSnafu { addr })?;
+        let sender = socket.try_clone().context(BindSnafu { addr })?;
+        let shared = Arc::new(Shared::new(settings));
+        let (s, c) = (shared.clone(), cancel.clone());
+        spawn("beats-in", move || beats::receive_all(&s, &socket, &c))?;
+        let (s, c) = (shared.clone(), cancel.clone());
+        spawn("beats-out", move || beats::send_all(&s, &sender, &c))?;
+        let (s, c) = (shared.clone(), cancel.clone());
+        spawn("config", move || config::follow(&s, table.as_ref(), &c))?;
+        let (s, c) = (shared.clone(), cancel.clone());
+        spawn("members", move || list::follow(&s, members.as_ref(), &c))?;
+        Ok(Agent { shared })
+    }
+
+    /// Returns what the threads share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+}
+
+fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> Result<(), PeerError> {
+    let spawned = thread::Builder::new().name(name.into()).spawn(f);
+    spawned.context(SpawnSnafu)?;
+    Ok(())
+}
+
+impl Shared {
+    /// Answers a peer's request that is the agent's; nothing for other paths.
+    pub fn answer(&self, req: &Incoming) -> Option<Reply> {
+        if req.path != PEER_CONFIG {
+            return None;
+        }
+        let Ok(request) = decode::<ConfigRequest>(&req.body) else {
+            return Some(Reply::text(400, "request is malformed"));
+        };
+        let configs = self.configs();
+        let answer = ConfigAnswer {
+            head: configs.head(),
+            entries: configs.newer_than(&request.known),
+        };
+        let reply = match encode(&answer) {
+            Ok(body) => Reply::new(200, body).field("content-type", CONTENT_TYPE),
+            Err(_) => Reply::text(500, "can't encode"),
+        };
+        Some(reply)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/config.rs
@@ -0,0 +1,158 @@
+//! Templates in force: polled by one instance a zone, handed on by its peers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use gorsespur_core::{
+    config::ConfigEntry,
+    name::Name,
+    retry::{Backoff, Breaker},
+    spread::pick,
+};
+use gorsespur_platform::{Table, TableError, post};
+use gorsespur_runtime::cancel::Cancel;
+use gorsespur_wire::{
+    codec::decode,
+    keys::{CONFIG, CONFIG_HEAD},
+    paths::PEER_CONFIG,
+    peer::{ConfigAnswer, ConfigRequest},
+    stored::{ConfigHead, StoredTemplate},
+};
+
+use crate::Shared;
+
+/// Time between two looks.
+const PAUSE: u64 = 250;
+
+/// Longest time between two looks while the table service fails.
+const MAX_PAUSE: u64 = 4_000;
+
+/// Failures in a row after which the table service is left alone for a while.
+const FAILURES: u32 = 3;
+
+/// Time limit of asking a peer.
+const ASK: Duration = Duration::from_millis(500);
+
+/// Rows of one read.
+const BATCH: u32 = 500;
+
+/// Follows the changes of configuration until `cancel`.
+pub(crate) fn follow(shared: &Shared, table: &dyn Table, cancel: &Cancel) {
+    let mut backoff = Backoff::new(PAUSE, MAX_PAUSE, shared.incarnation);
+    let mut breaker = Breaker::new(FAILURES, MAX_PAUSE);
+    loop {
+        ask_peers(shared);
+        let now = shared.clock.now();
+        let mut pause = PAUSE;
+        if polls(shared) && breaker.allow(now) {
+            let result = poll(shared, table);
+            breaker.note(shared.clock.now(), result.is_ok());
+            match result {
+                Ok(()) => backoff.reset(),
+                Err(err) => {
+                    log::debug!("config: can't poll: {err}");
+                    pause = backoff.next_delay().min(PAUSE * 2);
+                }
+            }
+        }
+        if cancel.wait(Duration::from_millis(pause)) {
+            return;
+        }
+    }
+}
+
+/// Tells whether this instance polls for its zone; one that has no template
+/// and heard of none does too.
+fn polls(shared: &Shared) -> bool {
+    let s = &shared.settings;
+    let now = shared.clock.now();
+    let peers = shared.peers();
+    let live = peers.live(now);
+    let mut ids: Vec<&str> = vec![&s.id];
+    for p in live {
+        if *p.beat.zone == *s.zone && !p.beat.leaving {
+            ids.push(&p.beat.id);
+        }
+    }
+    !shared.is_loaded() || pick(&format!("config/{}", s.zone), ids) == Some(&*s.id)
+}
+
+fn poll(shared: &Shared, table: &dyn Table) -> Result<(), TableError> {
+    let rows = table.get(&[Name::from(CONFIG_HEAD)])?;
+    let head = rows.first().and_then(|r| r.as_ref());
+    let head = head.and_then(|r| decode::<ConfigHead>(&r.value).ok());
+    let change = head.map_or(0, |h| h.change);
+    if change <= shared.configs().head() && shared.is_loaded() {
+        return Ok(());
+    }
+    let mut after = None;
+    let prefix = Name::from(CONFIG);
+    loop {
+        let (rows, more) = table.scan(&prefix, after, BATCH)?;
+        after = rows.last().map(|r| r.key.clone());
+        for row in rows {
+            let Ok(stored) = decode::<StoredTemplate>(&row.value) else {
+                log::error!("config: row {} is malformed", row.key);
+                continue;
+            };
+            offer(
+                shared,
+                &ConfigEntry {
+                    version: stored.version,
+                    template: stored.template,
+                },
+            );
+        }
+        if !more {
+            break;
+        }
+    }
+    shared.configs().reach(change);
+    shared.set_loaded();
+    Ok(())
+}
+
+fn offer(shared: &Shared, entry: &ConfigEntry) {
+    if shared.configs().offer(entry) {
+        log::info!(
+            "config: {} version {} is in force",
+            entry.template.name,
+            entry.version
+        );
+        shared.config_changed();
+    }
+}
+
+/// Asks the peer that is furthest ahead for what is missing here.
+fn ask_peers(shared: &Shared) {
+    let mine = shared.configs().head();
+    let Some((addr, head)) = ahead(shared) else {
+        return;
+    };
+    if head <= mine && (shared.is_loaded() || head == 0) {
+        return;
+    }
+    let known = shared.configs().versions();
+    let request = ConfigRequest { known };
+    let answer: Result<ConfigAnswer, _> = post(addr, PEER_CONFIG, &request, ASK);
+    let Ok(answer) = answer else {
+        log::debug!("config: peer {addr} did not answer");
+        return;
+    };
+    for entry in &answer.entries {
+        offer(shared, entry);
+    }
+    shared.configs().reach(answer.head);
+    shared.set_loaded();
+}
+
+fn ahead(shared: &Shared) -> Option<(SocketAddr, u64)> {
+    let now = shared.clock.now();
+    let peers = shared.peers();
+    let mut best: Option<(SocketAddr, u64)> = None;
+    for p in peers.live(now) {
+        if best.is_none_or(|b| p.beat.config > b.1) {
+            best = Some((p.addr, p.beat.config));
+        }
+    }
+    best
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,22 @@
+//! What every instance shares with its peers: heartbeats, configuration and
+//! the membership list.
+//!
+//! Heartbeats are datagrams, sent at a constant rate; a lost one is made good
+//! by the next. Configuration is polled from the table service by one instance
+//! a zone and handed on from there: a heartbeat names the last change that is
+//! in force on its sender, and whoever is behind asks for what it lacks.
+
+mod agent;
+mod beats;
+mod config;
+mod error;
+mod layout;
+mod list;
+mod settings;
+mod shared;
+
+pub use agent::Agent;
+pub use error::PeerError;
+pub use layout::{Layout, ShardAt, Zone};
+pub use settings::{AgentSettings, RawCommon, RawPlatform, RawZone};
+pub use shared::Shared;
--- /dev/null
+++ b/crates/peer/src/list.rs
@@ -0,0 +1,31 @@
+//! The membership list.
+
+use std::time::Duration;
+
+use gorsespur_platform::Members;
+use gorsespur_runtime::cancel::Cancel;
+
+use crate::Shared;
+
+/// Time between two reads.
+const PAUSE: Duration = Duration::from_millis(1000);
+
+/// Reads the list until `cancel`; while it can't be read the last one stays.
+pub(crate) fn follow(shared: &Shared, members: &dyn Members, cancel: &Cancel) {
+    loop {
+        match members.list() {
+            Ok(list) => {
+                let mut known = shared.list();
+                if *known != list {
+                    *known = list;
+                    drop(known);
+                    shared.list_changed();
+                }
+            }
+            Err(err) => log::debug!("members: {err}"),
+        }
+        if cancel.wait(PAUSE) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/settings.rs
@@ -0,0 +1,190 @@
+//! Settings that every instance has.
+
+use std::{net::SocketAddr, time::Duration};
+
+use gorsespur_core::{
+    member::{MemberSettings, Role},
+    name::{Name, check_name},
+    problem::Problems,
+};
+use gorsespur_runtime::{logging::LogSettings, metrics::MetricSettings};
+use serde::Deserialize;
+
+use crate::{Layout, Zone};
+
+/// Most shards of a zone.
+const MAX_SHARDS: u32 = 1_000;
+
+/// Longest time limit in milliseconds.
+const MAX_MS: u64 = 600_000;
+
+/// The platform's services as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPlatform {
+    /// Address of the table service.
+    pub table: SocketAddr,
+    /// Address of the object store.
+    pub objects: SocketAddr,
+    /// Address of the membership list.
+    pub members: SocketAddr,
+    /// Time limit of a call in milliseconds.
+    #[serde(default = "default_timeout")]
+    pub timeout_ms: u64,
+}
+
+fn default_timeout() -> u64 {
+    1_000
+}
+
+/// A zone as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawZone {
+    /// Name.
+    pub name: String,
+    /// Number of its shards.
+    #[serde(default = "default_shards")]
+    pub shards: u32,
+}
+
+fn default_shards() -> u32 {
+    1
+}
+
+/// Settings as written that every instance has.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawCommon {
+    /// Name of the instance.
+    pub id: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Address for its peers: HTTP, and heartbeats as datagrams.
+    pub listen: SocketAddr,
+    /// Addresses of some peers, for a start without the platform.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// All zones; the same on every instance.
+    pub zones: Vec<RawZone>,
+    /// The platform's services.
+    pub platform: RawPlatform,
+    /// Times of the membership.
+    #[serde(default)]
+    pub membership: MemberSettings,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Metrics.
+    #[serde(default)]
+    pub metrics: MetricSettings,
+}
+
+/// Checked settings that every instance has.
+#[derive(Debug, Clone)]
+pub struct AgentSettings {
+    /// Name of the instance.
+    pub id: Name,
+    /// Its role.
+    pub role: Role,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Address for its peers.
+    pub listen: SocketAddr,
+    /// Addresses of some peers.
+    pub seeds: Vec<SocketAddr>,
+    /// All shards.
+    pub layout: Layout,
+    /// Names of all zones, sorted.
+    pub zones: Vec<Name>,
+    /// Address of the table service.
+    pub table: SocketAddr,
+    /// Address of the object store.
+    pub objects: SocketAddr,
+    /// Address of the membership list.
+    pub members: SocketAddr,
+    /// Time limit of a call to the platform.
+    pub timeout: Duration,
+    /// Times of the membership.
+    pub membership: MemberSettings,
+    /// Logs.
+    pub log: LogSettings,
+    /// Metrics.
+    pub metrics: MetricSettings,
+}
+
+impl AgentSettings {
+    /// Checks the settings of an instance; problems are added to `p`.
+    pub fn check(raw: RawCommon, role: Role, p: &mut Problems) -> AgentSettings {
+        check_text(&raw.id, "id", p);
+        check_text(&raw.zone, "zone", p);
+        let known = raw.zones.iter().any(|z| z.name == raw.zone);
+        p.require(
+            known,
+            "zone",
+            format!("{:?} is not in the list of zones", raw.zone),
+        );
+        let mut zones = Vec::new();
+        let mut names: Vec<Name> = Vec::new();
+        for (i, z) in raw.zones.iter().enumerate() {
+            check_text(&z.name, &format!("zones[{i}].name"), p);
+            let ok = (1..=MAX_SHARDS).contains(&z.shards);
+            let path = format!("zones[{i}].shards");
+            p.require(
+                ok,
+                path,
+                format!("{} is not from 1 to {MAX_SHARDS}", z.shards),
+            );
+            let name = Name::from(&*z.name);
+            let twice = names.contains(&name);
+            p.require(!twice, format!("zones[{i}].name"), "the name stands twice");
+            names.push(name.clone());
+            zones.push(Zone {
+                name,
+                shards: z.shards,
+            });
+        }
+        names.sort();
+        check_ms(raw.platform.timeout_ms, "platform.timeout_ms", p);
+        check_ms(raw.membership.beat, "membership.beat", p);
+        check_ms(raw.membership.dead, "membership.dead", p);
+        let enough = raw.membership.dead >= raw.membership.beat.saturating_mul(2);
+        p.require(
+            enough,
+            "membership.dead",
+            "must be at least twice membership.beat",
+        );
+        p.require(
+            !raw.listen.ip().is_unspecified(),
+            "listen",
+            "peers need an address they can reach",
+        );
+        AgentSettings {
+            id: raw.id.into(),
+            role,
+            zone: raw.zone.into(),
+            listen: raw.listen,
+            seeds: raw.seeds,
+            layout: Layout::new(&zones),
+            zones: names,
+            table: raw.platform.table,
+            objects: raw.platform.objects,
+            members: raw.platform.members,
+            timeout: Duration::from_millis(raw.platform.timeout_ms),
+            membership: raw.membership,
+            log: raw.log,
+            metrics: raw.metrics,
+        }
+    }
+}
+
+fn check_text(text: &str, path: &str, p: &mut Problems) {
+    if let Err(err) = check_name(text) {
+        p.add(path, err.to_string());
+    }
+}
+
+fn check_ms(value: u64, path: &str, p: &mut Problems) {
+    let ok = (1..=MAX_MS).contains(&value);
+    p.require(ok, path, format!("{value} is not from 1 to {MAX_MS}"));
+}
--- /dev/null
+++ b/crates/peer/src/shared.rs
@@ -0,0 +1,131 @@
+//! What the agent's threads share with the program.
+
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use gorsespur_core::{
+    config::Configs,
+    member::{Peers, ShardClaim},
+};
+use gorsespur_runtime::clock::{Clock, wall_ms};
+use gorsespur_wire::members::MemberList;
+
+use crate::AgentSettings;
+
+/// State of an instance towards its peers.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings.
+    pub settings: AgentSettings,
+    /// Clock of every decision.
+    pub clock: Clock,
+    /// Differs from start to start of an instance.
+    pub incarnation: u64,
+    peers: Mutex<Peers>,
+    configs: Mutex<Configs>,
+    list: Mutex<MemberList>,
+    claims: Mutex<Vec<ShardClaim>>,
+    leaving: AtomicBool,
+    config_changes: AtomicU64,
+    list_changes: AtomicU64,
+    loaded: AtomicBool,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// Returns the state of an instance that knows nobody.
+    pub fn new(settings: AgentSettings) -> Shared {
+        Shared {
+            clock: Clock::new(),
+            incarnation: wall_ms(),
+            peers: Mutex::new(Peers::new(settings.membership.clone())),
+            configs: Mutex::default(),
+            list: Mutex::default(),
+            claims: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            config_changes: AtomicU64::new(0),
+            list_changes: AtomicU64::new(0),
+            loaded: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    /// Returns the known instances.
+    pub fn peers(&self) -> MutexGuard<'_, Peers> {
+        lock(&self.peers)
+    }
+
+    /// Returns the templates in force.
+    pub fn configs(&self) -> MutexGuard<'_, Configs> {
+        lock(&self.configs)
+    }
+
+    /// Returns the membership list as last read.
+    pub fn list(&self) -> MutexGuard<'_, MemberList> {
+        lock(&self.list)
+    }
+
+    /// Returns the shards that this instance owns, as heartbeats tell them.
+    pub fn claims(&self) -> MutexGuard<'_, Vec<ShardClaim>> {
+        lock(&self.claims)
+    }
+
+    /// Tells the peers from now on that this instance leaves.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Tells whether this instance leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Returns a number that grows with each change of the templates.
+    pub fn config_changes(&self) -> u64 {
+        self.config_changes.load(Ordering::Acquire)
+    }
+
+    /// Returns a number that grows with each change of the membership list.
+    pub fn list_changes(&self) -> u64 {
+        self.list_changes.load(Ordering::Acquire)
+    }
+
+    /// Tells whether the templates were read from the platform or a peer.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn config_changed(&self) {
+        self.config_changes.fetch_add(1, Ordering::AcqRel);
+    }
+
+    pub(crate) fn list_changed(&self) {
+        self.list_changes.fetch_add(1, Ordering::AcqRel);
+    }
+
+    pub(crate) fn set_loaded(&self) {
+        self.loaded.store(true, Ordering::Release);
+    }
+
+    /// Returns the ids of the live instances of this one's role in its zone,
+    /// itself included unless it leaves.
+    pub fn colleagues(&self) -> Vec<gorsespur_core::name::Name> {
+        let s = &self.settings;
+        let now = self.clock.now();
+        let mut out = Vec::new();
+        for p in self.peers().staying(now, s.role, &s.zone) {
+            out.push(p.beat.id.clone());
+        }
+        out.retain(|id| *id != s.id);
+        if !self.is_leaving() {
+            out.push(s.id.clone());
+        }
+        out.sort();
+        out
+    }
+}
--- /dev/null
+++ b/crates/platform/src/fake.rs
@@ -0,0 +1,197 @@
+//! A table and an object store in memory, for tests.
+//!
+//! Each call first takes the next fault of a list, so that a test states
+//! exactly which call fails and how.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use gorsespur_core::name::Name;
+use gorsespur_wire::table::{Expect, Row, Tx};
+
+use crate::{ObjectError, Objects, Table, TableError};
+
+/// A fault of one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The call works.
+    None,
+    /// The call has no effect and fails.
+    Down,
+    /// The call takes effect, and its answer is lost.
+    LostAnswer,
+    /// The call seems lost and takes effect only before the next write.
+    Delayed,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<Name, Row>,
+    objects: BTreeMap<String, Vec<u8>>,
+    version: u64,
+    faults: VecDeque<Fault>,
+    delayed: Option<Tx>,
+    writes: u64,
+}
+
+/// The platform's services in memory.
+#[derive(Debug, Default)]
+pub struct FakePlatform {
+    state: Mutex<State>,
+}
+
+impl FakePlatform {
+    /// Returns an empty platform.
+    pub fn new() -> FakePlatform {
+        FakePlatform::default()
+    }
+
+    /// Adds faults for the calls to come, in order.
+    pub fn fail_next(&self, faults: &[Fault]) {
+        self.lock().faults.extend(faults);
+    }
+
+    /// Returns the number of transactions that took effect.
+    pub fn writes(&self) -> u64 {
+        self.lock().writes
+    }
+
+    /// Returns the number of rows whose key starts with `prefix`.
+    pub fn count(&self, prefix: &str) -> usize {
+        self.lock()
+            .rows
+            .keys()
+            .filter(|k| k.starts_with(prefix))
+            .count()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn fault(&mut self) -> Fault {
+        self.faults.pop_front().unwrap_or(Fault::None)
+    }
+
+    fn read_fault(&mut self) -> Result<(), TableError> {
+        match self.fault() {
+            Fault::None => Ok(()),
+            Fault::Down | Fault::LostAnswer | Fault::Delayed => Err(TableError::Unavailable),
+        }
+    }
+
+    fn run(&mut self, tx: &Tx) -> Result<u64, TableError> {
+        for check in &tx.checks {
+            let found = self.rows.get(&check.key).map_or(0, |r| r.version);
+            let ok = match check.expect {
+                Expect::Absent => found == 0,
+                Expect::Version(v) => found == v,
+            };
+            if !ok {
+                let key = check.key.clone();
+                return Err(TableError::Conflict { key, found });
+            }
+        }
+        self.version += 1;
+        self.writes += 1;
+        for put in &tx.puts {
+            let row = Row {
+                key: put.key.clone(),
+                version: self.version,
+                value: put.value.clone(),
+            };
+            self.rows.insert(put.key.clone(), row);
+        }
+        for key in &tx.deletes {
+            self.rows.remove(key);
+        }
+        Ok(self.version)
+    }
+}
+
+impl Table for FakePlatform {
+    fn tx(&self, tx: &Tx) -> Result<u64, TableError> {
+        let mut state = self.lock();
+        if let Some(late) = state.delayed.take() {
+            let _ = state.run(&late);
+        }
+        match state.fault() {
+            Fault::None => state.run(tx),
+            Fault::Down => Err(TableError::Unavailable),
+            Fault::LostAnswer => {
+                let _ = state.run(tx);
+                Err(TableError::Unknown)
+            }
+            Fault::Delayed => {
+                state.delayed = Some(tx.clone());
+                Err(TableError::Unknown)
+            }
+        }
+    }
+
+    fn get(&self, keys: &[Name]) -> Result<Vec<Option<Row>>, TableError> {
+        let mut state = self.lock();
+        state.read_fault()?;
+        Ok(keys.iter().map(|k| state.rows.get(k).cloned()).collect())
+    }
+
+    fn scan(
+        &self,
+        prefix: &Name,
+        after: Option<Name>,
+        limit: u32,
+    ) -> Result<(Vec<Row>, bool), TableError> {
+        let mut state = self.lock();
+        state.read_fault()?;
+        let mut rows = Vec::new();
+        for (key, row) in state.rows.range(prefix.clone()..) {
+            if !key.starts_with(&**prefix) {
+                break;
+            }
+            if after.as_ref().is_some_and(|a| key <= a) {
+                continue;
+            }
+            if rows.len() == limit as usize {
+                return Ok((rows, true));
+            }
+            rows.push(row.clone());
+        }
+        Ok((rows, false))
+    }
+}
+
+impl Objects for FakePlatform {
+    fn put(&self, key: &str, value: &[u8]) -> Result<(), ObjectError> {
+        let mut state = self.lock();
+        let fault = state.fault();
+        if fault == Fault::Down {
+            return Err(ObjectError::Unavailable);
+        }
+        state.objects.insert(key.to_owned(), value.to_vec());
+        match fault {
+            Fault::None => Ok(()),
+            Fault::Down | Fault::LostAnswer | Fault::Delayed => Err(ObjectError::Unavailable),
+        }
+    }
+
+    fn get(&self, key: &str) -> Result<Vec<u8>, ObjectError> {
+        let mut state = self.lock();
+        if state.fault() != Fault::None {
+            return Err(ObjectError::Unavailable);
+        }
+        state.objects.get(key).cloned().ok_or(ObjectError::Absent)
+    }
+
+    fn delete(&self, key: &str) -> Result<(), ObjectError> {
+        let mut state = self.lock();
+        if state.fault() != Fault::None {
+            return Err(ObjectError::Unavailable);
+        }
+        state.objects.remove(key);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/platform/src/members.rs
@@ -0,0 +1,18 @@
+//! The membership list.
+
+use gorsespur_wire::members::MemberList;
+use snafu::Snafu;
+
+/// Why the membership list can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum MembersError {
+    /// The list can't be used now.
+    #[snafu(display("membership list is unavailable"))]
+    Unavailable,
+}
+
+/// The membership list.
+pub trait Members: Send + Sync {
+    /// Reads the list.
+    fn list(&self) -> Result<MemberList, MembersError>;
+}
--- /dev/null
+++ b/crates/stand/src/ledger.rs
@@ -0,0 +1,127 @@
+//! A worker's ledger of starts and ends.
+
+use std::{
+    fs::{File, OpenOptions},
+    io::Write,
+    path::{Path, PathBuf},
+    sync::{Mutex, PoisonError},
+};
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+/// What happened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// A worker began.
+    Boot,
+    /// A worker was killed; written by whoever killed it.
+    Killed,
+    /// A task started.
+    Start,
+    /// A task finished.
+    Done,
+    /// A task failed.
+    Failed,
+    /// A task was stopped with a checkpoint.
+    Saved,
+    /// A task was stopped without a checkpoint.
+    Stopped,
+    /// A start was refused since there is no room.
+    NoRoom,
+    /// A start was refused since its lease would have lapsed.
+    Stale,
+    /// A request ran that may run once only.
+    Request,
+}
+
+/// An entry of a ledger.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Milliseconds since the Unix epoch.
+    pub ms: u64,
+    /// Worker.
+    pub worker: String,
+    /// What happened.
+    pub what: What,
+    /// Organisation, job and task, or the request's id.
+    pub name: String,
+    /// Attempt, if a task.
+    pub attempt: String,
+    /// Whether the task is a replica of a service.
+    pub service: bool,
+}
+
+/// Why a ledger can't be used.
+#[derive(Debug, Snafu)]
+pub enum LedgerError {
+    /// The file can't be opened or read.
+    #[snafu(display("{}", path.display()))]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The system's answer.
+        source: std::io::Error,
+    },
+}
+
+/// Appends entries to a file, or keeps them in memory.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    file: Option<Mutex<File>>,
+    memory: Mutex<Vec<Entry>>,
+}
+
+impl Ledger {
+    /// Opens a file to append to; without one the entries stay in memory.
+    pub fn open(path: Option<&Path>) -> Result<Ledger, LedgerError> {
+        let Some(path) = path else {
+            return Ok(Ledger::default());
+        };
+        let file = OpenOptions::new().create(true).append(true).open(path);
+        let file = file.context(FileSnafu { path })?;
+        Ok(Ledger {
+            file: Some(Mutex::new(file)),
+            memory: Mutex::default(),
+        })
+    }
+
+    /// Appends an entry.
+    pub fn add(&self, entry: Entry) {
+        let Some(file) = &self.file else {
+            self.memory
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(entry);
+            return;
+        };
+        let mut line = serde_json::to_vec(&entry).unwrap_or_default();
+        line.push(b'\n');
+        let mut file = file.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Err(err) = file.write_all(&line) {
+            log::error!("ledger: can't write an entry: {err}");
+        }
+    }
+
+    /// Returns the entries in memory.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.memory
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Reads the entries of a file; a last line that was cut by a kill is left out.
+    pub fn read(path: &Path) -> Result<Vec<Entry>, LedgerError> {
+        let text = std::fs::read_to_string(path).context(FileSnafu { path })?;
+        let mut out = Vec::new();
+        for line in text.lines() {
+            let Ok(entry) = serde_json::from_str(line) else {
+                continue;
+            };
+            out.push(entry);
+        }
+        Ok(out)
+    }
+}
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -1,1 +1,28 @@
-//! x
+//! Stand-ins for the platform's services and for workers.
+//!
+//! They are scaffolding: small, in memory, and with faults to switch on. A
+//! worker keeps a ledger of every start and end by its own clock, which the
+//! system never writes to; promises are judged by that ledger.
+
+pub mod args;
+mod checkpoints;
+mod error;
+mod faults;
+mod ledger;
+mod platform;
+mod platform_http;
+mod sim;
+mod slowdown;
+mod target;
+mod worker_http;
+
+pub use checkpoints::{Checkpoints, MemoryCheckpoints, StoredCheckpoints};
+pub use error::StandError;
+pub use faults::{PlatformFaults, WorkerFaults};
+pub use ledger::{Entry, Ledger, LedgerError, What};
+pub use platform::Platform;
+pub use platform_http::{Gate, serve_platform};
+pub use sim::{SimSettings, SimWorker};
+pub use slowdown::Slowdown;
+pub use target::TargetLoad;
+pub use worker_http::{WorkerStand, serve_worker};
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -1,2 +1,101 @@
-//! x
-fn main() {}
+//! Stand-ins for the platform's services and for workers.
+
+use std::{
+    process::ExitCode,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use clap::Parser;
+use gorsespur_core::{name::Name, size::Size};
+use gorsespur_platform::HttpObjects;
+use gorsespur_runtime::{
+    cancel::Cancel,
+    clock::wall_ms,
+    exit::finish,
+    logging::{LogSettings, start},
+    signals::cancel_on_signal,
+};
+use gorsespur_stand::{
+    Gate, Ledger, Platform, SimSettings, SimWorker, Slowdown, StandError, StoredCheckpoints,
+    TargetLoad,
+    args::{PlatformArgs, StandArgs, StandRole, WorkerArgs},
+    serve_platform, serve_worker,
+};
+
+/// Time limit of writing a checkpoint.
+const CHECKPOINT: Duration = Duration::from_millis(800);
+
+/// How often the main thread looks for the end.
+const LOOK: Duration = Duration::from_secs(3600);
+
+fn main() -> ExitCode {
+    let args = StandArgs::parse();
+    let result = match args.role {
+        StandRole::Platform(args) => run_platform(args),
+        StandRole::Worker(args) => run_worker(args),
+    };
+    finish("gorsespur-stand", result)
+}
+
+fn prepare(id: &str) -> Result<Cancel, StandError> {
+    start(&LogSettings::default(), "stand", id).map_err(|source| StandError::Log { source })?;
+    let cancel = Cancel::new();
+    cancel_on_signal(&cancel).map_err(|source| StandError::System { source })?;
+    Ok(cancel)
+}
+
+fn run_platform(args: PlatformArgs) -> Result<(), StandError> {
+    let cancel = prepare("platform")?;
+    let lag = Duration::from_millis(args.lag);
+    let platform = Platform::new(args.writes, args.reads, lag, args.seed);
+    let mut gates = Vec::new();
+    for (zone, addr) in args.gates {
+        let zone = Name::from(zone);
+        gates.push(Gate { zone, addr });
+    }
+    let gates = serve_platform(Arc::new(Mutex::new(platform)), &gates, &cancel)?;
+    for gate in gates {
+        log::info!("platform: zone {} at {}", gate.zone, gate.addr);
+    }
+    while !cancel.wait(LOOK) {}
+    Ok(())
+}
+
+fn run_worker(args: WorkerArgs) -> Result<(), StandError> {
+    let cancel = prepare(&args.name)?;
+    let ledger = Ledger::open(args.ledger.as_deref());
+    let ledger = Arc::new(ledger.map_err(|source| StandError::Ledger { source })?);
+    let settings = SimSettings {
+        name: Name::from(&*args.name),
+        size: Size::new(args.cores * 1000, args.memory << 20, args.accels),
+        period: 1000,
+        lag: args.lag,
+        slowdown: Slowdown {
+            seed: args.table_seed,
+            strength: args.strength,
+            shift: 0,
+        },
+        own_clock: false,
+    };
+    let objects = HttpObjects::new(args.objects, CHECKPOINT);
+    let checkpoints = Arc::new(StoredCheckpoints::new(objects));
+    let sim = SimWorker::new(settings, wall_ms(), ledger.clone(), checkpoints);
+    let load = TargetLoad::new(args.slots, args.service_ms);
+    let worker = serve_worker(
+        args.addr,
+        args.target,
+        sim,
+        load,
+        ledger,
+        &args.name,
+        &cancel,
+    )?;
+    log::info!(
+        "worker: exchanges at {}, services at {}",
+        worker.addr,
+        worker.target
+    );
+    while !cancel.wait(LOOK) {}
+    Ok(())
+}
--- /dev/null
+++ b/crates/stand/src/worker_http.rs
@@ -0,0 +1,163 @@
+//! A worker as a process.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use gorsespur_core::shard::WorkerRequest;
+use gorsespur_runtime::{
+    cancel::Cancel,
+    client::field,
+    clock::{Clock, wall_ms},
+    server::{Incoming, Limits, Reply, serve},
+};
+use gorsespur_wire::{
+    codec::{CONTENT_TYPE, decode, encode},
+    fields::REPEATABLE,
+    paths::EXCHANGE,
+};
+use snafu::ResultExt;
+
+use crate::{
+    Entry, Ledger, SimWorker, StandError, TargetLoad, What, WorkerFaults,
+    error::{ServeSnafu, SystemSnafu},
+    target::TargetView,
+};
+
+/// Time between two looks at the running tasks.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A running worker.
+pub struct WorkerStand {
+    /// Address for exchanges.
+    pub addr: SocketAddr,
+    /// Address of its services.
+    pub target: SocketAddr,
+    sim: Arc<Mutex<SimWorker>>,
+}
+
+impl WorkerStand {
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: WorkerFaults) {
+        lock(&self.sim).set_faults(faults);
+    }
+
+    /// Returns the number of running tasks.
+    pub fn running(&self) -> usize {
+        lock(&self.sim).running()
+    }
+}
+
+fn lock(sim: &Mutex<SimWorker>) -> MutexGuard<'_, SimWorker> {
+    sim.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Serves a worker until `cancel`.
+pub fn serve_worker(
+    addr: SocketAddr,
+    target: SocketAddr,
+    sim: SimWorker,
+    load: TargetLoad,
+    ledger: Arc<Ledger>,
+    name: &str,
+    cancel: &Cancel,
+) -> Result<WorkerStand, StandError> {
+    let clock = Clock::new();
+    let sim = Arc::new(Mutex::new(sim));
+    let limits = Limits {
+        handlers: 4,
+        body: 16 << 20,
+        ..Limits::default()
+    };
+    let for_exchange = sim.clone();
+    let exchange = move |req: Incoming| answer(&for_exchange, &clock, &req);
+    let exchanges = serve(addr, "exchange", limits, cancel, exchange).context(ServeSnafu)?;
+    let limits = Limits {
+        handlers: 24,
+        ..Limits::default()
+    };
+    let (for_target, name) = (sim.clone(), name.to_owned());
+    let run = move |req: Incoming| run_request(&for_target, &load, &ledger, &name, &req);
+    let targets = serve(target, "target", limits, cancel, run).context(ServeSnafu)?;
+    let (ticking, cancel) = (sim.clone(), cancel.clone());
+    thread::Builder::new()
+        .name("tasks".into())
+        .spawn(move || {
+            while !cancel.wait(TICK) {
+                lock(&ticking).advance(clock.now());
+            }
+        })
+        .context(SystemSnafu)?;
+    Ok(WorkerStand {
+        addr: exchanges.addr,
+        target: targets.addr,
+        sim,
+    })
+}
+
+fn answer(sim: &Mutex<SimWorker>, clock: &Clock, req: &Incoming) -> Reply {
+    if req.path == "/faults" {
+        let Ok(faults) = serde_json::from_slice(&req.body) else {
+            return Reply::text(400, "faults are malformed");
+        };
+        lock(sim).set_faults(faults);
+        return Reply::text(200, "ok");
+    }
+    if req.path != EXCHANGE {
+        return Reply::text(404, "no such path");
+    }
+    let Ok(request) = decode::<WorkerRequest>(&req.body) else {
+        return Reply::text(400, "request is malformed");
+    };
+    let mut sim = lock(sim);
+    if sim.faults().cut {
+        return Reply::text(503, "cut off");
+    }
+    let answer = sim.exchange(clock.now(), &request);
+    if sim.faults().lose_answers {
+        return Reply::text(500, "answer lost");
+    }
+    match encode(&answer) {
+        Ok(body) => Reply::new(200, body).field("content-type", CONTENT_TYPE),
+        Err(_) => Reply::text(500, "can't encode"),
+    }
+}
+
+fn run_request(
+    sim: &Mutex<SimWorker>,
+    load: &TargetLoad,
+    ledger: &Ledger,
+    name: &str,
+    req: &Incoming,
+) -> Reply {
+    let segments = req.segments();
+    let service = segments.get(1).copied().unwrap_or("");
+    let view = {
+        let sim = lock(sim);
+        TargetView {
+            serves: sim.serves(service),
+            slowdown: sim.service_slowdown(service),
+            faults: sim.faults().clone(),
+        }
+    };
+    let once = field(&req.fields, REPEATABLE) == Some("no");
+    let reply = load.run(req, &view, |id| {
+        if once {
+            ledger.add(Entry {
+                ms: wall_ms(),
+                worker: name.to_owned(),
+                what: What::Request,
+                name: id.to_owned(),
+                attempt: String::new(),
+                service: true,
+            });
+        }
+    });
+    if view.faults.drop_answers && reply.status == 200 {
+        return Reply::text(500, "answer lost");
+    }
+    reply
+}
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,50 @@
+//! MessagePack with a format byte.
+
+use serde::{Serialize, de::DeserializeOwned};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+
+/// Format of every message of this release.
+pub const FORMAT: u8 = 1;
+
+/// Content type of encoded messages.
+pub const CONTENT_TYPE: &str = "application/vnd.gorsespur.v1+msgpack";
+
+/// Why a message can't be read or written.
+#[derive(Debug, Snafu)]
+pub enum CodecError {
+    /// The message is empty.
+    #[snafu(display("message is empty"))]
+    Empty,
+    /// The message has another format.
+    #[snafu(display("message has format {found}, not {FORMAT}"))]
+    Format {
+        /// Its format.
+        found: u8,
+    },
+    /// The message is malformed.
+    #[snafu(display("message is malformed"))]
+    Decode {
+        /// The library's answer.
+        source: rmp_serde::decode::Error,
+    },
+    /// The value can't be encoded.
+    #[snafu(display("value can't be encoded"))]
+    Encode {
+        /// The library's answer.
+        source: rmp_serde::encode::Error,
+    },
+}
+
+/// Encodes a value.
+pub fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, CodecError> {
+    let mut out = vec![FORMAT];
+    rmp_serde::encode::write(&mut out, value).context(EncodeSnafu)?;
+    Ok(out)
+}
+
+/// Decodes a value.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+    let (&found, rest) = bytes.split_first().context(EmptySnafu)?;
+    ensure!(found == FORMAT, FormatSnafu { found });
+    rmp_serde::from_slice(rest).context(DecodeSnafu)
+}
--- /dev/null
+++ b/crates/wire/src/fields.rs
@@ -0,0 +1,34 @@
+//! Header fields towards callers and targets, in lower case.
+
+/// Identity of a request; sent to the target and checked on its answer.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Milliseconds that are left for the answer.
+pub const DEADLINE: &str = "x-deadline-ms";
+
+/// `urgent`, `normal` or `bulk`.
+pub const PRIORITY: &str = "x-priority";
+
+/// `yes` if the request may run more than once, `no` if not.
+pub const REPEATABLE: &str = "x-repeatable";
+
+/// Caller's key of a request that must run at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// `ran`, `not-run` or `unknown`.
+pub const OUTCOME: &str = "x-outcome";
+
+/// Why a request was refused.
+pub const REASON: &str = "x-reason";
+
+/// Slots in use at a target, this request included.
+pub const BUSY: &str = "x-busy-slots";
+
+/// `yes` on the answers of a target that is about to leave.
+pub const LEAVING: &str = "x-leaving";
+
+/// Seconds after which a refused caller may come again.
+pub const RETRY_AFTER: &str = "retry-after";
+
+/// Number of tries that an answer took.
+pub const TRIES: &str = "x-tries";
--- /dev/null
+++ b/crates/wire/src/keys.rs
@@ -0,0 +1,59 @@
+//! Keys of the table service's rows; sorted by key, so numbers are padded.
+
+use gorsespur_core::{name::Name, shard::JobKey};
+
+/// Row that counts the changes of configuration.
+pub const CONFIG_HEAD: &str = "config/head";
+
+/// Prefix of the rows that hold the templates.
+pub const CONFIG: &str = "config/org/";
+
+/// Returns the key of an organisation's template.
+pub fn config(org: &str) -> Name {
+    format!("{CONFIG}{org}").into()
+}
+
+/// Returns the prefix of an organisation's audit entries.
+pub fn audits(org: &str) -> Name {
+    format!("audit/{org}/").into()
+}
+
+/// Returns the key of the audit entry of a template's version.
+pub fn audit(org: &str, version: u64) -> Name {
+    format!("audit/{org}/{version:012}").into()
+}
+
+/// Returns the key of a shard's row.
+pub fn shard(shard: &str) -> Name {
+    format!("shard/{shard}").into()
+}
+
+/// Returns the prefix of a shard's journal.
+pub fn journal_rows(shard: &str) -> Name {
+    format!("journal/{shard}/").into()
+}
+
+/// Returns the key of a row of a shard's journal.
+pub fn journal(shard: &str, row: u64) -> Name {
+    format!("journal/{shard}/{row:020}").into()
+}
+
+/// Returns the prefix of a shard's inbox.
+pub fn inbox_rows(shard: &str) -> Name {
+    format!("inbox/{shard}/").into()
+}
+
+/// Returns the key of a submitted job in its shard's inbox.
+pub fn inbox(shard: &str, key: &JobKey) -> Name {
+    format!("inbox/{shard}/{}/{}", key.org, key.id).into()
+}
+
+/// Returns the key of a job's row.
+pub fn job(key: &JobKey) -> Name {
+    format!("job/{}/{}", key.org, key.id).into()
+}
+
+/// Returns the key of the claim of an idempotency key.
+pub fn claim(org: &str, key: &str) -> Name {
+    format!("claim/{org}/{key}").into()
+}
