Add scheduler, entry and trace replay

Cause: the decision machines need processes around them. Before: no process. After: all programs build; not yet run together.

--- a/crates/core/src/member/peers.rs
+++ b/crates/core/src/member/peers.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Beat, Peer, Role};
-use crate::Millis;
+use crate::{Millis, name::Name};
 
 /// Times of the membership; in milliseconds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -30,18 +30,23 @@
     }
 }
 
+/// Factor on the time limit for instances of other zones.
+const FAR: Millis = 4;
+
 /// Known instances, sorted by id.
 #[derive(Debug, Clone)]
 pub struct Peers {
     settings: MemberSettings,
+    zone: Name,
     peers: Vec<Peer>,
 }
 
 impl Peers {
-    /// Returns an empty set.
-    pub fn new(settings: MemberSettings) -> Peers {
+    /// Returns an empty set, as seen from an instance in `zone`.
+    pub fn new(settings: MemberSettings, zone: Name) -> Peers {
         Peers {
             settings,
+            zone,
             peers: Vec::new(),
         }
     }
@@ -50,6 +55,7 @@
     ///
     /// Returns whether it was news.
     pub fn hear(&mut self, now: Millis, beat: Beat) -> bool {
+        let limit = self.limit(&beat.zone);
         let addr = beat.addr;
         let peer = Peer {
             beat,
@@ -71,7 +77,7 @@
                 if order(&peer.beat) <= order(&old.beat) {
                     return false;
                 }
-                let gap = now.saturating_sub(old.heard) > self.settings.dead;
+                let gap = now.saturating_sub(old.heard) > limit;
                 let reborn = peer.beat.incarnation != old.beat.incarnation;
                 let steady = if gap || reborn { now } else { old.steady };
                 *old = Peer { steady, ..peer };
@@ -80,6 +86,16 @@
         }
     }
 
+    /// Returns the time without a heartbeat after which an instance of `zone`
+    /// counts as dead; those of other zones reach only some contacts here.
+    fn limit(&self, zone: &str) -> Millis {
+        if *zone == *self.zone {
+            self.settings.dead
+        } else {
+            self.settings.dead * FAR
+        }
+    }
+
     /// Forgets instances that have been dead for long.
     pub fn forget(&mut self, now: Millis) {
         let limit = self.settings.forget;
@@ -90,7 +106,7 @@
     pub fn live(&self, now: Millis) -> Vec<&Peer> {
         let mut out = Vec::new();
         for p in &self.peers {
-            if now.saturating_sub(p.heard) <= self.settings.dead {
+            if now.saturating_sub(p.heard) <= self.limit(&p.beat.zone) {
                 out.push(p);
             }
         }
--- a/crates/core/src/owner/claim.rs
+++ b/crates/core/src/owner/claim.rs
@@ -39,6 +39,11 @@
         seen && (self.free || now >= self.since + self.lease)
     }
 
+    /// Tells whether the row has been as it is for at least `time`.
+    pub fn settled(&self, now: Millis, time: Millis) -> bool {
+        now >= self.since + time
+    }
+
     /// Forgets what was seen, for example after a pause of this process.
     pub fn reset(&mut self) {
         self.version = None;
--- a/crates/core/src/spread.rs
+++ b/crates/core/src/spread.rs
@@ -4,12 +4,49 @@
 
 use siphasher::sip::SipHasher13;
 
+/// Keys of the hash; changing them moves every shard.
+const KEYS: (u64, u64) = (0x67_6f72_7365, 0x7370_7572);
+
+/// Ends each part; not a byte of UTF-8 text.
+const END: u8 = 0xff;
+
+/// A hasher that is the same in every process and release.
+#[derive(Debug, Clone)]
+pub struct StableHasher {
+    inner: SipHasher13,
+}
+
+impl StableHasher {
+    /// Returns an empty hasher.
+    pub fn new() -> StableHasher {
+        StableHasher {
+            inner: SipHasher13::new_with_keys(KEYS.0, KEYS.1),
+        }
+    }
+}
+
+impl Default for StableHasher {
+    fn default() -> StableHasher {
+        StableHasher::new()
+    }
+}
+
+impl Hasher for StableHasher {
+    fn finish(&self) -> u64 {
+        self.inner.finish()
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.inner.write(bytes);
+    }
+}
+
 /// Returns a hash of the parts that is stable across processes and releases.
 pub fn stable_hash(parts: &[&str]) -> u64 {
-    let mut h = SipHasher13::new_with_keys(0x67_6f_72_73_65, 0x73_70_75_72);
+    let mut h = StableHasher::new();
     for part in parts {
         h.write(part.as_bytes());
-        h.write_u8(0xff);
+        h.write(&[END]);
     }
     h.finish()
 }
--- /dev/null
+++ b/crates/entry/src/args.rs
@@ -0,0 +1,17 @@
+//! Command line of `gorsespur-entry`.
+
+use std::path::PathBuf;
+
+use clap::Parser;
+
+/// Takes callers' requests and jobs.
+#[derive(Debug, Parser)]
+#[command(name = "gorsespur-entry", version)]
+pub struct EntryArgs {
+    /// Settings file in YAML.
+    #[arg(long)]
+    pub settings: PathBuf,
+    /// Check the settings and stop.
+    #[arg(long)]
+    pub check: bool,
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,42 @@
+//! What callers and the balancer may ask for.
+
+use std::sync::Arc;
+
+use gorsespur_core::route::Outcome;
+use gorsespur_peer::Shared;
+use gorsespur_runtime::server::{Incoming, Reply};
+
+use crate::{forward::Forward, job_api::JobApi, reply::plain};
+
+/// Serves callers.
+pub(crate) struct CallerApi {
+    pub shared: Arc<Shared>,
+    pub forward: Forward,
+    pub jobs: JobApi,
+}
+
+impl CallerApi {
+    /// Answers one request.
+    pub fn answer(&self, req: Incoming) -> Reply {
+        let path = req.path.clone();
+        let segments: Vec<&str> = path.split('/').filter(|s| !s.is_empty()).collect();
+        match segments.as_slice() {
+            ["s", org, service, ..] => self.forward.serve(req, org, service),
+            ["v1", "orgs", org, rest @ ..] => self.jobs.serve(&req, org, rest),
+            ["healthz"] => Reply::text(200, "ok"),
+            ["readyz"] => self.ready(),
+            _ => plain(404, Outcome::NotRun, "no-path", "no such path"),
+        }
+    }
+
+    /// Tells the balancer whether to send requests here.
+    fn ready(&self) -> Reply {
+        if self.shared.is_leaving() {
+            return Reply::text(503, "leaving");
+        }
+        if !self.shared.is_loaded() {
+            return Reply::text(503, "no configuration yet");
+        }
+        Reply::text(200, "ok")
+    }
+}
--- /dev/null
+++ b/crates/entry/src/claims.rs
@@ -0,0 +1,199 @@
+//! Claims of idempotency keys in the table service.
+//!
+//! A key is claimed before its request is sent, so that a caller's resend
+//! through another instance does not run it again. A claim whose request has
+//! an unknown outcome stays, and every resend is told so.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+
+use gorsespur_core::{
+    name::Name,
+    retry::Backoff,
+    route::Outcome,
+    spread::{StableHasher, stable_hash},
+};
+use gorsespur_platform::{Table, TableError};
+use gorsespur_runtime::{
+    client::field,
+    clock::Clock,
+    server::{Incoming, Reply},
+};
+use gorsespur_wire::{
+    codec::{decode, encode},
+    fields::OUTCOME,
+    keys,
+    stored::{Claim, ClaimEnd},
+    table::{Expect, Row, Tx},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::hash::Hasher;
+
+/// Longest answer that is kept with a claim, in bytes.
+const MAX_KEPT: usize = 64 << 10;
+
+/// First and longest delay between reads of a claim whose write is in doubt.
+const FIRST_DELAY: u64 = 10;
+const MAX_DELAY: u64 = 200;
+
+/// Most tries to write the end of a claim.
+const FINISH: u32 = 3;
+
+/// A claim that this instance made.
+#[derive(Debug, Clone)]
+pub(crate) struct Mine {
+    claim: Claim,
+    version: u64,
+}
+
+/// What became of an attempt to claim a key.
+pub(crate) enum Claimed {
+    /// The key is claimed; the request may be sent.
+    Mine(Mine),
+    /// The request ran before; this was its answer.
+    Done(Reply),
+    /// The request was sent before, and its end is not known.
+    Open,
+    /// The key was used for another request.
+    Other,
+    /// The claim can't be recorded.
+    Unavailable,
+}
+
+/// Claims keys.
+pub(crate) struct Claims {
+    table: Arc<dyn Table>,
+    rng: Mutex<SmallRng>,
+}
+
+impl Claims {
+    pub fn new(table: Arc<dyn Table>, instance: &Name, clock: Clock) -> Claims {
+        let seed = stable_hash(&[instance]) ^ clock.micros();
+        Claims {
+            table,
+            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+        }
+    }
+
+    fn token(&self) -> u64 {
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        rng.random_range(1..=u64::MAX)
+    }
+
+    /// Claims `key` for a request until `end`.
+    pub fn claim(&self, org: &Name, key: &str, req: &Incoming, end: Instant) -> Claimed {
+        let row = keys::claim(org, key);
+        let claim = Claim {
+            token: self.token(),
+            request: fingerprint(req),
+            ended: None,
+        };
+        let Ok(value) = encode(&claim) else {
+            return Claimed::Unavailable;
+        };
+        let tx = Tx::new()
+            .check(row.clone(), Expect::Absent)
+            .put(row.clone(), value);
+        match self.table.tx(&tx) {
+            Ok(version) => Claimed::Mine(Mine { claim, version }),
+            Err(TableError::Unavailable) => Claimed::Unavailable,
+            Err(TableError::Conflict { .. } | TableError::Unknown) => {
+                self.read_back(&row, claim, end)
+            }
+        }
+    }
+
+    /// Learns whose claim is recorded.
+    fn read_back(&self, key: &Name, claim: Claim, end: Instant) -> Claimed {
+        let mut backoff = Backoff::new(FIRST_DELAY, MAX_DELAY, claim.token);
+        while Instant::now() < end {
+            if let Ok(rows) = self.table.get(std::slice::from_ref(key)) {
+                return match rows.into_iter().next().flatten() {
+                    None => Claimed::Unavailable,
+                    Some(row) => judge(&row, claim),
+                };
+            }
+            thread::sleep(Duration::from_millis(backoff.next_delay()));
+        }
+        Claimed::Unavailable
+    }
+
+    /// Records the answer of a request that ran.
+    pub fn finish(&self, org: &Name, key: &str, mine: &Mine, reply: &Reply) {
+        let whole = reply.body.len() <= MAX_KEPT;
+        let ended = ClaimEnd {
+            status: reply.status,
+            kind: field(&reply.fields, "content-type").unwrap_or("").into(),
+            body: if whole {
+                reply.body.clone()
+            } else {
+                Vec::new()
+            },
+            whole,
+        };
+        let claim = Claim {
+            ended: Some(ended),
+            ..mine.claim.clone()
+        };
+        let Ok(value) = encode(&claim) else { return };
+        let key = keys::claim(org, key);
+        let tx = Tx::new()
+            .check(key.clone(), Expect::Version(mine.version))
+            .put(key, value);
+        self.insist(&tx);
+    }
+
+    /// Takes back the claim of a request that truly did not run.
+    pub fn release(&self, org: &Name, key: &str, mine: &Mine) {
+        let key = keys::claim(org, key);
+        let tx = Tx::new()
+            .check(key.clone(), Expect::Version(mine.version))
+            .delete(key);
+        self.insist(&tx);
+    }
+
+    fn insist(&self, tx: &Tx) {
+        let mut backoff = Backoff::new(FIRST_DELAY, MAX_DELAY, self.token());
+        for _ in 0..FINISH {
+            match self.table.tx(tx) {
+                Ok(_) | Err(TableError::Conflict { .. }) => return,
+                Err(TableError::Unavailable | TableError::Unknown) => {}
+            }
+            thread::sleep(Duration::from_millis(backoff.next_delay()));
+        }
+        log::warn!("claims: the end of a claim is not recorded");
+    }
+}
+
+fn judge(row: &Row, claim: Claim) -> Claimed {
+    let Ok(found) = decode::<Claim>(&row.value) else {
+        return Claimed::Unavailable;
+    };
+    if found.token == claim.token {
+        let version = row.version;
+        return Claimed::Mine(Mine { claim, version });
+    }
+    if found.request != claim.request {
+        return Claimed::Other;
+    }
+    let Some(ended) = found.ended else {
+        return Claimed::Open;
+    };
+    let status = if ended.whole { ended.status } else { 409 };
+    let mut reply = Reply::new(status, ended.body).field(OUTCOME, Outcome::Ran.as_str());
+    if !ended.kind.is_empty() {
+        reply = reply.field("content-type", &*ended.kind);
+    }
+    Claimed::Done(reply)
+}
+
+/// Returns a hash of what makes a request the same request.
+fn fingerprint(req: &Incoming) -> u64 {
+    let mut h = StableHasher::new();
+    h.write_u64(stable_hash(&[&req.method, &req.path, &req.query]));
+    h.write(&req.body);
+    h.finish()
+}
--- /dev/null
+++ b/crates/entry/src/hints.rs
@@ -0,0 +1,41 @@
+//! Hints to owners that a job waits in their inbox.
+
+use std::{sync::Arc, thread, time::Duration};
+
+use flume::Sender;
+use gorsespur_core::name::Name;
+use gorsespur_platform::post;
+use gorsespur_wire::{
+    paths::PEER_JOBS,
+    peer::{JobsAnswer, JobsRequest},
+};
+
+use crate::owners::Owners;
+
+/// Hints that may wait; more are dropped, since owners look by themselves.
+const WAITING: usize = 64;
+
+/// Time limit of a hint.
+const ASK: Duration = Duration::from_millis(300);
+
+/// Starts the thread; it ends when the sender is gone.
+pub(crate) fn start(owners: &Arc<Owners>) -> std::io::Result<Sender<Name>> {
+    let (tx, rx) = flume::bounded::<Name>(WAITING);
+    let owners = owners.clone();
+    thread::Builder::new().name("hints".into()).spawn(move || {
+        for first in rx.iter() {
+            let mut shards = vec![first];
+            shards.extend(rx.try_iter());
+            shards.sort();
+            shards.dedup();
+            for shard in shards {
+                let Some(addr) = owners.find(&shard) else {
+                    continue;
+                };
+                let request = JobsRequest::Look { shard };
+                let _: Result<JobsAnswer, _> = post(addr, PEER_JOBS, &request, ASK);
+            }
+        }
+    })?;
+    Ok(tx)
+}
--- /dev/null
+++ b/crates/entry/src/job_api.rs
@@ -0,0 +1,231 @@
+//! Submitting and watching jobs.
+
+use std::{sync::Arc, time::Duration};
+
+use flume::Sender;
+use gorsespur_core::{
+    name::{Name, check_name},
+    route::Outcome,
+    shard::{JobKey, JobSpec, JobStatus},
+    template::Organisation,
+};
+use gorsespur_peer::{ShardAt, Shared};
+use gorsespur_platform::{Table, TableError, post};
+use gorsespur_runtime::server::{Incoming, Reply};
+use gorsespur_wire::{
+    codec::{decode, encode},
+    keys,
+    paths::PEER_JOBS,
+    peer::{JobsAnswer, JobsRequest},
+    stored::JobRow,
+    table::{Expect, Tx},
+};
+use serde::Serialize;
+
+use crate::{
+    job_json::{JobJson, SubmitJson, state_name},
+    owners::Owners,
+    reply::{bad, later, plain},
+};
+
+/// Time limit of asking an owner.
+const ASK: Duration = Duration::from_millis(800);
+
+/// When a caller may come again, in milliseconds.
+const COME_AGAIN: u64 = 1_000;
+
+/// Tries to learn what became of a submission whose answer was lost.
+const READ_BACK: u32 = 3;
+
+/// Serves jobs.
+pub(crate) struct JobApi {
+    pub shared: Arc<Shared>,
+    pub table: Arc<dyn Table>,
+    pub owners: Arc<Owners>,
+    pub hints: Sender<Name>,
+}
+
+impl JobApi {
+    /// Serves a request to `/v1/orgs/ORGANISATION/...`.
+    pub fn serve(&self, req: &Incoming, org: &str, rest: &[&str]) -> Reply {
+        let Some(entry) = self.shared.configs().get(org).cloned() else {
+            return plain(
+                404,
+                Outcome::NotRun,
+                "no-organisation",
+                "no such organisation",
+            );
+        };
+        match (&*req.method, rest) {
+            ("POST", ["cancel"]) => self.cancel_many(req, &entry.template.name),
+            (method, ["jobs", id]) => {
+                if let Err(err) = check_name(id) {
+                    return bad(400, "id", &err.to_string());
+                }
+                let key = JobKey {
+                    org: entry.template.name.clone(),
+                    id: Name::from(*id),
+                };
+                match method {
+                    "PUT" => self.submit(req, &entry.template, key),
+                    "GET" => self.watch(&key),
+                    "DELETE" => self.cancel_one(&key),
+                    _ => bad(405, "method", "must be PUT, GET or DELETE"),
+                }
+            }
+            _ => bad(404, "path", "no such path"),
+        }
+    }
+
+    fn submit(&self, req: &Incoming, org: &Organisation, key: JobKey) -> Reply {
+        let json: SubmitJson = match serde_json::from_slice(&req.body) {
+            Ok(json) => json,
+            Err(err) => return bad(400, "body", &err.to_string()),
+        };
+        let Some(kind) = org.job(&json.kind) else {
+            return bad(422, "kind", "the template has no such kind of job");
+        };
+        if json.tasks == 0 || json.tasks > kind.tasks {
+            return bad(422, "tasks", &format!("must be from 1 to {}", kind.tasks));
+        }
+        let Some(at) = self
+            .shared
+            .settings
+            .layout
+            .home(&self.shared.settings.zone, &key)
+        else {
+            return later(503, Outcome::NotRun, "no-shard", COME_AGAIN);
+        };
+        let spec = JobSpec {
+            key,
+            kind: kind.name.clone(),
+            team: kind.team.clone(),
+            tasks: json.tasks,
+            size: kind.size,
+            run: kind.run,
+            priority: kind.priority,
+            checkpoint: kind.checkpoint,
+            attempts: kind.attempts,
+            service: false,
+        };
+        if let Some(largest) = self.owners.largest(at.place.index)
+            && !spec.size.fits(&largest)
+        {
+            let text = format!("{} is larger than the largest worker, {largest}", spec.size);
+            return bad(422, "size", &text);
+        }
+        self.record(at, spec)
+    }
+
+    /// Records a submission: the job's row and its place in the inbox.
+    fn record(&self, at: &ShardAt, spec: JobSpec) -> Reply {
+        let row = JobRow {
+            shard: at.place.name.clone(),
+            spec,
+            ended: None,
+        };
+        let spec = &row.spec;
+        let (Ok(value), Ok(inboxed)) = (encode(&row), encode(spec)) else {
+            return plain(500, Outcome::NotRun, "encode", "can't encode the job");
+        };
+        let job = keys::job(&spec.key);
+        let tx = Tx::new()
+            .check(job.clone(), Expect::Absent)
+            .put(job, value)
+            .put(keys::inbox(&at.place.name, &spec.key), inboxed);
+        match self.table.tx(&tx) {
+            Ok(_) => self.accepted(201, &row),
+            Err(TableError::Unavailable) => {
+                later(503, Outcome::NotRun, "store-unavailable", COME_AGAIN)
+            }
+            Err(TableError::Conflict { .. }) => self.compare(&row),
+            Err(TableError::Unknown) => {
+                for _ in 0..READ_BACK {
+                    if let Ok(Some(_)) = self.read(&spec.key) {
+                        return self.compare(&row);
+                    }
+                }
+                later(502, Outcome::Unknown, "store-unknown", COME_AGAIN)
+            }
+        }
+    }
+
+    /// Answers a submission under an id that is recorded.
+    fn compare(&self, row: &JobRow) -> Reply {
+        match self.read(&row.spec.key) {
+            Ok(Some(found)) if same(&found.spec, &row.spec) => self.accepted(200, &found),
+            Ok(Some(_)) => bad(409, "id", "another job has this id"),
+            Ok(None) | Err(_) => later(502, Outcome::Unknown, "store-unknown", COME_AGAIN),
+        }
+    }
+
+    fn accepted(&self, status: u16, row: &JobRow) -> Reply {
+        let _ = self.hints.try_send(row.shard.clone());
+        let state = row.ended.as_ref().map_or("queued", |s| state_name(s.state));
+        job_reply(status, row, state, row.ended.as_ref())
+    }
+
+    /// Reads a job's row; nothing if there is none.
+    pub fn read(&self, key: &JobKey) -> Result<Option<JobRow>, TableError> {
+        let rows = self.table.get(&[keys::job(key)])?;
+        let Some(row) = rows.into_iter().next().flatten() else {
+            return Ok(None);
+        };
+        decode(&row.value)
+            .map(Some)
+            .map_err(|_| TableError::Unavailable)
+    }
+
+    fn watch(&self, key: &JobKey) -> Reply {
+        let row = match self.read(key) {
+            Ok(Some(row)) => row,
+            Ok(None) => return bad(404, "id", "no such job"),
+            Err(_) => return later(503, Outcome::NotRun, "store-unavailable", COME_AGAIN),
+        };
+        if let Some(status) = &row.ended {
+            return job_reply(200, &row, state_name(status.state), Some(status));
+        }
+        match self.ask(&row, key) {
+            Some(status) => job_reply(200, &row, state_name(status.state), Some(&status)),
+            None => job_reply(200, &row, "recorded", None),
+        }
+    }
+
+    fn ask(&self, row: &JobRow, key: &JobKey) -> Option<JobStatus> {
+        let addr = self.owners.find(&row.shard)?;
+        let request = JobsRequest::Watch {
+            shard: row.shard.clone(),
+            keys: vec![key.clone()],
+        };
+        match post(addr, PEER_JOBS, &request, ASK) {
+            Ok(JobsAnswer::States(states)) => states.into_iter().next().flatten(),
+            _ => None,
+        }
+    }
+}
+
+/// Tells whether two submissions ask for the same.
+fn same(a: &JobSpec, b: &JobSpec) -> bool {
+    a.key == b.key && a.kind == b.kind && a.tasks == b.tasks
+}
+
+fn job_reply(status: u16, row: &JobRow, state: &str, counts: Option<&JobStatus>) -> Reply {
+    json(
+        status,
+        &JobJson {
+            id: &row.spec.key.id,
+            kind: &row.spec.kind,
+            shard: &row.shard,
+            state,
+            status: counts,
+        },
+    )
+}
+
+/// Returns an answer in JSON.
+pub(crate) fn json<T: Serialize>(status: u16, value: &T) -> Reply {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    Reply::new(status, body)
+        .field("content-type", "application/json")
+        .field(gorsespur_wire::fields::OUTCOME, Outcome::Ran.as_str())
+}
--- /dev/null
+++ b/crates/entry/src/owners.rs
@@ -0,0 +1,63 @@
+//! Owners of shards, as the entry reaches them.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use gorsespur_core::{name::Name, owner::ShardRow, size::Size};
+use gorsespur_peer::Shared;
+use gorsespur_platform::Table;
+use gorsespur_wire::{codec::decode, keys};
+
+/// Finds the owners of shards.
+pub(crate) struct Owners {
+    shared: Arc<Shared>,
+    table: Arc<dyn Table>,
+    largest: Mutex<Vec<Size>>,
+}
+
+impl Owners {
+    pub fn new(shared: Arc<Shared>, table: Arc<dyn Table>) -> Owners {
+        let shards = shared.settings.layout.shards().len();
+        Owners {
+            shared,
+            table,
+            largest: Mutex::new(vec![Size::default(); shards]),
+        }
+    }
+
+    /// Takes note of a shard's largest worker.
+    pub fn set_largest(&self, shard: usize, size: Size) {
+        let mut largest = self.largest.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(slot) = largest.get_mut(shard) {
+            *slot = size;
+        }
+    }
+
+    /// Returns the largest worker of a shard; nothing if none is known.
+    pub fn largest(&self, shard: u32) -> Option<Size> {
+        let largest = self.largest.lock().unwrap_or_else(PoisonError::into_inner);
+        largest.get(shard as usize).copied().filter(|s| s.cpu > 0)
+    }
+
+    /// Returns the address of a shard's owner: by heartbeats, or else by the
+    /// shard's row.
+    pub fn find(&self, shard: &Name) -> Option<SocketAddr> {
+        let at = self.shared.settings.layout.find(shard)?;
+        let now = self.shared.clock.now();
+        let known = self
+            .shared
+            .peers()
+            .owner_of(now, at.place.index)
+            .map(|p| p.addr);
+        known.or_else(|| self.by_row(shard))
+    }
+
+    fn by_row(&self, shard: &Name) -> Option<SocketAddr> {
+        let rows = self.table.get(&[keys::shard(shard)]).ok()?;
+        let row = rows.into_iter().next().flatten()?;
+        let row: ShardRow = decode(&row.value).ok()?;
+        row.owner.is_some().then_some(row.addr)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer_api.rs
@@ -0,0 +1,68 @@
+//! What the entry answers its peers and operators.
+
+use std::{sync::Arc, time::Duration};
+
+use flume::Sender;
+use gorsespur_core::name::Name;
+use gorsespur_peer::Shared;
+use gorsespur_runtime::server::{Incoming, Reply};
+use gorsespur_wire::{
+    codec::{CONTENT_TYPE, encode},
+    paths::PEER_STATUS,
+    peer::InstanceStatus,
+};
+
+use crate::router_thread::ToRouter;
+
+/// Time limit of an answer from the router thread.
+const ASK: Duration = Duration::from_millis(300);
+
+/// Answers peers.
+pub(crate) struct PeerApi {
+    pub shared: Arc<Shared>,
+    pub router: Sender<ToRouter>,
+}
+
+impl PeerApi {
+    /// Answers one request.
+    pub fn answer(&self, req: &Incoming) -> Reply {
+        if let Some(reply) = self.shared.answer(req) {
+            return reply;
+        }
+        if req.path != PEER_STATUS {
+            return Reply::text(404, "no such path");
+        }
+        match encode(&self.status()) {
+            Ok(body) => Reply::new(200, body).field("content-type", CONTENT_TYPE),
+            Err(_) => Reply::text(500, "can't encode"),
+        }
+    }
+
+    fn status(&self) -> InstanceStatus {
+        let (tx, rx) = flume::bounded(1);
+        let asked = self.router.send_timeout(ToRouter::Counts(tx), ASK);
+        let routed = asked.ok().and_then(|()| rx.recv_timeout(ASK).ok());
+        let s = &self.shared.settings;
+        let now = self.shared.clock.now();
+        let live = self
+            .shared
+            .peers()
+            .live(now)
+            .iter()
+            .map(|p| p.beat.id.clone())
+            .collect();
+        let configs = self.shared.configs();
+        InstanceStatus {
+            id: s.id.clone(),
+            role: s.role,
+            zone: s.zone.clone(),
+            addr: s.listen,
+            release: Name::from(env!("CARGO_PKG_VERSION")),
+            config: configs.head(),
+            versions: configs.versions(),
+            live,
+            shards: Vec::new(),
+            routed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/program.rs
@@ -0,0 +1,92 @@
+//! Builds and runs the entry.
+
+use std::{sync::Arc, thread, time::Duration};
+
+use gorsespur_peer::Agent;
+use gorsespur_platform::{HttpMembers, HttpTable, Table};
+use gorsespur_runtime::{
+    cancel::Cancel, logging, metrics::Metrics, server, server::Limits, settings::load,
+    signals::cancel_on_signal,
+};
+use snafu::ResultExt;
+
+use crate::{
+    args::EntryArgs,
+    caller::CallerApi,
+    claims::Claims,
+    error::{
+        AgentSnafu, EntryError, LogSnafu, MetricSnafu, ServeSnafu, SettingsSnafu, SystemSnafu,
+    },
+    forward::Forward,
+    hints,
+    ids::Ids,
+    job_api::JobApi,
+    owners::Owners,
+    peer_api::PeerApi,
+    router_thread,
+    settings::check,
+    targets, tries,
+};
+
+/// Longest time for which a stopping instance waits for requests in flight.
+const FLIGHT: Duration = Duration::from_secs(30);
+
+/// Runs the entry until a signal stops it.
+pub fn run(args: &EntryArgs) -> Result<(), EntryError> {
+    let settings = load(&args.settings, check).context(SettingsSnafu)?;
+    if args.check {
+        return Ok(());
+    }
+    let instance = settings.instance.clone();
+    logging::start(&instance.log, "entry", &instance.id).context(LogSnafu)?;
+    let metrics = Metrics::start(&instance.metrics, "entry").context(MetricSnafu)?;
+    let (stop, accept, end) = (Cancel::new(), Cancel::new(), Cancel::new());
+    cancel_on_signal(&stop).context(SystemSnafu)?;
+    let table: Arc<dyn Table> = Arc::new(HttpTable::new(instance.table, instance.timeout));
+    let members = Arc::new(HttpMembers::new(instance.members, instance.timeout));
+    let agent = Agent::start(instance.clone(), table.clone(), members, &end).context(AgentSnafu)?;
+    let shared = agent.shared().clone();
+    let router = router_thread::start(settings.route.clone(), &shared, &metrics, &end);
+    let router = router.context(SystemSnafu)?;
+    let owners = Arc::new(Owners::new(shared.clone(), table.clone()));
+    targets::start(&shared, &owners, &router, &end).context(SystemSnafu)?;
+    let api = CallerApi {
+        shared: shared.clone(),
+        forward: Forward {
+            shared: shared.clone(),
+            ids: Ids::new(&instance.id, shared.incarnation),
+            router: router.clone(),
+            tries: tries::start(settings.limits.handlers).context(SystemSnafu)?,
+            claims: Claims::new(table.clone(), &instance.id, shared.clock),
+            metrics: metrics.clone(),
+            max: settings.answer,
+        },
+        jobs: JobApi {
+            shared: shared.clone(),
+            table,
+            hints: hints::start(&owners).context(SystemSnafu)?,
+            owners,
+        },
+    };
+    let peers = PeerApi {
+        shared: shared.clone(),
+        router,
+    };
+    let answer_peer = move |req| peers.answer(&req);
+    let peer_limits = Limits::default();
+    server::serve(instance.listen, "peer", peer_limits, &end, answer_peer).context(ServeSnafu)?;
+    let answer = move |req| api.answer(req);
+    let serving = server::serve(settings.callers, "caller", settings.limits, &accept, answer);
+    let serving = serving.context(ServeSnafu)?;
+    log::info!("entry: serves callers at {}", serving.addr);
+    while !stop.wait(Duration::from_secs(3600)) {}
+    shared.leave();
+    thread::sleep(settings.drain);
+    accept.cancel();
+    if !serving.drain(FLIGHT) {
+        log::warn!("entry: {} requests were still in flight", serving.active());
+    }
+    end.cancel();
+    log::info!("entry: stopped");
+    Ok(())
+}
--- a/crates/peer/src/shared.rs
+++ b/crates/peer/src/shared.rs
@@ -43,7 +43,10 @@
         Shared {
             clock: Clock::new(),
             incarnation: wall_ms(),
-            peers: Mutex::new(Peers::new(settings.membership.clone())),
+            peers: Mutex::new(Peers::new(
+                settings.membership.clone(),
+                settings.zone.clone(),
+            )),
             configs: Mutex::default(),
             list: Mutex::default(),
             claims: Mutex::default(),
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -1,2 +1,11 @@
-//! x
-fn main() {}
+//! Replays recorded traces against stated outcomes.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use gorsespur_replay::{args::ReplayArgs, program::run};
+use gorsespur_runtime::exit::finish;
+
+fn main() -> ExitCode {
+    finish("gorsespur-replay", run(&ReplayArgs::parse()))
+}
--- /dev/null
+++ b/crates/sched/src/error.rs
@@ -0,0 +1,66 @@
+//! Errors that end the scheduler.
+
+use gorsespur_peer::PeerError;
+use gorsespur_runtime::{
+    exit::{Blame, FAILED},
+    logging::LogError,
+    metrics::MetricError,
+    server::ServeError,
+    settings::SettingsError,
+};
+use snafu::Snafu;
+
+/// Why the scheduler can't run.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum SchedError {
+    /// The settings are unusable.
+    #[snafu(display("settings"))]
+    Settings {
+        /// The reason.
+        source: SettingsError,
+    },
+    /// Logging can't start.
+    #[snafu(display("log"))]
+    Log {
+        /// The reason.
+        source: LogError,
+    },
+    /// Metrics can't start.
+    #[snafu(display("metrics"))]
+    Metric {
+        /// The reason.
+        source: MetricError,
+    },
+    /// The agent can't start.
+    #[snafu(display("agent"))]
+    Agent {
+        /// The reason.
+        source: PeerError,
+    },
+    /// Peers can't be served.
+    #[snafu(display("peers"))]
+    Serve {
+        /// The reason.
+        source: ServeError,
+    },
+    /// A thread can't be started or signals can't be handled.
+    #[snafu(display("the system refused"))]
+    System {
+        /// The system's answer.
+        source: std::io::Error,
+    },
+}
+
+impl Blame for SchedError {
+    fn code(&self) -> u8 {
+        match self {
+            SchedError::Settings { source } => source.code(),
+            SchedError::Log { .. }
+            | SchedError::Metric { .. }
+            | SchedError::Agent { .. }
+            | SchedError::Serve { .. }
+            | SchedError::System { .. } => FAILED,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/exchanger.rs
@@ -0,0 +1,50 @@
+//! The pool of threads that make exchanges with workers.
+
+use std::{net::SocketAddr, sync::Arc, thread};
+
+use flume::{Receiver, Sender};
+use gorsespur_core::{
+    name::Name,
+    shard::{Event, WorkerRequest},
+};
+use gorsespur_platform::Workers;
+
+use crate::input::Input;
+
+/// Exchanges that may wait for a thread.
+const WAITING: usize = 4_096;
+
+/// An exchange to be made.
+pub(crate) struct Exchange {
+    pub worker: Name,
+    pub addr: SocketAddr,
+    pub request: WorkerRequest,
+    pub reply: Sender<Input>,
+}
+
+/// Starts the pool; it ends when every sender is gone.
+pub(crate) fn start(
+    workers: &Arc<dyn Workers>,
+    threads: usize,
+) -> std::io::Result<Sender<Exchange>> {
+    let (tx, rx) = flume::bounded(WAITING);
+    for i in 0..threads {
+        let (workers, rx) = (workers.clone(), rx.clone());
+        thread::Builder::new()
+            .name(format!("exchange-{i}"))
+            .spawn(move || run(workers.as_ref(), &rx))?;
+    }
+    Ok(tx)
+}
+
+fn run(workers: &dyn Workers, rx: &Receiver<Exchange>) {
+    for e in rx.iter() {
+        let seq = e.request.seq;
+        let worker = e.worker;
+        let event = match workers.exchange(e.addr, &e.request) {
+            Ok(answer) => Event::Answer { worker, answer },
+            Err(_) => Event::NoAnswer { worker, seq },
+        };
+        let _ = e.reply.send(Input::Event(event));
+    }
+}
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,22 @@
+//! The scheduler: owns shards of its availability zone.
+//!
+//! For each shard of the zone a keeper thread watches the shard's row and, once
+//! it owns the shard, writes its journal. While it owns the shard, a machine
+//! thread takes the decisions, an inbox thread fetches submitted jobs, and a
+//! pool of threads shared by all shards makes the exchanges with workers.
+
+pub mod args;
+pub mod error;
+mod exchanger;
+mod inbox;
+mod input;
+pub mod journal;
+mod keeper;
+mod owned;
+mod peer_api;
+pub mod program;
+mod recover;
+pub mod settings;
+mod shard_thread;
+
+pub use recover::{RecoverError, recover};
--- /dev/null
+++ b/crates/sched/src/owned.rs
@@ -0,0 +1,56 @@
+//! The shards that this instance owns now.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use flume::Sender;
+use gorsespur_core::name::Name;
+
+use crate::input::Input;
+
+/// A shard that is owned.
+#[derive(Debug, Clone)]
+pub(crate) struct OwnedShard {
+    pub index: u32,
+    pub name: Name,
+    pub input: Sender<Input>,
+    /// Wakes the thread that looks into the inbox.
+    pub look: Sender<()>,
+}
+
+/// The owned shards, sorted by index.
+#[derive(Debug, Default)]
+pub(crate) struct Owned {
+    shards: Mutex<Vec<OwnedShard>>,
+}
+
+impl Owned {
+    fn lock(&self) -> MutexGuard<'_, Vec<OwnedShard>> {
+        self.shards.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn add(&self, shard: OwnedShard) {
+        let mut shards = self.lock();
+        match shards.binary_search_by_key(&shard.index, |s| s.index) {
+            Ok(i) => shards[i] = shard,
+            Err(i) => shards.insert(i, shard),
+        }
+    }
+
+    pub fn remove(&self, index: u32) {
+        self.lock().retain(|s| s.index != index);
+    }
+
+    pub fn get(&self, index: u32) -> Option<OwnedShard> {
+        let shards = self.lock();
+        let i = shards.binary_search_by_key(&index, |s| s.index).ok()?;
+        Some(shards[i].clone())
+    }
+
+    pub fn find(&self, name: &str) -> Option<OwnedShard> {
+        self.lock().iter().find(|s| *s.name == *name).cloned()
+    }
+
+    pub fn all(&self) -> Vec<OwnedShard> {
+        self.lock().clone()
+    }
+}
--- /dev/null
+++ b/crates/sched/src/program.rs
@@ -0,0 +1,93 @@
+//! Builds and runs the scheduler.
+
+use std::{sync::Arc, thread, time::Duration};
+
+use gorsespur_peer::Agent;
+use gorsespur_platform::{
+    HttpMembers, HttpObjects, HttpTable, HttpWorkers, Objects, Table, Workers,
+};
+use gorsespur_runtime::{
+    cancel::Cancel, logging, metrics::Metrics, server, server::Limits, settings::load,
+    signals::cancel_on_signal,
+};
+use snafu::ResultExt;
+
+use crate::{
+    args::SchedArgs,
+    error::{
+        AgentSnafu, LogSnafu, MetricSnafu, SchedError, ServeSnafu, SettingsSnafu, SystemSnafu,
+    },
+    exchanger,
+    keeper::{Keeper, thread_name},
+    owned::Owned,
+    peer_api::PeerApi,
+    settings::check,
+};
+
+/// Time limit of a call to the object store; snapshots are long.
+const OBJECTS: Duration = Duration::from_secs(5);
+
+/// Time for which a stopping instance answers its peers.
+const DRAIN: Duration = Duration::from_millis(1_000);
+
+/// Runs the scheduler until a signal stops it.
+pub fn run(args: &SchedArgs) -> Result<(), SchedError> {
+    let settings = load(&args.settings, check).context(SettingsSnafu)?;
+    if args.check {
+        return Ok(());
+    }
+    let instance = settings.instance.clone();
+    logging::start(&instance.log, "sched", &instance.id).context(LogSnafu)?;
+    let metrics = Metrics::start(&instance.metrics, "sched").context(MetricSnafu)?;
+    let (stop, end) = (Cancel::new(), Cancel::new());
+    cancel_on_signal(&stop).context(SystemSnafu)?;
+    let table: Arc<dyn Table> = Arc::new(HttpTable::new(instance.table, instance.timeout));
+    let objects: Arc<dyn Objects> = Arc::new(HttpObjects::new(instance.objects, OBJECTS));
+    let members = Arc::new(HttpMembers::new(instance.members, instance.timeout));
+    let workers: Arc<dyn Workers> = Arc::new(HttpWorkers::new(settings.timeout));
+    let exchanges = exchanger::start(&workers, settings.threads).context(SystemSnafu)?;
+    let agent = Agent::start(instance.clone(), table.clone(), members, &end).context(AgentSnafu)?;
+    let owned = Arc::new(Owned::default());
+    let api = PeerApi {
+        shared: agent.shared().clone(),
+        owned: owned.clone(),
+    };
+    let limits = Limits {
+        body: 16 << 20,
+        ..Limits::default()
+    };
+    let serving = server::serve(instance.listen, "peer", limits, &end, move |req| {
+        api.answer(&req)
+    });
+    let serving = serving.context(ServeSnafu)?;
+    log::info!("sched: serves peers at {}", serving.addr);
+    let mut keepers = Vec::new();
+    for at in instance.layout.shards() {
+        if at.zone != instance.zone {
+            continue;
+        }
+        let keeper = Keeper {
+            at: at.clone(),
+            settings: settings.clone(),
+            shared: agent.shared().clone(),
+            table: table.clone(),
+            objects: objects.clone(),
+            owned: owned.clone(),
+            exchanges: exchanges.clone(),
+            metrics: metrics.clone(),
+            record: args.record.clone(),
+            stop: stop.clone(),
+        };
+        let spawned = thread::Builder::new().name(thread_name(&at.place.name));
+        keepers.push(spawned.spawn(move || keeper.run()).context(SystemSnafu)?);
+    }
+    while !stop.wait(Duration::from_secs(3600)) {}
+    agent.shared().leave();
+    for keeper in keepers {
+        let _ = keeper.join();
+    }
+    end.cancel();
+    serving.drain(DRAIN);
+    log::info!("sched: stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sched/src/recover.rs
@@ -0,0 +1,88 @@
+//! Recovery of a shard's book: snapshot and the journal behind it.
+
+use gorsespur_core::{name::Name, owner::ShardRow, shard::Book};
+use gorsespur_platform::{ObjectError, Objects, Table, TableError};
+use gorsespur_wire::{
+    codec::{CodecError, decode},
+    keys, objects,
+    stored::{JournalRow, Snapshot},
+};
+use snafu::{ResultExt, Snafu, ensure};
+
+/// Rows of one read.
+const BATCH: u32 = 200;
+
+/// Why a shard can't be recovered now.
+#[derive(Debug, Snafu)]
+pub enum RecoverError {
+    /// The table service failed.
+    #[snafu(display("can't read the journal"))]
+    Table {
+        /// The reason.
+        source: TableError,
+    },
+    /// The object store failed.
+    #[snafu(display("can't read the snapshot"))]
+    Object {
+        /// The reason.
+        source: ObjectError,
+    },
+    /// A row or the snapshot is malformed.
+    #[snafu(display("journal or snapshot is malformed"))]
+    Codec {
+        /// The reason.
+        source: CodecError,
+    },
+    /// The journal has a gap.
+    #[snafu(display("journal has record {found} where {wanted} should be"))]
+    Gap {
+        /// Number of the record found.
+        found: u64,
+        /// Number that should be there.
+        wanted: u64,
+    },
+}
+
+/// Recovers the book of a shard whose row is `row`.
+///
+/// The caller must own the shard, so that nothing is appended meanwhile.
+pub fn recover(
+    table: &dyn Table,
+    store: &dyn Objects,
+    shard: &Name,
+    row: &ShardRow,
+) -> Result<Book, RecoverError> {
+    let mut book = Book::default();
+    let mut next = 0;
+    if row.snapshot > 0 {
+        let key = objects::snapshot(shard, row.snapshot);
+        let bytes = store.get(&key).context(ObjectSnafu)?;
+        let snapshot: Snapshot = decode(&bytes).context(CodecSnafu)?;
+        book = snapshot.book;
+        next = snapshot.next;
+    }
+    let prefix = keys::journal_rows(shard);
+    let mut after = row
+        .first_row
+        .checked_sub(1)
+        .map(|r| keys::journal(shard, r));
+    loop {
+        let (rows, more) = table.scan(&prefix, after, BATCH).context(TableSnafu)?;
+        after = rows.last().map(|r| r.key.clone());
+        for r in rows {
+            let batch: JournalRow = decode(&r.value).context(CodecSnafu)?;
+            let (found, wanted) = (batch.first, next);
+            ensure!(found == wanted, GapSnafu { found, wanted });
+            for record in &batch.records {
+                book.apply(record);
+            }
+            next += batch.records.len() as u64;
+        }
+        if !more {
+            break;
+        }
+    }
+    let (found, wanted) = (next, row.next);
+    ensure!(found == wanted, GapSnafu { found, wanted });
+    Ok(book)
+}
--- /dev/null
+++ b/crates/sched/src/settings.rs
@@ -0,0 +1,155 @@
+//! Settings of the scheduler.
+
+use std::time::Duration;
+
+use gorsespur_core::{member::Role, problem::Problems, shard::ShardSettings};
+use gorsespur_peer::{AgentSettings, RawCommon};
+use serde::Deserialize;
+
+/// Most threads of the pool.
+const MAX_THREADS: usize = 256;
+
+/// Least and longest lease of a shard in milliseconds.
+const LEASES: std::ops::RangeInclusive<u64> = 1_000..=60_000;
+
+/// Settings as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSched {
+    /// What every instance has.
+    pub instance: RawCommon,
+    /// Times and policy of shards.
+    #[serde(default)]
+    pub shards: ShardSettings,
+    /// Ownership.
+    #[serde(default)]
+    pub ownership: RawOwnership,
+    /// Threads that make exchanges with workers.
+    #[serde(default = "default_threads")]
+    pub exchange_threads: usize,
+    /// Time limit of an exchange in milliseconds.
+    #[serde(default = "default_exchange")]
+    pub exchange_timeout_ms: u64,
+}
+
+fn default_threads() -> usize {
+    16
+}
+
+fn default_exchange() -> u64 {
+    800
+}
+
+/// Times of ownership as written; in milliseconds.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawOwnership {
+    /// Time without a renewal after which a shard may be taken.
+    pub lease_ms: u64,
+    /// Time between renewals.
+    pub renew_ms: u64,
+    /// Least time between two writes of a journal.
+    pub commit_ms: u64,
+    /// Journal rows after which a snapshot is written.
+    pub snapshot_rows: u64,
+    /// Time for which a better owner must be steady before a shard is moved.
+    pub steady_ms: u64,
+}
+
+impl Default for RawOwnership {
+    fn default() -> RawOwnership {
+        RawOwnership {
+            lease_ms: 4_000,
+            renew_ms: 1_000,
+            commit_ms: 20,
+            snapshot_rows: 500,
+            steady_ms: 30_000,
+        }
+    }
+}
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct SchedSettings {
+    /// What every instance has.
+    pub instance: AgentSettings,
+    /// Times and policy of shards.
+    pub shards: ShardSettings,
+    /// Time without a renewal after which a shard may be taken.
+    pub lease: u64,
+    /// Time between renewals.
+    pub renew: Duration,
+    /// Least time between two writes of a journal.
+    pub commit: Duration,
+    /// Journal rows after which a snapshot is written.
+    pub snapshot: u64,
+    /// Time for which a better owner must be steady.
+    pub steady: u64,
+    /// Threads that make exchanges.
+    pub threads: usize,
+    /// Time limit of an exchange.
+    pub timeout: Duration,
+}
+
+/// Checks the settings as a whole.
+pub fn check(raw: RawSched) -> Result<SchedSettings, Problems> {
+    let mut p = Problems::default();
+    let own = &raw.ownership;
+    let ok = LEASES.contains(&own.lease_ms);
+    p.require(ok, "ownership.lease_ms", "must be from 1000 to 60000");
+    let ok = own.renew_ms >= 1 && own.renew_ms.saturating_mul(3) <= own.lease_ms;
+    p.require(
+        ok,
+        "ownership.renew_ms",
+        "must be at most a third of lease_ms",
+    );
+    p.require(
+        own.commit_ms <= 1_000,
+        "ownership.commit_ms",
+        "must be at most 1000",
+    );
+    p.require(
+        own.snapshot_rows >= 10,
+        "ownership.snapshot_rows",
+        "must be at least 10",
+    );
+    let ok = (1..=MAX_THREADS).contains(&raw.exchange_threads);
+    p.require(
+        ok,
+        "exchange_threads",
+        format!("must be from 1 to {MAX_THREADS}"),
+    );
+    let s = &raw.shards;
+    let ok = raw.exchange_timeout_ms >= 10 && raw.exchange_timeout_ms < s.silent;
+    p.require(
+        ok,
+        "exchange_timeout_ms",
+        "must be at least 10 and less than shards.silent",
+    );
+    let ok = s.lease >= s.exchange.saturating_mul(4);
+    p.require(
+        ok,
+        "shards.lease",
+        "must be at least four times shards.exchange",
+    );
+    let ok = s.lease > own.lease_ms.saturating_mul(2);
+    p.require(
+        ok,
+        "shards.lease",
+        "must be more than twice ownership.lease_ms, for a takeover",
+    );
+    p.require(s.batch > 0, "shards.batch", "must be more than 0");
+    p.require(s.strikes > 0, "shards.strikes", "must be more than 0");
+    let instance = AgentSettings::check(raw.instance, Role::Sched, &mut p);
+    p.into_result(SchedSettings {
+        instance,
+        shards: raw.shards,
+        lease: raw.ownership.lease_ms,
+        renew: Duration::from_millis(raw.ownership.renew_ms),
+        commit: Duration::from_millis(raw.ownership.commit_ms),
+        snapshot: raw.ownership.snapshot_rows,
+        steady: raw.ownership.steady_ms,
+        threads: raw.exchange_threads,
+        timeout: Duration::from_millis(raw.exchange_timeout_ms),
+    })
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -79,8 +79,8 @@
 pub enum JobsAnswer {
     /// States in the order of the keys; none for unknown jobs.
     States(Vec<Option<JobStatus>>),
-    /// The cancellation is in the journal.
-    Cancelled,
+    /// The cancellation is in the journal; these jobs are not known, or not yet.
+    Cancelled(Vec<JobKey>),
     /// Noted.
     Noted,
     /// The instance does not own the shard.
