Add the operators' command

Cause: templates need checking, conditional applying and an audit trail. Change: gorsespur-ctl with check, diff, apply, show, history and status; apply is one transaction over the template, the count of changes and the audit entry. Before: no way to set a template.

--- /dev/null
+++ b/crates/ctl/src/apply.rs
@@ -0,0 +1,183 @@
+//! Applying a template: one transaction with its audit entry.
+
+use std::{thread, time::Duration};
+
+use gorsespur_core::{
+    name::{Name, check_name},
+    retry::Backoff,
+};
+use gorsespur_platform::{Table, TableError};
+use gorsespur_runtime::clock::wall_ms;
+use gorsespur_wire::{
+    codec::encode,
+    keys,
+    stored::{AuditEntry, ConfigHead, StoredTemplate},
+    table::{Expect, Tx},
+};
+use rand::Rng;
+use snafu::ResultExt;
+
+use crate::{
+    diff::diff,
+    document::Document,
+    error::{CtlError, StoredSnafu},
+    store::{self, Kept},
+};
+
+/// Tries while other organisations' changes come between.
+const TRIES: u32 = 20;
+
+/// First and longest delay between them, in milliseconds.
+const FIRST_DELAY: u64 = 10;
+const MAX_DELAY: u64 = 500;
+
+/// A change that an operator wants.
+#[derive(Debug, Clone)]
+pub struct Change {
+    /// The new template.
+    pub document: Document,
+    /// Version that was edited.
+    pub edited: u64,
+    /// Who makes it.
+    pub who: String,
+    /// Why.
+    pub why: String,
+}
+
+/// A change that was accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accepted {
+    /// Organisation.
+    pub org: Name,
+    /// New version.
+    pub version: u64,
+    /// Changed fields; none if the template was in force already.
+    pub diff: Vec<String>,
+}
+
+/// Applies a change, if the version in force is the one that was edited.
+pub fn apply(table: &dyn Table, change: &Change) -> Result<Accepted, CtlError> {
+    if check_name(&change.who).is_err() {
+        let who = change.who.clone();
+        return Err(CtlError::Who { who });
+    }
+    let token = rand::rng().random_range(1..=u64::MAX);
+    let mut backoff = Backoff::new(FIRST_DELAY, MAX_DELAY, token);
+    let org = &change.document.template.name;
+    let mut doubt = false;
+    for _ in 0..TRIES {
+        let old = match store::template(table, org) {
+            Ok(old) => old,
+            Err(_) if doubt => {
+                pause(&mut backoff);
+                continue;
+            }
+            Err(err) => return Err(err),
+        };
+        let found = old.as_ref().map_or(0, |o| o.value.version);
+        if let Some(old) = old.as_ref().filter(|o| o.value.token == token) {
+            return Ok(accepted(change, old.value.version, None));
+        }
+        if found != change.edited {
+            return Err(raced(table, change, found));
+        }
+        let before = old.as_ref().map(|o| &o.value.raw);
+        let lines = diff(before, &change.document.raw);
+        if lines.is_empty() && old.is_some() {
+            return Ok(accepted(change, found, Some(lines)));
+        }
+        let tx = transaction(table, change, old.as_ref(), &lines, token)?;
+        match table.tx(&tx) {
+            Ok(_) => return Ok(accepted(change, found + 1, Some(lines))),
+            Err(TableError::Unavailable) if !doubt => {
+                let source = TableError::Unavailable;
+                return Err(CtlError::Table { source });
+            }
+            Err(TableError::Unknown) => doubt = true,
+            Err(TableError::Conflict { .. } | TableError::Unavailable) => {}
+        }
+        pause(&mut backoff);
+    }
+    if doubt {
+        return Err(CtlError::InDoubt);
+    }
+    let source = TableError::Unavailable;
+    Err(CtlError::Table { source })
+}
+
+fn pause(backoff: &mut Backoff) {
+    thread::sleep(Duration::from_millis(backoff.next_delay()));
+}
+
+fn accepted(change: &Change, version: u64, lines: Option<Vec<String>>) -> Accepted {
+    let diff = lines.unwrap_or_else(|| vec!["see history".to_owned()]);
+    Accepted {
+        org: change.document.template.name.clone(),
+        version,
+        diff,
+    }
+}
+
+/// Tells the loser of a race what changed since the version that it edited.
+fn raced(table: &dyn Table, change: &Change, found: u64) -> CtlError {
+    let org = &change.document.template.name;
+    let mut changes = Vec::new();
+    for entry in store::audits(table, org).unwrap_or_default() {
+        if entry.version <= change.edited {
+            continue;
+        }
+        let lines: Vec<&str> = entry.diff.iter().map(|d| &**d).collect();
+        changes.push(format!(
+            "version {} by {} ({})",
+            entry.version,
+            entry.who,
+            lines.join(", ")
+        ));
+    }
+    CtlError::Raced {
+        org: org.to_string(),
+        edited: change.edited,
+        found,
+        changes: changes.join("; "),
+    }
+}
+
+fn transaction(
+    table: &dyn Table,
+    change: &Change,
+    old: Option<&Kept<StoredTemplate>>,
+    lines: &[String],
+    token: u64,
+) -> Result<Tx, CtlError> {
+    let org = &change.document.template.name;
+    let head = store::head(table)?;
+    let number = head.as_ref().map_or(0, |h| h.value.change) + 1;
+    let version = change.edited + 1;
+    let stored = StoredTemplate {
+        version,
+        change: number,
+        token,
+        raw: change.document.raw.clone(),
+        template: change.document.template.clone(),
+    };
+    let audit = AuditEntry {
+        version,
+        at: wall_ms(),
+        who: Name::from(&*change.who),
+        why: Name::from(&*change.why),
+        diff: lines.iter().map(|l| Name::from(&**l)).collect(),
+    };
+    let expect = |found: Option<u64>| found.map_or(Expect::Absent, Expect::Version);
+    let head_key = Name::from(keys::CONFIG_HEAD);
+    let audit_key = keys::audit(org, version);
+    let stored = encode(&stored).context(StoredSnafu)?;
+    let audit = encode(&audit).context(StoredSnafu)?;
+    let counted = encode(&ConfigHead { change: number }).context(StoredSnafu)?;
+    Ok(Tx::new()
+        .check(keys::config(org), expect(old.map(|o| o.version)))
+        .check(head_key.clone(), expect(head.map(|h| h.version)))
+        .check(audit_key.clone(), Expect::Absent)
+        .put(keys::config(org), stored)
+        .put(head_key, counted)
+        .put(audit_key, audit))
+}
--- /dev/null
+++ b/crates/ctl/src/status.rs
@@ -0,0 +1,132 @@
+//! `status`.
+
+use std::time::Duration;
+
+use gorsespur_core::{name::Name, shard::Health};
+use gorsespur_platform::{Members, post};
+use gorsespur_wire::{members::InstanceInfo, paths::PEER_STATUS, peer::InstanceStatus};
+use serde_json::json;
+use snafu::ResultExt;
+
+use crate::{
+    error::{CtlError, MembersSnafu},
+    table_text::TextTable,
+};
+
+/// Time limit of asking one instance.
+const ASK: Duration = Duration::from_millis(1_500);
+
+/// Shows every instance that the membership list has.
+pub(crate) fn status(members: &dyn Members, as_json: bool) -> Result<(), CtlError> {
+    let list = members.list().context(MembersSnafu)?;
+    let mut found = Vec::new();
+    let mut silent = Vec::new();
+    for info in list.instances {
+        match post::<_, InstanceStatus>(info.addr, PEER_STATUS, &(), ASK) {
+            Ok(status) => found.push(status),
+            Err(_) => silent.push(info),
+        }
+    }
+    if as_json {
+        let silent: Vec<&Name> = silent.iter().map(|i| &i.id).collect();
+        println!("{}", json!({"instances": found, "silent": silent}));
+        return Ok(());
+    }
+    instances(&found, &silent);
+    shards(&found);
+    troubles(&found);
+    Ok(())
+}
+
+fn instances(found: &[InstanceStatus], silent: &[InstanceInfo]) {
+    let mut text = TextTable::new(&[
+        "INSTANCE", "ROLE", "ZONE", "CONFIG", "SEES", "SHARDS", "REQUESTS", "REFUSED",
+    ]);
+    for s in found {
+        let routed = |f: fn(&gorsespur_core::route::RouteCounts) -> u64| {
+            s.routed
+                .as_ref()
+                .map_or_else(String::new, |c| f(c).to_string())
+        };
+        text.row(vec![
+            s.id.to_string(),
+            format!("{:?}", s.role).to_lowercase(),
+            s.zone.to_string(),
+            s.config.to_string(),
+            s.live.len().to_string(),
+            s.shards.len().to_string(),
+            routed(|c| c.requests),
+            routed(|c| c.refused),
+        ]);
+    }
+    for i in silent {
+        text.row(vec![
+            i.id.to_string(),
+            format!("{:?}", i.role).to_lowercase(),
+            i.zone.to_string(),
+            "no answer".to_owned(),
+        ]);
+    }
+    text.print();
+}
+
+fn shards(found: &[InstanceStatus]) {
+    println!();
+    let mut text = TextTable::new(&[
+        "SHARD",
+        "OWNER",
+        "EPOCH",
+        "JOBS",
+        "QUEUED",
+        "ACTIVE",
+        "WORKERS",
+        "STORE AGE MS",
+    ]);
+    for s in found {
+        for shard in &s.shards {
+            text.row(vec![
+                shard.shard.to_string(),
+                s.id.to_string(),
+                shard.epoch.to_string(),
+                shard.jobs.to_string(),
+                shard.queued.to_string(),
+                shard.active.to_string(),
+                shard.workers.len().to_string(),
+                shard.store_age.to_string(),
+            ]);
+        }
+    }
+    text.print();
+}
+
+/// Shows workers that get no tasks and jobs that can't run, with the reason.
+fn troubles(found: &[InstanceStatus]) {
+    let mut text = TextTable::new(&["HELD UP", "SHARD", "REASON"]);
+    let mut any = false;
+    for shard in found.iter().flat_map(|s| &s.shards) {
+        for w in &shard.workers {
+            let reason = match (w.health, w.quarantined, w.leaving) {
+                (Health::Silent, _, _) => "does not answer",
+                (Health::New, _, _) => "did not answer yet",
+                (Health::Good, true, _) => "quarantined: it failed task after task",
+                (Health::Good, false, true) => "leaving",
+                (Health::Good, false, false) => continue,
+            };
+            any = true;
+            text.row(vec![
+                w.name.to_string(),
+                shard.shard.to_string(),
+                reason.to_owned(),
+            ]);
+        }
+        for job in &shard.blocked {
+            any = true;
+            let reason = "no worker is large enough".to_owned();
+            text.row(vec![job.to_string(), shard.shard.to_string(), reason]);
+        }
+    }
+    if any {
+        println!();
+        text.print();
+    }
+}
