Run the whole system on stand-ins

Cause: the parts had never run together. The first trial was never ready: a stand-in worker read the organisation where the service stands in the path, and the replicas of a service were split evenly over shards although the shards have 4 to 8 workers each, so that 10 of 100 replicas had no place. Change: gorsespur-load with ./trial, which kills one scheduler and one worker and judges by the workers' ledgers; the path is read right; replicas follow the number of workers of each shard. Before: not ready after 30 s, 90 of 100 replicas running.

--- a/crates/core/src/shard/event.rs
+++ b/crates/core/src/shard/event.rs
@@ -12,8 +12,13 @@
 pub enum Event {
     /// The templates in force.
     Organisations(Vec<Arc<Organisation>>),
-    /// The workers of the shard, by the membership list.
-    Workers(Vec<WorkerInfo>),
+    /// The workers, by the membership list.
+    Workers {
+        /// The workers of the shard.
+        list: Vec<WorkerInfo>,
+        /// Number of workers that stay, by index of the shard.
+        counts: Vec<u32>,
+    },
     /// Jobs found in the inbox.
     Submit(Vec<JobSpec>),
     /// Jobs that their callers cancelled.
--- a/crates/core/src/shard/machine.rs
+++ b/crates/core/src/shard/machine.rs
@@ -55,6 +55,8 @@
     pub(super) classes: Vec<Class>,
     pub(super) teams: Vec<TeamUse>,
     pub(super) pairs: Pairs,
+    /// Number of workers that stay, by index of the shard.
+    pub(super) counts: Vec<u32>,
     pub(super) pending: Vec<Record>,
     pub(super) finished: Vec<FinishedJob>,
     /// Number of the next record.
@@ -107,6 +109,7 @@
             classes: Vec::new(),
             teams: Vec::new(),
             pairs: Pairs::default(),
+            counts: Vec::new(),
             pending: Vec::new(),
             finished: Vec::new(),
             next,
@@ -151,7 +154,11 @@
     pub fn step(&mut self, now: Millis, event: &Event) -> Vec<Action> {
         match event {
             Event::Organisations(orgs) => self.set_orgs(now, orgs),
-            Event::Workers(list) => self.set_workers(now, list),
+            Event::Workers { list, counts } => {
+                self.counts = counts.clone();
+                self.set_workers(now, list);
+                self.set_services(now);
+            }
             Event::Submit(specs) => self.submit(now, specs),
             Event::Cancel(keys) => self.cancel(now, keys),
             Event::Answer { worker, answer } => self.answer(now, worker, answer),
--- a/crates/core/src/shard/services.rs
+++ b/crates/core/src/shard/services.rs
@@ -15,7 +15,12 @@
 
 impl Machine {
     /// Brings the replicas of every service to the number that the templates want.
+    ///
+    /// Nothing changes before the workers are known.
     pub(super) fn set_services(&mut self, now: Millis) {
+        if self.counts.is_empty() {
+            return;
+        }
         let orgs = self.orgs.clone();
         for org in &orgs {
             for service in &org.services {
@@ -26,7 +31,7 @@
     }
 
     fn set_service(&mut self, now: Millis, org: &Organisation, service: &Service) {
-        let tasks = share(service.replicas, self.place.index, self.place.count);
+        let tasks = share(service.replicas, self.place.index, &self.counts);
         let key = service_key(&org.name, &service.name);
         let Some(job) = self.book.find(&key) else {
             let spec = spec(key, service, tasks);
@@ -66,10 +71,17 @@
     }
 }
 
-/// Returns how many of `total` replicas fall to shard `index` of `count`.
-fn share(total: u32, index: u32, count: u32) -> u32 {
-    let count = count.max(1);
-    total / count + u32::from(index < total % count)
+/// Returns how many of `total` replicas fall to shard `index`, in proportion to
+/// the workers of the shards; all shares sum to `total`.
+fn share(total: u32, index: u32, counts: &[u32]) -> u32 {
+    let upto = |n: usize| counts.iter().take(n).map(|c| u64::from(*c)).sum::<u64>();
+    let all = upto(counts.len());
+    if all == 0 {
+        return 0;
+    }
+    let cut = |n: usize| u64::from(total) * upto(n) / all;
+    let i = index as usize;
+    (cut(i + 1) - cut(i)) as u32
 }
 
 fn spec(key: JobKey, service: &Service, tasks: u32) -> JobSpec {
--- /dev/null
+++ b/crates/load/src/args.rs
@@ -0,0 +1,59 @@
+//! Command line of `gorsespur-load`.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+
+/// Load, trial runs and measurements on loopback.
+#[derive(Debug, Parser)]
+#[command(name = "gorsespur-load", version)]
+pub struct LoadArgs {
+    /// What to run.
+    #[command(subcommand)]
+    pub command: LoadCommand,
+}
+
+/// What to run.
+#[derive(Debug, Subcommand)]
+pub enum LoadCommand {
+    /// Run the whole system on stand-ins, with kills, and judge it.
+    Trial(TrialArgs),
+    /// Measure one thing against its baseline, in one run.
+    Measure {
+        /// What to measure.
+        #[command(subcommand)]
+        what: Measure,
+    },
+}
+
+/// Arguments of a run with processes.
+#[derive(Debug, Clone, Args)]
+pub struct TrialArgs {
+    /// Seed of the load and the faults.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Seconds of load.
+    #[arg(long, default_value_t = 20)]
+    pub seconds: u64,
+    /// Directory of the programs; by default that of this program.
+    #[arg(long)]
+    pub bin: Option<PathBuf>,
+    /// Directory for settings, logs, ledgers and traces; emptied first.
+    #[arg(long, default_value = "trial-out")]
+    pub out: PathBuf,
+    /// Directory of the templates.
+    #[arg(long, default_value = "templates")]
+    pub templates: PathBuf,
+    /// Record traces of the schedulers.
+    #[arg(long)]
+    pub record: bool,
+}
+
+/// What to measure.
+#[derive(Debug, Subcommand)]
+pub enum Measure {
+    /// What an entry adds to a direct call, at half load.
+    Overhead(TrialArgs),
+    /// Promises under kills, pauses, outages and a zone that is cut off.
+    Faults(TrialArgs),
+}
--- /dev/null
+++ b/crates/load/src/fleet/boot.rs
@@ -0,0 +1,328 @@
+//! Starts and stops the fleet.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Command,
+    thread,
+    time::{Duration, Instant},
+};
+
+use gorsespur_core::{name::Name, shard::WorkerInfo, size::Size};
+use gorsespur_runtime::{client::Call, clock::wall_ms};
+use gorsespur_stand::{Entry, Ledger, PlatformFaults, What, WorkerFaults};
+use gorsespur_wire::{
+    codec::encode,
+    members::{InstanceInfo, MemberList},
+};
+use snafu::ResultExt;
+
+use super::{FleetSize, Proc, plan::Plan, texts};
+use crate::{
+    args::TrialArgs,
+    error::{FileSnafu, LedgerSnafu, LoadError, SpawnSnafu},
+};
+
+/// Size of a stand-in worker: about 30 cores and 125 GB.
+const CORES: u64 = 30;
+const MEMORY_MIB: u64 = 128_000;
+
+/// Time limit of the start.
+const START: Duration = Duration::from_secs(30);
+
+/// Time limit of the stop of one process.
+const STOP: Duration = Duration::from_secs(10);
+
+/// A running fleet.
+pub(crate) struct Fleet {
+    pub plan: Plan,
+    pub platform: Proc,
+    pub entries: Vec<Proc>,
+    pub scheds: Vec<Proc>,
+    pub workers: Vec<Proc>,
+    args: TrialArgs,
+    bin: PathBuf,
+    leaving: Vec<String>,
+    gone: Vec<String>,
+}
+
+impl Fleet {
+    /// Starts everything and applies both templates.
+    pub fn start(args: &TrialArgs, size: &FleetSize) -> Result<Fleet, LoadError> {
+        let bin = match &args.bin {
+            Some(bin) => bin.clone(),
+            None => own_dir()?,
+        };
+        let out = &args.out;
+        let _ = fs::remove_dir_all(out);
+        for dir in ["settings", "logs", "ledgers", "traces"] {
+            let path = out.join(dir);
+            fs::create_dir_all(&path).context(FileSnafu { path })?;
+        }
+        let plan = Plan::new(size)?;
+        let platform = start_platform(&bin, out, &plan, args.seed)?;
+        let mut fleet = Fleet {
+            plan,
+            platform,
+            entries: Vec::new(),
+            scheds: Vec::new(),
+            workers: Vec::new(),
+            args: args.clone(),
+            bin,
+            leaving: Vec::new(),
+            gone: Vec::new(),
+        };
+        fleet.wait_for("platform", |f| f.set_members().is_some())?;
+        for i in 0..fleet.plan.workers.len() {
+            let worker = fleet.start_worker(i)?;
+            fleet.workers.push(worker);
+        }
+        for i in 0..fleet.plan.scheds.len() {
+            let sched = fleet.start_sched(i)?;
+            fleet.scheds.push(sched);
+        }
+        for i in 0..fleet.plan.entries.len() {
+            let entry = fleet.start_entry(i)?;
+            fleet.entries.push(entry);
+        }
+        for name in ["weld", "taipei"] {
+            fleet.apply(&args.templates.join(format!("{name}.yaml")), 0)?;
+        }
+        fleet.wait_for("entries", |f| {
+            let entries = &f.plan.entries;
+            entries
+                .iter()
+                .all(|e| get(e.callers, "/readyz") == Some(200))
+        })?;
+        fleet.wait_for("services", |f| f.services_answer())?;
+        Ok(fleet)
+    }
+
+    fn wait_for(&self, what: &str, ok: impl Fn(&Fleet) -> bool) -> Result<(), LoadError> {
+        let end = Instant::now() + START;
+        while !ok(self) {
+            if Instant::now() >= end {
+                let what = what.to_owned();
+                return Err(LoadError::NotReady { what });
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        Ok(())
+    }
+
+    fn services_answer(&self) -> bool {
+        let mut ok = true;
+        for e in &self.plan.entries {
+            for path in ["/s/weld/qualification/ready", "/s/taipei/booking/ready"] {
+                ok = ok && get(e.callers, path) == Some(200);
+            }
+        }
+        ok
+    }
+
+    /// Starts the worker with this index.
+    pub fn start_worker(&self, i: usize) -> Result<Proc, LoadError> {
+        let w = &self.plan.workers[i];
+        let gate = self.gate(&w.zone);
+        let args = [
+            "worker".to_owned(),
+            format!("--name={}", w.name),
+            format!("--addr={}", w.addr),
+            format!("--target={}", w.target),
+            format!("--objects={gate}"),
+            format!("--cores={CORES}"),
+            format!("--memory={MEMORY_MIB}"),
+            format!("--table-seed={}", self.args.seed),
+            format!("--ledger={}", self.ledger(&w.name).display()),
+        ];
+        self.run("gorsespur-stand", &args, &w.name)
+    }
+
+    /// Starts the scheduler with this index.
+    pub fn start_sched(&self, i: usize) -> Result<Proc, LoadError> {
+        let at = &self.plan.scheds[i];
+        let path = self.write(&at.id, &texts::sched(&self.plan, at))?;
+        let mut args = vec![format!("--settings={}", path.display())];
+        if self.args.record {
+            args.push(format!(
+                "--record={}",
+                self.args.out.join("traces").display()
+            ));
+        }
+        self.run("gorsespur-sched", &args, &at.id)
+    }
+
+    /// Starts the entry with this index.
+    pub fn start_entry(&self, i: usize) -> Result<Proc, LoadError> {
+        let at = &self.plan.entries[i];
+        let path = self.write(&at.id, &texts::entry(&self.plan, at))?;
+        let args = [format!("--settings={}", path.display())];
+        self.run("gorsespur-entry", &args, &at.id)
+    }
+
+    fn write(&self, id: &str, text: &str) -> Result<PathBuf, LoadError> {
+        let path = self.args.out.join("settings").join(format!("{id}.yaml"));
+        fs::write(&path, text).context(FileSnafu { path: &path })?;
+        Ok(path)
+    }
+
+    fn run(&self, program: &str, args: &[String], name: &str) -> Result<Proc, LoadError> {
+        let log = self.args.out.join("logs").join(format!("{name}.log"));
+        Proc::start(&self.bin.join(program), args, name, &log)
+    }
+
+    /// Returns the file of a worker's ledger.
+    pub fn ledger(&self, worker: &str) -> PathBuf {
+        self.args
+            .out
+            .join("ledgers")
+            .join(format!("{worker}.jsonl"))
+    }
+
+    /// Returns the platform's address for a zone.
+    pub fn gate(&self, zone: &str) -> SocketAddr {
+        let i = self.plan.zones.iter().position(|z| z == zone).unwrap_or(0);
+        self.plan.gates[i]
+    }
+
+    /// Applies a template on the version that was edited.
+    pub fn apply(&self, file: &Path, on: u64) -> Result<(), LoadError> {
+        let program = self.bin.join("gorsespur-ctl");
+        let output = Command::new(&program)
+            .arg(format!("--table={}", self.plan.gates[0]))
+            .args(["apply", "--who=trial", &format!("--on={on}")])
+            .arg(file)
+            .output();
+        let output = output.context(SpawnSnafu {
+            program: program.display().to_string(),
+        })?;
+        if output.status.success() {
+            return Ok(());
+        }
+        let message = String::from_utf8_lossy(&output.stderr).trim().to_owned();
+        Err(LoadError::Ctl { message })
+    }
+
+    /// Sends the membership list to the platform.
+    pub fn set_members(&self) -> Option<()> {
+        let mut list = MemberList::default();
+        for i in self.plan.entries.iter().chain(&self.plan.scheds) {
+            list.instances.push(InstanceInfo {
+                id: Name::from(&*i.id),
+                role: i.role,
+                zone: Name::from(&*i.zone),
+                addr: i.peer,
+                leaving: self.leaving.contains(&i.id),
+            });
+        }
+        for w in &self.plan.workers {
+            if self.gone.contains(&w.name) {
+                continue;
+            }
+            list.workers.push(WorkerInfo {
+                name: Name::from(&*w.name),
+                zone: Name::from(&*w.zone),
+                rack: Name::from(&*w.rack),
+                addr: w.addr,
+                target: w.target,
+                size: Size::new(CORES * 1000, MEMORY_MIB << 20, 0),
+                leaving: self.leaving.contains(&w.name),
+            });
+        }
+        let body = encode(&list).ok()?;
+        let answer = Call::new("POST", self.plan.gates[0], "/members/set")
+            .body(body)
+            .send();
+        (answer.ok()?.status == 200).then_some(())
+    }
+
+    /// Sets the platform's faults.
+    pub fn platform_faults(&self, faults: &PlatformFaults) {
+        post_json(self.plan.gates[0], faults);
+    }
+
+    /// Sets a worker's faults.
+    pub fn worker_faults(&self, i: usize, faults: &WorkerFaults) {
+        post_json(self.plan.workers[i].addr, faults);
+    }
+
+    /// Kills a worker and notes that in its ledger; the list shows it later.
+    pub fn kill_worker(&mut self, i: usize) -> Result<(), LoadError> {
+        self.workers[i].kill();
+        let name = self.plan.workers[i].name.clone();
+        let path = self.ledger(&name);
+        let ledger = Ledger::open(Some(&path)).context(LedgerSnafu)?;
+        ledger.add(Entry {
+            ms: wall_ms(),
+            worker: name.clone(),
+            what: What::Killed,
+            name: String::new(),
+            attempt: String::new(),
+            service: false,
+        });
+        self.gone.push(name);
+        self.set_members();
+        Ok(())
+    }
+
+    /// Lists a worker as leaving.
+    pub fn leave_worker(&mut self, i: usize) {
+        self.leaving.push(self.plan.workers[i].name.clone());
+        self.set_members();
+    }
+
+    /// Returns the entries of all ledgers.
+    pub fn ledgers(&self) -> Result<Vec<Entry>, LoadError> {
+        let mut out = Vec::new();
+        for w in &self.plan.workers {
+            let path = self.ledger(&w.name);
+            if path.exists() {
+                out.extend(Ledger::read(&path).context(LedgerSnafu)?);
+            }
+        }
+        Ok(out)
+    }
+
+    /// Asks the system's instances to stop and returns those that did not.
+    pub fn stop_instances(&mut self) -> Vec<String> {
+        let mut bad = Vec::new();
+        let all = self.entries.iter_mut().chain(self.scheds.iter_mut());
+        let mut all: Vec<&mut Proc> = all.collect();
+        for p in &all {
+            p.term();
+        }
+        for p in &mut all {
+            if p.ended(STOP) != Some(true) {
+                bad.push(p.name.clone());
+            }
+        }
+        bad
+    }
+}
+
+fn own_dir() -> Result<PathBuf, LoadError> {
+    let path = std::env::current_exe().context(FileSnafu {
+        path: "gorsespur-load",
+    })?;
+    Ok(path.parent().map(Path::to_owned).unwrap_or_default())
+}
+
+fn start_platform(bin: &Path, out: &Path, plan: &Plan, seed: u64) -> Result<Proc, LoadError> {
+    let mut args = vec!["platform".to_owned(), format!("--seed={seed}")];
+    for (zone, addr) in plan.zones.iter().zip(&plan.gates) {
+        args.push(format!("--gate={zone}={addr}"));
+    }
+    let log = out.join("logs").join("platform.log");
+    Proc::start(&bin.join("gorsespur-stand"), &args, "platform", &log)
+}
+
+fn get(addr: SocketAddr, path: &str) -> Option<u16> {
+    let answer = Call::new("GET", addr, path).send().ok()?;
+    Some(answer.status)
+}
+
+fn post_json<T: serde::Serialize>(addr: SocketAddr, value: &T) {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let _ = Call::new("POST", addr, "/faults").body(body).send();
+}
--- /dev/null
+++ b/crates/load/src/fleet/mod.rs
@@ -0,0 +1,10 @@
+//! The system's processes and their stand-ins on loopback.
+
+mod boot;
+mod plan;
+mod process;
+mod texts;
+
+pub(crate) use boot::Fleet;
+pub(crate) use plan::{FleetSize, InstancePlan, WorkerPlan};
+pub(crate) use process::Proc;
--- /dev/null
+++ b/crates/load/src/fleet/plan.rs
@@ -0,0 +1,146 @@
+//! Which processes there are, and where.
+
+use std::net::{SocketAddr, TcpListener};
+
+use gorsespur_core::member::Role;
+use snafu::ResultExt;
+
+use crate::error::{LoadError, PortSnafu};
+
+/// Zones of a run.
+const ZONES: [&str; 3] = ["shah-alam", "port-klang", "cyberjaya"];
+
+/// Workers in a rack.
+const RACK: usize = 8;
+
+/// How many of each.
+#[derive(Debug, Clone)]
+pub(crate) struct FleetSize {
+    pub zones: usize,
+    /// Entries a zone.
+    pub entries: usize,
+    /// Schedulers a zone.
+    pub scheds: usize,
+    pub workers: usize,
+    /// Shards a zone.
+    pub shards: u32,
+}
+
+impl Default for FleetSize {
+    /// Returns the sizes of today.
+    fn default() -> FleetSize {
+        FleetSize {
+            zones: 3,
+            entries: 3,
+            scheds: 3,
+            workers: 50,
+            shards: 3,
+        }
+    }
+}
+
+/// An instance of the system.
+#[derive(Debug, Clone)]
+pub(crate) struct InstancePlan {
+    pub id: String,
+    pub role: Role,
+    pub zone: String,
+    pub peer: SocketAddr,
+    pub callers: SocketAddr,
+}
+
+/// A worker.
+#[derive(Debug, Clone)]
+pub(crate) struct WorkerPlan {
+    pub name: String,
+    pub zone: String,
+    pub rack: String,
+    pub addr: SocketAddr,
+    pub target: SocketAddr,
+}
+
+/// Where everything is.
+#[derive(Debug, Clone)]
+pub(crate) struct Plan {
+    pub zones: Vec<String>,
+    pub shards: u32,
+    /// Address of the platform for each zone.
+    pub gates: Vec<SocketAddr>,
+    pub entries: Vec<InstancePlan>,
+    pub scheds: Vec<InstancePlan>,
+    pub workers: Vec<WorkerPlan>,
+}
+
+/// Hands out ports that were free; all are held until the plan is made.
+struct Ports {
+    held: Vec<TcpListener>,
+}
+
+impl Ports {
+    fn next(&mut self) -> Result<SocketAddr, LoadError> {
+        let listener = TcpListener::bind("127.0.0.1:0").context(PortSnafu)?;
+        let addr = listener.local_addr().context(PortSnafu)?;
+        self.held.push(listener);
+        Ok(addr)
+    }
+}
+
+impl Plan {
+    pub fn new(size: &FleetSize) -> Result<Plan, LoadError> {
+        let mut ports = Ports { held: Vec::new() };
+        let zones: Vec<String> = ZONES[..size.zones]
+            .iter()
+            .map(|z| (*z).to_owned())
+            .collect();
+        let mut plan = Plan {
+            gates: Vec::new(),
+            entries: Vec::new(),
+            scheds: Vec::new(),
+            workers: Vec::new(),
+            shards: size.shards,
+            zones: zones.clone(),
+        };
+        for zone in &zones {
+            plan.gates.push(ports.next()?);
+            for i in 0..size.entries {
+                plan.entries
+                    .push(instance(Role::Entry, zone, i, &mut ports)?);
+            }
+            for i in 0..size.scheds {
+                plan.scheds
+                    .push(instance(Role::Sched, zone, i, &mut ports)?);
+            }
+        }
+        for i in 0..size.workers {
+            let zone = &zones[i % zones.len()];
+            let nth = i / zones.len();
+            plan.workers.push(WorkerPlan {
+                name: format!("w-{zone}-{nth:02}"),
+                zone: zone.clone(),
+                rack: format!("{zone}-r{}", nth / RACK),
+                addr: ports.next()?,
+                target: ports.next()?,
+            });
+        }
+        Ok(plan)
+    }
+}
+
+fn instance(
+    role: Role,
+    zone: &str,
+    i: usize,
+    ports: &mut Ports,
+) -> Result<InstancePlan, LoadError> {
+    let kind = match role {
+        Role::Entry => "entry",
+        Role::Sched => "sched",
+    };
+    Ok(InstancePlan {
+        id: format!("{kind}-{zone}-{i}"),
+        role,
+        zone: zone.to_owned(),
+        peer: ports.next()?,
+        callers: ports.next()?,
+    })
+}
--- /dev/null
+++ b/crates/load/src/fleet/process.rs
@@ -0,0 +1,110 @@
+//! A process that a run started.
+
+use std::{
+    fs::{File, OpenOptions},
+    path::Path,
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+use snafu::ResultExt;
+
+use crate::error::{FileSnafu, LoadError, SpawnSnafu};
+
+/// A running process; it is killed when dropped.
+#[derive(Debug)]
+pub(crate) struct Proc {
+    pub name: String,
+    child: Child,
+}
+
+impl Proc {
+    /// Starts a program; its stderr goes to a file.
+    pub fn start(
+        program: &Path,
+        args: &[String],
+        name: &str,
+        log: &Path,
+    ) -> Result<Proc, LoadError> {
+        let opened = OpenOptions::new().create(true).append(true).open(log);
+        let file: File = opened.context(FileSnafu { path: log })?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(file)
+            .spawn();
+        let program = program.display().to_string();
+        let child = child.context(SpawnSnafu { program })?;
+        Ok(Proc {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    fn signal(&self, signal: Signal) {
+        let Some(pid) = Pid::from_raw(self.child.id() as i32) else {
+            return;
+        };
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asks the process to stop.
+    pub fn term(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Freezes the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Waits for the end; returns whether it came in time with code 0.
+    pub fn ended(&mut self, limit: Duration) -> Option<bool> {
+        let end = Instant::now() + limit;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.success());
+            }
+            if Instant::now() >= end {
+                return None;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Returns resident memory in KiB and processor time in milliseconds.
+    pub fn usage(&self) -> Option<(u64, u64)> {
+        let pid = self.child.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
+        let rss = line.split_whitespace().nth(1)?.parse().ok()?;
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let rest = stat.rsplit_once(')')?.1;
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        Some((rss, ticks * 10))
+    }
+}
+
+impl Drop for Proc {
+    fn drop(&mut self) {
+        if let Ok(None) = self.child.try_wait() {
+            self.resume();
+            self.kill();
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/fleet/texts.rs
@@ -0,0 +1,47 @@
+//! Settings files of the instances.
+
+use std::fmt::Write;
+
+use super::plan::{InstancePlan, Plan};
+
+/// Returns the settings that every instance has, indented under `instance`.
+fn common(plan: &Plan, at: &InstancePlan) -> String {
+    let gate = plan
+        .zones
+        .iter()
+        .position(|z| *z == at.zone)
+        .map(|i| plan.gates[i]);
+    let gate = gate.map(|g| g.to_string()).unwrap_or_default();
+    let mut out = String::from("instance:\n");
+    let mut line = |text: String| {
+        let _ = writeln!(out, "  {text}");
+    };
+    line(format!("id: {}", at.id));
+    line(format!("zone: {}", at.zone));
+    line(format!("listen: {}", at.peer));
+    let seeds: Vec<String> = plan.scheds.iter().map(|s| s.peer.to_string()).collect();
+    line(format!("seeds: [{}]", seeds.join(", ")));
+    line("zones:".to_owned());
+    for zone in &plan.zones {
+        line(format!("  - {{name: {zone}, shards: {}}}", plan.shards));
+    }
+    line("platform:".to_owned());
+    line(format!("  table: {gate}"));
+    line(format!("  objects: {gate}"));
+    line(format!("  members: {gate}"));
+    out
+}
+
+/// Returns the settings of an entry.
+pub(crate) fn entry(plan: &Plan, at: &InstancePlan) -> String {
+    format!(
+        "{}callers: {}\ndrain_ms: 1000\n",
+        common(plan, at),
+        at.callers
+    )
+}
+
+/// Returns the settings of a scheduler.
+pub(crate) fn sched(plan: &Plan, at: &InstancePlan) -> String {
+    format!("{}ownership: {{snapshot_rows: 100}}\n", common(plan, at))
+}
--- /dev/null
+++ b/crates/load/src/judge.rs
@@ -0,0 +1,182 @@
+//! Judges promises by the workers' ledgers.
+
+use gorsespur_core::route::Outcome;
+use gorsespur_stand::{Entry, What};
+
+use crate::kit::{JobResult, RequestTotals};
+
+/// Time before a kill in which a task that was done could not be reported.
+const UNREPORTED_MS: u64 = 2_000;
+
+/// One attempt on one worker.
+#[derive(Debug, Clone)]
+struct Run {
+    name: String,
+    worker: String,
+    attempt: String,
+    from: u64,
+    to: u64,
+    done: bool,
+    /// Whether its worker was killed right after.
+    killed: bool,
+}
+
+/// What the ledgers show.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Verdict {
+    /// Tasks that ran in two places at once or were done twice.
+    pub doubled: u64,
+    /// Starts beyond what a worker holds.
+    pub overcommitted: u64,
+    /// Accepted jobs that did not reach their end, or whose tasks did not.
+    pub lost: u64,
+    /// Requests that ran twice.
+    pub ran_twice: u64,
+    /// Requests that ran although their caller was told that they did not.
+    pub false_not_run: u64,
+    /// What was found, for people.
+    pub findings: Vec<String>,
+}
+
+/// Judges a run that ended at `end` milliseconds since the Unix epoch.
+pub(crate) fn judge(ledger: &[Entry], end: u64, jobs: &JobResult, req: &RequestTotals) -> Verdict {
+    let mut verdict = Verdict::default();
+    let runs = runs(ledger, end);
+    find_doubles(&runs, &mut verdict);
+    for e in ledger {
+        if e.what == What::NoRoom {
+            verdict.overcommitted += 1;
+            verdict
+                .findings
+                .push(format!("{} had no room for {}", e.worker, e.name));
+        }
+    }
+    find_lost(&runs, jobs, &mut verdict);
+    find_requests(ledger, req, &mut verdict);
+    verdict
+}
+
+/// Pairs starts with ends; a kill ends everything on its worker.
+fn runs(ledger: &[Entry], end: u64) -> Vec<Run> {
+    let mut out: Vec<Run> = Vec::new();
+    let mut open: Vec<Run> = Vec::new();
+    for e in ledger {
+        match e.what {
+            What::Start if !e.service => open.push(Run {
+                name: e.name.clone(),
+                worker: e.worker.clone(),
+                attempt: e.attempt.clone(),
+                from: e.ms,
+                to: end,
+                done: false,
+                killed: false,
+            }),
+            What::Done | What::Failed | What::Saved | What::Stopped => {
+                let same =
+                    |r: &Run| r.worker == e.worker && r.attempt == e.attempt && r.name == e.name;
+                let Some(i) = open.iter().position(same) else {
+                    continue;
+                };
+                let mut run = open.swap_remove(i);
+                run.to = e.ms;
+                run.done = e.what == What::Done;
+                out.push(run);
+            }
+            What::Killed => {
+                for run in &mut out {
+                    let late = run.to + UNREPORTED_MS >= e.ms;
+                    run.killed |= run.worker == e.worker && run.done && late;
+                }
+                let mut i = 0;
+                while i < open.len() {
+                    if open[i].worker != e.worker {
+                        i += 1;
+                        continue;
+                    }
+                    let mut run = open.swap_remove(i);
+                    run.to = e.ms;
+                    out.push(run);
+                }
+            }
+            What::Start | What::Boot | What::NoRoom | What::Stale | What::Request => {}
+        }
+    }
+    out.extend(open);
+    out.sort_by(|a, b| (&a.name, a.from).cmp(&(&b.name, b.from)));
+    out
+}
+
+fn find_doubles(runs: &[Run], verdict: &mut Verdict) {
+    for (i, a) in runs.iter().enumerate() {
+        for b in &runs[i + 1..] {
+            if b.name != a.name {
+                break;
+            }
+            let overlap = b.from < a.to;
+            let again = a.done && b.done && !a.killed;
+            if !overlap && !again {
+                continue;
+            }
+            verdict.doubled += 1;
+            verdict.findings.push(format!(
+                "{} ran on {} ({}, {}..{}) and on {} ({}, {}..{})",
+                a.name, a.worker, a.attempt, a.from, a.to, b.worker, b.attempt, b.from, b.to
+            ));
+        }
+    }
+}
+
+fn find_lost(runs: &[Run], jobs: &JobResult, verdict: &mut Verdict) {
+    for text in &jobs.unfinished {
+        verdict.lost += 1;
+        verdict.findings.push(format!("not finished: {text}"));
+    }
+    for job in &jobs.accepted {
+        if job.long || !jobs.finished.contains(&job.id) {
+            continue;
+        }
+        for task in 0..job.tasks {
+            let name = format!("{}/{}/{task}", job.org, job.id);
+            if runs.iter().any(|r| r.name == name && r.done) {
+                continue;
+            }
+            verdict.lost += 1;
+            verdict
+                .findings
+                .push(format!("{name} is said to be done and never was"));
+        }
+    }
+}
+
+fn find_requests(ledger: &[Entry], req: &RequestTotals, verdict: &mut Verdict) {
+    let mut ran: Vec<&str> = Vec::new();
+    for e in ledger {
+        if e.what == What::Request {
+            ran.push(&e.name);
+        }
+    }
+    ran.sort_unstable();
+    for told in &req.once {
+        let first = ran.partition_point(|r| *r < &*told.id);
+        let count = ran[first..].iter().take_while(|r| **r == told.id).count();
+        if count > 1 {
+            verdict.ran_twice += 1;
+            verdict
+                .findings
+                .push(format!("request {} ran {count} times", told.id));
+        }
+        if count > 0 && told.sends == 1 && told.outcome == Some(Outcome::NotRun) {
+            verdict.false_not_run += 1;
+            verdict
+                .findings
+                .push(format!("request {} ran and was said not to", told.id));
+        }
+        if count == 0 && told.outcome == Some(Outcome::Ran) {
+            verdict.ran_twice += 1;
+            verdict.findings.push(format!(
+                "request {} is said to have run and did not",
+                told.id
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/kit/jobs.rs
@@ -0,0 +1,193 @@
+//! Jobs: submitted, watched to their end, and cancelled.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use gorsespur_runtime::client::{Answer, Call};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde_json::{Value, json};
+
+/// Time limit of a call.
+const CALL: Duration = Duration::from_millis(2_500);
+
+/// Share of submissions that are sent twice, to two entries.
+const TWICE: f64 = 0.2;
+
+/// A kind of job that a load submits.
+#[derive(Debug, Clone)]
+pub(crate) struct JobKindLoad {
+    pub org: &'static str,
+    pub kind: &'static str,
+    pub most: u32,
+    /// Runs until it is cancelled.
+    pub long: bool,
+}
+
+/// Kinds of both users.
+const KINDS: [JobKindLoad; 5] = [
+    JobKindLoad {
+        org: "weld",
+        kind: "renewal",
+        most: 4,
+        long: false,
+    },
+    JobKindLoad {
+        org: "weld",
+        kind: "urgent-renewal",
+        most: 1,
+        long: false,
+    },
+    JobKindLoad {
+        org: "weld",
+        kind: "continuity-record",
+        most: 1,
+        long: true,
+    },
+    JobKindLoad {
+        org: "taipei",
+        kind: "allocation",
+        most: 6,
+        long: false,
+    },
+    JobKindLoad {
+        org: "taipei",
+        kind: "watcher",
+        most: 1,
+        long: true,
+    },
+];
+
+/// A job that was accepted.
+#[derive(Debug, Clone)]
+pub(crate) struct Submitted {
+    pub org: &'static str,
+    pub id: String,
+    pub tasks: u32,
+    pub long: bool,
+}
+
+/// What became of the jobs.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct JobResult {
+    pub accepted: Vec<Submitted>,
+    /// Submissions that were refused as not run, or whose outcome is unknown.
+    pub refused: u64,
+    /// Jobs that reached the state that was expected of them.
+    pub finished: Vec<String>,
+    /// Jobs that did not, with the last state seen.
+    pub unfinished: Vec<String>,
+}
+
+/// A load of jobs.
+#[derive(Debug, Clone)]
+pub(crate) struct JobLoad {
+    pub entries: Vec<SocketAddr>,
+    pub count: u64,
+    pub time: Duration,
+    pub seed: u64,
+}
+
+impl JobLoad {
+    /// Submits the jobs over the time and returns those that were accepted.
+    pub fn submit(&self) -> JobResult {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ 0x4a4f42);
+        let mut out = JobResult::default();
+        let start = Instant::now();
+        for n in 0..self.count {
+            let at = start + self.time.mul_f64(n as f64 / self.count as f64);
+            thread::sleep(at.saturating_duration_since(Instant::now()));
+            let kind = &KINDS[rng.random_range(0..KINDS.len())];
+            let job = Submitted {
+                org: kind.org,
+                id: format!("j{}-{n}", self.seed),
+                tasks: rng.random_range(1..=kind.most),
+                long: kind.long,
+            };
+            let sends = if rng.random_bool(TWICE) { 2 } else { 1 };
+            let mut taken = false;
+            for _ in 0..sends {
+                let entry = self.entries[rng.random_range(0..self.entries.len())];
+                taken |= submit(entry, &job, kind.kind);
+            }
+            if taken {
+                out.accepted.push(job);
+            } else {
+                out.refused += 1;
+            }
+        }
+        out
+    }
+
+    /// Cancels the long-running jobs.
+    pub fn cancel_long(&self, result: &JobResult) {
+        for org in ["weld", "taipei"] {
+            let long = result.accepted.iter().filter(|j| j.long && j.org == org);
+            let ids: Vec<&str> = long.map(|j| &*j.id).collect();
+            let body = serde_json::to_vec(&json!({ "ids": ids })).unwrap_or_default();
+            for entry in &self.entries {
+                let path = format!("/v1/orgs/{org}/cancel");
+                let call = Call::new("POST", *entry, &path).body(body.clone());
+                let answer = call.timeout(Duration::from_secs(30)).send();
+                if answer.is_ok_and(|a| a.status == 200 && unreached(&a) == 0) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Waits until every job reached its end, at most for `limit`.
+    pub fn watch(&self, result: &mut JobResult, limit: Duration) {
+        let end = Instant::now() + limit;
+        let mut open: Vec<Submitted> = result.accepted.clone();
+        let mut states: Vec<String> = Vec::new();
+        let mut turn = 0;
+        while !open.is_empty() && Instant::now() < end {
+            states.clear();
+            let mut left = Vec::new();
+            for job in open {
+                turn += 1;
+                let entry = self.entries[turn % self.entries.len()];
+                let state = state(entry, &job);
+                let wanted = if job.long { "cancelled" } else { "done" };
+                if state == wanted {
+                    result.finished.push(job.id);
+                    continue;
+                }
+                states.push(format!("{}/{} {state}", job.org, job.id));
+                left.push(job);
+            }
+            open = left;
+            thread::sleep(Duration::from_millis(100));
+        }
+        result.unfinished = if open.is_empty() { Vec::new() } else { states };
+    }
+}
+
+fn submit(entry: SocketAddr, job: &Submitted, kind: &str) -> bool {
+    let path = format!("/v1/orgs/{}/jobs/{}", job.org, job.id);
+    let body = json!({"kind": kind, "tasks": job.tasks});
+    let body = serde_json::to_vec(&body).unwrap_or_default();
+    let answer = Call::new("PUT", entry, &path)
+        .body(body)
+        .timeout(CALL)
+        .send();
+    answer.is_ok_and(|a| matches!(a.status, 200 | 201))
+}
+
+fn state(entry: SocketAddr, job: &Submitted) -> String {
+    let path = format!("/v1/orgs/{}/jobs/{}", job.org, job.id);
+    let Ok(answer) = Call::new("GET", entry, &path).timeout(CALL).send() else {
+        return "no answer".to_owned();
+    };
+    let value: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    let state = value["state"].as_str().unwrap_or("no state");
+    state.to_owned()
+}
+
+fn unreached(answer: &Answer) -> usize {
+    let value: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    value["unreached"].as_array().map_or(1, Vec::len)
+}
--- /dev/null
+++ b/crates/load/src/kit/requests.rs
@@ -0,0 +1,198 @@
+//! Requests to services, open loop, with each answer checked.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use gorsespur_core::route::Outcome;
+use gorsespur_runtime::client::{Answer, Call, CallError, field};
+use gorsespur_stand::answer_body;
+use gorsespur_wire::fields::{IDEMPOTENCY_KEY, OUTCOME, REPEATABLE, REQUEST_ID};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::Times;
+
+/// Time limit of a request in milliseconds.
+const DEADLINE_MS: u64 = 1_000;
+
+/// What a caller was told of a request that may run once only.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Told {
+    pub id: String,
+    pub outcome: Option<Outcome>,
+    /// Tries of the caller itself under one idempotency key.
+    pub sends: u32,
+}
+
+/// Totals of a load.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestTotals {
+    pub requests: u64,
+    pub ok: u64,
+    /// Answers that were not the answer to their request.
+    pub wrong: u64,
+    pub not_run: u64,
+    pub unknown: u64,
+    pub times: Times,
+    /// Requests that may run once only.
+    pub once: Vec<Told>,
+}
+
+impl RequestTotals {
+    fn new() -> RequestTotals {
+        RequestTotals {
+            requests: 0,
+            ok: 0,
+            wrong: 0,
+            not_run: 0,
+            unknown: 0,
+            times: Times::new(),
+            once: Vec::new(),
+        }
+    }
+
+    fn merge(&mut self, other: RequestTotals) {
+        self.requests += other.requests;
+        self.ok += other.ok;
+        self.wrong += other.wrong;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.times.merge(&other.times);
+        self.once.extend(other.once);
+    }
+}
+
+/// A load of requests from several threads.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestLoad {
+    pub entries: Vec<SocketAddr>,
+    pub paths: Vec<String>,
+    pub threads: usize,
+    /// Requests a second over all threads.
+    pub rate: f64,
+    pub time: Duration,
+    pub seed: u64,
+    /// Share of requests that may run once only.
+    pub once: f64,
+}
+
+impl RequestLoad {
+    /// Runs the load and returns its totals.
+    pub fn run(&self) -> RequestTotals {
+        let mut totals = RequestTotals::new();
+        thread::scope(|scope| {
+            let mut threads = Vec::new();
+            for t in 0..self.threads {
+                threads.push(scope.spawn(move || self.run_thread(t)));
+            }
+            for t in threads {
+                if let Ok(part) = t.join() {
+                    totals.merge(part);
+                }
+            }
+        });
+        totals
+    }
+
+    fn run_thread(&self, thread: usize) -> RequestTotals {
+        let mut rng = SmallRng::seed_from_u64(self.seed * 1_000 + thread as u64);
+        let mut totals = RequestTotals::new();
+        let gap = self.threads as f64 / self.rate;
+        let start = Instant::now();
+        let mut due = 0.0;
+        let mut n = 0;
+        loop {
+            due += -rng.random_range(1e-9..1.0f64).ln() * gap;
+            let at = start + Duration::from_secs_f64(due);
+            if due > self.time.as_secs_f64() {
+                return totals;
+            }
+            thread::sleep(at.saturating_duration_since(Instant::now()));
+            n += 1;
+            let id = format!("r{}-{thread}-{n}", self.seed);
+            self.one(&id, at, &mut rng, &mut totals);
+        }
+    }
+
+    fn one(&self, id: &str, at: Instant, rng: &mut SmallRng, totals: &mut RequestTotals) {
+        let once = rng.random_bool(self.once);
+        let keyed = once && rng.random_bool(0.3);
+        let path = &self.paths[rng.random_range(0..self.paths.len())];
+        let body = if once {
+            vec![b'x'; rng.random_range(1..2_000)]
+        } else {
+            Vec::new()
+        };
+        totals.requests += 1;
+        let mut told = Told {
+            id: id.to_owned(),
+            outcome: None,
+            sends: 0,
+        };
+        for _ in 0..2 {
+            let entry = self.entries[rng.random_range(0..self.entries.len())];
+            let answer = send(entry, path, id, once, keyed, body.clone());
+            told.sends += 1;
+            told.outcome = self.judge(id, path, &body, answer, totals);
+            let again = keyed && told.outcome.is_none();
+            if !again {
+                break;
+            }
+        }
+        totals.times.add(at.elapsed().as_micros() as u64);
+        match told.outcome {
+            Some(Outcome::Ran) => totals.ok += 1,
+            Some(Outcome::NotRun) => totals.not_run += 1,
+            Some(Outcome::Unknown) | None => totals.unknown += 1,
+        }
+        if once {
+            totals.once.push(told);
+        }
+    }
+
+    /// Checks an answer; nothing if there was none.
+    fn judge(
+        &self,
+        id: &str,
+        path: &str,
+        body: &[u8],
+        answer: Result<Answer, CallError>,
+        totals: &mut RequestTotals,
+    ) -> Option<Outcome> {
+        let answer = answer.ok()?;
+        let outcome = field(&answer.fields, OUTCOME).and_then(Outcome::parse);
+        let Some(outcome) = outcome else {
+            totals.wrong += 1;
+            return None;
+        };
+        if outcome == Outcome::Ran && answer.status == 200 {
+            let right = answer.body == answer_body(id, path, body);
+            let mine = field(&answer.fields, REQUEST_ID) == Some(id);
+            totals.wrong += u64::from(!right || !mine);
+        }
+        Some(outcome)
+    }
+}
+
+fn send(
+    entry: SocketAddr,
+    path: &str,
+    id: &str,
+    once: bool,
+    keyed: bool,
+    body: Vec<u8>,
+) -> Result<Answer, CallError> {
+    let method = if once { "POST" } else { "GET" };
+    let mut call = Call::new(method, entry, path)
+        .field(REQUEST_ID, id)
+        .field("x-deadline-ms", DEADLINE_MS.to_string())
+        .field(REPEATABLE, if once { "no" } else { "yes" })
+        .timeout(Duration::from_millis(DEADLINE_MS + 1_000))
+        .body(body);
+    if keyed {
+        call = call.field(IDEMPOTENCY_KEY, id);
+    }
+    call.send()
+}
--- /dev/null
+++ b/crates/load/src/kit/times.rs
@@ -0,0 +1,39 @@
+//! Times of answers.
+
+use hdrhistogram::Histogram;
+
+/// Longest time that is told apart, in microseconds.
+const MAX_US: u64 = 60_000_000;
+
+/// Times in microseconds.
+#[derive(Debug, Clone)]
+pub(crate) struct Times {
+    histogram: Histogram<u64>,
+}
+
+impl Times {
+    pub fn new() -> Times {
+        let histogram = Histogram::new_with_bounds(1, MAX_US, 3);
+        Times {
+            histogram: histogram
+                .unwrap_or_else(|_| Histogram::new(3).unwrap_or_else(|_| unreachable!())),
+        }
+    }
+
+    pub fn add(&mut self, us: u64) {
+        self.histogram.saturating_record(us.max(1));
+    }
+
+    pub fn merge(&mut self, other: &Times) {
+        let _ = self.histogram.add(&other.histogram);
+    }
+
+    pub fn len(&self) -> u64 {
+        self.histogram.len()
+    }
+
+    /// Returns a quantile in milliseconds.
+    pub fn ms(&self, quantile: f64) -> f64 {
+        self.histogram.value_at_quantile(quantile) as f64 / 1000.0
+    }
+}
--- /dev/null
+++ b/crates/load/src/measure/mod.rs
@@ -0,0 +1,1 @@
+//! Measurements, each against its baseline in one run.
--- /dev/null
+++ b/crates/load/src/program.rs
@@ -0,0 +1,17 @@
+//! Runs one command.
+
+use crate::{
+    args::{LoadArgs, LoadCommand, Measure},
+    error::LoadError,
+    trial,
+};
+
+/// Runs the command.
+pub fn run(args: &LoadArgs) -> Result<(), LoadError> {
+    match &args.command {
+        LoadCommand::Trial(args) => trial::run(args),
+        LoadCommand::Measure { what } => match what {
+            Measure::Overhead(args) | Measure::Faults(args) => trial::run(args),
+        },
+    }
+}
--- /dev/null
+++ b/crates/load/src/trial.rs
@@ -0,0 +1,131 @@
+//! The whole system on stand-ins, with one scheduler and one worker killed.
+
+use std::{net::SocketAddr, thread, time::Duration};
+
+use gorsespur_runtime::clock::wall_ms;
+
+use crate::{
+    args::TrialArgs,
+    error::LoadError,
+    fleet::{Fleet, FleetSize},
+    judge::judge,
+    kit::{JobLoad, RequestLoad},
+};
+
+/// Requests a second.
+const RATE: f64 = 200.0;
+
+/// Threads that send them.
+const THREADS: usize = 24;
+
+/// Jobs for each second of load.
+const JOBS: u64 = 4;
+
+/// Longest time for the jobs to finish after the load.
+const FINISH: Duration = Duration::from_secs(45);
+
+/// Memory that an instance may use, in KiB.
+const MEMORY_KIB: u64 = 32 << 10;
+
+/// Runs a trial and prints its line.
+pub(crate) fn run(args: &TrialArgs) -> Result<(), LoadError> {
+    if args.seconds == 0 || args.seconds > 3_600 {
+        return Err(LoadError::Usage {
+            flag: "--seconds",
+            message: "must be from 1 to 3600".to_owned(),
+        });
+    }
+    let mut fleet = Fleet::start(args, &FleetSize::default())?;
+    println!(
+        "trial: fleet of {} processes is ready",
+        fleet.plan.workers.len() + 19
+    );
+    let time = Duration::from_secs(args.seconds);
+    let entries: Vec<SocketAddr> = fleet.plan.entries.iter().map(|e| e.callers).collect();
+    let requests = RequestLoad {
+        entries: entries.clone(),
+        paths: vec![
+            "/s/weld/qualification/check".into(),
+            "/s/taipei/booking/hold".into(),
+        ],
+        threads: THREADS,
+        rate: RATE,
+        time,
+        seed: args.seed,
+        once: 0.3,
+    };
+    let job_load = JobLoad {
+        entries,
+        count: args.seconds * JOBS,
+        time: time.mul_f64(0.8),
+        seed: args.seed,
+    };
+    let (totals, mut jobs) = thread::scope(|scope| {
+        let requests = scope.spawn(|| requests.run());
+        let jobs = scope.spawn(|| job_load.submit());
+        thread::sleep(time.mul_f64(0.4));
+        let sched = args.seed as usize % fleet.scheds.len();
+        println!("trial: kills {}", fleet.scheds[sched].name);
+        fleet.scheds[sched].kill();
+        thread::sleep(time.mul_f64(0.15));
+        let worker = args.seed as usize * 7 % fleet.workers.len();
+        println!("trial: kills {}", fleet.workers[worker].name);
+        let killed = fleet.kill_worker(worker);
+        (requests.join(), jobs.join().map(|j| killed.map(|()| j)))
+    });
+    let (Ok(totals), Ok(Ok(jobs))) = (totals, jobs.as_mut().map(|j| j.as_mut())) else {
+        return Err(LoadError::Broken);
+    };
+    job_load.cancel_long(jobs);
+    job_load.watch(jobs, FINISH);
+    let memory = report_memory(&fleet);
+    let killed = fleet.scheds[args.seed as usize % fleet.scheds.len()]
+        .name
+        .clone();
+    let mut stuck = fleet.stop_instances();
+    stuck.retain(|name| *name != killed);
+    let ledger = fleet.ledgers()?;
+    let verdict = judge(&ledger, wall_ms(), jobs, &totals);
+    drop(fleet);
+    for finding in verdict.findings.iter().take(20) {
+        println!("trial: {finding}");
+    }
+    for name in &stuck {
+        println!("trial: {name} did not stop cleanly");
+    }
+    println!(
+        "trial: not_run={} unknown={} ran_twice={} false_not_run={} refused_jobs={} memory_kib={memory}",
+        totals.not_run, totals.unknown, verdict.ran_twice, verdict.false_not_run, jobs.refused
+    );
+    let wrong = totals.wrong + verdict.ran_twice + verdict.false_not_run;
+    println!(
+        "trial: requests={} ok={} wrong={wrong} jobs={} finished={} lost={} doubled={} overcommitted={} p50_ms={:.2} p99_ms={:.2}",
+        totals.requests,
+        totals.ok,
+        jobs.accepted.len(),
+        jobs.finished.len(),
+        verdict.lost,
+        verdict.doubled,
+        verdict.overcommitted,
+        totals.times.ms(0.5),
+        totals.times.ms(0.99),
+    );
+    let broken = wrong + verdict.lost + verdict.doubled + verdict.overcommitted;
+    if broken > 0 || !stuck.is_empty() {
+        return Err(LoadError::Broken);
+    }
+    Ok(())
+}
+
+/// Returns the largest memory of an entry or a scheduler in KiB.
+fn report_memory(fleet: &Fleet) -> u64 {
+    let mut most = 0;
+    for p in fleet.entries.iter().chain(&fleet.scheds) {
+        let Some((rss, _)) = p.usage() else { continue };
+        if rss > MEMORY_KIB {
+            println!("trial: {} uses {rss} KiB, over {MEMORY_KIB}", p.name);
+        }
+        most = most.max(rss);
+    }
+    most
+}
--- a/crates/runtime/src/logging.rs
+++ b/crates/runtime/src/logging.rs
@@ -11,6 +11,9 @@
     exit::{Blame, FAILED},
 };
 
+/// A library that logs each of the server's time limits as an error.
+const QUIET: &str = "tiny_http";
+
 /// The form of a log line.
 #[derive(Debug, Clone, Copy, Default, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -95,6 +98,7 @@
     let id = id.to_owned();
     let mut dispatch = fern::Dispatch::new()
         .level(level)
+        .level_for(QUIET, LevelFilter::Off)
         .format(move |out, message, record| {
             let (ms, level) = (wall_ms(), record.level().as_str());
             match format {
--- a/crates/sched/src/shard_thread.rs
+++ b/crates/sched/src/shard_thread.rs
@@ -7,7 +7,7 @@
     Millis,
     member::ShardClaim,
     owner::Tenure,
-    shard::{Action, Event, JobKey, JobStatus, Machine, WorkerInfo},
+    shard::{Action, Event, JobKey, JobStatus, Machine},
 };
 use gorsespur_peer::{ShardAt, Shared};
 use gorsespur_replay::Recorder;
@@ -168,20 +168,27 @@
         let changes = self.shared.list_changes();
         if changes > 0 && desk.list != Some(changes) {
             desk.list = Some(changes);
-            let workers = self.workers();
-            self.step(now, &Event::Workers(workers), desk);
+            let event = self.workers();
+            self.step(now, &event, desk);
         }
     }
 
-    fn workers(&self) -> Vec<WorkerInfo> {
-        let list = self.shared.list();
-        let mut out = Vec::new();
-        for w in &list.workers {
+    /// Returns the workers of the shard, and how many each shard has.
+    fn workers(&self) -> Event {
+        let known = self.shared.list();
+        let shards = self.shared.settings.layout.shards();
+        let mut list = Vec::new();
+        let mut counts = vec![0; shards.len()];
+        for w in &known.workers {
             if self.at.has_worker(&w.zone, &w.name) {
-                out.push(w.clone());
+                list.push(w.clone());
+            }
+            let home = shards.iter().position(|s| s.has_worker(&w.zone, &w.name));
+            if let Some(i) = home.filter(|_| !w.leaving) {
+                counts[i] += 1;
             }
         }
-        out
+        Event::Workers { list, counts }
     }
 
     fn step(&mut self, now: Millis, event: &Event, desk: &mut Desk) {
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -24,5 +24,5 @@
 pub use platform_http::{Gate, serve_platform};
 pub use sim::{SimSettings, SimWorker};
 pub use slowdown::Slowdown;
-pub use target::TargetLoad;
+pub use target::{TargetLoad, answer_body};
 pub use worker_http::{WorkerStand, serve_worker};
--- a/crates/stand/src/worker_http.rs
+++ b/crates/stand/src/worker_http.rs
@@ -134,7 +134,7 @@
     req: &Incoming,
 ) -> Reply {
     let segments = req.segments();
-    let service = segments.get(1).copied().unwrap_or("");
+    let service = segments.get(2).copied().unwrap_or("");
     let view = {
         let sim = lock(sim);
         TargetView {
