Test the promises of a shard under every fault, pair and interleaving

Cause: nothing yet tried to break the promises. Cause found: the stand-in wrote the end of a lapsed lease when it noticed, after the pause, although nothing ran in between; the ledger now gets the end of the lease. Ruled out: a renewal during the pause (the owner's basis stayed).

--- /dev/null
+++ b/crates/core/tests/common/owner.rs
@@ -0,0 +1,23 @@
+//! An owner: a machine, its lease and what it has not written yet.
+
+use std::collections::VecDeque;
+
+use gorsespur_core::{
+    owner::Tenure,
+    shard::{Machine, Record},
+};
+
+/// An instance that owns the shard, or believes so.
+pub struct Owner {
+    pub machine: Machine,
+    pub tenure: Tenure,
+    pub epoch: u64,
+    /// Version of the row that its next write expects.
+    pub version: u64,
+    pub backlog: VecDeque<Record>,
+    pub renewed: u64,
+    pub paused: bool,
+    pub dead: bool,
+    pub store_cut: bool,
+    pub orgs_known: bool,
+}
--- /dev/null
+++ b/crates/core/tests/faults.rs
@@ -0,0 +1,69 @@
+//! Each fault of the brief alone, twice in a row, and beside every other.
+
+mod common;
+
+use common::{Fault, World, WorldSettings, check_promises, done_counts, spec};
+use gorsespur_core::template::Priority;
+use test_case::test_case;
+
+/// Time between two faults.
+const GAPS: [u64; 3] = [0, 700, 5_000];
+
+/// Longest virtual time for everything to end after the last fault.
+const LIMIT: u64 = 240_000;
+
+fn busy_world(seed: u64) -> World {
+    let mut world = World::new(WorldSettings {
+        seed,
+        ..WorldSettings::default()
+    });
+    for i in 0..10 {
+        let priority = if i % 3 == 0 {
+            Priority::Bulk
+        } else {
+            Priority::Normal
+        };
+        world.submit(spec(&format!("job{i}"), 2, 3_000 + i * 500, priority));
+    }
+    world.run(1_500);
+    world
+}
+
+fn survive(faults: &[Fault], gap: u64) {
+    let mut world = busy_world(gap + faults.len() as u64);
+    for (i, fault) in faults.iter().enumerate() {
+        world.strike(*fault, i + 1);
+        world.run(gap);
+    }
+    let finished = world.run_until_finished(LIMIT);
+    world.heal();
+    world.run(3_000);
+    check_promises(&world);
+    assert!(finished, "not finished after {faults:?} with gap {gap}");
+    done_counts(&world);
+}
+
+#[test_case(Fault::OwnerDies)]
+#[test_case(Fault::OwnerPaused)]
+#[test_case(Fault::StoreDown)]
+#[test_case(Fault::OwnerCutFromStore)]
+#[test_case(Fault::WorkerDies)]
+#[test_case(Fault::WorkerReboots)]
+#[test_case(Fault::WorkerCut)]
+#[test_case(Fault::WorkerPaused)]
+#[test_case(Fault::AnswersLost)]
+#[test_case(Fault::RequestsLate)]
+#[test_case(Fault::RequestsTwice)]
+#[test_case(Fault::WorkerFailsAll)]
+#[test_case(Fault::WorkerLeaves)]
+#[test_case(Fault::Cancels)]
+#[test_case(Fault::UrgentComes)]
+fn alone_twice_and_with_every_other(fault: Fault) {
+    survive(&[fault], 0);
+    for gap in GAPS {
+        survive(&[fault, fault], gap);
+        for other in Fault::ALL {
+            survive(&[fault, other], gap);
+        }
+    }
+}
--- a/crates/stand/src/ledger.rs
+++ b/crates/stand/src/ledger.rs
@@ -4,9 +4,13 @@
     fs::{File, OpenOptions},
     io::Write,
     path::{Path, PathBuf},
-    sync::{Mutex, PoisonError},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
+use gorsespur_runtime::clock::wall_ms;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
@@ -69,6 +73,7 @@
 /// Appends entries to a file, or keeps them in memory.
 #[derive(Debug, Default)]
 pub struct Ledger {
+    time: AtomicU64,
     file: Option<Mutex<File>>,
     memory: Mutex<Vec<Entry>>,
 }
@@ -82,11 +87,25 @@
         let file = OpenOptions::new().create(true).append(true).open(path);
         let file = file.context(FileSnafu { path })?;
         Ok(Ledger {
+            time: AtomicU64::new(0),
             file: Some(Mutex::new(file)),
             memory: Mutex::default(),
         })
     }
 
+    /// Sets the time of the entries to come, where no real time passes.
+    pub fn set_time(&self, ms: u64) {
+        self.time.store(ms, Ordering::Release);
+    }
+
+    /// Returns the time for an entry: the one that was set, or the wall's.
+    pub fn now(&self) -> u64 {
+        match self.time.load(Ordering::Acquire) {
+            0 => wall_ms(),
+            ms => ms,
+        }
+    }
+
     /// Appends an entry.
     pub fn add(&self, entry: Entry) {
         let Some(file) = &self.file else {
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -76,7 +76,6 @@
             strength: args.strength,
             shift: 0,
         },
-        own_clock: false,
     };
     let objects = HttpObjects::new(args.objects, CHECKPOINT);
     let checkpoints = Arc::new(StoredCheckpoints::new(objects));
--- a/crates/stand/src/sim.rs
+++ b/crates/stand/src/sim.rs
@@ -13,7 +13,6 @@
     },
     size::Size,
 };
-use gorsespur_runtime::clock::wall_ms;
 
 use crate::{Checkpoints, Entry, Ledger, Slowdown, What, WorkerFaults};
 
@@ -30,8 +29,6 @@
     pub lag: Millis,
     /// Hidden slowdowns.
     pub slowdown: Slowdown,
-    /// Whether ledger entries carry the worker's clock instead of the wall's.
-    pub own_clock: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -57,6 +54,7 @@
     ended: Vec<EndReport>,
     samples: VecDeque<(Millis, Sample)>,
     sampled: Millis,
+    late: Millis,
 }
 
 impl SimWorker {
@@ -81,6 +79,7 @@
             ended: Vec::new(),
             samples: VecDeque::new(),
             sampled: 0,
+            late: 0,
         };
         worker.note(What::Boot, "", "", false);
         worker
@@ -263,6 +262,9 @@
     }
 
     /// Stops the tasks whose leases lapsed.
+    ///
+    /// A worker that was paused with its tasks notices late; nothing ran in
+    /// between, so that the ledger gets the end of the lease.
     fn lapse(&mut self) {
         let mut i = 0;
         while i < self.runs.len() {
@@ -270,7 +272,10 @@
                 i += 1;
                 continue;
             }
+            let late = self.clock - self.runs[i].lease_end;
+            self.late = late;
             self.stop(i, true);
+            self.late = 0;
         }
     }
 
@@ -330,11 +335,8 @@
     }
 
     fn note(&self, what: What, name: &str, attempt: &str, service: bool) {
-        let ms = if self.settings.own_clock {
-            self.clock
-        } else {
-            wall_ms()
-        };
+        let now = self.ledger.now();
+        let ms = now.saturating_sub(self.late);
         self.ledger.add(Entry {
             ms,
             worker: self.settings.name.to_string(),
