--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,516 @@
+//! Routing: edges of the policy, and invariants over random interleavings.
+
+use gorsespur_core::{
+    route::{
+        Arrival, Outcome, Refusal, RouteAction, RouteEvent, RoutePolicy, RouteSettings, Router,
+        TargetList, TryEnd,
+    },
+    shard::TargetInfo,
+    template::Priority,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use test_case::test_case;
+
+/// Start of virtual time.
+const START: u64 = 1_000_000;
+
+fn target(i: usize) -> TargetInfo {
+    TargetInfo {
+        org: "weld".into(),
+        service: "check".into(),
+        worker: format!("w{i:02}").into(),
+        addr: ([127, 0, 0, 1], 1_000 + i as u16).into(),
+        slots: 8,
+        connections: 60,
+        leaving: false,
+    }
+}
+
+fn list(version: u64, near: bool, targets: Vec<TargetInfo>) -> RouteEvent {
+    RouteEvent::Targets(TargetList {
+        shard: u32::from(!near),
+        epoch: 1,
+        version,
+        near,
+        targets,
+    })
+}
+
+fn arrival(req: u64, now: u64) -> Arrival {
+    Arrival {
+        req,
+        org: "weld".into(),
+        service: "check".into(),
+        priority: Priority::Normal,
+        deadline: now + 1_000,
+        repeatable: true,
+        queue: 64,
+        retries: 10,
+    }
+}
+
+fn router(targets: usize) -> Router {
+    let mut router = Router::new(RouteSettings::default(), 1);
+    let all = (0..targets).map(target).collect();
+    router.step(START, &list(1, true, all));
+    router
+}
+
+fn sent(actions: &[RouteAction]) -> Vec<(u64, u32, String)> {
+    let mut out = Vec::new();
+    for a in actions {
+        if let RouteAction::Send {
+            req,
+            attempt,
+            worker,
+            ..
+        } = a
+        {
+            out.push((*req, *attempt, worker.to_string()));
+        }
+    }
+    out
+}
+
+fn refused(actions: &[RouteAction]) -> Vec<(u64, Outcome, Refusal)> {
+    let mut out = Vec::new();
+    for a in actions {
+        if let RouteAction::Refuse {
+            req, outcome, why, ..
+        } = a
+        {
+            out.push((*req, *outcome, *why));
+        }
+    }
+    out
+}
+
+fn ended(req: u64, attempt: u32, end: TryEnd) -> RouteEvent {
+    RouteEvent::Ended { req, attempt, end }
+}
+
+const OK: TryEnd = TryEnd::Answered {
+    took: 5,
+    busy: Some(1),
+};
+
+#[test]
+fn without_targets_a_request_is_refused_as_not_run() {
+    let mut router = Router::new(RouteSettings::default(), 1);
+    let out = router.step(START, &RouteEvent::Arrive(arrival(1, START)));
+    assert_eq!(refused(&out), [(1, Outcome::NotRun, Refusal::NoTarget)]);
+}
+
+#[test_case(true, TryEnd::NotSent, Some(Outcome::NotRun); "repeatable and not sent")]
+#[test_case(false, TryEnd::NotSent, Some(Outcome::NotRun); "once and not sent")]
+#[test_case(true, TryEnd::Failed, Some(Outcome::Unknown); "repeatable and failed")]
+#[test_case(false, TryEnd::Failed, Some(Outcome::Unknown); "once and failed")]
+fn what_a_caller_is_told_when_every_try_ends_so(
+    repeatable: bool,
+    end: TryEnd,
+    told: Option<Outcome>,
+) {
+    let mut router = router(8);
+    let mut a = arrival(1, START);
+    a.repeatable = repeatable;
+    let mut out = router.step(START, &RouteEvent::Arrive(a));
+    let mut tries = 0;
+    while let Some((req, attempt, _)) = sent(&out).first().cloned() {
+        tries += 1;
+        out = router.step(START + 1, &ended(req, attempt, end));
+    }
+    let got = refused(&out).first().map(|r| r.1);
+    assert_eq!(got, told);
+    let safe = repeatable || end == TryEnd::NotSent;
+    assert_eq!(tries, if safe { 3 } else { 1 });
+}
+
+#[test]
+fn a_try_that_failed_makes_later_proofs_worthless() {
+    let mut router = router(8);
+    let out = router.step(START, &RouteEvent::Arrive(arrival(1, START)));
+    let (req, attempt, _) = sent(&out)[0].clone();
+    let mut out = router.step(START, &ended(req, attempt, TryEnd::Failed));
+    while let Some((req, attempt, _)) = sent(&out).first().cloned() {
+        out = router.step(START, &ended(req, attempt, TryEnd::NotSent));
+    }
+    assert_eq!(refused(&out)[0].1, Outcome::Unknown);
+}
+
+#[test]
+fn a_retry_goes_to_another_target() {
+    let mut router = router(2);
+    let out = router.step(START, &RouteEvent::Arrive(arrival(1, START)));
+    let first = sent(&out)[0].clone();
+    let out = router.step(START, &ended(1, first.1, TryEnd::NotSent));
+    assert_ne!(sent(&out)[0].2, first.2);
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_new() {
+    let mut router = router(3);
+    router.step(START, &RouteEvent::Leaving(vec!["w01".into()]));
+    for req in 0..50 {
+        let out = router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+        for (req, attempt, worker) in sent(&out) {
+            assert_ne!(worker, "w01");
+            router.step(START, &ended(req, attempt, OK));
+        }
+    }
+}
+
+#[test]
+fn a_target_that_says_it_leaves_gets_nothing_new() {
+    let mut router = router(2);
+    let out = router.step(START, &RouteEvent::Arrive(arrival(0, START)));
+    let (req, attempt, gone) = sent(&out)[0].clone();
+    let end = TryEnd::Declined {
+        busy: None,
+        leaving: true,
+    };
+    router.step(START, &ended(req, attempt, end));
+    for req in 1..30 {
+        let out = router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+        for (req, attempt, worker) in sent(&out) {
+            assert_ne!(worker, gone);
+            router.step(START, &ended(req, attempt, OK));
+        }
+    }
+}
+
+#[test]
+fn a_fair_share_of_the_slots_is_never_exceeded_without_a_report() {
+    let mut router = router(2);
+    router.step(START, &RouteEvent::Entries(3));
+    let mut count = 0;
+    for req in 0..40 {
+        let out = router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+        count += sent(&out).len();
+    }
+    assert_eq!(count, 2 * 3, "two targets with 8 slots among 3 entries");
+}
+
+#[test]
+fn free_slots_are_used_while_their_report_is_fresh() {
+    let mut router = router(1);
+    router.step(START, &RouteEvent::Entries(3));
+    let out = router.step(START, &RouteEvent::Arrive(arrival(0, START)));
+    router.step(START, &ended(0, sent(&out)[0].1, OK));
+    let mut count = 0;
+    for req in 1..40 {
+        let out = router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+        count += sent(&out).len();
+    }
+    assert_eq!(count, 8);
+}
+
+#[test]
+fn far_targets_are_used_only_when_near_ones_are_full() {
+    let mut router = router(1);
+    let mut far = target(7);
+    far.worker = "far".into();
+    router.step(START, &list(1, false, vec![far]));
+    let mut workers = Vec::new();
+    for req in 0..9 {
+        let out = router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+        workers.extend(sent(&out).into_iter().map(|s| s.2));
+    }
+    assert!(workers[..8].iter().all(|w| w == "w00"));
+    assert_eq!(workers[8], "far");
+}
+
+#[test]
+fn urgent_goes_before_normal_before_bulk() {
+    let mut router = router(1);
+    for req in 0..8 {
+        router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+    }
+    for (req, priority) in [
+        (10, Priority::Bulk),
+        (11, Priority::Normal),
+        (12, Priority::Urgent),
+    ] {
+        let mut a = arrival(req, START);
+        a.priority = priority;
+        assert!(router.step(START, &RouteEvent::Arrive(a)).is_empty());
+    }
+    let mut order = Vec::new();
+    for req in 0..3 {
+        let out = router.step(START + 2, &ended(req, 1, OK));
+        order.extend(sent(&out).into_iter().map(|s| s.0));
+    }
+    assert_eq!(order, [12, 11, 10]);
+}
+
+#[test]
+fn a_full_queue_gives_up_the_lowest_priority() {
+    let mut router = router(1);
+    for req in 0..8 {
+        router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+    }
+    let mut bulk = arrival(10, START);
+    bulk.priority = Priority::Bulk;
+    bulk.queue = 1;
+    router.step(START, &RouteEvent::Arrive(bulk));
+    let mut urgent = arrival(11, START);
+    urgent.priority = Priority::Urgent;
+    urgent.queue = 1;
+    let out = router.step(START, &RouteEvent::Arrive(urgent));
+    assert_eq!(refused(&out), [(10, Outcome::NotRun, Refusal::QueueFull)]);
+    let mut second = arrival(12, START);
+    second.queue = 1;
+    let out = router.step(START, &RouteEvent::Arrive(second));
+    assert_eq!(refused(&out), [(12, Outcome::NotRun, Refusal::QueueFull)]);
+}
+
+#[test]
+fn what_can_not_be_met_in_time_is_refused_at_once() {
+    let mut router = router(1);
+    for req in 0..8 {
+        router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+    }
+    let mut a = arrival(10, START);
+    a.deadline = START + 2;
+    let out = router.step(START, &RouteEvent::Arrive(a));
+    assert_eq!(refused(&out), [(10, Outcome::NotRun, Refusal::TooLate)]);
+}
+
+#[test]
+fn a_waiting_request_is_given_up_when_its_time_runs_out() {
+    let mut router = router(1);
+    for req in 0..8 {
+        router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+    }
+    router.step(START, &RouteEvent::Arrive(arrival(10, START)));
+    let out = router.step(START + 998, &RouteEvent::Tick);
+    assert_eq!(refused(&out), [(10, Outcome::NotRun, Refusal::TooLate)]);
+}
+
+#[test]
+fn an_organisation_has_its_share_of_an_entry() {
+    let mut router = Router::new(
+        RouteSettings {
+            share: 10,
+            ..RouteSettings::default()
+        },
+        1,
+    );
+    router.step(START, &list(1, true, (0..8).map(target).collect()));
+    let mut over = 0;
+    for req in 0..12 {
+        let out = router.step(START, &RouteEvent::Arrive(arrival(req, START)));
+        over += refused(&out)
+            .iter()
+            .filter(|r| r.2 == Refusal::OverShare)
+            .count();
+    }
+    assert_eq!(over, 2);
+}
+
+#[test]
+fn an_older_list_changes_nothing() {
+    let mut router = router(3);
+    router.step(START, &list(5, true, vec![target(0)]));
+    router.step(START, &list(4, true, vec![target(1), target(2)]));
+    assert_eq!(router.targets("weld", "check").len(), 1);
+}
+
+/// Runs requests one after another against targets of which `bad` always fail.
+fn run_with_failures(policy: RoutePolicy, requests: u64) -> (u64, u64) {
+    let settings = RouteSettings {
+        policy,
+        hedges: 0,
+        ..RouteSettings::default()
+    };
+    let mut router = Router::new(settings, 3);
+    router.step(START, &list(1, true, (0..18).map(target).collect()));
+    let (mut tries, mut ok) = (0, 0);
+    for req in 0..requests {
+        let now = START + req * 2;
+        router.step(now, &RouteEvent::Tick);
+        let mut out = router.step(now, &RouteEvent::Arrive(arrival(req, now)));
+        while let Some((req, attempt, worker)) = sent(&out).first().cloned() {
+            tries += 1;
+            let number: usize = worker[1..].parse().expect("a number");
+            let end = if number < 6 { TryEnd::Failed } else { OK };
+            ok += u64::from(number >= 6);
+            out = router.step(now, &ended(req, attempt, end));
+        }
+    }
+    (tries, ok)
+}
+
+#[test]
+fn with_a_third_of_the_targets_failing_tries_stay_under_1_2_a_request() {
+    let (tries, ok) = run_with_failures(RoutePolicy::TwoChoices, 5_000);
+    assert!(tries * 10 < 5_000 * 12, "{tries} tries");
+    assert!(ok * 100 >= 5_000 * 99, "{ok} answered");
+    let (plain, _) = run_with_failures(RoutePolicy::RoundRobin, 5_000);
+    assert!(plain > tries, "the baseline makes {plain} tries");
+}
+
+#[test]
+fn hedges_stay_within_their_budget() {
+    let mut router = router(18);
+    let mut second = 0;
+    for req in 0..2_000 {
+        let now = START + req;
+        let out = router.step(now, &RouteEvent::Arrive(arrival(req, now)));
+        let first = sent(&out)[0].clone();
+        let out = router.step(now, &RouteEvent::Hedge { req });
+        second += sent(&out).len();
+        router.step(now, &ended(req, first.1, OK));
+        for s in sent(&out) {
+            router.step(now, &ended(req, s.1, OK));
+        }
+    }
+    assert!(
+        (30..=60).contains(&second),
+        "{second} of 2000 at 20 in a thousand"
+    );
+    assert_eq!(router.open(), 0);
+}
+
+#[derive(Debug, Clone)]
+enum Op {
+    Arrive(bool, u8, u64),
+    End(usize, u8),
+    Hedge(usize),
+    Wait(u64),
+    Leave(u8),
+    Entries(u32),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        5 => (any::<bool>(), 0..3u8, 1..400u64).prop_map(|(r, p, d)| Op::Arrive(r, p, d)),
+        5 => (any::<usize>(), 0..5u8).prop_map(|(i, e)| Op::End(i, e)),
+        1 => any::<usize>().prop_map(Op::Hedge),
+        2 => (1..200u64).prop_map(Op::Wait),
+        1 => (0..5u8).prop_map(Op::Leave),
+        1 => (1..5u32).prop_map(Op::Entries),
+    ]
+}
+
+fn end_of(kind: u8) -> TryEnd {
+    match kind {
+        0 | 1 => OK,
+        2 => TryEnd::NotSent,
+        3 => TryEnd::Declined {
+            busy: Some(8),
+            leaving: false,
+        },
+        _ => TryEnd::Failed,
+    }
+}
+
+fn config() -> Config {
+    let cases = std::env::var("PROPTEST_CASES")
+        .ok()
+        .and_then(|c| c.parse().ok());
+    Config {
+        cases: cases.unwrap_or(256),
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..Config::default()
+    }
+}
+
+/// What a test knows of a request.
+#[derive(Debug, Clone, Default)]
+struct Seen {
+    once: bool,
+    open: Vec<(u32, String)>,
+    may_have_run: bool,
+    told: Option<Outcome>,
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn requests_run_at_most_once_and_end_once(ops in prop::collection::vec(op(), 1..200)) {
+        let mut router = router(4);
+        let mut now = START;
+        let mut seen: Vec<Seen> = Vec::new();
+        let mut leaving: Vec<String> = Vec::new();
+        for op in ops {
+            let event = match op {
+                Op::Arrive(repeatable, priority, deadline) => {
+                    let mut a = arrival(seen.len() as u64, now);
+                    a.repeatable = repeatable;
+                    a.priority = Priority::ALL[usize::from(priority)];
+                    a.deadline = now + deadline;
+                    a.queue = 3;
+                    seen.push(Seen { once: !repeatable, ..Seen::default() });
+                    RouteEvent::Arrive(a)
+                }
+                Op::End(i, kind) => {
+                    let busy: Vec<usize> =
+                        (0..seen.len()).filter(|r| !seen[*r].open.is_empty()).collect();
+                    if busy.is_empty() { continue }
+                    let req = busy[i % busy.len()];
+                    let (attempt, _) = seen[req].open.remove(0);
+                    let end = end_of(kind);
+                    match end {
+                        TryEnd::Answered { .. } => {
+                            seen[req].may_have_run = true;
+                            seen[req].told.get_or_insert(Outcome::Ran);
+                        }
+                        TryEnd::Failed => seen[req].may_have_run = true,
+                        TryEnd::NotSent | TryEnd::Declined { .. } => {}
+                    }
+                    ended(req as u64, attempt, end)
+                }
+                Op::Hedge(i) => {
+                    if seen.is_empty() { continue }
+                    RouteEvent::Hedge { req: (i % seen.len()) as u64 }
+                }
+                Op::Wait(time) => { now += time; RouteEvent::Tick }
+                Op::Leave(w) => {
+                    leaving.push(format!("w{w:02}"));
+                    RouteEvent::Leaving(leaving.iter().map(|l| (**l).into()).collect())
+                }
+                Op::Entries(n) => RouteEvent::Entries(n),
+            };
+            let out = router.step(now, &event);
+            for (req, attempt, worker) in sent(&out) {
+                let s = &mut seen[req as usize];
+                prop_assert!(!leaving.contains(&worker), "sent to a leaving target");
+                prop_assert!(s.told.is_none(), "sent after its end");
+                prop_assert!(!s.once || (!s.may_have_run && s.open.is_empty()), "may run twice");
+                s.open.push((attempt, worker));
+            }
+            for (req, outcome, _) in refused(&out) {
+                let s = &mut seen[req as usize];
+                prop_assert!(s.told.is_none(), "ended twice");
+                prop_assert!(outcome != Outcome::NotRun || !s.may_have_run, "false not-run");
+                prop_assert!(outcome != Outcome::NotRun || s.open.is_empty(), "may still run");
+                s.told = Some(outcome);
+            }
+        }
+        for req in 0..seen.len() {
+            while !seen[req].open.is_empty() {
+                let (attempt, _) = seen[req].open.remove(0);
+                let out = router.step(now, &ended(req as u64, attempt, OK));
+                seen[req].told.get_or_insert(Outcome::Ran);
+                for (r, a, w) in sent(&out) {
+                    seen[r as usize].open.push((a, w));
+                }
+                for (r, outcome, _) in refused(&out) {
+                    seen[r as usize].told.get_or_insert(outcome);
+                }
+            }
+        }
+        for round in 0..seen.len() {
+            let out = router.step(now + 10_000 + round as u64, &RouteEvent::Tick);
+            for (r, outcome, _) in refused(&out) {
+                seen[r as usize].told.get_or_insert(outcome);
+            }
+        }
+        prop_assert_eq!(router.waiting(), 0);
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/journal.rs
@@ -0,0 +1,280 @@
+//! Contract of the journal: appended once, in order, by one owner.
+
+use std::sync::Arc;
+
+use gorsespur_core::{
+    name::Name,
+    owner::ShardRow,
+    shard::{Book, JobKey, JobSpec, Record},
+    size::Size,
+    template::Priority,
+};
+use gorsespur_platform::{
+    Objects, Table,
+    fake::{FakePlatform, Fault},
+};
+use gorsespur_runtime::{cancel::Cancel, clock::Clock};
+use gorsespur_sched::{
+    journal::{Batch, Journal, JournalError, Taker},
+    recover,
+};
+use gorsespur_wire::{
+    codec::{decode, encode},
+    keys,
+    stored::Snapshot,
+};
+use test_case::test_case;
+
+fn shard() -> Name {
+    "zone.0".into()
+}
+
+fn taker(id: &str) -> Taker {
+    Taker {
+        id: id.into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        hold: 1_000,
+        clock: Clock::new(),
+    }
+}
+
+fn spec(id: &str) -> JobSpec {
+    JobSpec {
+        key: JobKey {
+            org: "weld".into(),
+            id: id.into(),
+        },
+        kind: "renewal".into(),
+        team: "certification".into(),
+        tasks: 1,
+        size: Size::new(1_000, 1 << 30, 0),
+        run: 1_000,
+        priority: Priority::Normal,
+        checkpoint: false,
+        attempts: 3,
+        service: false,
+    }
+}
+
+fn batch(first: u64, ids: &[&str]) -> Batch {
+    Batch {
+        first,
+        records: ids.iter().map(|id| Record::Submitted(spec(id))).collect(),
+        finished: Vec::new(),
+    }
+}
+
+fn row(platform: &FakePlatform) -> (ShardRow, u64) {
+    let rows = Table::get(platform, &[keys::shard(&shard())]).expect("the platform is up");
+    let row = rows[0].as_ref().expect("the shard has a row");
+    (
+        decode(&row.value).expect("the row is well-formed"),
+        row.version,
+    )
+}
+
+fn take(platform: &Arc<FakePlatform>, id: &str) -> Journal {
+    let rows = Table::get(platform.as_ref(), &[keys::shard(&shard())]).expect("the platform is up");
+    let found = rows[0]
+        .as_ref()
+        .map(|r| decode::<ShardRow>(&r.value).expect("well-formed"));
+    let version = rows[0].as_ref().map_or(0, |r| r.version);
+    let table: Arc<dyn Table> = platform.clone();
+    let journal = Journal::take(
+        table,
+        &shard(),
+        found.as_ref(),
+        version,
+        &taker(id),
+        &Cancel::new(),
+    );
+    journal.expect("the shard is free to take")
+}
+
+fn recovered(platform: &FakePlatform) -> Book {
+    let (row, _) = row(platform);
+    recover(platform, platform, &shard(), &row).expect("the shard recovers")
+}
+
+#[test_case(&[Fault::None]; "no fault")]
+#[test_case(&[Fault::Down]; "down once")]
+#[test_case(&[Fault::Down, Fault::Down]; "down twice")]
+#[test_case(&[Fault::LostAnswer]; "answer lost")]
+#[test_case(&[Fault::LostAnswer, Fault::Down]; "answer lost and read back fails")]
+#[test_case(&[Fault::LostAnswer, Fault::Down, Fault::LostAnswer]; "answer lost, read fails, repeated and lost")]
+#[test_case(&[Fault::Delayed]; "write takes effect before the repeat")]
+#[test_case(&[Fault::Delayed, Fault::Down]; "write delayed and read back fails")]
+#[test_case(&[Fault::Delayed, Fault::None, Fault::Delayed]; "delayed twice")]
+#[test_case(&[Fault::Down, Fault::LostAnswer]; "down, then answer lost")]
+fn an_append_takes_effect_once(faults: &[Fault]) {
+    let platform = Arc::new(FakePlatform::new());
+    let mut journal = take(&platform, "a");
+    platform.fail_next(faults);
+    journal
+        .append(&batch(0, &["one", "two"]), 1_000, &Cancel::new())
+        .expect("appended");
+    journal
+        .append(&batch(2, &["three"]), 1_000, &Cancel::new())
+        .expect("appended");
+    assert_eq!(platform.count("journal/"), 2);
+    let book = recovered(&platform);
+    let ids: Vec<&str> = book.jobs().iter().map(|j| &*j.spec.key.id).collect();
+    assert_eq!(ids, ["one", "two", "three"]);
+}
+
+#[test]
+fn a_stale_owner_can_not_append() {
+    let platform = Arc::new(FakePlatform::new());
+    let mut old = take(&platform, "a");
+    let mut new = take(&platform, "b");
+    assert_eq!(new.row().epoch, old.row().epoch + 1);
+    let lost = old.append(&batch(0, &["stale"]), 1_000, &Cancel::new());
+    assert_eq!(lost, Err(JournalError::Fenced));
+    new.append(&batch(0, &["fresh"]), 1_000, &Cancel::new())
+        .expect("appended");
+    assert_eq!(recovered(&platform).jobs().len(), 1);
+}
+
+#[test]
+fn a_stale_owners_delayed_write_has_no_effect() {
+    let platform = Arc::new(FakePlatform::new());
+    let mut old = take(&platform, "a");
+    platform.fail_next(&[Fault::Delayed]);
+    let cancel = Cancel::new();
+    cancel.cancel();
+    let gave_up = old.append(&batch(0, &["late"]), 1_000, &cancel);
+    assert_eq!(gave_up, Err(JournalError::GaveUp));
+    let (found, version) = row(&platform);
+    // The delayed write takes effect just before the takeover, which then
+    // expects a version that is gone, reads again and finds the record.
+    let table: Arc<dyn Table> = platform.clone();
+    let beaten = Journal::take(
+        table,
+        &shard(),
+        Some(&found),
+        version,
+        &taker("b"),
+        &Cancel::new(),
+    );
+    assert_eq!(beaten.err(), Some(JournalError::Fenced));
+    let mut new = take(&platform, "b");
+    assert_eq!(new.row().next, 1);
+    new.append(&batch(1, &["next"]), 1_000, &Cancel::new())
+        .expect("appended");
+    assert_eq!(recovered(&platform).jobs().len(), 2);
+}
+
+#[test]
+fn one_of_two_takers_wins() {
+    let platform = Arc::new(FakePlatform::new());
+    drop(take(&platform, "a"));
+    let (found, version) = row(&platform);
+    let table: Arc<dyn Table> = platform.clone();
+    let first = Journal::take(
+        table.clone(),
+        &shard(),
+        Some(&found),
+        version,
+        &taker("b"),
+        &Cancel::new(),
+    );
+    let second = Journal::take(
+        table,
+        &shard(),
+        Some(&found),
+        version,
+        &taker("c"),
+        &Cancel::new(),
+    );
+    assert!(first.is_ok());
+    assert_eq!(second.err(), Some(JournalError::Fenced));
+}
+
+#[test]
+fn a_takeover_keeps_the_longer_hold() {
+    let platform = Arc::new(FakePlatform::new());
+    let mut old = take(&platform, "a");
+    old.renew(9_000, &Cancel::new()).expect("renewed");
+    assert_eq!(take(&platform, "b").row().hold, 9_000);
+}
+
+#[test]
+fn a_snapshot_cuts_the_journal() {
+    let platform = Arc::new(FakePlatform::new());
+    let mut journal = take(&platform, "a");
+    let cancel = Cancel::new();
+    journal
+        .append(&batch(0, &["one", "two"]), 1_000, &cancel)
+        .expect("appended");
+    journal
+        .append(&batch(2, &["three"]), 1_000, &cancel)
+        .expect("appended");
+    let before = recovered(&platform);
+    let snapshot = Snapshot {
+        next: 3,
+        book: before.clone(),
+    };
+    let bytes = encode(&snapshot).expect("encodes");
+    let written = journal.snapshot(platform.as_ref(), 3, &bytes, &cancel);
+    assert!(written.expect("owned").is_ok());
+    assert_eq!(platform.count("journal/"), 0);
+    assert_eq!(recovered(&platform), before);
+    journal
+        .append(&batch(3, &["four"]), 1_000, &cancel)
+        .expect("appended");
+    assert_eq!(recovered(&platform).jobs().len(), 4);
+}
+
+#[test]
+fn without_the_object_store_the_journal_stays() {
+    let platform = Arc::new(FakePlatform::new());
+    let mut journal = take(&platform, "a");
+    let cancel = Cancel::new();
+    journal
+        .append(&batch(0, &["one"]), 1_000, &cancel)
+        .expect("appended");
+    platform.fail_next(&[Fault::Down]);
+    let written = journal.snapshot(platform.as_ref(), 1, b"", &cancel);
+    assert!(written.expect("owned").is_err());
+    assert_eq!(platform.count("journal/"), 1);
+    assert_eq!(recovered(&platform).jobs().len(), 1);
+}
+
+#[test]
+fn a_missing_row_is_noticed() {
+    let platform = Arc::new(FakePlatform::new());
+    let mut journal = take(&platform, "a");
+    let cancel = Cancel::new();
+    journal
+        .append(&batch(0, &["one"]), 1_000, &cancel)
+        .expect("appended");
+    journal
+        .append(&batch(1, &["two"]), 1_000, &cancel)
+        .expect("appended");
+    let tx = gorsespur_wire::table::Tx::new().delete(keys::journal(&shard(), 0));
+    platform.tx(&tx).expect("deleted");
+    let (row, _) = row(&platform);
+    assert!(recover(platform.as_ref(), platform.as_ref(), &shard(), &row).is_err());
+}
+
+#[test]
+fn an_append_takes_its_jobs_out_of_the_inbox() {
+    let platform = Arc::new(FakePlatform::new());
+    let mut journal = take(&platform, "a");
+    let key = keys::inbox(&shard(), &spec("one").key);
+    let tx = gorsespur_wire::table::Tx::new().put(key, Vec::new());
+    platform.tx(&tx).expect("written");
+    journal
+        .append(&batch(0, &["one"]), 1_000, &Cancel::new())
+        .expect("appended");
+    assert_eq!(platform.count("inbox/"), 0);
+}
+
+#[test]
+fn a_released_shard_names_no_owner() {
+    let platform = Arc::new(FakePlatform::new());
+    let mut journal = take(&platform, "a");
+    journal.release(&Cancel::new()).expect("released");
+    assert_eq!(row(&platform).0.owner, None);
+    assert!(platform.delete("x").is_ok());
+}
