--- a/crates/core/src/place/pairs.rs
+++ b/crates/core/src/place/pairs.rs
@@ -104,6 +104,16 @@
         }
     }
 
+    /// Sets a term as if it were known for certain.
+    pub fn set(&mut self, victim: u16, other: u16, band: Band, adds: f32) {
+        let i = self.index(victim, other, band);
+        self.cells[i] = Cell {
+            adds,
+            weight: f32::MAX,
+            at: Millis::MAX,
+        };
+    }
+
     /// Learns from one sample: `slow` is 1 for a task as fast as alone.
     pub fn learn(&mut self, victim: u16, others: &[u16], band: Band, slow: f32, now: Millis) {
         if others.is_empty() || !slow.is_finite() {
--- a/crates/core/src/shard/effects.rs
+++ b/crates/core/src/shard/effects.rs
@@ -33,7 +33,7 @@
         if delay > 0 {
             self.queue.push_later(now + delay, priority, team, task);
         } else {
-            self.queue.push(priority, team, task);
+            self.queue.push(priority, team, task, now);
         }
         self.stirred = true;
     }
--- a/crates/core/src/shard/exchanges.rs
+++ b/crates/core/src/shard/exchanges.rs
@@ -16,11 +16,14 @@
 
 impl Machine {
     /// Sends an exchange to each worker that is due.
+    ///
+    /// An exchange of which nothing is heard for long does not hold up the next.
     pub(super) fn send_exchanges(&mut self, now: Millis) {
         for i in 0..self.workers.len() {
             let w = &self.workers[i];
             let wait = if w.dirty { GAP } else { self.settings.exchange };
-            if w.busy || now < w.sent_at + wait || w.addr.port() == 0 {
+            let busy = w.busy && now < w.sent_at + self.settings.silent;
+            if busy || now < w.sent_at + wait || w.addr.port() == 0 {
                 continue;
             }
             self.send_exchange(now, i);
--- a/crates/core/src/shard/learn.rs
+++ b/crates/core/src/shard/learn.rs
@@ -1,7 +1,7 @@
 //! Late samples.
 
 use super::{Machine, Sample, WorkerAnswer};
-use crate::{Millis, place::Band};
+use crate::{Millis, name::Name, place::Band};
 
 /// Share of a new sample in the running mean of a slowdown.
 const SHARE: f32 = 0.3;
@@ -17,6 +17,20 @@
         }
     }
 
+    /// Tells the machine what a neighbour adds; for measurements that compare
+    /// what was learned with what is there to learn.
+    pub fn teach(&mut self, victim: (&Name, &Name), other: (&Name, &Name), band: usize, adds: f32) {
+        let find = |m: &Machine, (org, kind): (&Name, &Name)| {
+            m.classes
+                .iter()
+                .position(|c| c.org == *org && c.kind == *kind)
+        };
+        let (Some(v), Some(o)) = (find(self, victim), find(self, other)) else {
+            return;
+        };
+        self.pairs.set(v as u16, o as u16, Band(band), adds);
+    }
+
     /// Matches a sample with what ran when it was measured.
     fn learn_one(&mut self, now: Millis, i: usize, sample: &Sample) {
         let slow = sample.slow as f32 / UNIT;
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -45,7 +45,7 @@
 };
 pub use job::{Job, JobKey, JobSpec, JobState};
 pub use machine::{Machine, ShardPlace, Takeover};
-pub use queue::{Queue, TaskRef};
+pub use queue::{Queue, Ready, TaskRef};
 pub use record::{End, Record};
 pub use resident::{Resident, StopWhy};
 pub use settings::ShardSettings;
--- a/crates/core/src/shard/place_tasks.rs
+++ b/crates/core/src/shard/place_tasks.rs
@@ -2,7 +2,9 @@
 
 use rand::Rng;
 
-use super::{AttemptId, Job, Machine, Record, Reserve, StopWhy, Task, TaskRef, TaskState, Worker};
+use super::{
+    AttemptId, Job, Machine, Ready, Record, Reserve, StopWhy, Task, TaskRef, TaskState, Worker,
+};
 use crate::{
     Millis,
     place::{Band, PlacePolicy},
@@ -31,6 +33,12 @@
 /// Added where the task failed before.
 const FAILED_HERE: f32 = 1_000.0;
 
+/// Weight of a team's use of its quota in the choice between lanes.
+const FAIRNESS: f64 = 0.5;
+
+/// What a second of waiting lowers the cost of a place by.
+const AGING: f64 = 0.01;
+
 /// Most that the observed size may exceed the declared one.
 const CORRECTION: u64 = 4;
 
@@ -45,15 +53,25 @@
     pub avoid: Vec<crate::name::Name>,
 }
 
-/// Lanes of a priority that still have something to place.
-struct Round {
-    lanes: Vec<u16>,
-    skipped: Vec<(u16, TaskRef)>,
+/// The first task of a lane that has a place.
+struct Head {
+    team: u16,
+    since: Millis,
+    wanted: Wanted,
+    worker: usize,
+    score: f32,
+}
+
+/// What is left over while a priority is placed.
+#[derive(Default)]
+struct Leftover {
+    tasks: Vec<(u16, Ready)>,
+    /// Sizes that fit nowhere.
     stuck: Vec<Size>,
 }
 
 impl Machine {
-    /// Gives queued tasks to workers: urgent first, teams by their use.
+    /// Gives queued tasks to workers: urgent first.
     pub(super) fn place_tasks(&mut self, now: Millis) {
         if !self.stirred && now < self.placed_at + RETRY {
             return;
@@ -62,51 +80,145 @@
         self.placed_at = now;
         let mut left = self.settings.batch;
         for priority in Priority::ALL {
-            let mut round = Round {
-                lanes: self.queue.teams(priority),
-                skipped: Vec::new(),
-                stuck: Vec::new(),
+            self.place_priority(now, priority, &mut left);
+        }
+        self.stirred |= left == 0;
+    }
+
+    /// Places the tasks of a priority.
+    ///
+    /// The first task of each lane looks for its best place; then the best of
+    /// these pairs is taken, so that scarce room goes to the task that suits
+    /// it. Only lanes whose place was taken look again.
+    fn place_priority(&mut self, now: Millis, priority: Priority, left: &mut usize) {
+        let mut over = Leftover::default();
+        let mut heads = Vec::new();
+        for team in self.queue.teams(priority) {
+            heads.extend(self.next_head(now, priority, team, &mut over));
+        }
+        while *left > 0 && !heads.is_empty() {
+            *left -= 1;
+            let best = self.best_head(now, &heads);
+            let head = heads.swap_remove(best);
+            let taken = head.worker;
+            self.start_task(now, &head);
+            let next = self.next_head(now, priority, head.team, &mut over);
+            let mut again = Vec::new();
+            for i in (0..heads.len()).rev() {
+                if heads[i].worker == taken {
+                    again.push(heads.swap_remove(i));
+                }
+            }
+            heads.extend(next);
+            for head in again {
+                let ready = Ready {
+                    task: head.wanted.task,
+                    since: head.since,
+                };
+                self.queue.push_front(priority, head.team, ready);
+                heads.extend(self.next_head(now, priority, head.team, &mut over));
+            }
+        }
+        for head in heads {
+            let ready = Ready {
+                task: head.wanted.task,
+                since: head.since,
+            };
+            self.queue.push_front(priority, head.team, ready);
+        }
+        for (team, ready) in over.tasks.into_iter().rev() {
+            self.queue.push_front(priority, team, ready);
+        }
+    }
+
+    /// Takes the first task of a lane that is still queued and has a place.
+    fn next_head(
+        &mut self,
+        now: Millis,
+        priority: Priority,
+        team: u16,
+        over: &mut Leftover,
+    ) -> Option<Head> {
+        let passed = over.tasks.iter().filter(|t| t.0 == team).count();
+        for _ in passed..LOOKAHEAD {
+            let (ready, wanted) = loop {
+                let ready = self.queue.pop(priority, team)?;
+                if let Some(wanted) = self.wanted(ready.task) {
+                    break (ready, wanted);
+                }
+            };
+            if !self.teams[usize::from(team)].allows(&wanted.size) {
+                over.tasks.push((team, ready));
+                return None;
+            }
+            let stuck = over.stuck.iter().any(|s| s.fits(&wanted.size));
+            let found = if stuck {
+                None
+            } else {
+                self.choose(now, &wanted)
             };
-            while left > 0 && !round.lanes.is_empty() {
-                left -= 1;
-                self.place_next(now, priority, &mut round);
+            if let Some((worker, score)) = found {
+                return Some(Head {
+                    team,
+                    since: ready.since,
+                    wanted,
+                    worker,
+                    score,
+                });
             }
-            for (team, task) in round.skipped.into_iter().rev() {
-                self.queue.push_front(priority, team, task);
+            if !wanted.service && !stuck {
+                over.stuck.push(wanted.size);
             }
+            self.consider_preempting(now, &wanted, ready.since);
+            over.tasks.push((team, ready));
         }
-        self.stirred |= left == 0;
+        None
     }
 
-    /// Takes one task of the lane whose team uses least.
-    fn place_next(&mut self, now: Millis, priority: Priority, round: &mut Round) {
+    /// Returns the head to be placed next.
+    ///
+    /// The baselines go by the teams' use and then by age. The learning policy
+    /// takes the pair with the lowest cost; age lowers it, so that no task
+    /// waits for ever for the place that suits it.
+    fn best_head(&self, now: Millis, heads: &[Head]) -> usize {
+        let learns = self.settings.policy == PlacePolicy::Interference;
+        let value = |h: &Head| {
+            let use_ = self.teams[usize::from(h.team)].load();
+            if !learns {
+                return (use_, h.since as f64);
+            }
+            let age = now.saturating_sub(h.since) as f64 / 1_000.0;
+            let value = f64::from(h.score) + FAIRNESS * use_ - AGING * age;
+            (value, h.since as f64)
+        };
         let mut best = 0;
-        for k in 1..round.lanes.len() {
-            let load = |k: usize| self.teams[usize::from(round.lanes[k])].load();
-            if load(k) < load(best) {
-                best = k;
+        for i in 1..heads.len() {
+            if value(&heads[i]) < value(&heads[best]) {
+                best = i;
             }
         }
-        let team = round.lanes[best];
-        let Some(task) = self.queue.pop(priority, team) else {
-            round.lanes.swap_remove(best);
+        best
+    }
+
+    fn start_task(&mut self, now: Millis, head: &Head) {
+        let Some(attempt) = self.next_attempt(head.wanted.task) else {
             return;
         };
-        let Some(wanted) = self.wanted(task) else {
-            return;
+        let worker = self.workers[head.worker].name.clone();
+        let size = head.wanted.size;
+        let record = Record::Started {
+            attempt,
+            worker,
+            size,
         };
-        let stuck = round.stuck.iter().any(|s| s.fits(&wanted.size));
-        let within = self.teams[usize::from(team)].allows(&wanted.size);
-        if within && !stuck && self.place_one(now, &wanted) {
-            return;
-        }
-        if within && !stuck && !wanted.service {
-            round.stuck.push(wanted.size);
-        }
-        round.skipped.push((team, task));
-        let passed = round.skipped.iter().filter(|s| s.0 == team).count();
-        if !within || passed >= LOOKAHEAD {
-            round.lanes.swap_remove(best);
+        self.record(now, record, 0);
+    }
+
+    /// Makes room for an urgent task that has waited in vain for some.
+    fn consider_preempting(&mut self, now: Millis, wanted: &Wanted, since: Millis) {
+        let urgent = wanted.priority == Priority::Urgent && !wanted.service;
+        if urgent && now >= since + self.settings.patience {
+            self.preempt(now, wanted);
         }
     }
 
@@ -142,26 +254,6 @@
         declared.most(&seen.least(&cap))
     }
 
-    fn place_one(&mut self, now: Millis, wanted: &Wanted) -> bool {
-        let Some(i) = self.choose(now, wanted) else {
-            if wanted.priority == Priority::Urgent && !wanted.service {
-                self.preempt(now, wanted);
-            }
-            return false;
-        };
-        let Some(next) = self.next_attempt(wanted.task) else {
-            return false;
-        };
-        let worker = self.workers[i].name.clone();
-        let record = Record::Started {
-            attempt: next,
-            worker,
-            size: wanted.size,
-        };
-        self.record(now, record, 0);
-        true
-    }
-
     fn next_attempt(&self, task: TaskRef) -> Option<AttemptId> {
         let job: &Job = self.book.job(task.job)?;
         let t: &Task = job.tasks.get(task.task as usize)?;
@@ -172,8 +264,8 @@
         })
     }
 
-    /// Returns the best worker with room, or nothing.
-    fn choose(&mut self, now: Millis, wanted: &Wanted) -> Option<usize> {
+    /// Returns the best worker with room and its score; lower is better.
+    fn choose(&mut self, now: Millis, wanted: &Wanted) -> Option<(usize, f32)> {
         let n = self.workers.len();
         if n <= FULL {
             return self.best(now, wanted, 0..n);
@@ -191,7 +283,7 @@
         now: Millis,
         wanted: &Wanted,
         candidates: impl Iterator<Item = usize>,
-    ) -> Option<usize> {
+    ) -> Option<(usize, f32)> {
         let mut best = None;
         let mut least = f32::INFINITY;
         for i in candidates {
@@ -216,7 +308,7 @@
             }
             if score < least {
                 least = score;
-                best = Some(i);
+                best = Some((i, score));
             }
         }
         best
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -15,12 +15,21 @@
     pub task: u32,
 }
 
+/// A queued task and since when it is ready.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ready {
+    /// The task.
+    pub task: TaskRef,
+    /// When it became ready.
+    pub since: u64,
+}
+
 /// Tasks of one team and priority.
 #[derive(Debug, Clone)]
 struct Lane {
     priority: Priority,
     team: u16,
-    tasks: VecDeque<TaskRef>,
+    tasks: VecDeque<Ready>,
 }
 
 /// Tasks that wait until a time.
@@ -44,13 +53,13 @@
 
 impl Queue {
     /// Adds a task at the end of its lane.
-    pub fn push(&mut self, priority: Priority, team: u16, task: TaskRef) {
-        self.lane(priority, team).push_back(task);
+    pub fn push(&mut self, priority: Priority, team: u16, task: TaskRef, since: u64) {
+        self.lane(priority, team).push_back(Ready { task, since });
     }
 
     /// Puts a task back at the front of its lane.
-    pub fn push_front(&mut self, priority: Priority, team: u16, task: TaskRef) {
-        self.lane(priority, team).push_front(task);
+    pub fn push_front(&mut self, priority: Priority, team: u16, ready: Ready) {
+        self.lane(priority, team).push_front(ready);
     }
 
     /// Adds a task that becomes ready at `until`.
@@ -71,7 +80,7 @@
     pub fn wake(&mut self, now: u64) {
         while self.delayed.last().is_some_and(|d| d.until <= now) {
             let Some(d) = self.delayed.pop() else { return };
-            self.push(d.priority, d.team, d.task);
+            self.push(d.priority, d.team, d.task, d.until);
         }
     }
 
@@ -98,11 +107,11 @@
     }
 
     /// Takes the first ready task of a lane.
-    pub fn pop(&mut self, priority: Priority, team: u16) -> Option<TaskRef> {
+    pub fn pop(&mut self, priority: Priority, team: u16) -> Option<Ready> {
         self.lane(priority, team).pop_front()
     }
 
-    fn lane(&mut self, priority: Priority, team: u16) -> &mut VecDeque<TaskRef> {
+    fn lane(&mut self, priority: Priority, team: u16) -> &mut VecDeque<Ready> {
         let found = self
             .lanes
             .binary_search_by_key(&(priority, team), |l| (l.priority, l.team));
--- a/crates/core/src/shard/settings.rs
+++ b/crates/core/src/shard/settings.rs
@@ -30,6 +30,8 @@
     pub batch: usize,
     /// Most evictions in a minute.
     pub evictions: u32,
+    /// How long an urgent task waits for room before others are evicted for it.
+    pub patience: Millis,
     /// How long room is kept for a task that others were evicted for.
     pub reserve: Millis,
 }
@@ -48,6 +50,7 @@
             max_ban: 600_000,
             batch: 4_096,
             evictions: 60,
+            patience: 600,
             reserve: 2_000,
         }
     }
--- a/crates/core/src/shard/worker.rs
+++ b/crates/core/src/shard/worker.rs
@@ -153,7 +153,8 @@
     /// After a quarantine it gets one task at a time until one is done.
     pub fn open(&self, now: Millis) -> bool {
         let well = self.health == Health::Good && self.listed && !self.leaving;
-        let trusted = self.bans == 0 || (now >= self.ban_until && self.residents.is_empty());
+        let probing = self.residents.iter().any(|r| !r.service);
+        let trusted = self.bans == 0 || (now >= self.ban_until && !probing);
         well && trusted && self.strays.is_empty()
     }
 
--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -56,4 +56,47 @@
     Overhead(TrialArgs),
     /// Promises under kills, pauses, outages and a zone that is cut off.
     Faults(TrialArgs),
+    /// Placement under interference, in virtual time.
+    Interference(InterferenceArgs),
+    /// Routing under overload and with bad targets, in virtual time.
+    Overload(SeedArgs),
+    /// Cost of placement, journalling and recovery.
+    Starts(SeedArgs),
+}
+
+/// Arguments of a measurement without processes.
+#[derive(Debug, Clone, Args)]
+pub struct SeedArgs {
+    /// Seed.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Seconds of virtual time.
+    #[arg(long, default_value_t = 30)]
+    pub seconds: u64,
+}
+
+/// Arguments of the interference measurement.
+#[derive(Debug, Clone, Args)]
+pub struct InterferenceArgs {
+    /// Seed of the arrivals.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Seconds of virtual time; the hidden table shifts half-way.
+    #[arg(long, default_value_t = 300)]
+    pub seconds: u64,
+    /// Seed of the hidden table; by default that of the arrivals.
+    #[arg(long)]
+    pub table_seed: Option<u64>,
+    /// Strength of the hidden slowdowns.
+    #[arg(long, default_value_t = 0.6)]
+    pub strength: f64,
+    /// Lag of the reports in milliseconds.
+    #[arg(long, default_value_t = 2_000)]
+    pub lag: u64,
+    /// Workers.
+    #[arg(long, default_value_t = 24)]
+    pub workers: usize,
+    /// Replicas of the service, at most one a worker.
+    #[arg(long, default_value_t = 16)]
+    pub replicas: u32,
 }
--- /dev/null
+++ b/crates/load/src/measure/floor.rs
@@ -0,0 +1,409 @@
+//! A shard on stand-in workers in virtual time, for measuring placement.
+//!
+//! Workers slow each other's tasks down by a hidden table and report late.
+
+use std::sync::Arc;
+
+use gorsespur_core::{
+    Millis,
+    name::Name,
+    place::{BANDS, PlacePolicy},
+    shard::{
+        Action, Book, End, Event, JobKey, JobSpec, Machine, Record, ShardPlace, ShardSettings,
+        Takeover, WorkerInfo,
+    },
+    size::Size,
+    template::{OrgLimits, Organisation, Priority, Service, Team, Weights},
+};
+use gorsespur_stand::{Ledger, MemoryCheckpoints, SimSettings, SimWorker, Slowdown};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::kit::Times;
+
+/// Virtual time of one step.
+const STEP: Millis = 20;
+
+/// Start of virtual time.
+const START: Millis = 1_000_000;
+
+/// Time between two looks at the services.
+const LOOK: Millis = 100;
+
+/// Time that is not counted, while workers fill up.
+const WARM: Millis = 20_000;
+
+/// Kinds of batch tasks.
+pub(crate) const KINDS: usize = 8;
+
+/// The service.
+const SERVICE: &str = "service";
+
+/// Mean time of an answer of an undisturbed service, in microseconds.
+const BASE_US: f64 = 4_000.0;
+
+/// Representative loads of the bands.
+const LOADS: [f64; BANDS] = [0.3, 0.7, 0.9];
+
+/// What is run.
+#[derive(Debug, Clone)]
+pub(crate) struct FloorSettings {
+    pub workers: usize,
+    pub replicas: u32,
+    pub weights: Weights,
+    pub policy: PlacePolicy,
+    pub seed: u64,
+    pub table_seed: u64,
+    pub strength: f64,
+    pub lag: Millis,
+    pub time: Millis,
+    /// Whether the machine is told the hidden table.
+    pub told: bool,
+}
+
+/// What came out.
+#[derive(Debug, Clone)]
+pub(crate) struct FloorResult {
+    pub times: Times,
+    pub done: u64,
+    /// Undisturbed run time of the tasks that were done, in milliseconds.
+    pub work: u64,
+    pub evictions: u64,
+    /// Longest and mean time that an urgent task waited, in milliseconds.
+    pub urgent_max: Millis,
+    pub urgent_mean: f64,
+}
+
+struct UrgentTask {
+    id: Name,
+    at: Millis,
+}
+
+/// The floor.
+pub(crate) struct Floor {
+    settings: FloorSettings,
+    machine: Machine,
+    workers: Vec<SimWorker>,
+    names: Vec<Name>,
+    rng: SmallRng,
+    load_rng: SmallRng,
+    now: Millis,
+    jobs: u64,
+    urgent: Vec<UrgentTask>,
+    waits: Vec<Millis>,
+    result: FloorResult,
+    queued: u64,
+}
+
+fn kind_name(kind: usize) -> Name {
+    format!("kind{kind}").into()
+}
+
+fn organisation(settings: &FloorSettings) -> Arc<Organisation> {
+    let quota = Size::new(u64::MAX / 4, u64::MAX / 4, u32::MAX / 4);
+    let mut teams = Vec::new();
+    for kind in 0..KINDS {
+        let name = kind_name(kind);
+        teams.push(Team { name, quota });
+    }
+    Arc::new(Organisation {
+        name: "org".into(),
+        weights: settings.weights,
+        limits: OrgLimits {
+            jobs: 1_000_000,
+            queue: 64,
+            retries: 10,
+            evictions: 3,
+            hold: 60_000,
+        },
+        teams,
+        services: vec![Service {
+            name: SERVICE.into(),
+            replicas: settings.replicas,
+            size: Size::new(6_000, 16 << 30, 0),
+            slots: 8,
+            connections: 60,
+            deadline: 1_000,
+        }],
+        jobs: Vec::new(),
+    })
+}
+
+impl Floor {
+    pub fn new(settings: FloorSettings) -> Floor {
+        let place = ShardPlace {
+            name: "floor".into(),
+            index: 0,
+            count: 1,
+        };
+        let shard = ShardSettings {
+            policy: settings.policy,
+            retain: 1_000,
+            ..ShardSettings::default()
+        };
+        let takeover = Takeover {
+            epoch: 1,
+            book: Book::default(),
+            next: 0,
+            inherited: 60_000,
+        };
+        let machine = Machine::new(place, shard, settings.seed, takeover, START);
+        let ledger = Arc::new(Ledger::default());
+        let checkpoints = Arc::new(MemoryCheckpoints::default());
+        let mut workers = Vec::new();
+        let mut names = Vec::new();
+        for i in 0..settings.workers {
+            let name: Name = format!("w{i:03}").into();
+            let sim = SimSettings {
+                name: name.clone(),
+                size: Size::new(30_000, 125 << 30, 0),
+                period: 1_000,
+                lag: settings.lag,
+                slowdown: Slowdown {
+                    seed: settings.table_seed,
+                    strength: settings.strength,
+                    shift: 0,
+                },
+            };
+            workers.push(SimWorker::new(sim, 1, ledger.clone(), checkpoints.clone()));
+            names.push(name);
+        }
+        Floor {
+            rng: SmallRng::seed_from_u64(settings.seed),
+            load_rng: SmallRng::seed_from_u64(settings.seed + 77),
+            machine,
+            workers,
+            names,
+            now: START,
+            jobs: 0,
+            urgent: Vec::new(),
+            waits: Vec::new(),
+            result: FloorResult {
+                times: Times::new(),
+                done: 0,
+                work: 0,
+                evictions: 0,
+                urgent_max: 0,
+                urgent_mean: 0.0,
+            },
+            queued: 0,
+            settings,
+        }
+    }
+
+    /// Runs to the end; the hidden table shifts half-way.
+    pub fn run(mut self) -> FloorResult {
+        self.feed(&Event::Organisations(vec![organisation(&self.settings)]));
+        let list = self.list();
+        self.feed(&list);
+        let half = START + self.settings.time / 2;
+        let end = START + self.settings.time;
+        let mut shifted = false;
+        while self.now < end {
+            if self.now >= half && !shifted {
+                shifted = true;
+                self.shift();
+            }
+            self.step();
+        }
+        let waits = &self.waits;
+        self.result.urgent_max = waits.iter().copied().max().unwrap_or(0);
+        let sum: Millis = waits.iter().sum();
+        self.result.urgent_mean = sum as f64 / waits.len().max(1) as f64;
+        self.result
+    }
+
+    fn shift(&mut self) {
+        let slowdown = self.slowdown(1);
+        for w in &mut self.workers {
+            w.set_slowdown(slowdown.clone());
+        }
+    }
+
+    fn slowdown(&self, shift: u64) -> Slowdown {
+        Slowdown {
+            seed: self.settings.table_seed,
+            strength: self.settings.strength,
+            shift,
+        }
+    }
+
+    fn list(&self) -> Event {
+        let mut list = Vec::new();
+        for (i, name) in self.names.iter().enumerate() {
+            let addr = ([127, 0, 0, 1], 1_000 + i as u16).into();
+            list.push(WorkerInfo {
+                name: name.clone(),
+                zone: "zone".into(),
+                rack: format!("r{}", i / 8).into(),
+                addr,
+                target: addr,
+                size: Size::new(30_000, 125 << 30, 0),
+                leaving: false,
+            });
+        }
+        let counts = vec![list.len() as u32];
+        Event::Workers { list, counts }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        if self.settings.told && self.now.is_multiple_of(1_000) {
+            self.tell();
+        }
+        for w in &mut self.workers {
+            w.advance(self.now);
+        }
+        self.arrive();
+        self.feed(&Event::StoreSeen(60_000));
+        self.feed(&Event::Tick);
+        if self.now >= START + WARM && self.now.is_multiple_of(LOOK) {
+            self.look();
+        }
+    }
+
+    /// Tells the machine the hidden table as it is now.
+    fn tell(&mut self) {
+        let shift = u64::from(self.now >= START + self.settings.time / 2);
+        let slowdown = self.slowdown(shift);
+        let mut kinds: Vec<Name> = (0..KINDS).map(kind_name).collect();
+        kinds.push(SERVICE.into());
+        let org = Name::from("org");
+        for victim in &kinds {
+            for other in &kinds {
+                for (band, load) in LOADS.iter().enumerate() {
+                    let adds = slowdown.adds(victim, other, *load) as f32;
+                    self.machine
+                        .teach((&org, victim), (&org, other), band, adds);
+                }
+            }
+        }
+    }
+
+    /// Keeps work of every kind queued, and lets urgent tasks come.
+    fn arrive(&mut self) {
+        let wanted = self.settings.workers as u64 * 3;
+        let mut specs = Vec::new();
+        while self.queued < wanted {
+            let kind = self.rng.random_range(0..KINDS);
+            let run = self.rng.random_range(2_000..10_000);
+            specs.push(self.spec(kind, run, Priority::Normal));
+            self.queued += 1;
+        }
+        let rate = self.settings.workers as f64 / 24.0;
+        if self
+            .load_rng
+            .random_bool((rate * STEP as f64 / 1_000.0).min(1.0))
+        {
+            let kind = self.load_rng.random_range(0..KINDS);
+            let spec = self.spec(kind, 1_000, Priority::Urgent);
+            self.urgent.push(UrgentTask {
+                id: spec.key.id.clone(),
+                at: self.now,
+            });
+            specs.push(spec);
+        }
+        if !specs.is_empty() {
+            self.feed(&Event::Submit(specs));
+        }
+    }
+
+    fn spec(&mut self, kind: usize, run: Millis, priority: Priority) -> JobSpec {
+        self.jobs += 1;
+        JobSpec {
+            key: JobKey {
+                org: "org".into(),
+                id: format!("job{}", self.jobs).into(),
+            },
+            kind: kind_name(kind),
+            team: kind_name(kind),
+            tasks: 1,
+            size: Size::new(3_000, 6 << 30, 0),
+            run,
+            priority,
+            checkpoint: true,
+            attempts: 3,
+            service: false,
+        }
+    }
+
+    fn feed(&mut self, event: &Event) {
+        let actions = self.machine.step(self.now, event);
+        let mut answers = Vec::new();
+        let mut committed = None;
+        for action in actions {
+            match action {
+                Action::Append { first, records, .. } => {
+                    committed = Some(first + records.len() as u64);
+                    self.count(&records);
+                }
+                Action::Exchange {
+                    worker, request, ..
+                } => {
+                    let Ok(i) = self.names.binary_search(&worker) else {
+                        continue;
+                    };
+                    let answer = self.workers[i].exchange(self.now, &request);
+                    answers.push(Event::Answer { worker, answer });
+                }
+                Action::Fenced { .. } => {}
+            }
+        }
+        if let Some(upto) = committed {
+            self.feed(&Event::Committed(upto));
+        }
+        for event in answers {
+            self.feed(&event);
+        }
+    }
+
+    fn count(&mut self, records: &[Record]) {
+        let counted = self.now >= START + WARM;
+        for record in records {
+            match record {
+                Record::Started { attempt, .. } => {
+                    let Some(job) = self.machine.book().job(attempt.job) else {
+                        continue;
+                    };
+                    if job.spec.service || attempt.attempt > 1 {
+                        continue;
+                    }
+                    if job.spec.priority != Priority::Urgent {
+                        self.queued -= 1;
+                        continue;
+                    }
+                    let id = &job.spec.key.id;
+                    if let Some(i) = self.urgent.iter().position(|u| u.id == *id) {
+                        let u = self.urgent.swap_remove(i);
+                        self.waits.push(self.now - u.at);
+                    }
+                }
+                Record::Ended { attempt, end } if counted => {
+                    let Some(job) = self.machine.book().job(attempt.job) else {
+                        continue;
+                    };
+                    match end {
+                        End::Done => {
+                            self.result.done += 1;
+                            self.result.work += job.spec.run;
+                        }
+                        End::Evicted { .. } => self.result.evictions += 1,
+                        End::Failed | End::Lost | End::Refused | End::Stopped => {}
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Takes one answer's time from each replica.
+    fn look(&mut self) {
+        for w in &self.workers {
+            if !w.serves(SERVICE) {
+                continue;
+            }
+            let unit: f64 = self.load_rng.random_range(1e-9..1.0);
+            let us = BASE_US * (0.5 + 0.5 * (-unit.ln()).min(6.0)) * w.service_slowdown(SERVICE);
+            self.result.times.add(us as u64);
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/measure/interference.rs
@@ -0,0 +1,72 @@
+//! Placement under interference: the learning policy against the baselines,
+//! and against the same policy with the hidden table told.
+
+use gorsespur_core::{place::PlacePolicy, template::Weights};
+
+use super::floor::{Floor, FloorResult, FloorSettings};
+use crate::{args::InterferenceArgs, error::LoadError};
+
+/// Weights of Weld and of Taipei.
+const WELD: Weights = Weights {
+    tail: 0.6,
+    throughput: 0.2,
+    evictions: 0.2,
+};
+const TAIPEI: Weights = Weights {
+    tail: 0.2,
+    throughput: 0.4,
+    evictions: 0.4,
+};
+
+/// Measures and prints a line for each user.
+pub(crate) fn run(args: &InterferenceArgs) -> Result<(), LoadError> {
+    for (user, weights) in [("weld", WELD), ("taipei", TAIPEI)] {
+        let settings = |policy, told| FloorSettings {
+            workers: args.workers,
+            replicas: args.replicas,
+            weights,
+            policy,
+            seed: args.seed,
+            table_seed: args.table_seed.unwrap_or(args.seed),
+            strength: args.strength,
+            lag: args.lag,
+            time: args.seconds * 1_000,
+            told,
+        };
+        let base = Floor::new(settings(PlacePolicy::LeastLoaded, false)).run();
+        let random = Floor::new(settings(PlacePolicy::Random, false)).run();
+        let mine = Floor::new(settings(PlacePolicy::Interference, false)).run();
+        let best = Floor::new(settings(PlacePolicy::Interference, true)).run();
+        println!(
+            "interference: user={user} seed={} table_seed={} strength={} lag_ms={} {} {} {} {} p99_ratio={:.3} work_ratio={:.3} evictions_ratio={:.3} told_p99_ratio={:.3} told_work_ratio={:.3} told_evictions_ratio={:.3}",
+            args.seed,
+            args.table_seed.unwrap_or(args.seed),
+            args.strength,
+            args.lag,
+            figures("least", &base),
+            figures("random", &random),
+            figures("mine", &mine),
+            figures("told", &best),
+            mine.times.ms(0.99) / base.times.ms(0.99),
+            mine.work as f64 / base.work as f64,
+            mine.evictions as f64 / base.evictions.max(1) as f64,
+            best.times.ms(0.99) / base.times.ms(0.99),
+            best.work as f64 / base.work as f64,
+            best.evictions as f64 / base.evictions.max(1) as f64,
+        );
+    }
+    Ok(())
+}
+
+fn figures(name: &str, r: &FloorResult) -> String {
+    format!(
+        "{name}_p50_ms={:.2} {name}_p99_ms={:.2} {name}_done={} {name}_work_s={} {name}_evictions={} {name}_urgent_mean_ms={:.0} {name}_urgent_max_ms={}",
+        r.times.ms(0.5),
+        r.times.ms(0.99),
+        r.done,
+        r.work / 1_000,
+        r.evictions,
+        r.urgent_mean,
+        r.urgent_max
+    )
+}
--- /dev/null
+++ b/crates/load/src/measure/overload.rs
@@ -0,0 +1,57 @@
+//! Routing under overload and with failing or slow targets, against
+//! round-robin without budgets.
+
+use gorsespur_core::route::RoutePolicy;
+
+use super::overload_run::{Bad, OverloadResult, OverloadRun};
+use crate::{args::SeedArgs, error::LoadError};
+
+/// Load as a share of the capacity, in the four cases.
+const UNLOADED: f64 = 0.3;
+const TWICE: f64 = 2.0;
+const FITS: f64 = 0.45;
+
+/// Measures and prints a line for each case.
+pub(crate) fn run(args: &SeedArgs) -> Result<(), LoadError> {
+    let policies = [
+        ("two-choices", RoutePolicy::TwoChoices),
+        ("round-robin", RoutePolicy::RoundRobin),
+    ];
+    for (name, policy) in policies {
+        let cases = [
+            ("unloaded", UNLOADED, Bad::None),
+            ("twice", TWICE, Bad::None),
+            ("third-failing", FITS, Bad::Failing),
+            ("third-slow", FITS, Bad::Slow),
+            ("third-gone", FITS, Bad::Gone),
+        ];
+        for (case, load, bad) in cases {
+            let run = OverloadRun {
+                policy,
+                load,
+                bad,
+                seed: args.seed,
+                time: args.seconds * 1_000,
+            };
+            print(name, case, &run.run());
+        }
+    }
+    Ok(())
+}
+
+fn print(policy: &str, case: &str, r: &OverloadResult) {
+    println!(
+        "overload: policy={policy} case={case} requests={} answered={} goodput={:.3} tries_per_request={:.3} repeatable_ok={:.4} urgent_p50_ms={:.1} urgent_p99_ms={:.1} all_p99_ms={:.1} refused={} late={} refused_wait_p99_ms={:.1}",
+        r.requests,
+        r.answered,
+        r.goodput,
+        r.tries as f64 / r.requests.max(1) as f64,
+        r.repeatable_ok as f64 / r.repeatable.max(1) as f64,
+        r.urgent.ms(0.5),
+        r.urgent.ms(0.99),
+        r.all.ms(0.99),
+        r.refused,
+        r.late,
+        r.refused_wait.ms(0.99),
+    );
+}
--- /dev/null
+++ b/crates/load/src/measure/overload_run.rs
@@ -0,0 +1,461 @@
+//! Entries and targets in virtual time, for measuring routing.
+//!
+//! Each entry has its own router and knows nothing of the others but their
+//! number and what answers report.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use gorsespur_core::{
+    Millis,
+    route::{
+        Arrival, RouteAction, RouteEvent, RoutePolicy, RouteSettings, Router, TargetList, TryEnd,
+    },
+    shard::TargetInfo,
+    template::Priority,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::kit::Times;
+
+/// Sizes of one zone of today.
+const ENTRIES: usize = 3;
+const TARGETS: usize = 18;
+const SLOTS: u32 = 8;
+
+/// Mean time of an answer in milliseconds.
+const MEAN: f64 = 20.0;
+
+/// How much slower the slow targets are.
+const SLOWER: f64 = 10.0;
+
+/// Time limit of a request.
+const DEADLINE: Millis = 1_000;
+
+/// Time that is not counted.
+const WARM: Millis = 2_000;
+
+/// Start of virtual time.
+const START: Millis = 1_000_000;
+
+/// Time on the way to a target or back, in milliseconds.
+const WIRE: Millis = 1;
+
+/// What is wrong with a third of the targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Bad {
+    None,
+    /// They break every connection after they took the request.
+    Failing,
+    /// They are ten times slower.
+    Slow,
+    /// They refuse connections.
+    Gone,
+}
+
+/// One run.
+#[derive(Debug, Clone)]
+pub(crate) struct OverloadRun {
+    pub policy: RoutePolicy,
+    pub load: f64,
+    pub bad: Bad,
+    pub seed: u64,
+    pub time: Millis,
+}
+
+/// What came out.
+#[derive(Debug, Clone)]
+pub(crate) struct OverloadResult {
+    pub requests: u64,
+    pub answered: u64,
+    pub refused: u64,
+    /// Answers after the deadline.
+    pub late: u64,
+    pub tries: u64,
+    pub repeatable: u64,
+    pub repeatable_ok: u64,
+    /// Answers in time as a share of the capacity.
+    pub goodput: f64,
+    pub urgent: Times,
+    pub all: Times,
+    /// Times after which refused requests were told so.
+    pub refused_wait: Times,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Arrive {
+        entry: usize,
+    },
+    Reach {
+        entry: usize,
+        req: u64,
+        attempt: u32,
+        target: usize,
+    },
+    Finish {
+        entry: usize,
+        req: u64,
+        attempt: u32,
+        target: usize,
+    },
+    Back {
+        entry: usize,
+        req: u64,
+        attempt: u32,
+        end: Ended,
+    },
+    Hedge {
+        entry: usize,
+        req: u64,
+    },
+    Tick,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Ended {
+    Answered { took: Millis, busy: u32 },
+    Declined { busy: u32 },
+    Failed,
+    NotSent,
+}
+
+#[derive(Debug, Clone)]
+struct Open {
+    req: u64,
+    at: Millis,
+    urgent: bool,
+    repeatable: bool,
+    settled: bool,
+}
+
+struct Node {
+    busy: u32,
+    bad: bool,
+}
+
+struct Sim<'a> {
+    run: &'a OverloadRun,
+    rng: SmallRng,
+    now: Millis,
+    order: u64,
+    queue: BinaryHeap<Reverse<(Millis, u64, What)>>,
+    routers: Vec<Router>,
+    open: Vec<Vec<Open>>,
+    nodes: Vec<Node>,
+    next: u64,
+    due: f64,
+    result: OverloadResult,
+}
+
+impl OverloadRun {
+    /// Runs to the end.
+    pub fn run(&self) -> OverloadResult {
+        let mut sim = Sim::new(self);
+        sim.prepare();
+        sim.run_all();
+        sim.result
+    }
+
+    /// Returns the requests a millisecond at which every slot is busy.
+    fn capacity(&self) -> f64 {
+        (TARGETS as u32 * SLOTS) as f64 / MEAN
+    }
+}
+
+impl Sim<'_> {
+    fn new(run: &OverloadRun) -> Sim<'_> {
+        let settings = RouteSettings {
+            policy: run.policy,
+            share: usize::MAX,
+            ..RouteSettings::default()
+        };
+        let mut nodes = Vec::new();
+        for i in 0..TARGETS {
+            nodes.push(Node {
+                busy: 0,
+                bad: run.bad != Bad::None && i % 3 == 0,
+            });
+        }
+        let router = |e: u64| Router::new(settings.clone(), run.seed * 10 + e);
+        Sim {
+            run,
+            rng: SmallRng::seed_from_u64(run.seed),
+            now: START,
+            order: 0,
+            queue: BinaryHeap::new(),
+            routers: (0..ENTRIES as u64).map(router).collect(),
+            open: vec![Vec::new(); ENTRIES],
+            nodes,
+            next: 0,
+            due: START as f64,
+            result: OverloadResult {
+                requests: 0,
+                answered: 0,
+                refused: 0,
+                late: 0,
+                tries: 0,
+                repeatable: 0,
+                repeatable_ok: 0,
+                goodput: 0.0,
+                urgent: Times::new(),
+                all: Times::new(),
+                refused_wait: Times::new(),
+            },
+        }
+    }
+
+    fn prepare(&mut self) {
+        let mut targets = Vec::new();
+        for i in 0..TARGETS {
+            targets.push(TargetInfo {
+                org: "org".into(),
+                service: "service".into(),
+                worker: format!("w{i:02}").into(),
+                addr: ([127, 0, 0, 1], 1_000 + i as u16).into(),
+                slots: SLOTS,
+                connections: 60,
+                leaving: false,
+            });
+        }
+        for e in 0..ENTRIES {
+            let list = TargetList {
+                shard: 0,
+                epoch: 1,
+                version: 1,
+                near: true,
+                targets: targets.clone(),
+            };
+            self.routers[e].step(START, &RouteEvent::Targets(list));
+            self.routers[e].step(START, &RouteEvent::Entries(ENTRIES as u32));
+        }
+        self.arrive_later();
+        self.push(START + 10, What::Tick);
+    }
+
+    fn push(&mut self, at: Millis, what: What) {
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order, what)));
+    }
+
+    fn arrive_later(&mut self) {
+        let rate = self.run.capacity() * self.run.load;
+        self.due += -self.rng.random_range(1e-12..1.0f64).ln() / rate;
+        let entry = self.rng.random_range(0..ENTRIES);
+        self.push(self.due as Millis, What::Arrive { entry });
+    }
+
+    fn run_all(&mut self) {
+        let end = START + self.run.time;
+        while let Some(Reverse((at, _, what))) = self.queue.pop() {
+            if at >= end {
+                break;
+            }
+            self.now = at;
+            match what {
+                What::Arrive { entry } => self.arrive(entry),
+                What::Reach {
+                    entry,
+                    req,
+                    attempt,
+                    target,
+                } => self.reach(entry, req, attempt, target),
+                What::Finish {
+                    entry,
+                    req,
+                    attempt,
+                    target,
+                } => self.finish(entry, req, attempt, target),
+                What::Back {
+                    entry,
+                    req,
+                    attempt,
+                    end,
+                } => self.back(entry, req, attempt, end),
+                What::Hedge { entry, req } => self.feed(entry, &RouteEvent::Hedge { req }),
+                What::Tick => {
+                    for e in 0..ENTRIES {
+                        self.feed(e, &RouteEvent::Tick);
+                    }
+                    self.push(self.now + 10, What::Tick);
+                }
+            }
+        }
+        let counted = (self.run.time - WARM) as f64;
+        let in_time = (self.result.answered - self.result.late) as f64;
+        self.result.goodput = in_time / (self.run.capacity() * counted);
+    }
+
+    fn counted(&self, at: Millis) -> bool {
+        at >= START + WARM
+    }
+
+    fn arrive(&mut self, entry: usize) {
+        self.arrive_later();
+        self.next += 1;
+        let req = self.next;
+        let share: f64 = self.rng.random();
+        let priority = match share {
+            s if s < 0.1 => Priority::Urgent,
+            s if s < 0.8 => Priority::Normal,
+            _ => Priority::Bulk,
+        };
+        let repeatable = self.rng.random_bool(0.7);
+        if self.counted(self.now) {
+            self.result.requests += 1;
+            self.result.repeatable += u64::from(repeatable);
+        }
+        self.open[entry].push(Open {
+            req,
+            at: self.now,
+            urgent: priority == Priority::Urgent,
+            repeatable,
+            settled: false,
+        });
+        let arrival = Arrival {
+            req,
+            org: "org".into(),
+            service: "service".into(),
+            priority,
+            deadline: self.now + DEADLINE,
+            repeatable,
+            queue: 64,
+            retries: 10,
+        };
+        self.feed(entry, &RouteEvent::Arrive(arrival));
+    }
+
+    fn feed(&mut self, entry: usize, event: &RouteEvent) {
+        let actions = self.routers[entry].step(self.now, event);
+        for action in actions {
+            match action {
+                RouteAction::Send {
+                    req,
+                    attempt,
+                    worker,
+                    hedge,
+                    ..
+                } => {
+                    let target = worker[1..].parse().unwrap_or(0);
+                    self.result.tries += u64::from(self.counted(self.now));
+                    if hedge > 0 && attempt == 1 {
+                        self.push(self.now + hedge, What::Hedge { entry, req });
+                    }
+                    self.push(
+                        self.now + WIRE,
+                        What::Reach {
+                            entry,
+                            req,
+                            attempt,
+                            target,
+                        },
+                    );
+                }
+                RouteAction::Refuse { req, .. } => self.refused(entry, req),
+            }
+        }
+    }
+
+    fn refused(&mut self, entry: usize, req: u64) {
+        let Ok(i) = self.open[entry].binary_search_by_key(&req, |o| o.req) else {
+            return;
+        };
+        let o = self.open[entry].remove(i);
+        if self.counted(o.at) && !o.settled {
+            self.result.refused += 1;
+            self.result.refused_wait.add((self.now - o.at) * 1_000);
+        }
+    }
+
+    fn reach(&mut self, entry: usize, req: u64, attempt: u32, target: usize) {
+        let bad = self.nodes[target].bad;
+        let back = |end| What::Back {
+            entry,
+            req,
+            attempt,
+            end,
+        };
+        if bad && self.run.bad == Bad::Gone {
+            return self.push(self.now + WIRE, back(Ended::NotSent));
+        }
+        if bad && self.run.bad == Bad::Failing {
+            return self.push(self.now + WIRE, back(Ended::Failed));
+        }
+        let node = &mut self.nodes[target];
+        if node.busy >= SLOTS {
+            let busy = node.busy;
+            return self.push(self.now + WIRE, back(Ended::Declined { busy }));
+        }
+        node.busy += 1;
+        let unit: f64 = self.rng.random_range(1e-9..1.0);
+        let slower = if bad { SLOWER } else { 1.0 };
+        let time = MEAN * (0.5 + 0.5 * -unit.ln()) * slower;
+        let at = self.now + time as Millis;
+        self.push(
+            at,
+            What::Finish {
+                entry,
+                req,
+                attempt,
+                target,
+            },
+        );
+    }
+
+    fn finish(&mut self, entry: usize, req: u64, attempt: u32, target: usize) {
+        let busy = self.nodes[target].busy;
+        self.nodes[target].busy -= 1;
+        let found = self.open[entry].binary_search_by_key(&req, |o| o.req);
+        let took = found.map_or(MEAN as Millis, |i| self.now - self.open[entry][i].at);
+        self.push(
+            self.now + WIRE,
+            What::Back {
+                entry,
+                req,
+                attempt,
+                end: Ended::Answered { took, busy },
+            },
+        );
+    }
+
+    fn back(&mut self, entry: usize, req: u64, attempt: u32, end: Ended) {
+        if let Ended::Answered { .. } = end {
+            self.answered(entry, req);
+        }
+        let end = match end {
+            Ended::Answered { took, busy } => TryEnd::Answered {
+                took,
+                busy: Some(busy),
+            },
+            Ended::Declined { busy } => TryEnd::Declined {
+                busy: Some(busy),
+                leaving: false,
+            },
+            Ended::Failed => TryEnd::Failed,
+            Ended::NotSent => TryEnd::NotSent,
+        };
+        self.feed(entry, &RouteEvent::Ended { req, attempt, end });
+    }
+
+    fn answered(&mut self, entry: usize, req: u64) {
+        let Ok(i) = self.open[entry].binary_search_by_key(&req, |o| o.req) else {
+            return;
+        };
+        let o = &mut self.open[entry][i];
+        if o.settled {
+            return;
+        }
+        o.settled = true;
+        let o = o.clone();
+        if !self.counted(o.at) {
+            return;
+        }
+        let time = self.now - o.at;
+        self.result.answered += 1;
+        self.result.late += u64::from(time > DEADLINE);
+        self.result.repeatable_ok += u64::from(o.repeatable && time <= DEADLINE);
+        self.result.all.add(time * 1_000);
+        if o.urgent {
+            self.result.urgent.add(time * 1_000);
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/measure/starts.rs
@@ -0,0 +1,256 @@
+//! Cost of placement, journalling and recovery, by the clock.
+
+use std::time::Instant;
+
+use gorsespur_core::{
+    Millis,
+    name::Name,
+    place::PlacePolicy,
+    shard::{
+        Action, Book, Event, JobKey, JobSpec, Machine, Record, ShardPlace, ShardSettings, Takeover,
+        WorkerAnswer, WorkerInfo,
+    },
+    size::Size,
+    template::Priority,
+};
+use gorsespur_wire::{
+    codec::{decode, encode},
+    stored::{JournalRow, Snapshot},
+};
+
+use super::slopes_org::organisation;
+use crate::{args::SeedArgs, error::LoadError};
+
+/// Start of virtual time.
+const START: Millis = 1_000_000;
+
+/// Numbers of workers at which placement is measured.
+const WORKERS: [usize; 6] = [50, 200, 600, 1_200, 5_000, 26_000];
+
+/// Running tasks for each worker: 15,000 on 1,200 workers.
+const TASKS: f64 = 12.5;
+
+/// Placements that are timed at each size.
+const PLACED: u32 = 10_000;
+
+/// Records of one journal row at which its cost is measured.
+const ROW: usize = 5_000;
+
+/// Workers of the shard whose recovery is measured.
+const RECOVERED: usize = 1_200;
+
+/// Measures and prints a line for each figure.
+pub(crate) fn run(args: &SeedArgs) -> Result<(), LoadError> {
+    for policy in [PlacePolicy::LeastLoaded, PlacePolicy::Interference] {
+        for workers in WORKERS {
+            place(policy, workers, args.seed);
+        }
+    }
+    journal();
+    recovery(args.seed);
+    Ok(())
+}
+
+/// Returns a machine whose workers all answered.
+pub(crate) fn machine(policy: PlacePolicy, workers: usize, seed: u64) -> Machine {
+    let place = ShardPlace {
+        name: "shard".into(),
+        index: 0,
+        count: 1,
+    };
+    let settings = ShardSettings {
+        policy,
+        batch: usize::MAX,
+        ..ShardSettings::default()
+    };
+    let takeover = Takeover {
+        epoch: 1,
+        book: Book::default(),
+        next: 0,
+        inherited: 60_000,
+    };
+    let mut machine = Machine::new(place, settings, seed, takeover, START);
+    machine.step(START, &Event::Organisations(vec![organisation(1)]));
+    let mut list = Vec::new();
+    for i in 0..workers {
+        let addr = ([127, 0, 0, 1], 1_000 + (i % 60_000) as u16).into();
+        list.push(WorkerInfo {
+            name: format!("w{i:06}").into(),
+            zone: "zone".into(),
+            rack: format!("r{}", i / 8).into(),
+            addr,
+            target: addr,
+            size: Size::new(30_000, 125 << 30, 0),
+            leaving: false,
+        });
+    }
+    let counts = vec![workers as u32];
+    machine.step(START, &Event::Workers { list, counts });
+    answer_all(&mut machine, START + 1, &[]);
+    machine
+}
+
+/// Lets every worker answer that it runs what it should, besides `ended`.
+fn answer_all(machine: &mut Machine, now: Millis, ended: &[Record]) {
+    debug_assert!(ended.is_empty());
+    let upto = machine.next_record();
+    machine.step(now, &Event::Committed(upto));
+    let mut answers = Vec::new();
+    for w in machine.workers() {
+        let running = w.residents.iter().map(|r| r.attempt).collect();
+        answers.push((
+            w.name.clone(),
+            WorkerAnswer {
+                epoch: 1,
+                seq: w.seq,
+                refused: None,
+                boot: 1,
+                clock: now,
+                size: Size::new(30_000, 125 << 30, 0),
+                leaving: false,
+                running,
+                ended: Vec::new(),
+                samples: Vec::new(),
+            },
+        ));
+    }
+    for (worker, answer) in answers {
+        machine.step(now, &Event::Answer { worker, answer });
+    }
+}
+
+/// Returns a job of `tasks` small tasks.
+pub(crate) fn spec(id: &str, kind: usize, tasks: u32) -> JobSpec {
+    JobSpec {
+        key: JobKey {
+            org: "org0".into(),
+            id: id.into(),
+        },
+        kind: format!("kind{}", kind % 8).into(),
+        team: "team0".into(),
+        tasks,
+        size: Size::new(1_000, 2 << 30, 0),
+        run: 60_000,
+        priority: Priority::Normal,
+        checkpoint: true,
+        attempts: 3,
+        service: false,
+    }
+}
+
+fn place(policy: PlacePolicy, workers: usize, seed: u64) {
+    let mut machine = machine(policy, workers, seed);
+    let running = (workers as f64 * TASKS) as u32;
+    fill(&mut machine, running, 0);
+    let more = PLACED.min(workers as u32 * 8);
+    let began = Instant::now();
+    let started = fill(&mut machine, more, 1_000_000);
+    let seconds = began.elapsed().as_secs_f64();
+    println!(
+        "starts: policy={policy:?} workers={workers} running={running} placed={started} per_second={:.0} us_each={:.2}",
+        started as f64 / seconds,
+        seconds * 1e6 / started as f64
+    );
+}
+
+/// Submits tasks and places them; returns how many were started.
+fn fill(machine: &mut Machine, tasks: u32, first: usize) -> u64 {
+    let mut specs = Vec::new();
+    for i in 0..tasks.div_ceil(10) {
+        specs.push(spec(&format!("job{}", first + i as usize), i as usize, 10));
+    }
+    let mut started = 0;
+    let mut count = |actions: Vec<Action>| {
+        for action in actions {
+            let Action::Append { records, .. } = action else {
+                continue;
+            };
+            started += records
+                .iter()
+                .filter(|r| matches!(r, Record::Started { .. }))
+                .count();
+        }
+    };
+    count(machine.step(START + 2, &Event::Submit(specs)));
+    count(machine.step(START + 3, &Event::Tick));
+    started as u64
+}
+
+fn journal() {
+    let mut records = Vec::new();
+    for i in 0..ROW as u32 {
+        records.push(Record::Started {
+            attempt: gorsespur_core::shard::AttemptId {
+                job: 1_000_000 + i,
+                task: i % 10,
+                attempt: 1,
+            },
+            worker: Name::from("w-shah-alam-0001"),
+            size: Size::new(2_000, 4 << 30, 0),
+        });
+    }
+    let row = JournalRow {
+        epoch: 7,
+        first: 123_456_789,
+        records,
+    };
+    let began = Instant::now();
+    let bytes = encode(&row).unwrap_or_default();
+    let seconds = began.elapsed().as_secs_f64();
+    println!(
+        "starts: journal_records={ROW} bytes={} bytes_each={:.1} encode_us_each={:.3}",
+        bytes.len(),
+        bytes.len() as f64 / ROW as f64,
+        seconds * 1e6 / ROW as f64
+    );
+}
+
+fn recovery(seed: u64) {
+    let mut machine = machine(PlacePolicy::Interference, RECOVERED, seed);
+    fill(&mut machine, (RECOVERED as f64 * TASKS) as u32, 0);
+    let snapshot = Snapshot {
+        next: machine.next_record(),
+        book: machine.book().clone(),
+    };
+    let bytes = encode(&snapshot).unwrap_or_default();
+    let began = Instant::now();
+    let Ok(again) = decode::<Snapshot>(&bytes) else {
+        println!("starts: snapshot can't be decoded");
+        return;
+    };
+    let decoded = began.elapsed();
+    let place = ShardPlace {
+        name: "shard".into(),
+        index: 0,
+        count: 1,
+    };
+    let takeover = Takeover {
+        epoch: 2,
+        book: again.book,
+        next: again.next,
+        inherited: 60_000,
+    };
+    let mut new = Machine::new(place, ShardSettings::default(), seed, takeover, START);
+    let mut list = Vec::new();
+    for w in machine.workers() {
+        list.push(WorkerInfo {
+            name: w.name.clone(),
+            zone: "zone".into(),
+            rack: w.rack.clone(),
+            addr: w.addr,
+            target: w.target,
+            size: w.total,
+            leaving: false,
+        });
+    }
+    new.step(START, &Event::Organisations(vec![organisation(1)]));
+    let counts = vec![list.len() as u32];
+    new.step(START, &Event::Workers { list, counts });
+    let residents: usize = new.workers().iter().map(|w| w.residents.len()).sum();
+    println!(
+        "starts: recovered_tasks={residents} workers={RECOVERED} snapshot_bytes={} decode_ms={:.1} total_ms={:.1}",
+        bytes.len(),
+        decoded.as_secs_f64() * 1e3,
+        began.elapsed().as_secs_f64() * 1e3
+    );
+}
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -3,7 +3,7 @@
 use crate::{
     args::{LoadArgs, LoadCommand, Measure},
     error::LoadError,
-    measure::{faults, overhead},
+    measure::{faults, interference, overhead, overload, starts},
     trial,
 };
 
@@ -14,6 +14,9 @@
         LoadCommand::Measure { what } => match what {
             Measure::Overhead(args) => overhead::run(args),
             Measure::Faults(args) => faults::run(args),
+            Measure::Interference(args) => interference::run(args),
+            Measure::Overload(args) => overload::run(args),
+            Measure::Starts(args) => starts::run(args),
         },
     }
 }
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -193,14 +193,41 @@
     if !bodyless && announced.is_some_and(|n| n > max) {
         return Err(CallError::TooLong);
     }
-    let mut body = Vec::with_capacity(announced.unwrap_or(0));
+    let body = if bodyless {
+        Vec::new()
+    } else {
+        read_body(&mut reader, announced.unwrap_or(0), max, end)?
+    };
+    let whole = chunked || bodyless || announced == Some(body.len());
+    if !whole {
+        return Err(CallError::Broken);
+    }
+    let mut fields = Vec::with_capacity(headers.len());
+    for (name, value) in &headers {
+        let Ok(value) = value.to_str() else { continue };
+        fields.push(Field::new(name.as_str(), value));
+    }
+    Ok(Answer {
+        status: status.as_u16(),
+        fields,
+        body,
+    })
+}
+
+fn read_body(
+    reader: &mut ResponseReader,
+    announced: usize,
+    max: usize,
+    end: Instant,
+) -> Result<Vec<u8>, CallError> {
+    let mut body = Vec::with_capacity(announced);
     let mut chunk = [0u8; 16 * 1024];
-    while !bodyless {
+    loop {
         if Instant::now() >= end {
             return Err(CallError::Timeout);
         }
         let n = match reader.read(&mut chunk) {
-            Ok(0) => break,
+            Ok(0) => return Ok(body),
             Ok(n) => n,
             Err(e) if e.kind() == IoKind::Interrupted => continue,
             Err(e) if matches!(e.kind(), IoKind::WouldBlock | IoKind::TimedOut) => {
@@ -213,18 +240,4 @@
             return Err(CallError::TooLong);
         }
     }
-    let whole = chunked || bodyless || announced == Some(body.len());
-    if !whole {
-        return Err(CallError::Broken);
-    }
-    let mut fields = Vec::with_capacity(headers.len());
-    for (name, value) in &headers {
-        let Ok(value) = value.to_str() else { continue };
-        fields.push(Field::new(name.as_str(), value));
-    }
-    Ok(Answer {
-        status: status.as_u16(),
-        fields,
-        body,
-    })
 }
--- a/crates/stand/src/sim.rs
+++ b/crates/stand/src/sim.rs
@@ -54,6 +54,8 @@
     ended: Vec<EndReport>,
     samples: VecDeque<(Millis, Sample)>,
     sampled: Millis,
+    running_then: Vec<(AttemptId, u32)>,
+    slows: Vec<f64>,
     late: Millis,
 }
 
@@ -79,6 +81,8 @@
             ended: Vec::new(),
             samples: VecDeque::new(),
             sampled: 0,
+            running_then: Vec::new(),
+            slows: Vec::new(),
             late: 0,
         };
         worker.note(What::Boot, "", "", false);
@@ -98,6 +102,7 @@
     /// Replaces the hidden slowdowns.
     pub fn set_slowdown(&mut self, slowdown: Slowdown) {
         self.settings.slowdown = slowdown;
+        self.running_then.clear();
     }
 
     /// Returns what is reserved.
@@ -286,16 +291,9 @@
     }
 
     fn progress(&mut self, passed: Millis) {
-        let load = self.load();
-        let mut rates = Vec::with_capacity(self.runs.len());
-        for (i, r) in self.runs.iter().enumerate() {
-            let others = self.runs.iter().enumerate().filter(|(k, _)| *k != i);
-            let others = others.map(|(_, o)| (&*o.order.kind, o.percent));
-            let slow = self.settings.slowdown.total(&r.order.kind, others, load);
-            rates.push(f64::from(r.percent) / 100.0 / slow);
-        }
-        for (r, rate) in self.runs.iter_mut().zip(rates) {
-            r.progress += passed as f64 * rate;
+        self.refresh();
+        for (r, slow) in self.runs.iter_mut().zip(&self.slows) {
+            r.progress += passed as f64 * f64::from(r.percent) / 100.0 / slow;
         }
         let mut i = 0;
         while i < self.runs.len() {
@@ -308,20 +306,37 @@
         }
     }
 
-    fn measure(&mut self) {
-        if self.clock < self.sampled + self.settings.period {
+    /// Works the slowdowns out anew if what runs has changed.
+    fn refresh(&mut self) {
+        let mut running = Vec::with_capacity(self.runs.len());
+        for r in &self.runs {
+            running.push((r.order.attempt, r.percent));
+        }
+        if running == self.running_then {
             return;
         }
-        self.sampled = self.clock;
+        self.running_then = running;
+        self.slows.clear();
         let load = self.load();
         for (i, r) in self.runs.iter().enumerate() {
             let others = self.runs.iter().enumerate().filter(|(k, _)| *k != i);
             let others = others.map(|(_, o)| (&*o.order.kind, o.percent));
             let slow = self.settings.slowdown.total(&r.order.kind, others, load);
+            self.slows.push(slow);
+        }
+    }
+
+    fn measure(&mut self) {
+        if self.clock < self.sampled + self.settings.period {
+            return;
+        }
+        self.sampled = self.clock;
+        self.refresh();
+        for (r, slow) in self.runs.iter().zip(&self.slows) {
             let sample = Sample {
                 attempt: r.order.attempt,
                 at: self.clock,
-                slow: (slow * 1000.0) as u32,
+                slow: (*slow * 1000.0) as u32,
                 used: Size::new(r.order.size.cpu * 9 / 10, r.order.size.memory * 9 / 10, 0),
             };
             self.samples
