Weigh slowdowns of services higher and evict for noise less readily

Change: a slowdown of a service counts five times (one replica answers for many callers); an eviction for noise needs a gain of 0.36 above 1.5 times the eviction weight.

--- a/crates/core/src/shard/evict.rs
+++ b/crates/core/src/shard/evict.rs
@@ -19,7 +19,7 @@
 const THROTTLE_AT: f32 = 0.08;
 
 /// Weighted gain, above the weighted cost, from which a neighbour is evicted.
-const EVICT_AT: f32 = 0.12;
+const EVICT_AT: f32 = 0.36;
 
 /// Share of its processors that a throttled task keeps, in hundredths.
 const THROTTLED: u32 = 50;
@@ -119,7 +119,7 @@
 
     fn eviction_cost(&self, class: u16) -> f32 {
         let w = &self.classes[usize::from(class)].weights;
-        (0.5 * w.evictions + 0.25 * w.throughput) as f32
+        (1.5 * w.evictions + 0.25 * w.throughput) as f32
     }
 
     fn may_evict(&self, id: AttemptId, class: u16) -> bool {
--- a/crates/core/src/shard/place_tasks.rs
+++ b/crates/core/src/shard/place_tasks.rs
@@ -33,6 +33,9 @@
 /// Added where the task failed before.
 const FAILED_HERE: f32 = 1_000.0;
 
+/// Factor on slowdowns of services: one replica answers for many callers.
+const TAIL: f64 = 5.0;
+
 /// Weight of a team's use of its quota in the choice between lanes.
 const FAIRNESS: f64 = 0.5;
 
@@ -344,7 +347,7 @@
     pub(super) fn bears(&self, class: u16) -> f32 {
         let c = &self.classes[usize::from(class)];
         let weight = if c.service {
-            c.weights.tail
+            c.weights.tail * TAIL
         } else {
             c.weights.throughput
         };
--- a/crates/load/src/measure/floor.rs
+++ b/crates/load/src/measure/floor.rs
@@ -51,6 +51,8 @@
     pub replicas: u32,
     pub weights: Weights,
     pub policy: PlacePolicy,
+    /// How long urgent tasks wait before others are evicted; the usual if none.
+    pub patience: Option<Millis>,
     pub seed: u64,
     pub table_seed: u64,
     pub strength: f64,
@@ -135,10 +137,12 @@
             index: 0,
             count: 1,
         };
+        let usual = ShardSettings::default();
         let shard = ShardSettings {
+            patience: settings.patience.unwrap_or(usual.patience),
             policy: settings.policy,
             retain: 1_000,
-            ..ShardSettings::default()
+            ..usual
         };
         let takeover = Takeover {
             epoch: 1,
--- a/crates/load/src/measure/interference.rs
+++ b/crates/load/src/measure/interference.rs
@@ -22,6 +22,11 @@
 pub(crate) fn run(args: &InterferenceArgs) -> Result<(), LoadError> {
     for (user, weights) in [("weld", WELD), ("taipei", TAIPEI)] {
         let settings = |policy, told| FloorSettings {
+            patience: if policy == PlacePolicy::Interference {
+                None
+            } else {
+                Some(0)
+            },
             workers: args.workers,
             replicas: args.replicas,
             weights,
