Add a scenario for each guard, the worker's contract, slopes and membership

Change: guards.rs with a directed scenario for each guard; the stand-in worker's contract; gorsespur-load slopes (memory, processor time and bytes at four or more sizes, with the fit's error) and measure membership. Before: only random interleavings covered the guards.

--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -7,10 +7,10 @@
 #![expect(dead_code, reason = "each test file uses a part")]
 
 mod fault;
-mod judge;
+pub mod judge;
 mod owner;
-mod world;
+pub mod world;
 
 pub use fault::Fault;
-pub use judge::{check_promises, done_counts};
+pub use judge::check_promises;
 pub use world::{World, WorldSettings, spec};
--- a/crates/core/tests/common/world.rs
+++ b/crates/core/tests/common/world.rs
@@ -134,7 +134,7 @@
 }
 
 /// Returns an organisation with one service.
-fn org(hold: Millis, replicas: u32) -> Arc<Organisation> {
+pub fn org(hold: Millis, replicas: u32) -> Arc<Organisation> {
     let team = |name: &str| Team {
         name: name.into(),
         quota: Size::new(1_000_000, 1 << 50, 100),
--- /dev/null
+++ b/crates/core/tests/guards.rs
@@ -0,0 +1,264 @@
+//! One scenario for each guard; each fails if its guard is taken away.
+
+mod common;
+
+use common::{Fault, World, WorldSettings, check_promises, spec};
+use gorsespur_core::{
+    owner::{Claim, Resolved, ShardRow, Tenure, resolve},
+    shard::{
+        Action, Book, Event, Machine, ShardPlace, ShardSettings, Takeover, WorkerAnswer,
+        WorkerInfo, WorkerRequest,
+    },
+    size::Size,
+    template::Priority,
+};
+use gorsespur_stand::What;
+use test_case::test_case;
+
+const NOW: u64 = 1_000_000;
+const HOLD: u64 = 10_000;
+
+/// A machine with one worker that has answered.
+fn machine() -> Machine {
+    let place = ShardPlace {
+        name: "shard".into(),
+        index: 0,
+        count: 1,
+    };
+    let takeover = Takeover {
+        epoch: 1,
+        book: Book::default(),
+        next: 0,
+        inherited: HOLD,
+    };
+    let mut m = Machine::new(place, ShardSettings::default(), 1, takeover, NOW);
+    let addr = ([127, 0, 0, 1], 9).into();
+    let info = WorkerInfo {
+        name: "w".into(),
+        zone: "zone".into(),
+        rack: "r".into(),
+        addr,
+        target: addr,
+        size: Size::new(30_000, 125 << 30, 0),
+        leaving: false,
+    };
+    let event = Event::Workers {
+        list: vec![info],
+        counts: vec![1],
+    };
+    let org = common::world::org(HOLD, 0);
+    m.step(NOW, &Event::Organisations(vec![org]));
+    m.step(NOW, &event);
+    m.step(NOW, &Event::Tick);
+    m.step(NOW, &answer(NOW, 1));
+    m
+}
+
+fn answer(clock: u64, seq: u64) -> Event {
+    Event::Answer {
+        worker: "w".into(),
+        answer: WorkerAnswer {
+            epoch: 1,
+            seq,
+            refused: None,
+            boot: 5,
+            clock,
+            size: Size::new(30_000, 125 << 30, 0),
+            leaving: false,
+            running: Vec::new(),
+            ended: Vec::new(),
+            samples: Vec::new(),
+        },
+    }
+}
+
+fn request(actions: Vec<Action>) -> Option<WorkerRequest> {
+    actions.into_iter().find_map(|a| match a {
+        Action::Exchange { request, .. } => Some(request),
+        Action::Append { .. } | Action::Fenced { .. } => None,
+    })
+}
+
+#[test]
+fn a_start_is_sent_only_after_its_record_is_in_the_journal() {
+    let mut m = machine();
+    m.step(
+        NOW,
+        &Event::Submit(vec![spec("job", 1, 1_000, Priority::Normal)]),
+    );
+    let sent = request(m.step(NOW + 20, &Event::Tick)).expect("an exchange");
+    assert!(sent.starts.is_empty(), "sent before the commit");
+    m.step(NOW + 30, &answer(NOW + 30, sent.seq));
+    m.step(NOW + 30, &Event::Committed(m.next_record()));
+    let sent = request(m.step(NOW + 50, &Event::Tick)).expect("an exchange");
+    assert_eq!(sent.starts.len(), 1);
+}
+
+#[test]
+fn after_the_hold_nothing_is_started_and_leases_lapse() {
+    let mut m = machine();
+    m.step(
+        NOW,
+        &Event::Submit(vec![spec("job", 1, 1_000, Priority::Normal)]),
+    );
+    m.step(NOW + 20, &Event::Tick);
+    m.step(NOW + 20, &Event::Committed(m.next_record()));
+    m.step(NOW + 20 + HOLD, &answer(NOW + 20 + HOLD, 2));
+    let sent = request(m.step(NOW + 40 + HOLD, &Event::Tick)).expect("an exchange");
+    assert!(sent.starts.is_empty());
+    assert_eq!(sent.lapse.len(), 1);
+}
+
+#[test]
+fn a_silent_workers_leases_are_not_renewed() {
+    let mut m = machine();
+    let late = NOW + ShardSettings::default().silent + 10;
+    m.step(late, &Event::Tick);
+    let sent = request(m.step(late + 4_000, &Event::Tick)).expect("a probe");
+    assert!(!sent.renew);
+}
+
+#[test]
+fn a_worker_that_knows_a_newer_epoch_is_reported() {
+    let mut m = machine();
+    let Event::Answer { worker, mut answer } = answer(NOW, 1) else {
+        unreachable!()
+    };
+    answer.refused = Some(gorsespur_core::shard::Reason::OldEpoch);
+    answer.epoch = 9;
+    let out = m.step(NOW, &Event::Answer { worker, answer });
+    assert_eq!(out, [Action::Fenced { epoch: 9 }]);
+}
+
+/// The old owner can't reach the table service and goes on renewing the leases
+/// of a worker that the new owner can't reach.
+#[test]
+fn a_new_owner_waits_for_the_hold_of_the_old_one() {
+    for pick in 0..4 {
+        let mut world = World::new(WorldSettings {
+            hold: 12_000,
+            ..WorldSettings::default()
+        });
+        for i in 0..6 {
+            world.submit(spec(&format!("job{i}"), 2, 60_000, Priority::Normal));
+        }
+        world.run(2_000);
+        world.strike(Fault::WorkerKeepsOwner, pick);
+        world.strike(Fault::OwnerCutFromStore, pick);
+        world.run(60_000);
+        world.heal();
+        assert!(world.run_until_finished(300_000));
+        check_promises(&world);
+    }
+}
+
+/// The workers' clocks differ by up to eight thousandths from the owner's.
+#[test]
+fn a_lease_is_over_on_the_slowest_clock_before_its_end_is_presumed() {
+    for pick in 0..4 {
+        let mut world = World::new(WorldSettings::default());
+        for i in 0..6 {
+            world.submit(spec(&format!("job{i}"), 2, 90_000, Priority::Normal));
+        }
+        world.run(3_000);
+        world.strike(Fault::WorkerCut, pick);
+        world.run(60_000);
+        assert!(world.run_until_finished(400_000));
+        check_promises(&world);
+    }
+}
+
+/// An owner that lost its shard must not stop what the new owner started.
+#[test]
+fn a_fenced_owner_stops_nothing() {
+    let mut world = World::new(WorldSettings {
+        hold: 60_000,
+        ..WorldSettings::default()
+    });
+    world.submit(spec("old", 4, 30_000, Priority::Normal));
+    world.run(2_000);
+    world.strike(Fault::OwnerCutFromStore, 0);
+    world.run(6_000);
+    world.submit(spec("new", 4, 30_000, Priority::Normal));
+    assert!(world.run_until_finished(200_000));
+    check_promises(&world);
+    for e in world.ledger.entries() {
+        let stopped = matches!(e.what, What::Saved | What::Stopped);
+        assert!(!stopped || e.service, "{e:?}");
+    }
+}
+
+#[test]
+fn a_pause_across_the_lease_needs_a_new_proof() {
+    let mut tenure = Tenure::new(4_000, NOW);
+    tenure.tick(NOW + 3_900);
+    assert!(tenure.may_act());
+    tenure.tick(NOW + 9_000);
+    assert!(!tenure.may_act());
+    tenure.tick(NOW + 9_020);
+    assert!(!tenure.may_act(), "time alone proves nothing");
+    tenure.prove(NOW + 9_030);
+    assert!(tenure.may_act());
+}
+
+#[test]
+fn an_owner_that_only_lacks_the_table_service_may_act() {
+    let mut tenure = Tenure::new(4_000, NOW);
+    for i in 0..1_000 {
+        tenure.tick(NOW + i * 20);
+    }
+    assert!(tenure.may_act());
+}
+
+fn row(token: u64, owner: Option<&str>) -> ShardRow {
+    ShardRow {
+        epoch: 1,
+        owner: owner.map(Into::into),
+        addr: ([127, 0, 0, 1], 9).into(),
+        token,
+        next: 0,
+        snapshot: 0,
+        row: 0,
+        first_row: 0,
+        hold: 0,
+    }
+}
+
+#[test_case(7, 5, Some(7), 6, Resolved::Applied(6); "own token")]
+#[test_case(7, 5, Some(4), 5, Resolved::Repeat; "row as it was")]
+#[test_case(7, 5, Some(4), 6, Resolved::Lost; "another writer")]
+#[test_case(7, 0, None, 0, Resolved::Repeat; "no row yet")]
+fn a_lost_answer_is_resolved_by_reading_back(
+    token: u64,
+    version: u64,
+    found: Option<u64>,
+    at: u64,
+    wanted: Resolved,
+) {
+    let row = found.map(|t| row(t, Some("a")));
+    assert_eq!(resolve(token, version, row.as_ref(), at), wanted);
+}
+
+#[test]
+fn a_renewed_row_is_not_taken_and_a_still_one_is() {
+    let mut claim = Claim::new(4_000);
+    let owned = row(1, Some("a"));
+    for i in 0..20 {
+        claim.observe(NOW + i * 1_000, Some(&owned), 10 + i);
+        assert!(!claim.may_take(NOW + i * 1_000));
+    }
+    claim.observe(NOW + 22_000, Some(&owned), 29);
+    assert!(!claim.may_take(NOW + 22_000));
+    claim.observe(NOW + 23_000, Some(&owned), 29);
+    assert!(claim.may_take(NOW + 23_000));
+}
+
+#[test]
+fn a_released_row_is_taken_at_once_and_nothing_unseen_is() {
+    let mut claim = Claim::new(4_000);
+    assert!(!claim.may_take(NOW + 99_000));
+    claim.observe(NOW, Some(&row(1, None)), 3);
+    assert!(claim.may_take(NOW));
+    claim.reset();
+    assert!(!claim.may_take(NOW + 99_000));
+}
--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -18,6 +18,8 @@
 pub enum LoadCommand {
     /// Run the whole system on stand-ins, with kills, and judge it.
     Trial(TrialArgs),
+    /// Measure what one more worker, task or message costs.
+    Slopes(TrialArgs),
     /// Measure one thing against its baseline, in one run.
     Measure {
         /// What to measure.
@@ -62,6 +64,22 @@
     Overload(SeedArgs),
     /// Cost of placement, journalling and recovery.
     Starts(SeedArgs),
+    /// Full membership against partial views.
+    Membership(MembershipArgs),
+}
+
+/// Arguments of the comparison of memberships.
+#[derive(Debug, Clone, Args)]
+pub struct MembershipArgs {
+    /// Seed.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Instances of the system in all zones.
+    #[arg(long, default_value_t = 528)]
+    pub instances: usize,
+    /// Availability zones.
+    #[arg(long, default_value_t = 22)]
+    pub zones: usize,
 }
 
 /// Arguments of a measurement without processes.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -10,4 +10,5 @@
 mod kit;
 mod measure;
 pub mod program;
+mod slopes;
 mod trial;
--- /dev/null
+++ b/crates/load/src/measure/membership.rs
@@ -0,0 +1,202 @@
+//! Full membership against partial views of about the square root.
+//!
+//! Full: an instance sends its heartbeat to everyone in its zone and to two
+//! contacts in each other zone, and knows its zone. Partial (after Kelips,
+//! Gupta et al. 2003): instances fall into about sqrt(n) groups by hash; an
+//! instance gossips a bounded number of entries to a few members of its group
+//! and to contacts in other groups. Measured are the bytes that an instance
+//! sends a second, the entries that it keeps, and the time until a crash or a
+//! new instance is known to all that are to know it.
+
+use gorsespur_core::{member::MemberSettings, spread::stable_hash};
+use gorsespur_wire::codec::encode;
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+
+use crate::{args::MembershipArgs, error::LoadError, slopes::beat};
+
+/// Time of a round of both, in milliseconds.
+const ROUND: u64 = 500;
+
+/// Entries in one gossip message, as in the paper's rations of 272 bytes.
+const RATION: usize = 6;
+
+/// Gossip targets of a round: in the group, and contacts of other groups.
+const IN_GROUP: usize = 3;
+const CONTACTS: usize = 3;
+
+/// Contacts kept of each other group.
+const KEPT: usize = 2;
+
+/// Rounds after which a run is given up.
+const MOST: u64 = 4_000;
+
+/// Bytes of a datagram besides its message.
+const DATAGRAM: f64 = 28.0;
+
+/// What came out.
+struct Measured {
+    bytes: f64,
+    entries: f64,
+    learn_s: f64,
+    forget_s: f64,
+}
+
+/// Measures and prints both at the given size.
+pub(crate) fn run(args: &MembershipArgs) -> Result<(), LoadError> {
+    let each = encode(&beat(1, 1)).unwrap_or_default().len() as f64;
+    let full = full(args, each);
+    let partial = partial(args, each);
+    for (name, m) in [("full", full), ("partial", partial)] {
+        println!(
+            "membership: views={name} instances={} zones={} heartbeat_bytes={each:.0} sent_bytes_per_s={:.0} entries={:.0} learn_s={:.2} forget_s={:.2}",
+            args.instances, args.zones, m.bytes, m.entries, m.learn_s, m.forget_s
+        );
+    }
+    Ok(())
+}
+
+/// Everyone in the zone is told directly: one round to learn, the time limit
+/// to forget.
+fn full(args: &MembershipArgs, each: f64) -> Measured {
+    let zone = args.instances.div_ceil(args.zones);
+    let settings = MemberSettings::default();
+    let sent = (zone - 1) + settings.contacts * (args.zones - 1);
+    let rounds = 1000.0 / settings.beat as f64;
+    Measured {
+        bytes: sent as f64 * (each + DATAGRAM) * rounds,
+        entries: args.instances as f64,
+        learn_s: settings.beat as f64 / 1000.0,
+        forget_s: (settings.dead + settings.beat) as f64 / 1000.0,
+    }
+}
+
+struct Node {
+    group: usize,
+    /// Latest heartbeat count heard of each member of the group, and when.
+    heard: Vec<Option<(u64, u64)>>,
+    contacts: Vec<Vec<usize>>,
+}
+
+/// Gossip within groups, simulated round by round.
+fn partial(args: &MembershipArgs, each: f64) -> Measured {
+    let n = args.instances;
+    let groups = (n as f64).sqrt().round().max(1.0) as usize;
+    let mut rng = SmallRng::seed_from_u64(args.seed);
+    let group_of = |i: usize| (stable_hash(&["group", &i.to_string()]) % groups as u64) as usize;
+    let members: Vec<Vec<usize>> = (0..groups)
+        .map(|g| (0..n).filter(|i| group_of(*i) == g).collect())
+        .collect();
+    let mut nodes: Vec<Node> = Vec::new();
+    for i in 0..n {
+        let group = group_of(i);
+        let mut contacts = Vec::new();
+        for m in &members {
+            contacts.push(m.choose_multiple(&mut rng, KEPT).copied().collect());
+        }
+        nodes.push(Node {
+            group,
+            heard: vec![Some((1, 1)); members[group].len()],
+            contacts,
+        });
+    }
+    let newcomer = members.iter().max_by_key(|m| m.len()).map_or(0, |m| m[0]);
+    let home = group_of(newcomer);
+    let place = members[home]
+        .iter()
+        .position(|i| *i == newcomer)
+        .unwrap_or(0);
+    for i in &members[home] {
+        nodes[*i].heard[place] = None;
+    }
+    let learn = spread(&mut nodes, &members, &mut rng, newcomer, home, place);
+    // The time limit that is safe: the longest gap between news of a live
+    // member at any node, as measured, with half as much again.
+    let gap = longest_gap(&mut nodes, &members, &mut rng);
+    let targets = IN_GROUP + CONTACTS;
+    let message = each * RATION as f64 + DATAGRAM;
+    Measured {
+        bytes: targets as f64 * message * 1000.0 / ROUND as f64,
+        entries: (members[home].len() + KEPT * (groups - 1)) as f64,
+        learn_s: learn as f64 * ROUND as f64 / 1000.0,
+        forget_s: gap as f64 * 1.5 * ROUND as f64 / 1000.0,
+    }
+}
+
+/// Lets each node gossip once.
+fn round(nodes: &mut [Node], members: &[Vec<usize>], rng: &mut SmallRng, now: u64) {
+    let mut messages = Vec::new();
+    for (i, node) in nodes.iter_mut().enumerate() {
+        let group = node.group;
+        let mine = members[group].iter().position(|m| *m == i).unwrap_or(0);
+        node.heard[mine] = Some((now, now));
+        let known: Vec<usize> = (0..members[group].len())
+            .filter(|p| node.heard[*p].is_some())
+            .collect();
+        for _ in 0..IN_GROUP {
+            let Some(to) = known.choose(rng).map(|p| members[group][*p]) else {
+                continue;
+            };
+            let mut entries: Vec<(usize, u64)> = Vec::new();
+            entries.push((mine, now));
+            for p in known.choose_multiple(rng, RATION - 1) {
+                entries.push((*p, node.heard[*p].map_or(0, |h| h.0)));
+            }
+            messages.push((to, entries));
+        }
+        for _ in 0..CONTACTS {
+            let other = rng.random_range(0..node.contacts.len());
+            let _ = node.contacts[other].choose(rng);
+        }
+    }
+    for (to, entries) in messages {
+        for (p, count) in entries {
+            let old = nodes[to].heard[p];
+            if old.is_none_or(|o| count > o.0) {
+                nodes[to].heard[p] = Some((count, now));
+            }
+        }
+    }
+}
+
+fn spread(
+    nodes: &mut [Node],
+    members: &[Vec<usize>],
+    rng: &mut SmallRng,
+    newcomer: usize,
+    home: usize,
+    place: usize,
+) -> u64 {
+    let introducer = members[home].iter().find(|m| **m != newcomer).copied();
+    if let Some(i) = introducer {
+        nodes[i].heard[place] = Some((1, 1));
+    }
+    for now in 2..MOST {
+        round(nodes, members, rng, now);
+        if members[home]
+            .iter()
+            .all(|m| nodes[*m].heard[place].is_some())
+        {
+            return now - 1;
+        }
+    }
+    MOST
+}
+
+/// Returns the longest time in rounds for which a node heard no news of a live
+/// member of its group.
+fn longest_gap(nodes: &mut [Node], members: &[Vec<usize>], rng: &mut SmallRng) -> u64 {
+    let mut longest = 0;
+    let start = 10_000;
+    for now in start..start + 400 {
+        round(nodes, members, rng, now);
+        if now < start + 100 {
+            continue;
+        }
+        for node in nodes.iter() {
+            for heard in node.heard.iter().flatten() {
+                longest = longest.max(now - heard.1);
+            }
+        }
+    }
+    longest
+}
--- a/crates/load/src/measure/starts.rs
+++ b/crates/load/src/measure/starts.rs
@@ -86,13 +86,12 @@
     }
     let counts = vec![workers as u32];
     machine.step(START, &Event::Workers { list, counts });
-    answer_all(&mut machine, START + 1, &[]);
+    answer_all(&mut machine, START + 1);
     machine
 }
 
-/// Lets every worker answer that it runs what it should, besides `ended`.
-fn answer_all(machine: &mut Machine, now: Millis, ended: &[Record]) {
-    debug_assert!(ended.is_empty());
+/// Lets every worker answer that it runs what it should.
+fn answer_all(machine: &mut Machine, now: Millis) {
     let upto = machine.next_record();
     machine.step(now, &Event::Committed(upto));
     let mut answers = Vec::new();
@@ -154,7 +153,7 @@
 }
 
 /// Submits tasks and places them; returns how many were started.
-fn fill(machine: &mut Machine, tasks: u32, first: usize) -> u64 {
+pub(crate) fn fill(machine: &mut Machine, tasks: u32, first: usize) -> u64 {
     let mut specs = Vec::new();
     for i in 0..tasks.div_ceil(10) {
         specs.push(spec(&format!("job{}", first + i as usize), i as usize, 10));
--- /dev/null
+++ b/crates/load/src/slopes/figure.rs
@@ -0,0 +1,95 @@
+//! A fitted line.
+
+use std::path::Path;
+
+use snafu::ResultExt;
+
+use crate::error::{FileSnafu, LoadError};
+
+/// A measured quantity as a line over a size.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Figure {
+    pub name: String,
+    pub unit: String,
+    pub slope: f64,
+    pub intercept: f64,
+    /// Root mean square error as a share of the mean.
+    pub error: f64,
+    /// Sizes and values.
+    pub points: Vec<(f64, f64)>,
+}
+
+impl Figure {
+    /// Fits a line by least squares.
+    pub fn fit(name: &str, unit: &str, points: Vec<(f64, f64)>) -> Figure {
+        let n = points.len() as f64;
+        let mean_x = points.iter().map(|p| p.0).sum::<f64>() / n;
+        let mean_y = points.iter().map(|p| p.1).sum::<f64>() / n;
+        let mut xy = 0.0;
+        let mut xx = 0.0;
+        for (x, y) in &points {
+            xy += (x - mean_x) * (y - mean_y);
+            xx += (x - mean_x) * (x - mean_x);
+        }
+        let slope = if xx > 0.0 { xy / xx } else { 0.0 };
+        let intercept = mean_y - slope * mean_x;
+        let mut square = 0.0;
+        for (x, y) in &points {
+            square += (y - slope * x - intercept).powi(2);
+        }
+        let error = (square / n).sqrt() / mean_y.abs().max(1e-12);
+        Figure {
+            name: name.to_owned(),
+            unit: unit.to_owned(),
+            slope,
+            intercept,
+            error,
+            points,
+        }
+    }
+
+    /// Returns the value of the line at `x`.
+    pub fn at(&self, x: f64) -> f64 {
+        self.slope * x + self.intercept
+    }
+
+    /// Prints the line with its points.
+    pub fn print(&self) {
+        let points: Vec<String> = self
+            .points
+            .iter()
+            .map(|(x, y)| format!("{x}:{y:.3}"))
+            .collect();
+        println!(
+            "slope: name={} unit={} slope={:.6} intercept={:.4} error={:.4} points={}",
+            self.name,
+            self.unit,
+            self.slope,
+            self.intercept,
+            self.error,
+            points.join(",")
+        );
+    }
+
+    fn parse(line: &str) -> Option<Figure> {
+        let rest = line.strip_prefix("slope: ")?;
+        let get = |key: &str| {
+            let mut words = rest.split(' ');
+            words.find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
+        };
+        Some(Figure {
+            name: get("name")?.to_owned(),
+            unit: get("unit")?.to_owned(),
+            slope: get("slope")?.parse().ok()?,
+            intercept: get("intercept")?.parse().ok()?,
+            error: get("error")?.parse().ok()?,
+            points: Vec::new(),
+        })
+    }
+}
+
+/// Reads the lines that a run printed.
+pub(crate) fn read_figures(path: &Path) -> Result<Vec<Figure>, LoadError> {
+    let text = std::fs::read_to_string(path).context(FileSnafu { path })?;
+    Ok(text.lines().filter_map(Figure::parse).collect())
+}
--- /dev/null
+++ b/crates/load/src/slopes/memory.rs
@@ -0,0 +1,134 @@
+//! Memory of state, by resident size.
+
+use std::hint::black_box;
+
+use gorsespur_core::{
+    config::{ConfigEntry, Configs},
+    member::{Beat, MemberSettings, Peers, Role},
+    name::Name,
+    place::PlacePolicy,
+    route::{RouteEvent, RouteSettings, Router, TargetList},
+    shard::{Event, TargetInfo},
+};
+
+use super::Figure;
+use crate::measure::{organisation, starts};
+
+/// Returns the resident size of this process in bytes.
+fn resident() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status
+        .lines()
+        .find(|l| l.starts_with("VmRSS:"))
+        .unwrap_or_default();
+    let kib = line
+        .split_whitespace()
+        .nth(1)
+        .and_then(|n| n.parse::<f64>().ok());
+    kib.unwrap_or(0.0) * 1024.0
+}
+
+/// Measures what `make` keeps at each size; everything stays alive, so that
+/// freed memory is not used again.
+fn grow<T>(name: &str, sizes: &[usize], mut make: impl FnMut(usize) -> T) -> Figure {
+    let mut kept = Vec::new();
+    let mut points = Vec::new();
+    for size in sizes {
+        let before = resident();
+        kept.push(black_box(make(*size)));
+        points.push((*size as f64, resident() - before));
+    }
+    drop(kept);
+    Figure::fit(name, "bytes", points)
+}
+
+/// Measures all.
+pub(crate) fn all(seed: u64) -> Vec<Figure> {
+    vec![
+        grow(
+            "memory_worker",
+            &[2_000, 4_000, 8_000, 16_000, 26_000],
+            |n| starts::machine(PlacePolicy::Interference, n, seed),
+        ),
+        grow("memory_task", &[10_000, 20_000, 40_000, 80_000], |n| {
+            let mut machine = starts::machine(PlacePolicy::Interference, 8_000, seed);
+            starts::fill(&mut machine, n as u32, 0);
+            machine
+        }),
+        grow(
+            "memory_queued_task",
+            &[20_000, 40_000, 80_000, 160_000],
+            |n| {
+                let mut machine = starts::machine(PlacePolicy::Interference, 1, seed);
+                let mut specs = Vec::new();
+                for i in 0..n / 10 {
+                    specs.push(starts::spec(&format!("job{i}"), i, 10));
+                }
+                machine.step(1_000_010, &Event::Submit(specs));
+                machine
+            },
+        ),
+        grow("memory_organisation", &[500, 1_000, 2_000, 4_000], |n| {
+            let mut configs = Configs::default();
+            for i in 1..=n {
+                configs.offer(&ConfigEntry {
+                    version: 1,
+                    template: organisation(i),
+                });
+            }
+            configs
+        }),
+        grow("memory_target", &[5_000, 10_000, 20_000, 40_000], router),
+        grow("memory_peer", &[5_000, 10_000, 20_000, 40_000], |n| {
+            let mut peers = Peers::new(MemberSettings::default(), "zone0".into());
+            for i in 0..n {
+                peers.hear(1, beat(i, 1));
+            }
+            peers
+        }),
+    ]
+}
+
+fn router(n: usize) -> Router {
+    let mut targets = Vec::new();
+    for i in 0..n {
+        targets.push(TargetInfo {
+            org: format!("org{}", i % 89).into(),
+            service: "service".into(),
+            worker: format!("w{i:06}").into(),
+            addr: ([127, 0, 0, 1], 1).into(),
+            slots: 8,
+            connections: 60,
+            leaving: false,
+        });
+    }
+    let mut router = Router::new(RouteSettings::default(), 1);
+    let list = TargetList {
+        shard: 0,
+        epoch: 1,
+        version: 1,
+        near: true,
+        targets,
+    };
+    router.step(1_000, &RouteEvent::Targets(list));
+    router
+}
+
+/// Returns a heartbeat of instance `i`.
+pub(crate) fn beat(i: usize, seq: u64) -> Beat {
+    Beat {
+        id: Name::from(format!("sched-zone-{i:04}")),
+        role: Role::Sched,
+        zone: "zone0".into(),
+        incarnation: 1_796_222_171_983,
+        seq,
+        addr: ([127, 0, 0, 1], 40_000).into(),
+        leaving: false,
+        config: 40_000,
+        shards: vec![gorsespur_core::member::ShardClaim {
+            shard: i as u32,
+            epoch: 7,
+            targets: 99,
+        }],
+    }
+}
--- /dev/null
+++ b/crates/load/src/slopes/messages.rs
@@ -0,0 +1,225 @@
+//! Processor time and bytes of messages, in this process.
+
+use std::{hint::black_box, time::Instant};
+
+use gorsespur_core::{
+    config::{ConfigEntry, Configs},
+    member::{MemberSettings, Peers},
+    name::Name,
+    place::PlacePolicy,
+    shard::{Action, AttemptId, Event, Machine, Record, WorkerAnswer, WorkerRequest},
+    size::Size,
+    template::Organisation,
+};
+use gorsespur_wire::{
+    codec::{decode, encode},
+    stored::{JournalRow, StoredTemplate},
+};
+
+use super::{Figure, memory::beat};
+use crate::measure::{organisation, starts};
+
+/// Rounds of each measurement.
+const ROUNDS: u32 = 200;
+
+/// Returns the least time of one call in microseconds over some tries.
+fn time_us(mut f: impl FnMut()) -> f64 {
+    let mut least = f64::INFINITY;
+    for _ in 0..5 {
+        let began = Instant::now();
+        for _ in 0..ROUNDS {
+            f();
+        }
+        least = least.min(began.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS));
+    }
+    least
+}
+
+/// Measures all.
+pub(crate) fn all(seed: u64) -> Vec<Figure> {
+    let mut out = heartbeats();
+    out.extend(exchanges(seed));
+    out.extend(placements(seed));
+    out.extend(journal());
+    out.extend(configs());
+    out
+}
+
+/// A heartbeat received among so many known instances.
+fn heartbeats() -> Vec<Figure> {
+    let mut times = Vec::new();
+    let mut bytes = Vec::new();
+    for n in [10, 50, 200, 800, 3_200] {
+        let mut peers = Peers::new(MemberSettings::default(), "zone0".into());
+        for i in 0..n {
+            peers.hear(1, beat(i, 1));
+        }
+        let mut seq = 1;
+        let us = time_us(|| {
+            seq += 1;
+            let message = encode(&beat(seq as usize % n, seq)).unwrap_or_default();
+            if let Ok(beat) = decode(&message) {
+                peers.hear(seq, beat);
+            }
+        });
+        times.push((n as f64, us));
+        let len = encode(&beat(n, 1)).unwrap_or_default().len();
+        bytes.push((n as f64, len as f64));
+    }
+    vec![
+        Figure::fit("heartbeat_cpu_by_peers", "us", times),
+        Figure::fit("heartbeat_bytes_by_peers", "bytes", bytes),
+    ]
+}
+
+/// An exchange with a worker that runs so many tasks, without the network.
+fn exchanges(seed: u64) -> Vec<Figure> {
+    let mut times = Vec::new();
+    let mut bytes = Vec::new();
+    for tasks in [0u32, 4, 8, 16, 28] {
+        let mut machine = starts::machine(PlacePolicy::Interference, 1, seed);
+        starts::fill(&mut machine, tasks, 0);
+        let mut now = 1_001_000;
+        let (request, answer) = exchange(&mut machine, now);
+        let both =
+            encode(&request).unwrap_or_default().len() + encode(&answer).unwrap_or_default().len();
+        bytes.push((f64::from(tasks), both as f64));
+        let us = time_us(|| {
+            now += 1_000;
+            let (request, mut answer) = exchange(&mut machine, now);
+            let sent = encode(&request).unwrap_or_default();
+            black_box(sent.len());
+            answer.clock = now;
+            let got = encode(&answer).unwrap_or_default();
+            let Ok(answer) = decode::<WorkerAnswer>(&got) else {
+                return;
+            };
+            let worker = Name::from("w000000");
+            machine.step(now, &Event::Answer { worker, answer });
+        });
+        times.push((f64::from(tasks), us));
+    }
+    vec![
+        Figure::fit("exchange_cpu_by_tasks", "us", times),
+        Figure::fit("exchange_bytes_by_tasks", "bytes", bytes),
+    ]
+}
+
+/// Lets the machine send its exchange and returns it with the worker's answer.
+fn exchange(machine: &mut Machine, now: u64) -> (Option<WorkerRequest>, WorkerAnswer) {
+    let upto = machine.next_record();
+    machine.step(now, &Event::Committed(upto));
+    let actions = machine.step(now, &Event::Tick);
+    let mut request = None;
+    for action in actions {
+        if let Action::Exchange { request: r, .. } = action {
+            request = Some(r);
+        }
+    }
+    let w = &machine.workers()[0];
+    let answer = WorkerAnswer {
+        epoch: 1,
+        seq: w.seq,
+        refused: None,
+        boot: 1,
+        clock: now,
+        size: Size::new(30_000, 125 << 30, 0),
+        leaving: false,
+        running: w.residents.iter().map(|r| r.attempt).collect(),
+        ended: Vec::new(),
+        samples: Vec::new(),
+    };
+    (request, answer)
+}
+
+/// A placement in a shard of so many workers.
+fn placements(seed: u64) -> Vec<Figure> {
+    let mut times = Vec::new();
+    for workers in [150, 300, 600, 1_200, 2_400] {
+        let mut machine = starts::machine(PlacePolicy::Interference, workers, seed);
+        starts::fill(&mut machine, workers as u32 * 10, 0);
+        let began = Instant::now();
+        let placed = starts::fill(&mut machine, workers as u32 * 5, 1_000_000);
+        let us = began.elapsed().as_secs_f64() * 1e6 / placed.max(1) as f64;
+        times.push((workers as f64, us));
+    }
+    vec![Figure::fit("placement_cpu_by_workers", "us", times)]
+}
+
+/// A row of the journal with so many transitions.
+fn journal() -> Vec<Figure> {
+    let mut times = Vec::new();
+    let mut bytes = Vec::new();
+    for n in [10u32, 100, 1_000, 2_500, 5_000] {
+        let mut records = Vec::new();
+        for i in 0..n {
+            let attempt = AttemptId {
+                job: 1_000_000 + i,
+                task: i % 10,
+                attempt: 1,
+            };
+            records.push(Record::Started {
+                attempt,
+                worker: Name::from("w-shah-alam-0001"),
+                size: Size::new(2_000, 4 << 30, 0),
+            });
+        }
+        let row = JournalRow {
+            epoch: 7,
+            first: 123_456_789,
+            records,
+        };
+        let len = encode(&row).unwrap_or_default().len();
+        bytes.push((f64::from(n), len as f64));
+        let us = time_us(|| {
+            black_box(encode(&row).unwrap_or_default().len());
+        });
+        times.push((f64::from(n), us));
+    }
+    vec![
+        Figure::fit("journal_cpu_by_transitions", "us", times),
+        Figure::fit("journal_bytes_by_transitions", "bytes", bytes),
+    ]
+}
+
+fn template(kinds: usize) -> Organisation {
+    let mut org = (*organisation(1)).clone();
+    let first = org.jobs[0].clone();
+    org.jobs.clear();
+    for kind in 0..kinds {
+        let mut job = first.clone();
+        job.name = format!("kind{kind:03}").into();
+        org.jobs.push(job);
+    }
+    org
+}
+
+/// A change of a template with so many kinds of jobs: decoded and put in force.
+fn configs() -> Vec<Figure> {
+    let mut times = Vec::new();
+    let mut bytes = Vec::new();
+    for kinds in [4, 8, 16, 32, 64] {
+        let entry = ConfigEntry {
+            version: 1,
+            template: std::sync::Arc::new(template(kinds)),
+        };
+        let message = encode(&entry).unwrap_or_default();
+        bytes.push((kinds as f64, message.len() as f64));
+        let mut configs = Configs::default();
+        let mut version = 1;
+        let us = time_us(|| {
+            let Ok(mut entry) = decode::<ConfigEntry>(&message) else {
+                return;
+            };
+            version += 1;
+            entry.version = version;
+            configs.offer(&entry);
+        });
+        times.push((kinds as f64, us));
+    }
+    let _ = std::mem::size_of::<StoredTemplate>();
+    vec![
+        Figure::fit("config_cpu_by_kinds", "us", times),
+        Figure::fit("config_bytes_by_kinds", "bytes", bytes),
+    ]
+}
--- /dev/null
+++ b/crates/load/src/slopes/mod.rs
@@ -0,0 +1,27 @@
+//! Slopes: what one more worker, task, organisation or message costs.
+//!
+//! Each is measured at four or more sizes, and a line is fitted.
+
+mod figure;
+mod memory;
+mod messages;
+mod processes;
+
+pub(crate) use figure::{Figure, read_figures};
+pub(crate) use memory::beat;
+
+use crate::{args::TrialArgs, error::LoadError};
+
+/// Measures every slope and prints a line for each.
+pub(crate) fn run(args: &TrialArgs) -> Result<(), LoadError> {
+    for figure in memory::all(args.seed) {
+        figure.print();
+    }
+    for figure in messages::all(args.seed) {
+        figure.print();
+    }
+    for figure in processes::all(args)? {
+        figure.print();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/stand/tests/worker.rs
@@ -0,0 +1,193 @@
+//! Contract of a worker: what it refuses, and what it repeats.
+
+use std::sync::Arc;
+
+use gorsespur_core::{
+    shard::{AttemptId, Reason, StartOrder, StopOrder, WorkerEnd, WorkerRequest},
+    size::Size,
+};
+use gorsespur_stand::{Ledger, MemoryCheckpoints, SimSettings, SimWorker, Slowdown, What};
+use test_case::test_case;
+
+const NOW: u64 = 50_000;
+const LEASE: u64 = 15_000;
+
+fn worker(ledger: &Arc<Ledger>) -> SimWorker {
+    let settings = SimSettings {
+        name: "w".into(),
+        size: Size::new(10_000, 10 << 30, 0),
+        period: 1_000,
+        lag: 1_000,
+        slowdown: Slowdown {
+            seed: 1,
+            strength: 0.0,
+            shift: 0,
+        },
+    };
+    let checkpoints = Arc::new(MemoryCheckpoints::default());
+    SimWorker::new(settings, 77, ledger.clone(), checkpoints)
+}
+
+fn id(job: u32) -> AttemptId {
+    AttemptId {
+        job,
+        task: 0,
+        attempt: 1,
+    }
+}
+
+fn order(job: u32, cores: u64) -> StartOrder {
+    StartOrder {
+        attempt: id(job),
+        name: format!("org/job{job}/0").into(),
+        kind: "kind".into(),
+        size: Size::new(cores * 1_000, 1 << 30, 0),
+        run: 60_000,
+        resume: None,
+        checkpoint: Some(format!("c{job}").into()),
+        service: false,
+    }
+}
+
+fn request(epoch: u64, seq: u64, echo: u64) -> WorkerRequest {
+    WorkerRequest {
+        shard: "shard".into(),
+        epoch,
+        seq,
+        boot: 77,
+        echo,
+        lease: LEASE,
+        renew: true,
+        lapse: Vec::new(),
+        starts: Vec::new(),
+        stops: Vec::new(),
+        throttles: Vec::new(),
+        acks: Vec::new(),
+    }
+}
+
+/// A worker that runs job 1 for epoch 3 after exchange 5.
+fn running(ledger: &Arc<Ledger>) -> SimWorker {
+    let mut w = worker(ledger);
+    let mut r = request(3, 5, NOW);
+    r.starts.push(order(1, 2));
+    let answer = w.exchange(NOW, &r);
+    assert_eq!((answer.refused, answer.running.len()), (None, 1));
+    w
+}
+
+#[test_case(2, 9, "shard", Some(Reason::OldEpoch); "older epoch")]
+#[test_case(3, 5, "shard", Some(Reason::OldSeq); "same exchange again")]
+#[test_case(3, 4, "shard", Some(Reason::OldSeq); "older exchange")]
+#[test_case(3, 6, "other", Some(Reason::OtherShard); "another shard")]
+#[test_case(3, 6, "shard", None; "next exchange")]
+#[test_case(4, 1, "shard", None; "newer epoch")]
+fn what_is_refused(epoch: u64, seq: u64, shard: &str, refused: Option<Reason>) {
+    let ledger = Arc::new(Ledger::default());
+    let mut w = running(&ledger);
+    let mut r = request(epoch, seq, NOW);
+    r.shard = shard.into();
+    r.stops.push(StopOrder {
+        attempt: id(1),
+        save: false,
+    });
+    let answer = w.exchange(NOW + 10, &r);
+    assert_eq!(answer.refused, refused);
+    assert_eq!(
+        answer.running.is_empty(),
+        refused.is_none(),
+        "obeyed only if not refused"
+    );
+}
+
+#[test]
+fn a_lease_counts_from_the_echo_and_not_from_the_arrival() {
+    let ledger = Arc::new(Ledger::default());
+    let mut w = running(&ledger);
+    w.exchange(NOW + LEASE - 1, &request(3, 6, NOW));
+    assert_eq!(w.running(), 1);
+    w.advance(NOW + LEASE);
+    assert_eq!(w.running(), 0);
+}
+
+#[test]
+fn a_renewal_extends_the_lease() {
+    let ledger = Arc::new(Ledger::default());
+    let mut w = running(&ledger);
+    w.exchange(NOW + 5_000, &request(3, 6, NOW + 4_900));
+    w.advance(NOW + LEASE + 100);
+    assert_eq!(w.running(), 1);
+    w.advance(NOW + LEASE + 4_900);
+    assert_eq!(w.running(), 0);
+}
+
+#[test]
+fn a_start_whose_lease_is_over_is_refused() {
+    let ledger = Arc::new(Ledger::default());
+    let mut w = running(&ledger);
+    let mut r = request(3, 6, NOW);
+    r.starts.push(order(2, 2));
+    let answer = w.exchange(NOW + LEASE, &r);
+    let end = answer
+        .ended
+        .iter()
+        .find(|e| e.attempt == id(2))
+        .map(|e| e.end);
+    assert_eq!(end, Some(WorkerEnd::Refused));
+}
+
+#[test]
+fn orders_for_an_earlier_boot_start_and_renew_nothing() {
+    let ledger = Arc::new(Ledger::default());
+    let mut w = running(&ledger);
+    let mut r = request(3, 6, NOW + 9_000);
+    r.boot = 76;
+    r.starts.push(order(2, 2));
+    let answer = w.exchange(NOW + 9_000, &r);
+    assert_eq!(answer.running, [id(1)]);
+    w.advance(NOW + LEASE);
+    assert_eq!(w.running(), 0);
+}
+
+#[test]
+fn what_does_not_fit_is_refused_and_noted() {
+    let ledger = Arc::new(Ledger::default());
+    let mut w = running(&ledger);
+    let mut r = request(3, 6, NOW);
+    r.starts.push(order(2, 9));
+    let answer = w.exchange(NOW, &r);
+    assert_eq!(answer.ended[0].end, WorkerEnd::Refused);
+    assert!(ledger.entries().iter().any(|e| e.what == What::NoRoom));
+}
+
+#[test]
+fn a_repeated_start_runs_once_and_an_end_is_told_until_acknowledged() {
+    let ledger = Arc::new(Ledger::default());
+    let mut w = running(&ledger);
+    for seq in 6..9 {
+        let mut r = request(3, seq, NOW);
+        r.starts.push(order(1, 2));
+        w.exchange(NOW + seq, &r);
+    }
+    let mut r = request(3, 9, NOW);
+    r.stops.push(StopOrder {
+        attempt: id(1),
+        save: true,
+    });
+    assert_eq!(
+        w.exchange(NOW + 9, &r).ended[0].end,
+        WorkerEnd::Stopped { saved: true }
+    );
+    let mut again = request(3, 10, NOW);
+    again.starts.push(order(1, 2));
+    assert_eq!(w.exchange(NOW + 10, &again).ended.len(), 1);
+    let mut ack = request(3, 11, NOW);
+    ack.acks.push(id(1));
+    assert!(w.exchange(NOW + 11, &ack).ended.is_empty());
+    let starts = ledger
+        .entries()
+        .iter()
+        .filter(|e| e.what == What::Start)
+        .count();
+    assert_eq!(starts, 1);
+}
