--- a/crates/core/src/shard/attempt.rs
+++ b/crates/core/src/shard/attempt.rs
@@ -2,10 +2,20 @@
 
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize, Deserializer, Serialize, Serializer,
+    de::{Error, SeqAccess, Visitor},
+    ser::SerializeTuple,
+};
+
+/// Number of parts.
+const PARTS: usize = 3;
 
 /// One attempt of one task; unique in its shard for all time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+///
+/// Written as a tuple of its fields, since it stands in every record, exchange
+/// and sample.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptId {
     /// Number of the job in its shard.
     pub job: u32,
@@ -20,3 +30,38 @@
         write!(f, "{}.{}.{}", self.job, self.task, self.attempt)
     }
 }
+
+impl Serialize for AttemptId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(PARTS)?;
+        tuple.serialize_element(&self.job)?;
+        tuple.serialize_element(&self.task)?;
+        tuple.serialize_element(&self.attempt)?;
+        tuple.end()
+    }
+}
+
+struct AttemptVisitor;
+
+impl<'de> Visitor<'de> for AttemptVisitor {
+    type Value = AttemptId;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("job, task and attempt")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<AttemptId, A::Error> {
+        let short = |n| A::Error::invalid_length(n, &"three numbers");
+        Ok(AttemptId {
+            job: seq.next_element()?.ok_or_else(|| short(0))?,
+            task: seq.next_element()?.ok_or_else(|| short(1))?,
+            attempt: seq.next_element()?.ok_or_else(|| short(2))?,
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for AttemptId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<AttemptId, D::Error> {
+        deserializer.deserialize_tuple(PARTS, AttemptVisitor)
+    }
+}
--- a/crates/core/src/size.rs
+++ b/crates/core/src/size.rs
@@ -2,10 +2,19 @@
 
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize, Deserializer, Serialize, Serializer,
+    de::{Error, SeqAccess, Visitor},
+    ser::SerializeTuple,
+};
+
+/// Number of dimensions.
+const DIMENSIONS: usize = 3;
 
 /// Processors, memory and accelerators, as integers so that sums don't drift.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Written as a tuple of its fields, since it stands in every start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Size {
     /// Processors in thousandths of a core.
     pub cpu: u64,
@@ -85,6 +94,41 @@
     }
 }
 
+impl Serialize for Size {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(DIMENSIONS)?;
+        tuple.serialize_element(&self.cpu)?;
+        tuple.serialize_element(&self.memory)?;
+        tuple.serialize_element(&self.accels)?;
+        tuple.end()
+    }
+}
+
+struct SizeVisitor;
+
+impl<'de> Visitor<'de> for SizeVisitor {
+    type Value = Size;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("milli-cores, bytes and accelerators")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Size, A::Error> {
+        let short = |n| A::Error::invalid_length(n, &"three numbers");
+        Ok(Size {
+            cpu: seq.next_element()?.ok_or_else(|| short(0))?,
+            memory: seq.next_element()?.ok_or_else(|| short(1))?,
+            accels: seq.next_element()?.ok_or_else(|| short(2))?,
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for Size {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Size, D::Error> {
+        deserializer.deserialize_tuple(DIMENSIONS, SizeVisitor)
+    }
+}
+
 impl fmt::Display for Size {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mib = self.memory >> 20;
--- /dev/null
+++ b/crates/core/tests/configs.rs
@@ -0,0 +1,185 @@
+//! Configuration never goes back; membership does not flap.
+
+use std::sync::Arc;
+
+use gorsespur_core::{
+    config::{ConfigEntry, ConfigVersion, Configs},
+    member::{Beat, MemberSettings, Peers, Role, ShardClaim},
+    template::{OrgLimits, Organisation, Weights},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+
+const NOW: u64 = 1_000_000;
+
+fn entry(org: &str, version: u64) -> ConfigEntry {
+    ConfigEntry {
+        version,
+        template: Arc::new(Organisation {
+            name: org.into(),
+            weights: Weights::default(),
+            limits: OrgLimits {
+                jobs: version as u32,
+                queue: 1,
+                retries: 1,
+                evictions: 1,
+                hold: 1,
+            },
+            teams: Vec::new(),
+            services: Vec::new(),
+            jobs: Vec::new(),
+        }),
+    }
+}
+
+fn beat(id: &str, incarnation: u64, seq: u64) -> Beat {
+    Beat {
+        id: id.into(),
+        role: Role::Sched,
+        zone: "here".into(),
+        incarnation,
+        seq,
+        addr: ([127, 0, 0, 1], 1).into(),
+        leaving: false,
+        config: 0,
+        shards: Vec::new(),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(3),
+        ..Config::default()
+    })]
+
+    #[test]
+    fn a_version_never_goes_back(offers in prop::collection::vec((0..3usize, 1..9u64), 1..60)) {
+        let orgs = ["a", "b", "c"];
+        let mut configs = Configs::default();
+        let mut newest = [0; 3];
+        for (org, version) in offers {
+            let taken = configs.offer(&entry(orgs[org], version));
+            prop_assert_eq!(taken, version > newest[org]);
+            newest[org] = newest[org].max(version);
+            let found = configs.get(orgs[org]).expect("offered");
+            prop_assert_eq!(found.version, newest[org]);
+            prop_assert_eq!(u64::from(found.template.limits.jobs), newest[org]);
+        }
+    }
+
+    #[test]
+    fn two_instances_agree_after_one_exchange(
+        a in prop::collection::vec((0..4usize, 1..9u64), 0..20),
+        b in prop::collection::vec((0..4usize, 1..9u64), 0..20),
+    ) {
+        let orgs = ["a", "b", "c", "d"];
+        let fill = |offers: &[(usize, u64)]| {
+            let mut configs = Configs::default();
+            for (org, version) in offers {
+                configs.offer(&entry(orgs[*org], *version));
+            }
+            configs
+        };
+        let (mut one, mut two) = (fill(&a), fill(&b));
+        for e in two.newer_than(&one.versions()) {
+            one.offer(&e);
+        }
+        for e in one.newer_than(&two.versions()) {
+            two.offer(&e);
+        }
+        prop_assert_eq!(one.versions(), two.versions());
+        prop_assert!(one.newer_than(&two.versions()).is_empty());
+    }
+}
+
+#[test]
+fn what_is_newer_is_told_and_nothing_else() {
+    let mut configs = Configs::default();
+    configs.offer(&entry("a", 2));
+    configs.offer(&entry("b", 5));
+    let known = [ConfigVersion {
+        org: "a".into(),
+        version: 2,
+    }];
+    let newer = configs.newer_than(&known);
+    assert_eq!(newer.len(), 1);
+    assert_eq!(&*newer[0].template.name, "b");
+    configs.reach(9);
+    configs.reach(4);
+    assert_eq!(configs.head(), 9);
+}
+
+#[test]
+fn a_late_heartbeat_changes_nothing() {
+    let mut peers = Peers::new(MemberSettings::default(), "here".into());
+    assert!(peers.hear(NOW, beat("a", 1, 5)));
+    assert!(!peers.hear(NOW + 10, beat("a", 1, 4)));
+    assert!(!peers.hear(NOW + 10, beat("a", 1, 5)));
+    assert!(peers.hear(NOW + 10, beat("a", 2, 1)), "a new start counts");
+    assert!(
+        !peers.hear(NOW + 20, beat("a", 1, 99)),
+        "an earlier one does not"
+    );
+}
+
+#[test]
+fn a_flapping_instance_is_not_steady() {
+    let mut peers = Peers::new(MemberSettings::default(), "here".into());
+    peers.hear(NOW, beat("a", 1, 1));
+    peers.hear(NOW + 1_000, beat("a", 1, 2));
+    assert_eq!(peers.get("a").expect("known").steady, NOW);
+    peers.hear(NOW + 9_000, beat("a", 1, 3));
+    assert_eq!(peers.get("a").expect("known").steady, NOW + 9_000, "a gap");
+    peers.hear(NOW + 9_500, beat("a", 2, 1));
+    assert_eq!(
+        peers.get("a").expect("known").steady,
+        NOW + 9_500,
+        "a restart"
+    );
+}
+
+#[test]
+fn an_instance_of_another_zone_is_given_more_time() {
+    let mut peers = Peers::new(MemberSettings::default(), "here".into());
+    peers.hear(NOW, beat("near", 1, 1));
+    let mut far = beat("far", 1, 1);
+    far.zone = "there".into();
+    peers.hear(NOW, far);
+    let ids: Vec<&str> = peers
+        .live(NOW + 5_000)
+        .iter()
+        .map(|p| &*p.beat.id)
+        .collect();
+    assert_eq!(ids, ["far"]);
+    assert!(peers.live(NOW + 11_000).is_empty());
+}
+
+#[test]
+fn a_leaving_instance_does_not_stay() {
+    let mut peers = Peers::new(MemberSettings::default(), "here".into());
+    let mut leaving = beat("a", 1, 1);
+    leaving.leaving = true;
+    peers.hear(NOW, leaving);
+    assert_eq!(peers.live(NOW).len(), 1);
+    assert!(peers.staying(NOW, Role::Sched, "here").is_empty());
+}
+
+#[test]
+fn of_two_that_claim_a_shard_the_newer_epoch_counts() {
+    let mut peers = Peers::new(MemberSettings::default(), "here".into());
+    for (id, epoch) in [("a", 4), ("b", 5)] {
+        let mut b = beat(id, 1, 1);
+        b.shards.push(ShardClaim {
+            shard: 2,
+            epoch,
+            targets: 1,
+        });
+        peers.hear(NOW, b);
+    }
+    assert_eq!(&*peers.owner_of(NOW, 2).expect("claimed").beat.id, "b");
+    assert!(peers.owner_of(NOW, 3).is_none());
+}
--- a/crates/entry/src/router_thread.rs
+++ b/crates/entry/src/router_thread.rs
@@ -10,6 +10,9 @@
 use gorsespur_peer::Shared;
 use gorsespur_runtime::{cancel::Cancel, client::Answer, metrics::Metrics};
 
+/// Time between two ticks while no request waits.
+const IDLE: Duration = Duration::from_millis(100);
+
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -72,7 +75,8 @@
     let mut open: Vec<Open> = Vec::new();
     let mut ticked = 0;
     while !cancel.is_cancelled() {
-        let first = rx.recv_timeout(TICK);
+        let pause = if router.waiting() > 0 { TICK } else { IDLE };
+        let first = rx.recv_timeout(pause);
         let now = shared.clock.now();
         if let Ok(message) = first {
             handle(&mut router, now, message, &mut open, metrics);
--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -20,6 +20,12 @@
     Trial(TrialArgs),
     /// Measure what one more worker, task or message costs.
     Slopes(TrialArgs),
+    /// Print the table of docs/CAPACITY.md from the output of `slopes`.
+    Capacity {
+        /// File with the output of `slopes`.
+        #[arg(long)]
+        from: PathBuf,
+    },
     /// Measure one thing against its baseline, in one run.
     Measure {
         /// What to measure.
--- /dev/null
+++ b/crates/load/src/capacity/mod.rs
@@ -0,0 +1,24 @@
+//! The design at the target size, worked out from measured slopes.
+
+mod rows;
+mod target;
+
+use std::path::Path;
+
+use rows::rows;
+
+use crate::{error::LoadError, slopes::read_figures};
+
+/// Reads the slopes that a run printed and prints the table.
+pub(crate) fn run(from: &Path) -> Result<(), LoadError> {
+    let figures = read_figures(from)?;
+    println!("| quantity | sum | result | budget |");
+    println!("|---|---|---|---|");
+    for row in rows(&figures)? {
+        println!(
+            "| {} | {} | {} | {} |",
+            row.what, row.sum, row.result, row.budget
+        );
+    }
+    Ok(())
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,6 +4,7 @@
 //! with stand-ins on loopback, and judges promises by the workers' ledgers.
 
 pub mod args;
+mod capacity;
 pub mod error;
 mod fleet;
 mod judge;
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     args::{LoadArgs, LoadCommand, Measure},
+    capacity,
     error::LoadError,
     measure::{faults, interference, membership, overhead, overload, starts},
     slopes, trial,
@@ -12,6 +13,7 @@
     match &args.command {
         LoadCommand::Trial(args) => trial::run(args),
         LoadCommand::Slopes(args) => slopes::run(args),
+        LoadCommand::Capacity { from } => capacity::run(from),
         LoadCommand::Measure { what } => match what {
             Measure::Overhead(args) => overhead::run(args),
             Measure::Faults(args) => faults::run(args),
--- a/crates/load/src/slopes/memory.rs
+++ b/crates/load/src/slopes/memory.rs
@@ -1,6 +1,8 @@
-//! Memory of state, by resident size.
+//! Memory of state, by allocated bytes.
 
-use std::hint::black_box;
+use std::{alloc::System, hint::black_box};
+
+use cap::Cap;
 
 use gorsespur_core::{
     config::{ConfigEntry, Configs},
@@ -14,31 +16,21 @@
 use super::Figure;
 use crate::measure::{organisation, starts};
 
-/// Returns the resident size of this process in bytes.
-fn resident() -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status
-        .lines()
-        .find(|l| l.starts_with("VmRSS:"))
-        .unwrap_or_default();
-    let kib = line
-        .split_whitespace()
-        .nth(1)
-        .and_then(|n| n.parse::<f64>().ok());
-    kib.unwrap_or(0.0) * 1024.0
-}
+/// Counts what is allocated, so that state is measured and not what the
+/// allocator keeps.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
 
-/// Measures what `make` keeps at each size; everything stays alive, so that
-/// freed memory is not used again.
+/// Measures what `make` keeps at each size.
 fn grow<T>(name: &str, sizes: &[usize], mut make: impl FnMut(usize) -> T) -> Figure {
-    let mut kept = Vec::new();
     let mut points = Vec::new();
     for size in sizes {
-        let before = resident();
-        kept.push(black_box(make(*size)));
-        points.push((*size as f64, resident() - before));
+        let before = ALLOCATOR.allocated();
+        let kept = black_box(make(*size));
+        let after = ALLOCATOR.allocated();
+        drop(kept);
+        points.push((*size as f64, after.saturating_sub(before) as f64));
     }
-    drop(kept);
     Figure::fit(name, "bytes", points)
 }
 
--- a/crates/load/src/slopes/messages.rs
+++ b/crates/load/src/slopes/messages.rs
@@ -79,7 +79,11 @@
     for tasks in [0u32, 4, 8, 16, 28] {
         let mut machine = starts::machine(PlacePolicy::Interference, 1, seed);
         starts::fill(&mut machine, tasks, 0);
-        let mut now = 1_001_000;
+        let mut now = 1_100_000;
+        let (_, answer) = exchange(&mut machine, now);
+        let worker = Name::from("w000000");
+        machine.step(now, &Event::Answer { worker, answer });
+        now += 1_000;
         let (request, answer) = exchange(&mut machine, now);
         let both =
             encode(&request).unwrap_or_default().len() + encode(&answer).unwrap_or_default().len();
@@ -109,9 +113,8 @@
 fn exchange(machine: &mut Machine, now: u64) -> (Option<WorkerRequest>, WorkerAnswer) {
     let upto = machine.next_record();
     machine.step(now, &Event::Committed(upto));
-    let actions = machine.step(now, &Event::Tick);
     let mut request = None;
-    for action in actions {
+    for action in machine.step(now, &Event::Tick) {
         if let Action::Exchange { request: r, .. } = action {
             request = Some(r);
         }
--- a/crates/stand/src/args.rs
+++ b/crates/stand/src/args.rs
@@ -20,6 +20,18 @@
     Platform(PlatformArgs),
     /// One worker with its services.
     Worker(WorkerArgs),
+    /// Tell a running platform its members.
+    Members(MembersArgs),
+}
+
+/// Arguments of the members.
+#[derive(Debug, Args)]
+pub struct MembersArgs {
+    /// Address of the platform.
+    #[arg(long)]
+    pub gate: SocketAddr,
+    /// Members in YAML.
+    pub file: PathBuf,
 }
 
 /// Arguments of the platform.
--- a/crates/stand/src/error.rs
+++ b/crates/stand/src/error.rs
@@ -6,6 +6,7 @@
     exit::{Blame, FAILED},
     logging::LogError,
     server::ServeError,
+    settings::SettingsError,
 };
 use snafu::Snafu;
 
@@ -33,6 +34,18 @@
         /// The reason.
         source: LedgerError,
     },
+    /// The members can't be read.
+    #[snafu(display("members"))]
+    Members {
+        /// The reason.
+        source: SettingsError,
+    },
+    /// The platform did not take the members.
+    #[snafu(display("no platform at {gate} took the members"))]
+    NotTaken {
+        /// Its address.
+        gate: SocketAddr,
+    },
     /// Logging can't start.
     #[snafu(display("can't start logging"))]
     Log {
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -20,7 +20,7 @@
     Gate, Ledger, Platform, SimSettings, SimWorker, Slowdown, StandError, StoredCheckpoints,
     TargetLoad,
     args::{PlatformArgs, StandArgs, StandRole, WorkerArgs},
-    serve_platform, serve_worker,
+    send_members, serve_platform, serve_worker,
 };
 
 /// Time limit of writing a checkpoint.
@@ -34,6 +34,7 @@
     let result = match args.role {
         StandRole::Platform(args) => run_platform(args),
         StandRole::Worker(args) => run_worker(args),
+        StandRole::Members(args) => send_members(args.gate, &args.file),
     };
     finish("gorsespur-stand", result)
 }
--- /dev/null
+++ b/crates/stand/src/members_file.rs
@@ -0,0 +1,89 @@
+//! Members as a file, for a trial by hand.
+
+use std::{net::SocketAddr, path::Path};
+
+use gorsespur_core::{member::Role, name::Name, problem::Problems, shard::WorkerInfo, size::Size};
+use gorsespur_runtime::{client::Call, settings::load};
+use gorsespur_wire::{
+    codec::encode,
+    members::{InstanceInfo, MemberList},
+};
+use serde::Deserialize;
+use snafu::ResultExt;
+
+use crate::{
+    StandError,
+    error::{MembersSnafu, NotTakenSnafu},
+};
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawMembers {
+    instances: Vec<RawInstance>,
+    workers: Vec<RawWorker>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawInstance {
+    id: String,
+    role: Role,
+    zone: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    leaving: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawWorker {
+    name: String,
+    zone: String,
+    rack: String,
+    addr: SocketAddr,
+    target: SocketAddr,
+    cores: u64,
+    memory_mib: u64,
+    #[serde(default)]
+    accelerators: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// Sends the members in a file to the platform at `gate`.
+pub fn send_members(gate: SocketAddr, file: &Path) -> Result<(), StandError> {
+    let list = load(file, |raw: RawMembers| {
+        Ok::<MemberList, Problems>(list(raw))
+    });
+    let list = list.context(MembersSnafu)?;
+    let body = encode(&list).unwrap_or_default();
+    let answer = Call::new("POST", gate, "/members/set").body(body).send();
+    let taken = answer.is_ok_and(|a| a.status == 200);
+    snafu::ensure!(taken, NotTakenSnafu { gate });
+    Ok(())
+}
+
+fn list(raw: RawMembers) -> MemberList {
+    let mut list = MemberList::default();
+    for i in raw.instances {
+        list.instances.push(InstanceInfo {
+            id: Name::from(i.id),
+            role: i.role,
+            zone: Name::from(i.zone),
+            addr: i.addr,
+            leaving: i.leaving,
+        });
+    }
+    for w in raw.workers {
+        list.workers.push(WorkerInfo {
+            name: Name::from(w.name),
+            zone: Name::from(w.zone),
+            rack: Name::from(w.rack),
+            addr: w.addr,
+            target: w.target,
+            size: Size::new(w.cores * 1_000, w.memory_mib << 20, w.accelerators),
+            leaving: w.leaving,
+        });
+    }
+    list
+}
--- a/crates/stand/src/target.rs
+++ b/crates/stand/src/target.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Returns the slots in use.
+    pub fn busy(&self) -> u32 {
+        self.busy.load(Ordering::Acquire)
+    }
+
     /// Runs a request; `ran` is called once if it runs.
     pub(crate) fn run(&self, req: &Incoming, view: &TargetView, ran: impl FnOnce(&str)) -> Reply {
         let id = req.field(REQUEST_ID).unwrap_or("").to_owned();
--- a/crates/stand/src/worker_http.rs
+++ b/crates/stand/src/worker_http.rs
@@ -37,6 +37,7 @@
     /// Address of its services.
     pub target: SocketAddr,
     sim: Arc<Mutex<SimWorker>>,
+    load: Arc<TargetLoad>,
 }
 
 impl WorkerStand {
@@ -45,6 +46,11 @@
         lock(&self.sim).set_faults(faults);
     }
 
+    /// Returns the slots in use.
+    pub fn busy(&self) -> u32 {
+        self.load.busy()
+    }
+
     /// Returns the number of running tasks.
     pub fn running(&self) -> usize {
         lock(&self.sim).running()
@@ -79,8 +85,10 @@
         handlers: 24,
         ..Limits::default()
     };
+    let load = Arc::new(load);
+    let loaded = load.clone();
     let (for_target, name) = (sim.clone(), name.to_owned());
-    let run = move |req: Incoming| run_request(&for_target, &load, &ledger, &name, &req);
+    let run = move |req: Incoming| run_request(&for_target, &loaded, &ledger, &name, &req);
     let targets = serve(target, "target", limits, cancel, run).context(ServeSnafu)?;
     let (ticking, cancel) = (sim.clone(), cancel.clone());
     thread::Builder::new()
@@ -95,6 +103,7 @@
         addr: exchanges.addr,
         target: targets.addr,
         sim,
+        load,
     })
 }
 
