--- a/crates/core/src/shard/machine.rs
+++ b/crates/core/src/shard/machine.rs
@@ -55,7 +55,11 @@
     pub(super) workers: Vec<Worker>,
     pub(super) queue: Queue,
     pub(super) classes: Vec<Class>,
+    /// Positions of the classes, sorted by organisation and kind.
+    class_order: Vec<u16>,
     pub(super) teams: Vec<TeamUse>,
+    /// Positions of the teams, sorted by organisation and name.
+    team_order: Vec<u16>,
     pub(super) pairs: Pairs,
     /// Number of workers that stay, by index of the shard.
     pub(super) counts: Vec<u32>,
@@ -114,7 +118,9 @@
             workers: Vec::new(),
             queue: Queue::default(),
             classes: Vec::new(),
+            class_order: Vec::new(),
             teams: Vec::new(),
+            team_order: Vec::new(),
             pairs: Pairs::default(),
             counts: Vec::new(),
             pending: Vec::new(),
@@ -273,6 +279,11 @@
             class.hold = org.limits.hold;
             class.evictions = org.limits.evictions;
         }
+        for w in &mut self.workers {
+            for r in &mut w.residents {
+                r.hold = self.classes[usize::from(r.class)].hold;
+            }
+        }
         let count = u64::from(self.place.count);
         for team in &mut self.teams {
             let Ok(i) = self.orgs.binary_search_by(|o| o.name.cmp(&team.org)) else {
@@ -511,13 +522,14 @@
 
     /// Returns the index of a class, which is made if it is new.
     pub(super) fn class(&mut self, org: &Name, kind: &Name, service: bool) -> u16 {
-        let found = self
-            .classes
-            .iter()
-            .position(|c| c.org == *org && c.kind == *kind);
-        if let Some(i) = found {
-            return i as u16;
-        }
+        let found = self.class_order.binary_search_by(|i| {
+            let c = &self.classes[usize::from(*i)];
+            (&c.org, &c.kind).cmp(&(org, kind))
+        });
+        let at = match found {
+            Ok(at) => return self.class_order[at],
+            Err(at) => at,
+        };
         let known = self.orgs.iter().find(|o| o.name == *org);
         let (weights, limits) =
             known.map_or((Weights::default(), None), |o| (o.weights, Some(&o.limits)));
@@ -535,18 +547,21 @@
             failed: 0,
         });
         self.pairs.grow(self.classes.len());
-        (self.classes.len() - 1) as u16
+        let new = (self.classes.len() - 1) as u16;
+        self.class_order.insert(at, new);
+        new
     }
 
     /// Returns the index of a team, which is made if it is new.
     pub(super) fn team(&mut self, org: &Name, team: &Name, service: bool) -> u16 {
-        let found = self
-            .teams
-            .iter()
-            .position(|t| t.org == *org && t.team == *team);
-        if let Some(i) = found {
-            return i as u16;
-        }
+        let found = self.team_order.binary_search_by(|i| {
+            let t = &self.teams[usize::from(*i)];
+            (&t.org, &t.team).cmp(&(org, team))
+        });
+        let at = match found {
+            Ok(at) => return self.team_order[at],
+            Err(at) => at,
+        };
         let count = u64::from(self.place.count);
         let quota = self
             .orgs
@@ -564,6 +579,8 @@
                 Some(quota.unwrap_or_default())
             },
         });
-        (self.teams.len() - 1) as u16
+        let new = (self.teams.len() - 1) as u16;
+        self.team_order.insert(at, new);
+        new
     }
 }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -9,6 +9,7 @@
 mod fault;
 pub mod judge;
 mod owner;
+mod strikes;
 pub mod world;
 
 pub use fault::Fault;
--- /dev/null
+++ b/crates/core/tests/common/strikes.rs
@@ -0,0 +1,167 @@
+//! Faults that strike a world, and their ends.
+
+use gorsespur_core::{Millis, shard::Event, template::Priority};
+use gorsespur_stand::{Entry, What, WorkerFaults};
+
+use super::{
+    Fault, World,
+    owner::Owner,
+    spec,
+    world::{LASTS, Later, Undo},
+};
+
+impl World {
+    /// Lets a fault happen; `pick` says to whom.
+    pub fn strike(&mut self, fault: Fault, pick: usize) {
+        let w = pick % self.nodes.len();
+        let end = self.now + LASTS;
+        match fault {
+            Fault::OwnerDies => {
+                for o in &mut self.owners {
+                    o.dead = true;
+                }
+            }
+            Fault::OwnerPaused => self.on_owner(end, |o| o.paused = true, Undo::Owner),
+            Fault::StoreDown => {
+                self.store_down = true;
+                self.undo_at(end, Undo::Store);
+            }
+            Fault::OwnerCutFromStore => self.on_owner(end, |o| o.store_cut = true, Undo::StoreLink),
+            Fault::WorkerDies => {
+                let live = self.nodes.iter().filter(|n| n.sim.is_some()).count();
+                if live > 2 {
+                    self.kill_worker(w);
+                }
+            }
+            Fault::WorkerReboots => {
+                let mut node = self.nodes.swap_remove(w);
+                let clock = node.clock(self.now);
+                if let Some(sim) = &mut node.sim {
+                    sim.settle(clock);
+                    self.boot(&mut node);
+                }
+                self.nodes.push(node);
+                let last = self.nodes.len() - 1;
+                self.nodes.swap(w, last);
+            }
+            Fault::WorkerCut => {
+                self.nodes[w].cut = true;
+                self.undo_at(self.now + 4 * LASTS, Undo::Worker(w));
+            }
+            Fault::WorkerKeepsOwner => {
+                let epoch = self.row.epoch;
+                let owner = self.owners.iter().position(|o| o.epoch == epoch);
+                self.nodes[w].only = owner;
+                self.undo_at(self.now + 4 * LASTS, Undo::Worker(w));
+            }
+            Fault::WorkerPaused => {
+                self.nodes[w].paused = true;
+                self.undo_at(self.now + 4 * LASTS, Undo::Worker(w));
+            }
+            Fault::AnswersLost => {
+                self.nodes[w].lose = true;
+                self.undo_at(end, Undo::Worker(w));
+            }
+            Fault::RequestsLate => {
+                self.nodes[w].late = true;
+                self.undo_at(self.now + 4 * LASTS, Undo::Worker(w));
+            }
+            Fault::RequestsTwice => {
+                self.nodes[w].twice = true;
+                self.undo_at(end, Undo::Worker(w));
+            }
+            Fault::WorkerFailsAll => {
+                if let Some(sim) = &mut self.nodes[w].sim {
+                    sim.set_faults(WorkerFaults {
+                        fail_all: true,
+                        ..WorkerFaults::default()
+                    });
+                }
+                self.undo_at(end, Undo::Fails(w));
+            }
+            Fault::WorkerLeaves => {
+                let staying = self
+                    .nodes
+                    .iter()
+                    .filter(|n| !n.leaving && n.sim.is_some())
+                    .count();
+                if staying > 2 {
+                    self.nodes[w].leaving = true;
+                }
+            }
+            Fault::Cancels => self.cancel_some(pick),
+            Fault::UrgentComes => {
+                self.count += 1;
+                let id = format!("urgent{}", self.count);
+                self.submit(spec(&id, 1, 500, Priority::Urgent));
+            }
+        }
+    }
+
+    fn on_owner(&mut self, end: Millis, f: impl Fn(&mut Owner), undo: fn(usize) -> Undo) {
+        let epoch = self.row.epoch;
+        let Some(i) = self.owners.iter().position(|o| o.epoch == epoch && !o.dead) else {
+            return;
+        };
+        f(&mut self.owners[i]);
+        self.undo_at(end, undo(i));
+    }
+
+    fn undo_at(&mut self, at: Millis, what: Undo) {
+        self.later.push(Later { at, what });
+    }
+
+    pub fn undo(&mut self, what: Undo) {
+        match what {
+            Undo::Owner(i) => self.owners[i].paused = false,
+            Undo::Store => self.store_down = false,
+            Undo::StoreLink(i) => self.owners[i].store_cut = false,
+            Undo::Worker(w) => {
+                let node = &mut self.nodes[w];
+                node.cut = false;
+                node.only = None;
+                node.paused = false;
+                node.lose = false;
+                node.late = false;
+                node.twice = false;
+            }
+            Undo::Fails(w) => {
+                if let Some(sim) = &mut self.nodes[w].sim {
+                    sim.set_faults(WorkerFaults::default());
+                }
+            }
+        }
+    }
+
+    /// Kills a worker for good and takes it off the list.
+    pub fn kill_worker(&mut self, w: usize) {
+        let node = &mut self.nodes[w];
+        let clock = node.clock(self.now);
+        let Some(mut sim) = node.sim.take() else {
+            return;
+        };
+        sim.settle(clock);
+        node.listed = false;
+        self.ledger.add(Entry {
+            ms: self.now,
+            worker: node.name.to_string(),
+            what: What::Killed,
+            name: String::new(),
+            attempt: String::new(),
+            service: false,
+        });
+    }
+
+    fn cancel_some(&mut self, pick: usize) {
+        let mut keys = Vec::new();
+        for (i, (key, _)) in self.submitted.iter().enumerate() {
+            if i % 4 == pick % 4 {
+                keys.push(key.clone());
+            }
+        }
+        let epoch = self.row.epoch;
+        if let Some(i) = self.owners.iter().position(|o| o.epoch == epoch && !o.dead) {
+            self.feed(i, &Event::Cancel(keys));
+        }
+    }
+}
--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -11,7 +11,7 @@
 use gorsespur_wire::{
     codec::encode,
     keys,
-    stored::{AuditEntry, ConfigHead, StoredTemplate},
+    stored::{AuditEntry, ConfigChange, ConfigHead, StoredTemplate},
     table::{Expect, Tx},
 };
 use rand::Rng;
@@ -173,7 +173,13 @@
     let stored = encode(&stored).context(StoredSnafu)?;
     let audit = encode(&audit).context(StoredSnafu)?;
     let counted = encode(&ConfigHead { change: number }).context(StoredSnafu)?;
-    Ok(Tx::new()
+    let logged = encode(&ConfigChange { org: org.clone() }).context(StoredSnafu)?;
+    let mut tx = Tx::new();
+    if let Some(old) = number.checked_sub(keys::CHANGES_KEPT) {
+        tx = tx.delete(keys::change(old));
+    }
+    Ok(tx
+        .put(keys::change(number), logged)
         .check(keys::config(org), expect(old.map(|o| o.version)))
         .check(head_key.clone(), expect(head.map(|h| h.version)))
         .check(audit_key.clone(), Expect::Absent)
--- a/crates/entry/src/peer_api.rs
+++ b/crates/entry/src/peer_api.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use flume::Sender;
-use gorsespur_core::name::Name;
 use gorsespur_peer::Shared;
 use gorsespur_runtime::server::{Incoming, Reply};
 use gorsespur_wire::{
@@ -42,27 +41,6 @@
         let (tx, rx) = flume::bounded(1);
         let asked = self.router.send_timeout(ToRouter::Counts(tx), ASK);
         let routed = asked.ok().and_then(|()| rx.recv_timeout(ASK).ok());
-        let s = &self.shared.settings;
-        let now = self.shared.clock.now();
-        let live = self
-            .shared
-            .peers()
-            .live(now)
-            .iter()
-            .map(|p| p.beat.id.clone())
-            .collect();
-        let configs = self.shared.configs();
-        InstanceStatus {
-            id: s.id.clone(),
-            role: s.role,
-            zone: s.zone.clone(),
-            addr: s.listen,
-            release: Name::from(env!("CARGO_PKG_VERSION")),
-            config: configs.head(),
-            versions: configs.versions(),
-            live,
-            shards: Vec::new(),
-            routed,
-        }
+        self.shared.status(Vec::new(), routed)
     }
 }
--- a/crates/load/src/capacity/rows.rs
+++ b/crates/load/src/capacity/rows.rs
@@ -244,13 +244,17 @@
         format!("{records:.0}; {bytes:.0} B"),
         String::new(),
     ));
-    // Each shard's row is watched by its first two schedulers five times a
-    // second, and its inbox is read once; the head of the configuration four
-    // times a second in each zone.
-    let reads = all * (2.0 * 5.0 + 1.0) + 4.0 * t::ZONES;
+    // Each shard's row is watched, and its inbox is read once a second; the head
+    // of the configuration is read four times a second in each zone.
+    let reads = all * (t::WATCHERS * t::LOOKS + 1.0) + 4.0 * t::ZONES;
     out.push(row(
         "reads at the table service",
-        format!("{all:.0} x (2 x 5 + 1) + 4 x {} zones", t::ZONES),
+        format!(
+            "{all:.0} x ({} x {} + 1) + 4 x {} zones",
+            t::WATCHERS,
+            t::LOOKS,
+            t::ZONES
+        ),
         format!("{reads:.0} /s"),
         verdict(reads, t::READS, "/s"),
     ));
@@ -288,13 +292,10 @@
         format!("{:.1} us/s", rate * us),
         verdict(rate * us, t::NODE_US, "us/s"),
     ));
-    let read = rate * t::ORGANISATIONS * bytes * 2.0;
+    let read = rate * bytes * 2.0;
     out.push(row(
-        "bytes read by the instance that polls, which reads all templates at each change",
-        format!(
-            "{rate:.2} /s x {} x {bytes:.0} B x 2 forms",
-            t::ORGANISATIONS
-        ),
+        "bytes read by the instance that polls: the templates that the log names",
+        format!("{rate:.2} /s x {bytes:.0} B x 2 forms"),
         format!("{read:.0} B/s"),
         verdict(read, t::NODE_TRAFFIC, "B/s"),
     ));
--- a/crates/load/src/capacity/target.rs
+++ b/crates/load/src/capacity/target.rs
@@ -35,10 +35,15 @@
 pub(crate) const HTTP_BYTES: f64 = 800.0;
 
 /// Workers of a shard at this size.
-pub(crate) const SHARD_WORKERS: f64 = 400.0;
+pub(crate) const SHARD_WORKERS: f64 = 150.0;
 
-/// Seconds between journal writes of a busy shard, `ownership.commit_ms: 250`.
-pub(crate) const COMMIT: f64 = 0.25;
+/// Seconds between journal writes of a busy shard, `ownership.commit_ms: 400`.
+pub(crate) const COMMIT: f64 = 0.4;
+
+/// Looks a second at a shard's row by each of its watchers, and these watchers,
+/// `ownership.watch_ms: 500`.
+pub(crate) const LOOKS: f64 = 2.0;
+pub(crate) const WATCHERS: f64 = 2.0;
 
 /// Records of one start: start and end.
 pub(crate) const RECORDS: f64 = 2.0;
--- a/crates/load/src/measure/starts.rs
+++ b/crates/load/src/measure/starts.rs
@@ -36,6 +36,9 @@
 /// Records of one journal row at which its cost is measured.
 const ROW: usize = 5_000;
 
+/// Jobs that are cancelled at once.
+const WAVE: usize = 10_000;
+
 /// Workers of the shard whose recovery is measured.
 const RECOVERED: usize = 1_200;
 
@@ -48,6 +51,7 @@
     }
     journal();
     recovery(args.seed);
+    cancel(args.seed);
     Ok(())
 }
 
@@ -205,6 +209,27 @@
     );
 }
 
+/// A wave of cancellations of queued jobs.
+fn cancel(seed: u64) {
+    let mut machine = machine(PlacePolicy::Interference, 1, seed);
+    let mut specs = Vec::new();
+    for i in 0..WAVE {
+        specs.push(spec(&format!("job{i}"), i, 1));
+    }
+    let keys = specs.iter().map(|s| s.key.clone()).collect();
+    machine.step(START + 2, &Event::Submit(specs));
+    let began = Instant::now();
+    let actions = machine.step(START + 3, &Event::Cancel(keys));
+    let ms = began.elapsed().as_secs_f64() * 1e3;
+    let mut records = 0;
+    for action in actions {
+        if let Action::Append { records: r, .. } = action {
+            records += r.len();
+        }
+    }
+    println!("starts: cancelled={WAVE} records={records} ms={ms:.1}");
+}
+
 fn recovery(seed: u64) {
     let mut machine = machine(PlacePolicy::Interference, RECOVERED, seed);
     fill(&mut machine, (RECOVERED as f64 * TASKS) as u32, 0);
--- a/crates/peer/src/agent.rs
+++ b/crates/peer/src/agent.rs
@@ -2,6 +2,7 @@
 
 use std::{net::UdpSocket, sync::Arc, thread, time::Duration};
 
+use gorsespur_core::{name::Name, route::RouteCounts, shard::ShardStatus};
 use gorsespur_platform::{Members, Table};
 use gorsespur_runtime::{
     cancel::Cancel,
@@ -10,7 +11,7 @@
 use gorsespur_wire::{
     codec::{CONTENT_TYPE, decode, encode},
     paths::PEER_CONFIG,
-    peer::{ConfigAnswer, ConfigRequest},
+    peer::{ConfigAnswer, ConfigRequest, InstanceStatus},
 };
 use snafu::ResultExt;
 
@@ -68,6 +69,31 @@
 }
 
 impl Shared {
+    /// Returns what operators see of this instance.
+    pub fn status(&self, shards: Vec<ShardStatus>, routed: Option<RouteCounts>) -> InstanceStatus {
+        let s = &self.settings;
+        let now = self.clock.now();
+        let live = self
+            .peers()
+            .live(now)
+            .iter()
+            .map(|p| p.beat.id.clone())
+            .collect();
+        let configs = self.configs();
+        InstanceStatus {
+            id: s.id.clone(),
+            role: s.role,
+            zone: s.zone.clone(),
+            addr: s.listen,
+            release: Name::from(env!("CARGO_PKG_VERSION")),
+            config: configs.head(),
+            versions: configs.versions(),
+            live,
+            shards,
+            routed,
+        }
+    }
+
     /// Answers a peer's request that is the agent's; nothing for other paths.
     pub fn answer(&self, req: &Incoming) -> Option<Reply> {
         if req.path != PEER_CONFIG {
--- a/crates/peer/src/config.rs
+++ b/crates/peer/src/config.rs
@@ -12,10 +12,11 @@
 use gorsespur_runtime::cancel::Cancel;
 use gorsespur_wire::{
     codec::decode,
-    keys::{CONFIG, CONFIG_HEAD},
+    keys::{self, CONFIG, CONFIG_HEAD},
     paths::PEER_CONFIG,
     peer::{ConfigAnswer, ConfigRequest},
-    stored::{ConfigHead, StoredTemplate},
+    stored::{ConfigChange, ConfigHead, StoredTemplate},
+    table::Row,
 };
 
 use crate::Shared;
@@ -32,6 +33,9 @@
 /// Time limit of asking a peer.
 const ASK: Duration = Duration::from_millis(500);
 
+/// Most changes that are read by the log; after more all templates are read.
+const MAX_LOG: u64 = 200;
+
 /// Rows of one read.
 const BATCH: u32 = 500;
 
@@ -84,31 +88,69 @@
     if change <= shared.configs().head() && shared.is_loaded() {
         return Ok(());
     }
+    let mine = shared.configs().head();
+    let named = if shared.is_loaded() {
+        changed(table, mine, change)?
+    } else {
+        None
+    };
+    match named {
+        Some(orgs) => read_named(shared, table, &orgs)?,
+        None => read_all(shared, table)?,
+    }
+    shared.configs().reach(change);
+    shared.set_loaded();
+    Ok(())
+}
+
+/// Returns the keys of the templates that the log names after change `from`;
+/// nothing if the log does not reach back so far.
+fn changed(table: &dyn Table, from: u64, to: u64) -> Result<Option<Vec<Name>>, TableError> {
+    if to - from > MAX_LOG {
+        return Ok(None);
+    }
+    let log: Vec<Name> = (from + 1..=to).map(keys::change).collect();
+    let mut out = Vec::new();
+    for row in table.get(&log)? {
+        let entry = row.and_then(|r| decode::<ConfigChange>(&r.value).ok());
+        let Some(entry) = entry else { return Ok(None) };
+        out.push(keys::config(&entry.org));
+    }
+    out.sort();
+    out.dedup();
+    Ok(Some(out))
+}
+
+fn read_named(shared: &Shared, table: &dyn Table, keys: &[Name]) -> Result<(), TableError> {
+    for row in table.get(keys)?.into_iter().flatten() {
+        offer_row(shared, &row);
+    }
+    Ok(())
+}
+
+fn read_all(shared: &Shared, table: &dyn Table) -> Result<(), TableError> {
     let mut after = None;
     let prefix = Name::from(CONFIG);
     loop {
         let (rows, more) = table.scan(&prefix, after, BATCH)?;
         after = rows.last().map(|r| r.key.clone());
-        for row in rows {
-            let Ok(stored) = decode::<StoredTemplate>(&row.value) else {
-                log::error!("config: row {} is malformed", row.key);
-                continue;
-            };
-            offer(
-                shared,
-                &ConfigEntry {
-                    version: stored.version,
-                    template: stored.template,
-                },
-            );
+        for row in &rows {
+            offer_row(shared, row);
         }
         if !more {
-            break;
+            return Ok(());
         }
     }
-    shared.configs().reach(change);
-    shared.set_loaded();
-    Ok(())
+}
+
+fn offer_row(shared: &Shared, row: &Row) {
+    match decode::<StoredTemplate>(&row.value) {
+        Ok(stored) => {
+            let (version, template) = (stored.version, stored.template);
+            offer(shared, &ConfigEntry { version, template });
+        }
+        Err(err) => log::error!("config: row {} is malformed: {err}", row.key),
+    }
 }
 
 fn offer(shared: &Shared, entry: &ConfigEntry) {
--- /dev/null
+++ b/crates/peer/tests/config.rs
@@ -0,0 +1,166 @@
+//! Configuration comes into force from the platform, or from a peer without it.
+
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, thread, time::Duration};
+
+use gorsespur_core::{
+    member::{MemberSettings, Role},
+    name::Name,
+};
+use gorsespur_ctl::{
+    apply::{Change, apply},
+    document::Document,
+};
+use gorsespur_peer::{Agent, AgentSettings, Layout, Zone};
+use gorsespur_platform::{Members, MembersError, Table, TableError, fake::FakePlatform};
+use gorsespur_runtime::{
+    cancel::Cancel,
+    server::{Limits, serve},
+};
+use gorsespur_wire::{
+    keys,
+    members::MemberList,
+    table::{Row, Tx},
+};
+
+struct NoMembers;
+
+impl Members for NoMembers {
+    fn list(&self) -> Result<MemberList, MembersError> {
+        Err(MembersError::Unavailable)
+    }
+}
+
+/// A table service that is out of reach.
+struct NoTable;
+
+impl Table for NoTable {
+    fn tx(&self, _: &Tx) -> Result<u64, TableError> {
+        Err(TableError::Unavailable)
+    }
+
+    fn get(&self, _: &[Name]) -> Result<Vec<Option<Row>>, TableError> {
+        Err(TableError::Unavailable)
+    }
+
+    fn scan(&self, _: &Name, _: Option<Name>, _: u32) -> Result<(Vec<Row>, bool), TableError> {
+        Err(TableError::Unavailable)
+    }
+}
+
+fn free_addr() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+fn settings(id: &str, zone: &str, listen: SocketAddr, seed: SocketAddr) -> AgentSettings {
+    let zones: Vec<Name> = vec!["east".into(), "west".into()];
+    let shards = |name: &Name| Zone {
+        name: name.clone(),
+        shards: 1,
+    };
+    AgentSettings {
+        id: id.into(),
+        role: Role::Entry,
+        zone: zone.into(),
+        listen,
+        seeds: vec![seed],
+        layout: Layout::new(&zones.iter().map(shards).collect::<Vec<_>>()),
+        zones,
+        table: listen,
+        objects: listen,
+        members: listen,
+        timeout: Duration::from_millis(500),
+        membership: MemberSettings {
+            beat: 50,
+            dead: 500,
+            ..MemberSettings::default()
+        },
+        log: Default::default(),
+        metrics: Default::default(),
+    }
+}
+
+fn change(edited: u64, replicas: i64) -> Change {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../templates/weld.yaml");
+    let mut document = Document::read(&PathBuf::from(path)).expect("a good template");
+    document.raw.services[0].replicas = replicas;
+    document.template = Arc::new(gorsespur_core::template::check(&document.raw).expect("good"));
+    Change {
+        document,
+        edited,
+        who: "test".to_owned(),
+        why: String::new(),
+    }
+}
+
+fn until(what: &str, ok: impl Fn() -> bool) {
+    for _ in 0..400 {
+        if ok() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(25));
+    }
+    panic!("not reached: {what}");
+}
+
+fn replicas(agent: &Agent) -> Option<u32> {
+    let configs = agent.shared().configs();
+    Some(configs.get("weld")?.template.services[0].replicas)
+}
+
+#[test]
+fn changes_come_into_force_by_the_log_and_without_it() {
+    let platform = Arc::new(FakePlatform::new());
+    let cancel = Cancel::new();
+    let here = free_addr();
+    let table: Arc<dyn Table> = platform.clone();
+    let agent = Agent::start(
+        settings("a", "east", here, here),
+        table,
+        Arc::new(NoMembers),
+        &cancel,
+    );
+    let agent = agent.expect("an agent");
+    apply(platform.as_ref(), &change(0, 10)).expect("accepted");
+    until("first change", || replicas(&agent) == Some(10));
+    apply(platform.as_ref(), &change(1, 11)).expect("accepted");
+    until("change by the log", || replicas(&agent) == Some(11));
+    apply(platform.as_ref(), &change(2, 12)).expect("accepted");
+    platform
+        .tx(&Tx::new().delete(keys::change(3)))
+        .expect("deleted");
+    until("change without its log entry", || {
+        replicas(&agent) == Some(12)
+    });
+    assert_eq!(agent.shared().configs().head(), 3);
+    cancel.cancel();
+}
+
+#[test]
+fn an_instance_without_the_platform_learns_from_a_peer_of_another_zone() {
+    let platform = Arc::new(FakePlatform::new());
+    apply(platform.as_ref(), &change(0, 10)).expect("accepted");
+    let cancel = Cancel::new();
+    let (here, there) = (free_addr(), free_addr());
+    let table: Arc<dyn Table> = platform.clone();
+    let near = Agent::start(
+        settings("a", "east", here, there),
+        table,
+        Arc::new(NoMembers),
+        &cancel,
+    );
+    let near = near.expect("an agent");
+    let shared = near.shared().clone();
+    let answer = move |req| shared.answer(&req).expect("a question of the agent");
+    serve(here, "peer", Limits::default(), &cancel, answer).expect("served");
+    let far = settings("b", "west", there, here);
+    let far = Agent::start(far, Arc::new(NoTable), Arc::new(NoMembers), &cancel);
+    let far = far.expect("an agent");
+    until("the template comes from the peer", || {
+        replicas(&far) == Some(10)
+    });
+    apply(platform.as_ref(), &change(1, 11)).expect("accepted");
+    until("its change too", || replicas(&far) == Some(11));
+    assert!(far.shared().is_loaded());
+    cancel.cancel();
+}
--- a/crates/platform/src/fake.rs
+++ b/crates/platform/src/fake.rs
@@ -9,9 +9,9 @@
 };
 
 use gorsespur_core::name::Name;
-use gorsespur_wire::table::{Expect, Row, Tx};
+use gorsespur_wire::table::{Row, ScanRequest, Tx, TxAnswer};
 
-use crate::{ObjectError, Objects, Table, TableError};
+use crate::{ObjectError, Objects, Rows, Table, TableError};
 
 /// A fault of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,9 +28,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-    rows: BTreeMap<Name, Row>,
+    rows: Rows,
     objects: BTreeMap<String, Vec<u8>>,
-    version: u64,
     faults: VecDeque<Fault>,
     delayed: Option<Tx>,
     writes: u64,
@@ -60,11 +59,7 @@
 
     /// Returns the number of rows whose key starts with `prefix`.
     pub fn count(&self, prefix: &str) -> usize {
-        self.lock()
-            .rows
-            .keys()
-            .filter(|k| k.starts_with(prefix))
-            .count()
+        self.lock().rows.count(prefix)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -85,31 +80,13 @@
     }
 
     fn run(&mut self, tx: &Tx) -> Result<u64, TableError> {
-        for check in &tx.checks {
-            let found = self.rows.get(&check.key).map_or(0, |r| r.version);
-            let ok = match check.expect {
-                Expect::Absent => found == 0,
-                Expect::Version(v) => found == v,
-            };
-            if !ok {
-                let key = check.key.clone();
-                return Err(TableError::Conflict { key, found });
+        match self.rows.tx(tx) {
+            TxAnswer::Done(version) => {
+                self.writes += 1;
+                Ok(version)
             }
+            TxAnswer::Conflict { key, found } => Err(TableError::Conflict { key, found }),
         }
-        self.version += 1;
-        self.writes += 1;
-        for put in &tx.puts {
-            let row = Row {
-                key: put.key.clone(),
-                version: self.version,
-                value: put.value.clone(),
-            };
-            self.rows.insert(put.key.clone(), row);
-        }
-        for key in &tx.deletes {
-            self.rows.remove(key);
-        }
-        Ok(self.version)
     }
 }
 
@@ -136,7 +113,7 @@
     fn get(&self, keys: &[Name]) -> Result<Vec<Option<Row>>, TableError> {
         let mut state = self.lock();
         state.read_fault()?;
-        Ok(keys.iter().map(|k| state.rows.get(k).cloned()).collect())
+        Ok(state.rows.get(keys))
     }
 
     fn scan(
@@ -147,20 +124,12 @@
     ) -> Result<(Vec<Row>, bool), TableError> {
         let mut state = self.lock();
         state.read_fault()?;
-        let mut rows = Vec::new();
-        for (key, row) in state.rows.range(prefix.clone()..) {
-            if !key.starts_with(&**prefix) {
-                break;
-            }
-            if after.as_ref().is_some_and(|a| key <= a) {
-                continue;
-            }
-            if rows.len() == limit as usize {
-                return Ok((rows, true));
-            }
-            rows.push(row.clone());
-        }
-        Ok((rows, false))
+        let answer = state.rows.scan(&ScanRequest {
+            prefix: prefix.clone(),
+            after,
+            limit,
+        });
+        Ok((answer.rows, answer.more))
     }
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 mod members;
 mod objects;
 mod post;
+mod rows;
 mod table;
 mod worker;
 
@@ -22,5 +23,6 @@
 pub use members::{Members, MembersError};
 pub use objects::{ObjectError, Objects};
 pub use post::{PostError, post};
+pub use rows::Rows;
 pub use table::{Table, TableError};
 pub use worker::{WorkerError, Workers};
--- a/crates/sched/src/keeper.rs
+++ b/crates/sched/src/keeper.rs
@@ -1,65 +1,31 @@
-//! The thread that watches a shard's row and keeps the shard while owned.
+//! The thread that watches a shard's row and takes the shard when it may.
 
-use std::{
-    net::SocketAddr,
-    path::PathBuf,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread,
-    time::{Duration, Instant},
-};
+use std::{path::PathBuf, sync::Arc, time::Instant};
 
-use flume::{Receiver, RecvTimeoutError, Sender};
+use flume::Sender;
 use gorsespur_core::{
     name::Name,
-    owner::{Claim, ShardRow, Tenure},
-    shard::{Machine, Takeover},
+    owner::{Claim, ShardRow},
+    shard::{Book, Takeover},
     spread::stable_hash,
 };
 use gorsespur_peer::{ShardAt, Shared};
 use gorsespur_platform::{Objects, Table};
-use gorsespur_replay::Recorder;
 use gorsespur_runtime::{cancel::Cancel, metrics::Metrics};
 use gorsespur_wire::{codec::decode, keys};
 
 use crate::{
     exchanger::Exchange,
-    inbox,
-    input::{Input, Upkeep},
-    inquiry::Inquiry,
-    journal::{Batch, Journal, JournalError, Taker},
-    owned::{Owned, OwnedShard},
+    journal::{Journal, Taker},
+    keep::{RELEASE, expire},
+    owned::Owned,
     recover::recover,
     settings::SchedSettings,
-    shard_thread::ShardThread,
 };
 
-/// Time between two looks at a row that this instance may take.
-const WATCH: Duration = Duration::from_millis(200);
-
 /// Time by which the second in line lets the first go ahead, in milliseconds.
 const COURTESY: u64 = 500;
 
-/// Messages that may wait for a machine thread.
-const INPUTS: usize = 8_192;
-
-/// Messages that may wait for a keeper.
-const UPKEEP: usize = 1_024;
-
-/// Most records in one row of the journal.
-const MAX_RECORDS: usize = 5_000;
-
-/// Time for which a stopping instance tries to release a shard.
-const RELEASE: Duration = Duration::from_millis(1_500);
-
-/// Longest time between two looks whether the program stops.
-const LOOK: Duration = Duration::from_millis(50);
-
-/// Time between two looks whether another instance should own the shard.
-const BALANCE: Duration = Duration::from_secs(2);
-
 /// What a keeper works with.
 pub(crate) struct Keeper {
     pub at: ShardAt,
@@ -74,20 +40,12 @@
     pub stop: Cancel,
 }
 
-/// Why an ownership ended.
-#[derive(Debug, PartialEq, Eq)]
-enum Parted {
-    Stopped,
-    Moved,
-    Fenced,
-}
-
 impl Keeper {
     /// Watches and keeps the shard until the program stops.
     pub fn run(self) {
         let mut claim = Claim::new(self.settings.lease);
         let mut looked = self.shared.clock.now();
-        while !self.stop.wait(WATCH) {
+        while !self.stop.wait(self.settings.watch) {
             let now = self.shared.clock.now();
             if now - looked >= self.settings.lease {
                 claim.reset();
@@ -186,7 +144,7 @@
     }
 
     /// Recovers the book and renews the lease while that is tried.
-    fn recover(&self, journal: &mut Journal) -> Option<gorsespur_core::shard::Book> {
+    fn recover(&self, journal: &mut Journal) -> Option<Book> {
         let name = &self.at.place.name;
         loop {
             let table = self.table.as_ref();
@@ -194,7 +152,7 @@
                 Ok(book) => return Some(book),
                 Err(err) => log::warn!("shard {name}: can't recover yet: {err}"),
             }
-            if self.stop.wait(WATCH) {
+            if self.stop.wait(self.settings.watch) {
                 let _ = journal.release(&expire(RELEASE));
                 return None;
             }
@@ -202,310 +160,6 @@
             journal.renew(hold, &self.stop).ok()?;
         }
     }
-
-    /// Keeps the shard until it is lost or given up.
-    ///
-    /// `old` is the address of an owner that may still renew leases, the only
-    /// one if it is known.
-    fn keep(&self, journal: &mut Journal, takeover: Takeover, old: Option<SocketAddr>) -> Parted {
-        let cancel = Cancel::new();
-        let (input, inputs) = flume::bounded(INPUTS);
-        let (upkeep, upkeeps) = flume::bounded(UPKEEP);
-        let (look, looks) = flume::bounded(1);
-        let (hold, known) = (journal.row().hold, takeover.settled);
-        let machine = self.start_machine(takeover, &input, inputs, upkeep, &cancel);
-        let fetch = self.start_inbox(&input, looks, &cancel);
-        let settled = Arc::new(AtomicBool::new(false));
-        let asking = if known {
-            None
-        } else {
-            self.start_inquiry(old, hold, &input, &settled, &cancel)
-        };
-        self.owned.add(OwnedShard {
-            index: self.at.place.index,
-            name: self.at.place.name.clone(),
-            input: input.clone(),
-            look,
-        });
-        let parted = self.write_all(journal, &upkeeps, &input, hold, &settled);
-        self.owned.remove(self.at.place.index);
-        self.shared
-            .claims()
-            .retain(|c| c.shard != self.at.place.index);
-        cancel.cancel();
-        drop(input);
-        for thread in [machine, fetch, asking].into_iter().flatten() {
-            let _ = thread.join();
-        }
-        self.shared
-            .claims()
-            .retain(|c| c.shard != self.at.place.index);
-        if parted != Parted::Fenced {
-            self.hand_over(journal, &upkeeps);
-        }
-        parted
-    }
-
-    fn start_machine(
-        &self,
-        takeover: Takeover,
-        input: &Sender<Input>,
-        inputs: Receiver<Input>,
-        upkeep: Sender<Upkeep>,
-        cancel: &Cancel,
-    ) -> Option<thread::JoinHandle<()>> {
-        let now = self.shared.clock.now();
-        let epoch = takeover.epoch;
-        let name = &self.at.place.name;
-        let seed = stable_hash(&[name, &epoch.to_string()]);
-        let recorder = self.recorder(&takeover, seed, now);
-        let thread = ShardThread {
-            at: self.at.clone(),
-            shared: self.shared.clone(),
-            machine: Machine::new(
-                self.at.place.clone(),
-                self.settings.shards.clone(),
-                seed,
-                takeover,
-                now,
-            ),
-            tenure: Tenure::new(self.settings.lease, now),
-            input: inputs,
-            reply: input.clone(),
-            upkeep,
-            exchanges: self.exchanges.clone(),
-            metrics: self.metrics.clone(),
-            recorder,
-            cancel: cancel.clone(),
-        };
-        spawn(format!("shard-{name}"), move || thread.run())
-    }
-
-    fn recorder(&self, takeover: &Takeover, seed: u64, now: u64) -> Option<Recorder> {
-        let dir = self.record.as_ref()?;
-        let (name, epoch) = (&self.at.place.name, takeover.epoch);
-        let path = dir.join(format!("{name}.{epoch}.trace"));
-        let made = Recorder::create(
-            &path,
-            &self.at.place,
-            &self.settings.shards,
-            seed,
-            takeover,
-            now,
-        );
-        match made {
-            Ok(recorder) => Some(recorder),
-            Err(err) => {
-                log::error!("shard {name}: can't record: {err}");
-                None
-            }
-        }
-    }
-
-    fn start_inbox(
-        &self,
-        input: &Sender<Input>,
-        looks: Receiver<()>,
-        cancel: &Cancel,
-    ) -> Option<thread::JoinHandle<()>> {
-        let (table, name) = (self.table.clone(), self.at.place.name.clone());
-        let (input, cancel) = (input.clone(), cancel.clone());
-        let seed = self.shared.incarnation;
-        spawn(format!("inbox-{name}"), move || {
-            inbox::follow(table.as_ref(), &name, &input, &looks, seed, &cancel);
-        })
-    }
-
-    /// Learns when no earlier owner can still renew leases.
-    fn start_inquiry(
-        &self,
-        old: Option<SocketAddr>,
-        hold: u64,
-        input: &Sender<Input>,
-        settled: &Arc<AtomicBool>,
-        cancel: &Cancel,
-    ) -> Option<thread::JoinHandle<()>> {
-        let inquiry = Inquiry {
-            shard: self.at.place.name.clone(),
-            old,
-            me: self.shared.settings.listen,
-            hold: Duration::from_millis(hold),
-            input: input.clone(),
-            settled: settled.clone(),
-            cancel: cancel.clone(),
-        };
-        let name = &self.at.place.name;
-        spawn(format!("inquiry-{name}"), move || inquiry.run())
-    }
-
-    /// Writes the journal until the shard is lost or to be given up.
-    fn write_all(
-        &self,
-        journal: &mut Journal,
-        upkeeps: &Receiver<Upkeep>,
-        input: &Sender<Input>,
-        mut hold: u64,
-        settled: &AtomicBool,
-    ) -> Parted {
-        let mut rows = journal.row().row - journal.row().first_row;
-        let mut asked = false;
-        let mut balanced = Instant::now();
-        let mut renewed = Instant::now();
-        loop {
-            if self.stop.is_cancelled() {
-                return Parted::Stopped;
-            }
-            if balanced.elapsed() >= BALANCE {
-                balanced = Instant::now();
-                if self.should_move() {
-                    return Parted::Moved;
-                }
-            }
-            if settled.load(Ordering::Acquire) {
-                journal.settle();
-            }
-            let left = self
-                .settings
-                .renew
-                .saturating_sub(renewed.elapsed())
-                .min(LOOK);
-            let (batch, snapshot, prove) = collect(upkeeps, left, &mut hold);
-            let due = prove || renewed.elapsed() >= self.settings.renew;
-            let result = if !batch.records.is_empty() {
-                rows += 1;
-                journal.append(&batch, hold, &self.stop)
-            } else if due {
-                journal.renew(hold, &self.stop)
-            } else {
-                Ok(0)
-            };
-            match result {
-                Ok(0) => {}
-                Ok(sent) => {
-                    renewed = Instant::now();
-                    self.metrics.count("commits", 1);
-                    let proved = Input::Proved {
-                        sent,
-                        committed: journal.row().next,
-                        hold,
-                    };
-                    let _ = input.send(proved);
-                }
-                Err(JournalError::Fenced) => return Parted::Fenced,
-                Err(JournalError::GaveUp) => return Parted::Stopped,
-                Err(JournalError::Encode) => {
-                    log::error!("shard {}: a record can't be encoded", self.at.place.name);
-                    return Parted::Fenced;
-                }
-            }
-            if let Some((next, bytes)) = snapshot {
-                asked = false;
-                match journal.snapshot(self.objects.as_ref(), next, &bytes, &self.stop) {
-                    Ok(Ok(_)) => rows = 0,
-                    Ok(Err(err)) => log::warn!("shard {}: {err}", self.at.place.name),
-                    Err(JournalError::Fenced) => return Parted::Fenced,
-                    Err(JournalError::GaveUp | JournalError::Encode) => return Parted::Stopped,
-                }
-            }
-            if rows >= self.settings.snapshot && !asked {
-                asked = input.send(Input::Snapshot).is_ok();
-            }
-            if !batch.records.is_empty() && !self.settings.commit.is_zero() {
-                self.stop.wait(self.settings.commit);
-            }
-        }
-    }
-
-    /// Tells whether a steady colleague comes first in the line for the shard.
-    fn should_move(&self) -> bool {
-        let s = &self.shared.settings;
-        let now = self.shared.clock.now();
-        let name = &self.at.place.name;
-        let mut best: (u64, bool) = (stable_hash(&[name, &s.id]), false);
-        for p in self.shared.peers().staying(now, s.role, &s.zone) {
-            let weight = stable_hash(&[name, &p.beat.id]);
-            if weight > best.0 {
-                best = (weight, now.saturating_sub(p.steady) >= self.settings.steady);
-            }
-        }
-        best.1
-    }
-
-    /// Writes what the machine still had to say and releases the shard.
-    fn hand_over(&self, journal: &mut Journal, upkeeps: &Receiver<Upkeep>) {
-        let cancel = expire(RELEASE);
-        let mut hold = journal.row().hold;
-        let (batch, _, _) = collect(upkeeps, Duration::ZERO, &mut hold);
-        if !batch.records.is_empty() && journal.append(&batch, hold, &cancel).is_err() {
-            return;
-        }
-        if let Err(err) = journal.release(&cancel) {
-            log::warn!("shard {}: not released: {err}", self.at.place.name);
-        }
-    }
-}
-
-/// Returns a token that is cancelled after `limit`.
-fn expire(limit: Duration) -> Cancel {
-    let cancel = Cancel::new();
-    let timer = cancel.clone();
-    thread::spawn(move || {
-        thread::sleep(limit);
-        timer.cancel();
-    });
-    cancel
-}
-
-fn spawn(name: String, f: impl FnOnce() + Send + 'static) -> Option<thread::JoinHandle<()>> {
-    match thread::Builder::new().name(name).spawn(f) {
-        Ok(handle) => Some(handle),
-        Err(err) => {
-            log::error!("keeper: can't start a thread: {err}");
-            None
-        }
-    }
-}
-
-type Snapshotted = Option<(u64, Vec<u8>)>;
-
-/// Collects what waits for the keeper: one batch, up to the next snapshot.
-fn collect(
-    upkeeps: &Receiver<Upkeep>,
-    wait: Duration,
-    hold: &mut u64,
-) -> (Batch, Snapshotted, bool) {
-    let mut batch = Batch::default();
-    let mut prove = false;
-    let mut next = match upkeeps.recv_timeout(wait) {
-        Ok(message) => Some(message),
-        Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => upkeeps.try_recv().ok(),
-    };
-    while let Some(message) = next {
-        match message {
-            Upkeep::Append {
-                first,
-                records,
-                finished,
-            } => {
-                if batch.records.is_empty() {
-                    batch.first = first;
-                }
-                batch.records.extend(records);
-                batch.finished.extend(finished);
-            }
-            Upkeep::Snapshot { next, bytes } => return (batch, Some((next, bytes)), prove),
-            Upkeep::Hold(h) => {
-                prove |= *hold != h;
-                *hold = h;
-            }
-            Upkeep::Prove => prove = true,
-        }
-        if batch.records.len() >= MAX_RECORDS {
-            break;
-        }
-        next = upkeeps.try_recv().ok();
-    }
-    (batch, None, prove)
 }
 
 /// Names a keeper's thread.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,12 +6,14 @@
 //! pool of threads shared by all shards makes the exchanges with workers.
 
 pub mod args;
+mod collect;
 pub mod error;
 mod exchanger;
 mod inbox;
 mod input;
 mod inquiry;
 pub mod journal;
+mod keep;
 mod keeper;
 mod owned;
 mod peer_api;
--- a/crates/sched/src/peer_api.rs
+++ b/crates/sched/src/peer_api.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use flume::{Receiver, Sender};
-use gorsespur_core::name::Name;
 use gorsespur_peer::Shared;
 use gorsespur_runtime::server::{Incoming, Reply};
 use gorsespur_wire::{
@@ -102,28 +101,7 @@
         for shard in self.owned.all() {
             shards.extend(ask(&shard.input, |reply| Input::Status { reply }, ASK));
         }
-        let s = &self.shared.settings;
-        let now = self.shared.clock.now();
-        let live = self
-            .shared
-            .peers()
-            .live(now)
-            .iter()
-            .map(|p| p.beat.id.clone())
-            .collect();
-        let configs = self.shared.configs();
-        InstanceStatus {
-            id: s.id.clone(),
-            role: s.role,
-            zone: s.zone.clone(),
-            addr: s.listen,
-            release: Name::from(env!("CARGO_PKG_VERSION")),
-            config: configs.head(),
-            versions: configs.versions(),
-            live,
-            shards,
-            routed: None,
-        }
+        self.shared.status(shards, None)
     }
 }
 
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -48,6 +48,8 @@
     pub lease_ms: u64,
     /// Time between renewals.
     pub renew_ms: u64,
+    /// Time between two looks at a row that this instance may take.
+    pub watch_ms: u64,
     /// Least time between two writes of a journal.
     pub commit_ms: u64,
     /// Journal rows after which a snapshot is written.
@@ -61,6 +63,7 @@
         RawOwnership {
             lease_ms: 4_000,
             renew_ms: 1_000,
+            watch_ms: 200,
             commit_ms: 20,
             snapshot_rows: 500,
             steady_ms: 30_000,
@@ -79,6 +82,8 @@
     pub lease: u64,
     /// Time between renewals.
     pub renew: Duration,
+    /// Time between two looks at a row that this instance may take.
+    pub watch: Duration,
     /// Least time between two writes of a journal.
     pub commit: Duration,
     /// Journal rows after which a snapshot is written.
@@ -103,6 +108,12 @@
         "ownership.renew_ms",
         "must be at most a third of lease_ms",
     );
+    let ok = (10..=own.lease_ms / 2).contains(&own.watch_ms);
+    p.require(
+        ok,
+        "ownership.watch_ms",
+        "must be from 10 to half of lease_ms",
+    );
     p.require(
         own.commit_ms <= 1_000,
         "ownership.commit_ms",
@@ -146,6 +157,7 @@
         shards: raw.shards,
         lease: raw.ownership.lease_ms,
         renew: Duration::from_millis(raw.ownership.renew_ms),
+        watch: Duration::from_millis(raw.ownership.watch_ms),
         commit: Duration::from_millis(raw.ownership.commit_ms),
         snapshot: raw.ownership.snapshot_rows,
         steady: raw.ownership.steady_ms,
--- a/crates/stand/src/platform.rs
+++ b/crates/stand/src/platform.rs
@@ -6,9 +6,10 @@
 };
 
 use gorsespur_core::name::Name;
+use gorsespur_platform::Rows;
 use gorsespur_wire::{
     members::MemberList,
-    table::{Expect, GetAnswer, Row, ScanAnswer, ScanRequest, Tx, TxAnswer},
+    table::{GetAnswer, ScanAnswer, ScanRequest, Tx, TxAnswer},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -26,11 +27,10 @@
 /// What the platform keeps.
 #[derive(Debug)]
 pub struct Platform {
-    rows: BTreeMap<Name, Row>,
+    rows: Rows,
     pub(crate) objects: BTreeMap<String, Vec<u8>>,
     lists: VecDeque<(Instant, MemberList)>,
     lag: Duration,
-    version: u64,
     pub(crate) faults: PlatformFaults,
     writes: Window,
     reads: Window,
@@ -74,11 +74,10 @@
     /// Returns an empty platform with limits a second and a lag of the membership list.
     pub fn new(writes: u32, reads: u32, lag: Duration, seed: u64) -> Platform {
         Platform {
-            rows: BTreeMap::new(),
+            rows: Rows::default(),
             objects: BTreeMap::new(),
             lists: VecDeque::new(),
             lag,
-            version: 0,
             faults: PlatformFaults::default(),
             writes: Window::new(writes),
             reads: Window::new(reads),
@@ -119,55 +118,23 @@
             return Err(Refused::Down);
         }
         self.writes.take()?;
-        for check in &tx.checks {
-            let found = self.rows.get(&check.key).map_or(0, |r| r.version);
-            let ok = match check.expect {
-                Expect::Absent => found == 0,
-                Expect::Version(v) => found == v,
-            };
-            if !ok {
-                let key = check.key.clone();
-                return Ok((TxAnswer::Conflict { key, found }, false));
-            }
-        }
-        self.version += 1;
-        for put in &tx.puts {
-            let row = Row {
-                key: put.key.clone(),
-                version: self.version,
-                value: put.value.clone(),
-            };
-            self.rows.insert(put.key.clone(), row);
-        }
-        for key in &tx.deletes {
-            self.rows.remove(key);
+        let answer = self.rows.tx(tx);
+        if let TxAnswer::Conflict { .. } = answer {
+            return Ok((answer, false));
         }
         let lost = self.rng.random_range(0..100) < self.faults.lost_percent;
-        Ok((TxAnswer::Done(self.version), lost))
+        Ok((answer, lost))
     }
 
     pub(crate) fn get(&mut self, keys: &[Name]) -> Result<GetAnswer, Refused> {
         self.read()?;
-        let rows = keys.iter().map(|k| self.rows.get(k).cloned()).collect();
+        let rows = self.rows.get(keys);
         Ok(GetAnswer { rows })
     }
 
     pub(crate) fn scan(&mut self, req: &ScanRequest) -> Result<ScanAnswer, Refused> {
         self.read()?;
-        let mut rows = Vec::new();
-        for (key, row) in self.rows.range(req.prefix.clone()..) {
-            if !key.starts_with(&*req.prefix) {
-                break;
-            }
-            if req.after.as_ref().is_some_and(|a| key <= a) {
-                continue;
-            }
-            if rows.len() == req.limit as usize {
-                return Ok(ScanAnswer { rows, more: true });
-            }
-            rows.push(row.clone());
-        }
-        Ok(ScanAnswer { rows, more: false })
+        Ok(self.rows.scan(req))
     }
 
     fn read(&mut self) -> Result<(), Refused> {
--- a/crates/wire/src/keys.rs
+++ b/crates/wire/src/keys.rs
@@ -8,6 +8,14 @@
 /// Prefix of the rows that hold the templates.
 pub const CONFIG: &str = "config/org/";
 
+/// Changes of configuration whose log entries are kept.
+pub const CHANGES_KEPT: u64 = 1_000;
+
+/// Returns the key of the log entry of a change of configuration.
+pub fn change(number: u64) -> Name {
+    format!("config/change/{number:020}").into()
+}
+
 /// Returns the key of an organisation's template.
 pub fn config(org: &str) -> Name {
     format!("{CONFIG}{org}").into()
--- a/crates/wire/src/stored.rs
+++ b/crates/wire/src/stored.rs
@@ -31,6 +31,13 @@
     pub change: u64,
 }
 
+/// An entry of the log of changes, which tells whose template to read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigChange {
+    /// Organisation whose template was changed.
+    pub org: Name,
+}
+
 /// An entry of the audit trail.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AuditEntry {
