Free the place of a try whose handler has left

Cause, found by reading: a handler that gave up at its deadline leaves while its request may still wait; a later decision to send it was dropped, and the target's place stayed taken on this entry. Change: a decision that can't be delivered is told to the router as not sent. Unused parameters and a method without callers are gone.

--- a/crates/core/src/shard/answer.rs
+++ b/crates/core/src/shard/answer.rs
@@ -1,6 +1,6 @@
 //! What workers answer.
 
-use super::{Action, AttemptId, End, Health, Machine, Reason, StopWhy, WorkerAnswer, WorkerEnd};
+use super::{Action, End, Health, Machine, Reason, StopWhy, WorkerAnswer, WorkerEnd};
 use crate::{Millis, name::Name, place::CoRunner};
 
 impl Machine {
@@ -64,7 +64,7 @@
         if a.leaving && !w.leaving {
             w.leaving = true;
             self.targets += 1;
-            self.empty_worker(now, i);
+            self.empty_worker(i);
         }
     }
 
@@ -142,12 +142,6 @@
             self.end_attempt(now, i, id, end);
         }
     }
-
-    /// Returns whether the worker runs an attempt that the book has there.
-    pub fn runs(&self, worker: &str, id: AttemptId) -> bool {
-        let found = self.workers.binary_search_by(|w| (*w.name).cmp(worker));
-        found.is_ok_and(|i| self.workers[i].resident(id).is_some_and(|r| r.seen))
-    }
 }
 
 fn end_of(end: WorkerEnd, stop: Option<StopWhy>) -> End {
--- a/crates/core/src/shard/effects.rs
+++ b/crates/core/src/shard/effects.rs
@@ -137,7 +137,7 @@
     }
 
     /// Marks every task on a leaving worker to be moved.
-    pub(super) fn empty_worker(&mut self, _now: Millis, i: usize) {
+    pub(super) fn empty_worker(&mut self, i: usize) {
         let w = &mut self.workers[i];
         for r in &mut w.residents {
             if r.stop.is_none() {
--- a/crates/core/src/shard/machine.rs
+++ b/crates/core/src/shard/machine.rs
@@ -311,7 +311,7 @@
         }
         for info in list {
             match self.workers.binary_search_by(|w| w.name.cmp(&info.name)) {
-                Ok(i) => self.update_worker(now, i, info),
+                Ok(i) => self.update_worker(i, info),
                 Err(i) => self.add_worker(now, i, info),
             }
         }
@@ -333,7 +333,7 @@
         }
     }
 
-    fn update_worker(&mut self, now: Millis, i: usize, info: &WorkerInfo) {
+    fn update_worker(&mut self, i: usize, info: &WorkerInfo) {
         let w = &mut self.workers[i];
         w.listed = true;
         w.rack = info.rack.clone();
@@ -345,7 +345,7 @@
         if info.leaving && !w.leaving {
             w.leaving = true;
             self.targets += 1;
-            self.empty_worker(now, i);
+            self.empty_worker(i);
         } else if !info.leaving && w.leaving {
             w.leaving = false;
             self.targets += 1;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod program;
 mod reply;
 mod router_thread;
+#[cfg(test)]
+mod router_thread_tests;
 pub mod settings;
 mod targets;
 mod tries;
--- a/crates/entry/src/router_thread.rs
+++ b/crates/entry/src/router_thread.rs
@@ -5,7 +5,7 @@
 use flume::{Receiver, Sender};
 use gorsespur_core::{
     Millis,
-    route::{Arrival, RouteAction, RouteCounts, RouteEvent, RouteSettings, Router},
+    route::{Arrival, RouteAction, RouteCounts, RouteEvent, RouteSettings, Router, TryEnd},
 };
 use gorsespur_peer::Shared;
 use gorsespur_runtime::{cancel::Cancel, client::Answer, metrics::Metrics};
@@ -44,9 +44,9 @@
 }
 
 /// A request that a handler waits for.
-struct Open {
-    req: u64,
-    reply: Sender<ToHandler>,
+pub(crate) struct Open {
+    pub req: u64,
+    pub reply: Sender<ToHandler>,
 }
 
 /// Starts the thread; it ends with `cancel`.
@@ -88,14 +88,14 @@
         if now >= ticked + TICK.as_millis() as Millis {
             ticked = now;
             let actions = router.step(now, &RouteEvent::Tick);
-            hand_out(actions, &mut open, metrics);
+            hand_out(&mut router, now, actions, &mut open, metrics);
             metrics.gauge("waiting", router.waiting() as u64);
             open.retain(|o| !o.reply.is_disconnected());
         }
     }
 }
 
-fn handle(
+pub(crate) fn handle(
     router: &mut Router,
     now: Millis,
     message: ToRouter,
@@ -117,25 +117,47 @@
         }
     };
     let actions = router.step(now, &event);
-    hand_out(actions, open, metrics);
+    hand_out(router, now, actions, open, metrics);
 }
 
-fn hand_out(actions: Vec<RouteAction>, open: &mut Vec<Open>, metrics: &Metrics) {
-    for action in actions {
-        let req = match &action {
-            RouteAction::Send { req, .. } => *req,
-            RouteAction::Refuse { req, .. } => {
-                metrics.count("refused", 1);
-                *req
-            }
-        };
-        let last = matches!(action, RouteAction::Refuse { .. });
-        let Ok(i) = open.binary_search_by_key(&req, |o| o.req) else {
-            continue;
-        };
-        let _ = open[i].reply.try_send(ToHandler::Command(action));
-        if last {
-            open.remove(i);
+/// Hands the router's decisions to the handlers that wait for them.
+///
+/// A try whose handler has left is told to the router as not sent, or its place
+/// at the target would stay taken.
+fn hand_out(
+    router: &mut Router,
+    now: Millis,
+    mut actions: Vec<RouteAction>,
+    open: &mut Vec<Open>,
+    metrics: &Metrics,
+) {
+    while !actions.is_empty() {
+        let mut next = Vec::new();
+        for action in actions {
+            let Some(event) = deliver(action, open, metrics) else {
+                continue;
+            };
+            next.extend(router.step(now, &event));
+        }
+        actions = next;
+    }
+}
+
+/// Delivers one decision; returns what the router has to know if it can't.
+fn deliver(action: RouteAction, open: &mut Vec<Open>, metrics: &Metrics) -> Option<RouteEvent> {
+    match action {
+        RouteAction::Refuse { req, .. } => {
+            metrics.count("refused", 1);
+            let i = open.binary_search_by_key(&req, |o| o.req).ok()?;
+            let _ = open.remove(i).reply.try_send(ToHandler::Command(action));
+            None
+        }
+        RouteAction::Send { req, attempt, .. } => {
+            let found = open.binary_search_by_key(&req, |o| o.req);
+            let sent =
+                found.is_ok_and(|i| open[i].reply.try_send(ToHandler::Command(action)).is_ok());
+            let end = TryEnd::NotSent;
+            (!sent).then_some(RouteEvent::Ended { req, attempt, end })
         }
     }
 }
--- /dev/null
+++ b/crates/entry/src/router_thread_tests.rs
@@ -0,0 +1,56 @@
+//! Tests of the router thread's hand-out.
+
+use gorsespur_core::{
+    route::{Arrival, RouteEvent, RouteSettings, Router, TargetList},
+    shard::TargetInfo,
+    template::Priority,
+};
+use gorsespur_runtime::metrics::{MetricSettings, Metrics};
+
+use crate::router_thread::{Open, ToRouter, handle};
+
+const NOW: u64 = 1_000_000;
+
+/// A try that no handler took kept its place at the target for ever.
+///
+/// Cause: a handler that gave up at its deadline left while its request still
+/// waited; the decision to send it was dropped, and no end was ever told. Found
+/// by reading.
+#[test]
+fn a_try_whose_handler_has_left_frees_its_place() {
+    let mut router = Router::new(RouteSettings::default(), 1);
+    let target = TargetInfo {
+        org: "org".into(),
+        service: "service".into(),
+        worker: "w".into(),
+        addr: ([127, 0, 0, 1], 9).into(),
+        slots: 8,
+        connections: 60,
+        leaving: false,
+    };
+    let list = TargetList {
+        shard: 0,
+        epoch: 1,
+        version: 1,
+        near: true,
+        targets: vec![target],
+    };
+    router.step(NOW, &RouteEvent::Targets(list));
+    let metrics = Metrics::start(&MetricSettings::default(), "test").expect("no socket needed");
+    let mut open: Vec<Open> = Vec::new();
+    let (reply, left) = flume::bounded(16);
+    drop(left);
+    let arrival = Arrival {
+        req: 1,
+        org: "org".into(),
+        service: "service".into(),
+        priority: Priority::Normal,
+        deadline: NOW + 1_000,
+        repeatable: true,
+        queue: 8,
+        retries: 10,
+    };
+    let arrive = ToRouter::Arrive { arrival, reply };
+    handle(&mut router, NOW, arrive, &mut open, &metrics);
+    assert_eq!(router.targets("org", "service")[0].mine, 0);
+}
