--- a/crates/core/src/shard/action.rs
+++ b/crates/core/src/shard/action.rs
@@ -14,6 +14,10 @@
     pub spec: JobSpec,
     /// Its last state.
     pub status: JobStatus,
+    /// Number in its shard.
+    pub no: u32,
+    /// Attempts of each task, if they may have written checkpoints.
+    pub attempts: Vec<u32>,
 }
 
 /// An action of a shard's machine.
--- a/crates/core/src/shard/effects.rs
+++ b/crates/core/src/shard/effects.rs
@@ -129,9 +129,15 @@
         if found.spec.service {
             return;
         }
+        let mut attempts = Vec::new();
+        if found.spec.checkpoint {
+            attempts.extend(found.tasks.iter().map(|t| t.attempt));
+        }
         self.finished.push(FinishedJob {
             spec: found.spec.clone(),
             status: JobStatus::of(found),
+            no: job,
+            attempts,
         });
         self.closing.push_back((now + self.settings.retain, job));
     }
--- a/crates/core/src/shard/exchanges.rs
+++ b/crates/core/src/shard/exchanges.rs
@@ -10,8 +10,8 @@
 const GAP: Millis = 10;
 
 /// Returns the key of the checkpoint that an attempt writes.
-fn checkpoint_key(shard: &str, r: &super::AttemptId, attempt: u32) -> Name {
-    format!("checkpoint/{shard}/{}.{}.{attempt}", r.job, r.task).into()
+pub fn checkpoint_key(shard: &str, job: u32, task: u32, attempt: u32) -> Name {
+    format!("checkpoint/{shard}/{job}.{task}.{attempt}").into()
 }
 
 impl Machine {
@@ -111,10 +111,12 @@
 
 fn start_order(shard: &str, r: &Resident, spec: &JobSpec, task: &Task) -> StartOrder {
     let key = &spec.key;
-    let resume = (task.checkpoint > 0).then(|| checkpoint_key(shard, &r.attempt, task.checkpoint));
+    let id = r.attempt;
+    let resume =
+        (task.checkpoint > 0).then(|| checkpoint_key(shard, id.job, id.task, task.checkpoint));
     let checkpoint = spec
         .checkpoint
-        .then(|| checkpoint_key(shard, &r.attempt, r.attempt.attempt));
+        .then(|| checkpoint_key(shard, id.job, id.task, id.attempt));
     StartOrder {
         attempt: r.attempt,
         name: format!("{}/{}/{}", key.org, key.id, r.attempt.task).into(),
--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -43,6 +43,7 @@
     EndReport, Reason, Sample, StartOrder, StopOrder, Throttle, WorkerAnswer, WorkerEnd,
     WorkerInfo, WorkerRequest,
 };
+pub use exchanges::checkpoint_key;
 pub use job::{Job, JobKey, JobSpec, JobState};
 pub use machine::{Machine, ShardPlace, Takeover};
 pub use queue::{Queue, Ready, TaskRef};
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -19,14 +19,14 @@
 use gorsespur_platform::{Table, TableError};
 use gorsespur_runtime::{
     client::field,
-    clock::Clock,
+    clock::{Clock, wall_hour},
     server::{Incoming, Reply},
 };
 use gorsespur_wire::{
     codec::{decode, encode},
     fields::OUTCOME,
     keys,
-    stored::{Claim, ClaimEnd},
+    stored::{Claim, ClaimEnd, ClaimedKey},
     table::{Expect, Row, Tx},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -88,15 +88,22 @@
         let row = keys::claim(org, key);
         let claim = Claim {
             token: self.token(),
+            hour: wall_hour(),
             request: fingerprint(req),
             ended: None,
         };
-        let Ok(value) = encode(&claim) else {
+        let entry = ClaimedKey {
+            org: org.clone(),
+            key: Name::from(key),
+            hour: claim.hour,
+        };
+        let (Ok(value), Ok(listed)) = (encode(&claim), encode(&entry)) else {
             return Claimed::Unavailable;
         };
         let tx = Tx::new()
             .check(row.clone(), Expect::Absent)
-            .put(row.clone(), value);
+            .put(row.clone(), value)
+            .put(keys::claimed(claim.hour, org, key), listed);
         match self.table.tx(&tx) {
             Ok(version) => Claimed::Mine(Mine { claim, version }),
             Err(TableError::Unavailable) => Claimed::Unavailable,
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -37,6 +37,11 @@
     }
 }
 
+/// Returns hours since the Unix epoch, for deleting what is old.
+pub fn wall_hour() -> u64 {
+    wall_ms() / 3_600_000
+}
+
 /// Returns milliseconds since the Unix epoch, for logs and audit entries only.
 pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/sched/src/journal.rs
+++ b/crates/sched/src/journal.rs
@@ -14,11 +14,14 @@
     shard::{FinishedJob, Record},
 };
 use gorsespur_platform::{ObjectError, Objects, Table, TableError};
-use gorsespur_runtime::{cancel::Cancel, clock::Clock};
+use gorsespur_runtime::{
+    cancel::Cancel,
+    clock::{Clock, wall_hour},
+};
 use gorsespur_wire::{
     codec::{decode, encode},
     keys, objects,
-    stored::{JobRow, JournalRow},
+    stored::{EndedJob, JobRow, JournalRow},
     table::{Expect, Tx},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -171,7 +174,17 @@
                 ended: Some(job.status.clone()),
             };
             let value = encode(&row).map_err(|_| JournalError::Encode)?;
-            tx = tx.put(keys::job(&job.spec.key), value);
+            let hour = wall_hour();
+            let ended = EndedJob {
+                key: job.spec.key.clone(),
+                hour,
+                no: job.no,
+                attempts: job.attempts.clone(),
+            };
+            let listed = encode(&ended).map_err(|_| JournalError::Encode)?;
+            tx = tx
+                .put(keys::job(&job.spec.key), value)
+                .put(keys::ended(&self.shard, hour, &job.spec.key), listed);
         }
         let row = ShardRow {
             next: batch.first + batch.records.len() as u64,
--- a/crates/sched/src/keep.rs
+++ b/crates/sched/src/keep.rs
@@ -28,6 +28,7 @@
     keeper::Keeper,
     owned::OwnedShard,
     shard_thread::ShardThread,
+    sweep::Sweep,
 };
 
 /// Messages that may wait for a machine thread.
@@ -77,6 +78,7 @@
         } else {
             self.start_inquiry(old, hold, &input, &settled, &cancel)
         };
+        let sweeping = self.start_sweep(&cancel);
         self.owned.add(OwnedShard {
             index: self.at.place.index,
             name: self.at.place.name.clone(),
@@ -90,7 +92,7 @@
             .retain(|c| c.shard != self.at.place.index);
         cancel.cancel();
         drop(input);
-        for thread in [machine, fetch, asking].into_iter().flatten() {
+        for thread in [machine, fetch, asking, sweeping].into_iter().flatten() {
             let _ = thread.join();
         }
         self.shared
@@ -172,6 +174,19 @@
         })
     }
 
+    fn start_sweep(&self, cancel: &Cancel) -> Option<thread::JoinHandle<()>> {
+        let sweep = Sweep {
+            table: self.table.clone(),
+            objects: self.objects.clone(),
+            shard: self.at.place.name.clone(),
+            claims: self.at.place.index == 0,
+            retention: self.settings.retention,
+        };
+        let cancel = cancel.clone();
+        let name = &self.at.place.name;
+        spawn(format!("sweep-{name}"), move || sweep.run(&cancel))
+    }
+
     /// Learns when no earlier owner can still renew leases.
     fn start_inquiry(
         &self,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,5 +21,6 @@
 mod recover;
 pub mod settings;
 mod shard_thread;
+pub mod sweep;
 
 pub use recover::{RecoverError, recover};
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -56,6 +56,8 @@
     pub snapshot_rows: u64,
     /// Time for which a better owner must be steady before a shard is moved.
     pub steady_ms: u64,
+    /// Hours for which finished jobs and claims of idempotency keys are kept.
+    pub retention_hours: u64,
 }
 
 impl Default for RawOwnership {
@@ -67,6 +69,7 @@
             commit_ms: 20,
             snapshot_rows: 500,
             steady_ms: 30_000,
+            retention_hours: 168,
         }
     }
 }
@@ -90,6 +93,8 @@
     pub snapshot: u64,
     /// Time for which a better owner must be steady.
     pub steady: u64,
+    /// Hours for which finished jobs and claims are kept.
+    pub retention: u64,
     /// Threads that make exchanges.
     pub threads: usize,
     /// Time limit of an exchange.
@@ -108,6 +113,8 @@
         "ownership.renew_ms",
         "must be at most a third of lease_ms",
     );
+    let ok = (1..=100_000).contains(&own.retention_hours);
+    p.require(ok, "ownership.retention_hours", "must be from 1 to 100000");
     let ok = (10..=own.lease_ms / 2).contains(&own.watch_ms);
     p.require(
         ok,
@@ -161,6 +168,7 @@
         commit: Duration::from_millis(raw.ownership.commit_ms),
         snapshot: raw.ownership.snapshot_rows,
         steady: raw.ownership.steady_ms,
+        retention: raw.ownership.retention_hours,
         threads: raw.exchange_threads,
         timeout: Duration::from_millis(raw.exchange_timeout_ms),
     })
--- /dev/null
+++ b/crates/sched/src/sweep.rs
@@ -0,0 +1,135 @@
+//! Deletes what is older than the retention time.
+//!
+//! Finished jobs and claims are listed by the hour. The owner of a shard sweeps
+//! its list of jobs, the owner of the first shard the list of claims too. What
+//! is deleted twice, or by an owner that has just lost its shard, does no harm:
+//! a row goes only with its entry in the list, and a claim only if it is as old
+//! as its entry.
+
+use std::{sync::Arc, time::Duration};
+
+use gorsespur_core::{name::Name, shard::checkpoint_key};
+use gorsespur_platform::{Objects, Table, TableError};
+use gorsespur_runtime::{cancel::Cancel, clock::wall_hour};
+use gorsespur_wire::{
+    codec::decode,
+    keys,
+    stored::{Claim, ClaimedKey, EndedJob},
+    table::{Expect, Row, Tx},
+};
+
+/// Time between two sweeps.
+const PAUSE: Duration = Duration::from_secs(60);
+
+/// Entries of one sweep; the list is sorted by age.
+const BATCH: u32 = 200;
+
+/// Sweeps the lists of one shard.
+pub struct Sweep {
+    /// The table service.
+    pub table: Arc<dyn Table>,
+    /// The object store.
+    pub objects: Arc<dyn Objects>,
+    /// Name of the shard.
+    pub shard: Name,
+    /// Whether to sweep the list of claims.
+    pub claims: bool,
+    /// Hours for which finished jobs and claims are kept.
+    pub retention: u64,
+}
+
+impl Sweep {
+    /// Sweeps until `cancel`.
+    pub fn run(self, cancel: &Cancel) {
+        while !cancel.wait(PAUSE) {
+            if let Err(err) = self.sweep(wall_hour()) {
+                log::debug!("sweep: {err}");
+            }
+        }
+    }
+
+    /// Deletes what is too old in `hour`; returns how many jobs and claims.
+    pub fn sweep(&self, hour: u64) -> Result<usize, TableError> {
+        let limit = hour.saturating_sub(self.retention);
+        let mut count = self.sweep_jobs(limit)?;
+        if self.claims {
+            count += self.sweep_claims(limit)?;
+        }
+        Ok(count)
+    }
+
+    fn sweep_jobs(&self, limit: u64) -> Result<usize, TableError> {
+        let mut count = 0;
+        let (rows, _) = self
+            .table
+            .scan(&keys::ended_rows(&self.shard), None, BATCH)?;
+        for row in rows {
+            let Ok(job) = decode::<EndedJob>(&row.value) else {
+                continue;
+            };
+            if job.hour >= limit {
+                break;
+            }
+            self.delete_checkpoints(&job);
+            let tx = Tx::new()
+                .delete(keys::job(&job.key))
+                .delete(row.key.clone());
+            let tx = tx.check(row.key, Expect::Version(row.version));
+            count += usize::from(deleted(self.table.tx(&tx))?);
+        }
+        Ok(count)
+    }
+
+    /// Deletes checkpoints; those that can't be deleted now are left behind.
+    fn delete_checkpoints(&self, job: &EndedJob) {
+        for (task, attempts) in job.attempts.iter().enumerate() {
+            for attempt in 1..=*attempts {
+                let key = checkpoint_key(&self.shard, job.no, task as u32, attempt);
+                let _ = self.objects.delete(&key);
+            }
+        }
+    }
+
+    fn sweep_claims(&self, limit: u64) -> Result<usize, TableError> {
+        let mut count = 0;
+        let (rows, _) = self.table.scan(&Name::from(keys::CLAIMED), None, BATCH)?;
+        for row in rows {
+            let Ok(entry) = decode::<ClaimedKey>(&row.value) else {
+                continue;
+            };
+            if entry.hour >= limit {
+                break;
+            }
+            let key = keys::claim(&entry.org, &entry.key);
+            let found = self
+                .table
+                .get(std::slice::from_ref(&key))?
+                .into_iter()
+                .next()
+                .flatten();
+            let mut tx = Tx::new().delete(row.key);
+            if let Some(claim) = found.filter(|r| as_old(r, &entry)) {
+                tx = tx
+                    .check(key.clone(), Expect::Version(claim.version))
+                    .delete(key);
+            }
+            count += usize::from(deleted(self.table.tx(&tx))?);
+        }
+        Ok(count)
+    }
+}
+
+/// Tells whether a claim is the one that its entry in the list stands for, and
+/// not a later one of the same key.
+fn as_old(row: &Row, entry: &ClaimedKey) -> bool {
+    decode::<Claim>(&row.value).is_ok_and(|c| c.hour <= entry.hour)
+}
+
+/// Passes over rows that changed meanwhile.
+fn deleted(result: Result<u64, TableError>) -> Result<bool, TableError> {
+    match result {
+        Ok(_) => Ok(true),
+        Err(TableError::Conflict { .. }) => Ok(false),
+        Err(err) => Err(err),
+    }
+}
--- a/crates/wire/src/stored.rs
+++ b/crates/wire/src/stored.rs
@@ -4,7 +4,7 @@
 
 use gorsespur_core::{
     name::Name,
-    shard::{Book, JobSpec, JobStatus, Record},
+    shard::{Book, JobKey, JobSpec, JobStatus, Record},
     template::{Organisation, RawTemplate},
 };
 use serde::{Deserialize, Serialize};
@@ -85,11 +85,37 @@
     pub ended: Option<JobStatus>,
 }
 
+/// A finished job in the list from which old ones are deleted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedJob {
+    /// The job.
+    pub key: JobKey,
+    /// Hour in which it was finished, counted from the Unix epoch.
+    pub hour: u64,
+    /// Number in its shard.
+    pub no: u32,
+    /// Attempts of each task that may have written checkpoints.
+    pub attempts: Vec<u32>,
+}
+
+/// A claim in the list from which old ones are deleted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimedKey {
+    /// Organisation.
+    pub org: Name,
+    /// Idempotency key.
+    pub key: Name,
+    /// Hour in which it was claimed, counted from the Unix epoch.
+    pub hour: u64,
+}
+
 /// Claim of an idempotency key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     /// Chosen by the instance that claims it.
     pub token: u64,
+    /// Hour in which it was made, counted from the Unix epoch.
+    pub hour: u64,
     /// Hash of the request that it was claimed for.
     pub request: u64,
     /// How the request ended, if it did.
