--- a/crates/sched/src/journal.rs
+++ b/crates/sched/src/journal.rs
@@ -13,19 +13,19 @@
     retry::Backoff,
     shard::{FinishedJob, Record},
 };
-use gorsespur_platform::{ObjectError, Objects, Table, TableError};
+use gorsespur_platform::{Table, TableError};
 use gorsespur_runtime::{
     cancel::Cancel,
     clock::{Clock, wall_hour},
 };
 use gorsespur_wire::{
     codec::{decode, encode},
-    keys, objects,
+    keys,
     stored::{EndedJob, JobRow, JournalRow},
     table::{Expect, Tx},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use snafu::Snafu;
+use snafu::{Snafu, ensure};
 
 /// First and longest delay before a write is repeated, in milliseconds.
 const FIRST_DELAY: u64 = 50;
@@ -40,6 +40,14 @@
     /// The time to give up came first; what became of the write is not known.
     #[snafu(display("gave up"))]
     GaveUp,
+    /// Records are missing before a batch.
+    #[snafu(display("batch starts at record {first}, the journal ends before {next}"))]
+    Gap {
+        /// Number of the batch's first record.
+        first: u64,
+        /// Number of the journal's next record.
+        next: u64,
+    },
     /// A value can't be encoded.
     #[snafu(display("a record can't be encoded"))]
     Encode,
@@ -152,6 +160,8 @@
         hold: u64,
         cancel: &Cancel,
     ) -> Result<u64, JournalError> {
+        let (first, next) = (batch.first, self.row.next);
+        ensure!(first == next, GapSnafu { first, next });
         let value = JournalRow {
             epoch: self.row.epoch,
             first: batch.first,
@@ -195,36 +205,27 @@
         self.write(row, tx, cancel)
     }
 
-    /// Writes a snapshot that ends before record `next` and cuts the journal.
+    /// Returns the number of the next row: where a snapshot of all that is
+    /// written now would cut the journal.
+    pub fn next_row(&self) -> u64 {
+        self.row.row
+    }
+
+    /// Cuts the journal before row `cut`, behind a snapshot in the object store
+    /// that ends before record `next`; returns when that was sent.
     ///
-    /// Every record before `next` must be in the journal. Without the object
-    /// store the journal stays as it is.
-    pub fn snapshot(
-        &mut self,
-        store: &dyn Objects,
-        next: u64,
-        bytes: &[u8],
-        cancel: &Cancel,
-    ) -> Result<Result<u64, ObjectError>, JournalError> {
-        let key = objects::snapshot(&self.shard, next);
-        if let Err(err) = store.put(&key, bytes) {
-            return Ok(Err(err));
-        }
-        let old = self.row.snapshot;
+    /// Every record before `next` must be in a row before `cut`.
+    pub fn cut(&mut self, next: u64, cut: u64, cancel: &Cancel) -> Result<u64, JournalError> {
         let mut tx = Tx::new();
-        for row in self.row.first_row..self.row.row {
+        for row in self.row.first_row..cut {
             tx = tx.delete(keys::journal(&self.shard, row));
         }
         let row = ShardRow {
             snapshot: next,
-            first_row: self.row.row,
+            first_row: cut,
             ..self.row.clone()
         };
-        let sent = self.write(row, tx, cancel)?;
-        if old > 0 && old != next {
-            let _ = store.delete(&objects::snapshot(&self.shard, old));
-        }
-        Ok(Ok(sent))
+        self.write(row, tx, cancel)
     }
 
     /// Gives the shard up, so that another instance can take it at once.
--- a/crates/sched/src/keep.rs
+++ b/crates/sched/src/keep.rs
@@ -12,12 +12,14 @@
 
 use flume::{Receiver, Sender};
 use gorsespur_core::{
+    name::Name,
     owner::Tenure,
     shard::{Machine, Takeover},
     spread::stable_hash,
 };
 use gorsespur_replay::Recorder;
 use gorsespur_runtime::cancel::Cancel;
+use gorsespur_wire::objects;
 
 use crate::{
     collect::{Collected, Pending, collect},
@@ -54,6 +56,16 @@
     Fenced,
 }
 
+/// A snapshot that is in the object store.
+struct Stored {
+    /// Number of the first record after it.
+    next: u64,
+    /// Row before which the journal may be cut.
+    cut: u64,
+    /// Key of the snapshot before it.
+    old: Name,
+}
+
 impl Keeper {
     /// Keeps the shard until it is lost or given up.
     ///
@@ -220,6 +232,7 @@
     ) -> Parted {
         let mut rows = journal.row().row - journal.row().first_row;
         let mut asked = false;
+        let (stored, stores) = flume::bounded(1);
         let mut balanced = Instant::now();
         let mut renewed = Instant::now();
         loop {
@@ -268,19 +281,27 @@
                 }
                 Err(JournalError::Fenced) => return Parted::Fenced,
                 Err(JournalError::GaveUp) => return Parted::Stopped,
-                Err(JournalError::Encode) => {
-                    log::error!("shard {}: a record can't be encoded", self.at.place.name);
+                Err(err @ (JournalError::Encode | JournalError::Gap { .. })) => {
+                    log::error!("shard {}: {err}", self.at.place.name);
                     return Parted::Fenced;
                 }
             }
-            if let Some(Pending { next, bytes }) = snapshot {
+            if let Some(pending) = snapshot {
+                self.store(journal, pending, &stored);
+            }
+            if let Ok(stored) = stores.try_recv() {
                 asked = false;
-                match journal.snapshot(self.objects.as_ref(), next, &bytes, &self.stop) {
-                    Ok(Ok(_)) => rows = 0,
-                    Ok(Err(err)) => log::warn!("shard {}: {err}", self.at.place.name),
-                    Err(JournalError::Fenced) => return Parted::Fenced,
-                    Err(JournalError::GaveUp | JournalError::Encode) => return Parted::Stopped,
-                }
+                rows = match stored {
+                    Some(Stored { next, cut, old }) => match journal.cut(next, cut, &self.stop) {
+                        Ok(_) => {
+                            self.delete_snapshot(old);
+                            journal.next_row() - cut
+                        }
+                        Err(JournalError::Fenced) => return Parted::Fenced,
+                        Err(_) => return Parted::Stopped,
+                    },
+                    None => self.settings.snapshot / 2,
+                };
             }
             if rows >= self.settings.snapshot && !asked {
                 asked = input.send(Input::Snapshot).is_ok();
@@ -291,6 +312,32 @@
         }
     }
 
+    /// Puts a snapshot into the object store beside the journal's writes, which
+    /// must not wait for it: they renew the lease.
+    fn store(&self, journal: &Journal, pending: Pending, done: &Sender<Option<Stored>>) {
+        let (next, cut) = (pending.next, journal.next_row());
+        let key = objects::snapshot(&self.at.place.name, next);
+        let old = journal.row().snapshot;
+        let old = objects::snapshot(&self.at.place.name, old);
+        let (store, done) = (self.objects.clone(), done.clone());
+        let name = self.at.place.name.clone();
+        spawn(format!("snapshot-{name}"), move || {
+            let put = store.put(&key, &pending.bytes);
+            if let Err(err) = &put {
+                log::warn!("shard {name}: no snapshot: {err}");
+            }
+            let _ = done.send(put.is_ok().then_some(Stored { next, cut, old }));
+        });
+    }
+
+    /// Deletes the snapshot before the last, beside the journal's writes.
+    fn delete_snapshot(&self, key: Name) {
+        let store = self.objects.clone();
+        spawn(format!("snapshot-{}", self.at.place.name), move || {
+            let _ = store.delete(&key);
+        });
+    }
+
     /// Tells whether a steady colleague comes first in the line for the shard.
     fn should_move(&self) -> bool {
         let s = &self.shared.settings;
@@ -307,12 +354,18 @@
     }
 
     /// Writes what the machine still had to say and releases the shard.
+    ///
+    /// Records behind a write that was given up are left out: nothing was done
+    /// about them yet.
     fn hand_over(&self, journal: &mut Journal, upkeeps: &Receiver<Upkeep>) {
         let cancel = expire(RELEASE);
         let mut hold = journal.row().hold;
         let batch = collect(upkeeps, Duration::ZERO, &mut hold).batch;
-        if !batch.records.is_empty() && journal.append(&batch, hold, &cancel).is_err() {
-            return;
+        if !batch.records.is_empty() {
+            match journal.append(&batch, hold, &cancel) {
+                Ok(_) | Err(JournalError::Gap { .. }) => {}
+                Err(_) => return,
+            }
         }
         if let Err(err) = journal.release(&cancel) {
             log::warn!("shard {}: not released: {err}", self.at.place.name);
--- a/crates/sched/src/program.rs
+++ b/crates/sched/src/program.rs
@@ -34,8 +34,9 @@
     settings::{SchedSettings, check},
 };
 
-/// Time limit of a call to the object store; snapshots are long.
-const OBJECTS: Duration = Duration::from_secs(5);
+/// Time limit of a call to the object store; less than a shard's lease, which a
+/// new owner renews between its tries to read a snapshot.
+const OBJECTS: Duration = Duration::from_secs(2);
 
 /// Time for which a stopping instance answers its peers.
 const DRAIN: Duration = Duration::from_millis(1_000);
