Test placement's edges, a rack at once and a zone cut off from everything

Cause: the policies' edges, a rack's loss and a zone without platform and peers had no test of their own. Change: 18 tests of placement and learning; two workers of a rack die as a fault beside every other; an instance that reaches nobody, then one peer. Before: 16 fault tables.

--- a/crates/core/tests/common/fault.rs
+++ b/crates/core/tests/common/fault.rs
@@ -13,6 +13,8 @@
     OwnerCutFromStore,
     /// A worker dies and never returns.
     WorkerDies,
+    /// Two workers of a rack die at once and never return.
+    RackDies,
     /// A worker reboots at once.
     WorkerReboots,
     /// A worker can't be reached by anyone for a while.
@@ -39,12 +41,13 @@
 
 impl Fault {
     /// Every fault.
-    pub const ALL: [Fault; 16] = [
+    pub const ALL: [Fault; 17] = [
         Fault::OwnerDies,
         Fault::OwnerPaused,
         Fault::StoreDown,
         Fault::OwnerCutFromStore,
         Fault::WorkerDies,
+        Fault::RackDies,
         Fault::WorkerReboots,
         Fault::WorkerCut,
         Fault::WorkerKeepsOwner,
--- a/crates/core/tests/common/strikes.rs
+++ b/crates/core/tests/common/strikes.rs
@@ -33,6 +33,15 @@
                     self.kill_worker(w);
                 }
             }
+            Fault::RackDies => {
+                let live = self.nodes.iter().filter(|n| n.sim.is_some()).count();
+                if live > 3 {
+                    let first = w / 2 * 2;
+                    for w in first..(first + 2).min(self.nodes.len()) {
+                        self.kill_worker(w);
+                    }
+                }
+            }
             Fault::WorkerReboots => {
                 let mut node = self.nodes.swap_remove(w);
                 let clock = node.clock(self.now);
--- a/crates/core/tests/faults.rs
+++ b/crates/core/tests/faults.rs
@@ -48,6 +48,7 @@
 #[test_case(Fault::StoreDown)]
 #[test_case(Fault::OwnerCutFromStore)]
 #[test_case(Fault::WorkerDies)]
+#[test_case(Fault::RackDies)]
 #[test_case(Fault::WorkerReboots)]
 #[test_case(Fault::WorkerCut)]
 #[test_case(Fault::WorkerKeepsOwner)]
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,257 @@
+//! Placement: edges of each policy, and what is learned of interference.
+
+mod common;
+
+use common::{Fault, World, WorldSettings, check_promises, spec};
+use gorsespur_core::{
+    place::{Band, CoRunner, History, Pairs, PlacePolicy},
+    shard::{AttemptId, JobState, Queue, Record, TaskRef},
+    size::Size,
+    template::Priority,
+};
+use test_case::test_case;
+
+fn attempt(job: u32) -> AttemptId {
+    AttemptId {
+        job,
+        task: 0,
+        attempt: 1,
+    }
+}
+
+fn world(policy: PlacePolicy) -> World {
+    let mut settings = WorldSettings::default();
+    settings.shard.policy = policy;
+    World::new(settings)
+}
+
+#[test_case(PlacePolicy::Random)]
+#[test_case(PlacePolicy::LeastLoaded)]
+#[test_case(PlacePolicy::Interference)]
+fn every_policy_keeps_the_promises(policy: PlacePolicy) {
+    let mut w = world(policy);
+    for i in 0..12 {
+        w.submit(spec(
+            &format!("job{i}"),
+            3,
+            2_000 + i * 300,
+            Priority::Normal,
+        ));
+    }
+    assert!(w.run_until_finished(200_000));
+    check_promises(&w);
+}
+
+#[test]
+fn least_loaded_spreads_what_it_can() {
+    let mut w = world(PlacePolicy::LeastLoaded);
+    w.submit(spec("job", 4, 20_000, Priority::Normal));
+    w.run(1_500);
+    let mut workers = Vec::new();
+    for record in &w.journal {
+        if let Record::Started { worker, size, .. } = record
+            && size.cpu == 6_000
+        {
+            workers.push(worker.clone());
+        }
+    }
+    workers.sort();
+    workers.dedup();
+    assert_eq!(workers.len(), 4);
+}
+
+#[test]
+fn replicas_of_a_service_are_on_different_workers_and_racks() {
+    let w = world(PlacePolicy::Interference);
+    let mut racks = Vec::new();
+    for worker in w.owners[0].machine.workers() {
+        let replicas = worker.residents.iter().filter(|r| r.service).count();
+        assert!(replicas <= 1);
+        if replicas == 1 {
+            racks.push(worker.rack.clone());
+        }
+    }
+    racks.dedup();
+    assert_eq!(racks.len(), 2);
+}
+
+#[test]
+fn an_urgent_task_gets_room_from_bulk_within_its_time() {
+    let mut w = world(PlacePolicy::Interference);
+    w.submit(spec("bulk", 30, 600_000, Priority::Bulk));
+    w.run(3_000);
+    let before = w.now;
+    w.submit(spec("urgent", 1, 500, Priority::Urgent));
+    let mut started = None;
+    while started.is_none() && w.now < before + 5_000 {
+        w.run(20);
+        let key = &w.submitted[1].0;
+        let state = w.status(key).map(|s| s.state);
+        if state.is_some_and(|s| s != JobState::Queued) {
+            started = Some(w.now - before);
+        }
+    }
+    let waited = started.expect("started");
+    assert!(waited <= 2_200, "waited {waited} ms");
+    check_promises(&w);
+}
+
+#[test]
+fn a_task_is_evicted_no_more_often_than_its_limit() {
+    let mut w = world(PlacePolicy::Interference);
+    w.submit(spec("bulk", 30, 60_000, Priority::Bulk));
+    w.run(2_000);
+    for i in 0..40 {
+        w.submit(spec(&format!("urgent{i}"), 2, 300, Priority::Urgent));
+        w.run(1_000);
+    }
+    let book = w.owners[0].machine.book();
+    let most = book
+        .jobs()
+        .iter()
+        .flat_map(|j| &j.tasks)
+        .map(|t| t.evictions)
+        .max();
+    assert!(most <= Some(5), "{most:?}");
+}
+
+#[test]
+fn a_job_larger_than_any_worker_fails_with_its_reason() {
+    let mut w = world(PlacePolicy::Interference);
+    let mut large = spec("large", 1, 1_000, Priority::Normal);
+    large.size = Size::new(31_000, 1 << 30, 0);
+    let key = large.key.clone();
+    w.submit(large);
+    w.run(1_000);
+    let status = w.status(&key).expect("known");
+    assert_eq!(status.state, JobState::Failed);
+    assert!(status.reason.expect("a reason").contains("no worker holds"));
+}
+
+#[test]
+fn a_failing_worker_is_quarantined_and_costs_few_tries() {
+    let mut w = world(PlacePolicy::LeastLoaded);
+    w.strike(Fault::WorkerFailsAll, 1);
+    for i in 0..20 {
+        w.submit(spec(&format!("job{i}"), 1, 500, Priority::Normal));
+    }
+    w.run(6_000);
+    let failed = w.journal.iter().filter(|r| {
+        matches!(
+            r,
+            Record::Ended {
+                end: gorsespur_core::shard::End::Failed,
+                ..
+            }
+        )
+    });
+    let failed = failed.count();
+    assert!((1..=8).contains(&failed), "{failed} failures");
+    assert!(w.run_until_finished(60_000));
+    for (key, _) in &w.submitted {
+        assert_eq!(w.status(key).expect("known").state, JobState::Done);
+    }
+}
+
+#[test]
+fn a_wave_of_cancellations_leaves_nothing_behind() {
+    let mut w = world(PlacePolicy::Interference);
+    for i in 0..500 {
+        w.submit(spec(&format!("job{i}"), 2, 600_000, Priority::Normal));
+    }
+    w.run(2_000);
+    for pick in 0..4 {
+        w.strike(Fault::Cancels, pick);
+    }
+    assert!(w.run_until_finished(30_000));
+    check_promises(&w);
+    for worker in w.owners[0].machine.workers() {
+        assert!(worker.residents.iter().all(|r| r.service));
+    }
+}
+
+#[test]
+fn urgent_lanes_come_first_and_stale_entries_are_the_callers_to_skip() {
+    let mut q = Queue::default();
+    let task = |job| TaskRef { job, task: 0 };
+    q.push(Priority::Bulk, 0, task(1), 5);
+    q.push(Priority::Urgent, 1, task(2), 6);
+    q.push_later(50, Priority::Urgent, 1, task(3));
+    assert_eq!((q.len(), q.teams(Priority::Urgent)), (3, vec![1]));
+    q.wake(49);
+    assert_eq!(q.pop(Priority::Urgent, 1).expect("ready").task, task(2));
+    assert!(q.pop(Priority::Urgent, 1).is_none(), "not yet");
+    q.wake(50);
+    assert_eq!(q.pop(Priority::Urgent, 1).expect("ready").since, 50);
+    assert!(!q.is_empty());
+}
+
+#[test]
+fn a_late_sample_is_matched_with_what_ran_then() {
+    let mut h = History::default();
+    let runner = |job, class| CoRunner {
+        attempt: attempt(job),
+        class,
+    };
+    h.begin(runner(1, 0), 1_000);
+    h.begin(runner(2, 1), 2_000);
+    h.end(attempt(2), 3_000);
+    h.begin(runner(3, 2), 4_000);
+    let classes = |at| -> Vec<u16> { h.running_at(at).iter().map(|c| c.class).collect() };
+    assert_eq!(classes(500), Vec::<u16>::new());
+    assert_eq!(classes(2_500), [0, 1]);
+    assert_eq!(classes(3_000), [0]);
+    assert_eq!(classes(9_000), [0, 2]);
+}
+
+#[test]
+fn the_guilty_neighbour_is_learned_and_a_shift_is_followed() {
+    let mut pairs = Pairs::default();
+    pairs.grow(3);
+    let band = Band::of(0.7);
+    assert!(!pairs.estimate(0, 1, band).known);
+    for i in 0..200 {
+        pairs.learn(0, &[1, 2], band, 1.8, i * 100);
+        pairs.learn(0, &[2], band, 1.0, i * 100);
+    }
+    let (noisy, quiet) = (pairs.estimate(0, 1, band), pairs.estimate(0, 2, band));
+    assert!(noisy.known && noisy.adds > 0.6, "{noisy:?}");
+    assert!(quiet.known && quiet.adds < 0.2, "{quiet:?}");
+    for i in 200..400 {
+        pairs.learn(0, &[1], band, 1.0, i * 100);
+        pairs.learn(0, &[2], band, 1.8, i * 100);
+    }
+    assert!(pairs.estimate(0, 1, band).adds < 0.1);
+    assert!(pairs.estimate(0, 2, band).adds > 0.6);
+}
+
+#[test]
+fn what_is_unknown_in_one_band_is_taken_from_another() {
+    let mut pairs = Pairs::default();
+    pairs.grow(2);
+    pairs.learn(0, &[1], Band::of(0.9), 2.0, 0);
+    let low = pairs.estimate(0, 1, Band::of(0.1));
+    assert!(low.known && low.adds > 0.2, "{low:?}");
+    pairs.grow(5);
+    assert_eq!(
+        pairs.estimate(0, 1, Band::of(0.1)),
+        low,
+        "kept when the table grows"
+    );
+    assert!(
+        !pairs.estimate(1, 0, Band::of(0.1)).known,
+        "pairs are ordered"
+    );
+}
+
+#[test_case(f32::NAN; "no number")]
+#[test_case(f32::INFINITY; "infinite")]
+#[test_case(-5.0; "negative")]
+#[test_case(1e9; "absurd")]
+fn an_absurd_sample_does_no_lasting_harm(slow: f32) {
+    let mut pairs = Pairs::default();
+    pairs.grow(2);
+    pairs.learn(0, &[1], Band(0), slow, 0);
+    let e = pairs.estimate(0, 1, Band(0));
+    assert!(e.adds.is_finite() && (0.0..=4.0).contains(&e.adds), "{e:?}");
+}
--- a/crates/peer/tests/config.rs
+++ b/crates/peer/tests/config.rs
@@ -1,6 +1,15 @@
 //! Configuration comes into force from the platform, or from a peer without it.
 
-use std::{net::SocketAddr, path::PathBuf, sync::Arc, thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
 
 use gorsespur_core::{
     member::{MemberSettings, Role},
@@ -18,7 +27,7 @@
 };
 use gorsespur_wire::{
     keys,
-    members::MemberList,
+    members::{InstanceInfo, MemberList},
     table::{Row, Tx},
 };
 
@@ -30,6 +39,24 @@
     }
 }
 
+/// A membership list that shows one instance once it is told to.
+struct LateMembers {
+    shown: Arc<AtomicBool>,
+    instance: InstanceInfo,
+}
+
+impl Members for LateMembers {
+    fn list(&self) -> Result<MemberList, MembersError> {
+        if !self.shown.load(Ordering::Acquire) {
+            return Err(MembersError::Unavailable);
+        }
+        Ok(MemberList {
+            instances: vec![self.instance.clone()],
+            workers: Vec::new(),
+        })
+    }
+}
+
 /// A table service that is out of reach.
 struct NoTable;
 
@@ -164,3 +191,55 @@
     assert!(far.shared().is_loaded());
     cancel.cancel();
 }
+
+/// A zone that is cut off from the platform and from the other zones keeps what
+/// is in force, never goes back, and catches up when one of both returns.
+#[test]
+fn a_zone_that_was_cut_off_from_everything_catches_up() {
+    let platform = Arc::new(FakePlatform::new());
+    apply(platform.as_ref(), &change(0, 10)).expect("accepted");
+    let cancel = Cancel::new();
+    let (here, there) = (free_addr(), free_addr());
+    let table: Arc<dyn Table> = platform.clone();
+    let near = Agent::start(
+        settings("a", "east", here, here),
+        table,
+        Arc::new(NoMembers),
+        &cancel,
+    );
+    let near = near.expect("an agent");
+    let shared = near.shared().clone();
+    let answer = move |req| shared.answer(&req).expect("a question of the agent");
+    serve(here, "peer", Limits::default(), &cancel, answer).expect("served");
+    let shown = Arc::new(AtomicBool::new(false));
+    let members = LateMembers {
+        shown: shown.clone(),
+        instance: InstanceInfo {
+            id: "a".into(),
+            role: Role::Entry,
+            zone: "east".into(),
+            addr: here,
+            leaving: false,
+        },
+    };
+    let far = settings("b", "west", there, there);
+    let far = Agent::start(far, Arc::new(NoTable), Arc::new(members), &cancel);
+    let far = far.expect("an agent");
+    until("the zone that is not cut off has the template", || {
+        replicas(&near) == Some(10)
+    });
+    assert!(
+        !far.shared().is_loaded(),
+        "nothing reaches the cut-off zone"
+    );
+    assert!(near.shared().peers().all().is_empty());
+    shown.store(true, Ordering::Release);
+    until("the template comes from the peer", || {
+        replicas(&far) == Some(10)
+    });
+    assert_eq!(
+        far.shared().configs().head(),
+        near.shared().configs().head()
+    );
+    cancel.cancel();
+}
