--- a/crates/load/src/kit/mod.rs
+++ b/crates/load/src/kit/mod.rs
@@ -5,5 +5,5 @@
 mod times;
 
 pub(crate) use jobs::{JobLoad, JobResult};
-pub(crate) use requests::{RequestLoad, RequestTotals};
+pub(crate) use requests::{RequestLoad, RequestTotals, user_paths};
 pub(crate) use times::Times;
--- a/crates/load/src/kit/requests.rs
+++ b/crates/load/src/kit/requests.rs
@@ -64,6 +64,14 @@
     }
 }
 
+/// Returns the paths of both users' services.
+pub(crate) fn user_paths() -> Vec<String> {
+    vec![
+        "/s/weld/qualification/check".into(),
+        "/s/taipei/booking/hold".into(),
+    ]
+}
+
 /// A load of requests from several threads.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestLoad {
--- a/crates/load/src/measure/starts.rs
+++ b/crates/load/src/measure/starts.rs
@@ -7,8 +7,8 @@
     name::Name,
     place::PlacePolicy,
     shard::{
-        Action, Book, Event, JobKey, JobSpec, Machine, Record, ShardPlace, ShardSettings, Takeover,
-        WorkerAnswer, WorkerInfo,
+        Action, AttemptId, Book, Event, JobKey, JobSpec, Machine, Record, ShardPlace,
+        ShardSettings, Takeover, WorkerAnswer, WorkerInfo,
     },
     size::Size,
     template::Priority,
@@ -180,11 +180,12 @@
     started as u64
 }
 
-fn journal() {
+/// Returns a row of the journal with `n` starts.
+pub(crate) fn journal_row(n: u32) -> JournalRow {
     let mut records = Vec::new();
-    for i in 0..ROW as u32 {
+    for i in 0..n {
         records.push(Record::Started {
-            attempt: gorsespur_core::shard::AttemptId {
+            attempt: AttemptId {
                 job: 1_000_000 + i,
                 task: i % 10,
                 attempt: 1,
@@ -193,11 +194,15 @@
             size: Size::new(2_000, 4 << 30, 0),
         });
     }
-    let row = JournalRow {
+    JournalRow {
         epoch: 7,
         first: 123_456_789,
         records,
-    };
+    }
+}
+
+fn journal() {
+    let row = journal_row(ROW as u32);
     let began = Instant::now();
     let bytes = encode(&row).unwrap_or_default();
     let seconds = began.elapsed().as_secs_f64();
--- a/crates/load/src/slopes/messages.rs
+++ b/crates/load/src/slopes/messages.rs
@@ -7,14 +7,11 @@
     member::{MemberSettings, Peers},
     name::Name,
     place::PlacePolicy,
-    shard::{Action, AttemptId, Event, Machine, Record, WorkerAnswer, WorkerRequest},
+    shard::{Action, Event, Machine, WorkerAnswer, WorkerRequest},
     size::Size,
     template::Organisation,
 };
-use gorsespur_wire::{
-    codec::{decode, encode},
-    stored::{JournalRow, StoredTemplate},
-};
+use gorsespur_wire::codec::{decode, encode};
 
 use super::{Figure, memory::beat};
 use crate::measure::{organisation, starts};
@@ -154,24 +151,7 @@
     let mut times = Vec::new();
     let mut bytes = Vec::new();
     for n in [10u32, 100, 1_000, 2_500, 5_000] {
-        let mut records = Vec::new();
-        for i in 0..n {
-            let attempt = AttemptId {
-                job: 1_000_000 + i,
-                task: i % 10,
-                attempt: 1,
-            };
-            records.push(Record::Started {
-                attempt,
-                worker: Name::from("w-shah-alam-0001"),
-                size: Size::new(2_000, 4 << 30, 0),
-            });
-        }
-        let row = JournalRow {
-            epoch: 7,
-            first: 123_456_789,
-            records,
-        };
+        let row = starts::journal_row(n);
         let len = encode(&row).unwrap_or_default().len();
         bytes.push((f64::from(n), len as f64));
         let us = time_us(|| {
@@ -220,7 +200,6 @@
         });
         times.push((kinds as f64, us));
     }
-    let _ = std::mem::size_of::<StoredTemplate>();
     vec![
         Figure::fit("config_cpu_by_kinds", "us", times),
         Figure::fit("config_bytes_by_kinds", "bytes", bytes),
--- a/crates/load/src/trial.rs
+++ b/crates/load/src/trial.rs
@@ -9,7 +9,7 @@
     error::LoadError,
     fleet::{Fleet, FleetSize},
     judge::judge,
-    kit::{JobLoad, RequestLoad},
+    kit::{JobLoad, RequestLoad, user_paths},
 };
 
 /// Requests a second.
@@ -44,10 +44,7 @@
     let entries: Vec<SocketAddr> = fleet.plan.entries.iter().map(|e| e.callers).collect();
     let requests = RequestLoad {
         entries: entries.clone(),
-        paths: vec![
-            "/s/weld/qualification/check".into(),
-            "/s/taipei/booking/hold".into(),
-        ],
+        paths: user_paths(),
         threads: THREADS,
         rate: RATE,
         time,
