Close connections that trickle, and those above a limit

Cause: each read of a connection has a time limit and the head has none, so that a caller that sends a byte within each 5 s held a thread of the library for ever; the number of connections was bounded by open files only. Change: connections without a whole request for twice the read timeout, and the longest idle ones above limits.connections, are found each second among the process's own descriptors and shut down. Ruled out: a server or a splicing listener of our own (docs/DESIGN.md). Before: a caller sending a byte each 20 ms under a limit of 150 ms was never cut off.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -51,6 +51,8 @@
     pub handlers: usize,
     /// Requests that may wait for a handler.
     pub waiting: usize,
+    /// Connections; the longest idle ones above are closed.
+    pub connections: usize,
 }
 
 impl Default for RawCallerLimits {
@@ -63,6 +65,7 @@
             body_ms: 5_000,
             handlers: 128,
             waiting: 64,
+            connections: 1_000,
         }
     }
 }
@@ -106,6 +109,8 @@
     );
     let ok = (1..=100_000).contains(&l.waiting);
     p.require(ok, "limits.waiting", "must be from 1 to 100000");
+    let ok = (1..=100_000).contains(&l.connections);
+    p.require(ok, "limits.connections", "must be from 1 to 100000");
     let ok = raw.route.share >= 1 && raw.route.share <= l.handlers;
     p.require(ok, "route.share", "must be from 1 to limits.handlers");
     p.require(
@@ -135,6 +140,7 @@
         body_time: Duration::from_millis(l.body_ms),
         handlers: l.handlers,
         waiting: l.waiting,
+        connections: l.connections,
     };
     let answer = l.answer_bytes;
     let instance = AgentSettings::check(raw.instance, Role::Entry, &mut p);
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod clock;
 pub mod exit;
+mod idle;
 pub mod logging;
 pub mod metrics;
 
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -7,9 +7,8 @@
 //! should it end all the same, the next one is built on the same listener while
 //! the earlier one is drained.
 //!
-//! Limits: a caller that sends a byte of its head within every read timeout
-//! keeps one thread; the balancer in front bounds heads. The number of
-//! connections is bounded by the process's limit on open files.
+//! A caller that sends a byte within every read timeout, and connections above
+//! the limit, are closed from outside, see the module for idle connections.
 
 use std::{
     io::{self, ErrorKind},
@@ -31,6 +30,7 @@
     cancel::Cancel,
     client::{Field, field},
     exit::{Blame, FAILED},
+    idle::Callers,
 };
 
 /// Field that tells a caller whether the request ran.
@@ -46,6 +46,12 @@
 /// Connections of our own in each read timeout.
 const AWAKE: u32 = 3;
 
+/// Read timeouts without a whole request after which a connection is closed.
+const PATIENCE: u32 = 2;
+
+/// Longest time between two looks for connections to close.
+const SWEEP: Duration = Duration::from_secs(1);
+
 /// Longest time between two looks whether the program stops.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -64,6 +70,8 @@
     pub handlers: usize,
     /// Requests that may wait for a thread; more are refused as not run.
     pub waiting: usize,
+    /// Connections; the longest idle ones above are closed.
+    pub connections: usize,
 }
 
 impl Default for Limits {
@@ -75,6 +83,7 @@
             body_time: Duration::from_secs(5),
             handlers: 8,
             waiting: 64,
+            connections: 1_000,
         }
     }
 }
@@ -219,13 +228,14 @@
     let (tx, rx) = flume::bounded(limits.waiting);
     let active = Arc::new(AtomicUsize::new(0));
     let handler = Arc::new(handler);
+    let callers = Callers::new();
     let limits = Arc::new(limits);
     for i in 0..limits.handlers {
         let (rx, handler, limits) = (rx.clone(), handler.clone(), limits.clone());
-        let active = active.clone();
+        let (active, callers) = (active.clone(), callers.clone());
         thread::Builder::new()
             .name(format!("{name}-{i}"))
-            .spawn(move || handle_all(&rx, &limits, &active, handler.as_ref()))
+            .spawn(move || handle_all(&rx, &limits, &active, &callers, handler.as_ref()))
             .context(SpawnSnafu)?;
     }
     let acceptor = Acceptor {
@@ -234,6 +244,8 @@
         io_time: limits.io_time,
         tx,
         active: active.clone(),
+        callers,
+        connections: limits.connections,
         cancel: cancel.clone(),
     };
     thread::Builder::new()
@@ -250,6 +262,8 @@
     io_time: Duration,
     tx: Sender<tiny_http::Request>,
     active: Arc<AtomicUsize>,
+    callers: Callers,
+    connections: usize,
     cancel: Cancel,
 }
 
@@ -278,11 +292,17 @@
     fn pump(&self, server: &Server) {
         let step = self.io_time / AWAKE;
         let mut woken = Instant::now();
+        let mut swept = Instant::now();
         loop {
             if woken.elapsed() >= step {
                 woken = Instant::now();
                 let _ = TcpStream::connect_timeout(&self.addr, step);
             }
+            if swept.elapsed() >= step.min(SWEEP) {
+                swept = Instant::now();
+                let limit = self.io_time * PATIENCE;
+                self.callers.sweep(self.addr, limit, self.connections);
+            }
             match server.recv_timeout(step.min(LOOK)) {
                 Ok(Some(req)) => pass_on(req, &self.tx, &self.active),
                 Ok(None) if self.cancel.is_cancelled() => return,
@@ -322,16 +342,20 @@
     rx: &Receiver<tiny_http::Request>,
     limits: &Limits,
     active: &AtomicUsize,
+    callers: &Callers,
     handler: &H,
 ) where
     H: Fn(Incoming) -> Reply,
 {
     for mut req in rx.iter() {
+        let peer = req.remote_addr().copied();
+        callers.note(peer, true);
         let reply = match read_request(&mut req, limits) {
             Ok(incoming) => handler(incoming),
             Err(reply) => reply,
         };
         respond(req, reply);
+        callers.note(peer, false);
         active.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/runtime/tests/http.rs
+++ b/crates/runtime/tests/http.rs
@@ -103,6 +103,7 @@
         body_time: Duration::from_millis(150),
         handlers: 2,
         waiting: 4,
+        connections: 100,
     }
 }
 
@@ -196,6 +197,48 @@
     cancel.cancel();
 }
 
+/// The read timeout starts anew with each byte.
+#[test]
+fn a_caller_that_trickles_its_head_is_cut_off() {
+    let cancel = Cancel::new();
+    let serving = server(small(), &cancel);
+    let mut stream = TcpStream::connect(serving.addr).expect("a connection");
+    let mut cut = false;
+    for byte in b"GET / HTTP/1.1\r\nx: ".iter().chain([b'y'; 400].iter()) {
+        cut = stream.write_all(&[*byte]).is_err();
+        if cut {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(cut, "held a thread for 420 bytes");
+    cancel.cancel();
+}
+
+#[test]
+fn connections_above_the_limit_are_closed() {
+    let cancel = Cancel::new();
+    let limits = Limits {
+        connections: 3,
+        io_time: Duration::from_secs(20),
+        ..small()
+    };
+    let serving = server(limits, &cancel);
+    let mut held = Vec::new();
+    for _ in 0..12 {
+        held.push(TcpStream::connect(serving.addr).expect("a connection"));
+    }
+    let mut closed = 0;
+    for stream in &mut held[..9] {
+        stream
+            .set_read_timeout(Some(Duration::from_secs(15)))
+            .expect("set");
+        closed += usize::from(matches!(stream.read(&mut [0; 8]), Ok(0)));
+    }
+    assert!(closed >= 8, "{closed} closed");
+    cancel.cancel();
+}
+
 #[test]
 fn an_idle_server_goes_on_after_its_accept_timed_out() {
     let cancel = Cancel::new();
