--- a/crates/core/src/retry/breaker.rs
+++ b/crates/core/src/retry/breaker.rs
@@ -45,9 +45,4 @@
             self.until = now + self.pause;
         }
     }
-
-    /// Tells whether calls are refused now.
-    pub fn is_open(&self, now: Millis) -> bool {
-        self.failures >= self.limit && now < self.until
-    }
 }
--- a/crates/core/src/shard/effects.rs
+++ b/crates/core/src/shard/effects.rs
@@ -1,9 +1,6 @@
 //! The soft state follows the book.
 
-use super::{
-    AttemptId, Effect, FinishedJob, Health, JobStatus, Machine, Resident, StopWhy, TaskRef,
-    WorkerInfo,
-};
+use super::{AttemptId, Effect, FinishedJob, JobStatus, Machine, Resident, StopWhy, TaskRef};
 use crate::{Millis, name::Name, size::Size};
 
 impl Machine {
@@ -152,24 +149,4 @@
         }
         w.dirty = true;
     }
-
-    /// Returns workers as others are told of them.
-    pub fn worker_infos(&self) -> Vec<WorkerInfo> {
-        let mut out = Vec::new();
-        for w in &self.workers {
-            if w.health == Health::New {
-                continue;
-            }
-            out.push(WorkerInfo {
-                name: w.name.clone(),
-                zone: self.place.name.clone(),
-                rack: w.rack.clone(),
-                addr: w.addr,
-                target: w.target,
-                size: w.total,
-                leaving: w.leaving,
-            });
-        }
-        out
-    }
 }
--- a/crates/core/tests/guards.rs
+++ b/crates/core/tests/guards.rs
@@ -18,6 +18,20 @@
 const NOW: u64 = 1_000_000;
 const HOLD: u64 = 10_000;
 
+/// Returns the worker as the membership list has it.
+fn worker() -> WorkerInfo {
+    let addr = ([127, 0, 0, 1], 9).into();
+    WorkerInfo {
+        name: "w".into(),
+        zone: "zone".into(),
+        rack: "r".into(),
+        addr,
+        target: addr,
+        size: Size::new(30_000, 125 << 30, 0),
+        leaving: false,
+    }
+}
+
 /// A machine with one worker that has answered.
 fn machine() -> Machine {
     let place = ShardPlace {
@@ -33,18 +47,8 @@
         settled: false,
     };
     let mut m = Machine::new(place, ShardSettings::default(), 1, takeover, NOW);
-    let addr = ([127, 0, 0, 1], 9).into();
-    let info = WorkerInfo {
-        name: "w".into(),
-        zone: "zone".into(),
-        rack: "r".into(),
-        addr,
-        target: addr,
-        size: Size::new(30_000, 125 << 30, 0),
-        leaving: false,
-    };
     let event = Event::Workers {
-        list: vec![info],
+        list: vec![worker()],
         counts: vec![1],
     };
     let org = common::world::org(HOLD, 0);
@@ -175,7 +179,7 @@
         settled,
     };
     let mut new = Machine::new(place, ShardSettings::default(), 1, takeover, NOW);
-    let list = old.worker_infos();
+    let list = vec![worker()];
     new.step(
         NOW,
         &Event::Workers {
--- a/crates/peer/tests/config.rs
+++ b/crates/peer/tests/config.rs
@@ -107,6 +107,22 @@
     }
 }
 
+/// Starts an agent with the platform, which answers its peers at `here`.
+fn serving_agent(
+    platform: &Arc<FakePlatform>,
+    here: SocketAddr,
+    seed: SocketAddr,
+    cancel: &Cancel,
+) -> Agent {
+    let table: Arc<dyn Table> = platform.clone();
+    let settings = settings("a", "east", here, seed);
+    let agent = Agent::start(settings, table, Arc::new(NoMembers), cancel).expect("an agent");
+    let shared = agent.shared().clone();
+    let answer = move |req| shared.answer(&req).expect("a question of the agent");
+    serve(here, "peer", Limits::default(), cancel, answer).expect("served");
+    agent
+}
+
 fn change(edited: u64, replicas: i64) -> Change {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../templates/weld.yaml");
     let mut document = Document::read(&PathBuf::from(path)).expect("a good template");
@@ -169,17 +185,7 @@
     apply(platform.as_ref(), &change(0, 10)).expect("accepted");
     let cancel = Cancel::new();
     let (here, there) = (free_addr(), free_addr());
-    let table: Arc<dyn Table> = platform.clone();
-    let near = Agent::start(
-        settings("a", "east", here, there),
-        table,
-        Arc::new(NoMembers),
-        &cancel,
-    );
-    let near = near.expect("an agent");
-    let shared = near.shared().clone();
-    let answer = move |req| shared.answer(&req).expect("a question of the agent");
-    serve(here, "peer", Limits::default(), &cancel, answer).expect("served");
+    serving_agent(&platform, here, there, &cancel);
     let far = settings("b", "west", there, here);
     let far = Agent::start(far, Arc::new(NoTable), Arc::new(NoMembers), &cancel);
     let far = far.expect("an agent");
@@ -200,17 +206,7 @@
     apply(platform.as_ref(), &change(0, 10)).expect("accepted");
     let cancel = Cancel::new();
     let (here, there) = (free_addr(), free_addr());
-    let table: Arc<dyn Table> = platform.clone();
-    let near = Agent::start(
-        settings("a", "east", here, here),
-        table,
-        Arc::new(NoMembers),
-        &cancel,
-    );
-    let near = near.expect("an agent");
-    let shared = near.shared().clone();
-    let answer = move |req| shared.answer(&req).expect("a question of the agent");
-    serve(here, "peer", Limits::default(), &cancel, answer).expect("served");
+    let near = serving_agent(&platform, here, here, &cancel);
     let shown = Arc::new(AtomicBool::new(false));
     let members = LateMembers {
         shown: shown.clone(),
