--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -6,7 +6,7 @@
     name::{Name, check_name},
     retry::Backoff,
 };
-use gorsespur_platform::{Table, TableError};
+use gorsespur_services::{Table, TableError};
 use gorsespur_runtime::clock::wall_ms;
 use gorsespur_wire::{
     codec::encode,
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use gorsespur_platform::Table;
+use gorsespur_services::Table;
 use serde_json::json;
 
 use crate::{diff::diff, document::Document, error::CtlError, store};
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use gorsespur_core::problem::Problems;
-use gorsespur_platform::{MembersError, TableError};
+use gorsespur_services::{MembersError, TableError};
 use gorsespur_runtime::{
     exit::{Blame, FAILED, USAGE},
     settings::{SettingsError, YamlError},
--- a/crates/ctl/src/history.rs
+++ b/crates/ctl/src/history.rs
@@ -1,6 +1,6 @@
 //! `history`.
 
-use gorsespur_platform::Table;
+use gorsespur_services::Table;
 use serde_json::json;
 
 use crate::{error::CtlError, store, table_text::TextTable};
--- a/crates/ctl/src/program.rs
+++ b/crates/ctl/src/program.rs
@@ -3,7 +3,7 @@
 use std::{env, net::SocketAddr, time::Duration};
 
 use gorsespur_core::problem::Problems;
-use gorsespur_platform::{HttpMembers, HttpTable};
+use gorsespur_services::{HttpMembers, HttpTable};
 use gorsespur_runtime::settings::load;
 use serde::Deserialize;
 use serde_json::json;
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -1,6 +1,6 @@
 //! `show`.
 
-use gorsespur_platform::Table;
+use gorsespur_services::Table;
 use serde_json::json;
 
 use crate::{document::to_text, error::CtlError, store, table_text::TextTable};
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use gorsespur_core::{name::Name, shard::Health};
-use gorsespur_platform::{Members, post};
+use gorsespur_services::{Members, post};
 use gorsespur_wire::{members::InstanceInfo, paths::PEER_STATUS, peer::InstanceStatus};
 use serde_json::json;
 use snafu::ResultExt;
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -1,7 +1,7 @@
 //! Templates and audit entries in the table service.
 
 use gorsespur_core::name::Name;
-use gorsespur_platform::Table;
+use gorsespur_services::Table;
 use gorsespur_wire::{
     codec::decode,
     keys,
--- a/crates/ctl/tests/apply.rs
+++ b/crates/ctl/tests/apply.rs
@@ -9,7 +9,7 @@
     error::CtlError,
     store,
 };
-use gorsespur_platform::fake::{FakePlatform, Fault};
+use gorsespur_services::fake::{FakePlatform, Fault};
 use test_case::test_case;
 
 fn document() -> Document {
--- a/crates/entry/src/cancel_jobs.rs
+++ b/crates/entry/src/cancel_jobs.rs
@@ -7,7 +7,7 @@
     route::Outcome,
     shard::JobKey,
 };
-use gorsespur_platform::post;
+use gorsespur_services::post;
 use gorsespur_runtime::server::{Incoming, Reply};
 use gorsespur_wire::{
     codec::decode,
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -16,7 +16,7 @@
     route::Outcome,
     spread::{StableHasher, stable_hash},
 };
-use gorsespur_platform::{Table, TableError};
+use gorsespur_services::{Table, TableError};
 use gorsespur_runtime::{
     client::field,
     clock::{Clock, wall_hour},
--- a/crates/entry/src/hints.rs
+++ b/crates/entry/src/hints.rs
@@ -4,7 +4,7 @@
 
 use flume::Sender;
 use gorsespur_core::name::Name;
-use gorsespur_platform::post;
+use gorsespur_services::post;
 use gorsespur_wire::{
     paths::PEER_JOBS,
     peer::{JobsAnswer, JobsRequest},
--- a/crates/entry/src/job_api.rs
+++ b/crates/entry/src/job_api.rs
@@ -10,7 +10,7 @@
     template::Organisation,
 };
 use gorsespur_peer::{ShardAt, Shared};
-use gorsespur_platform::{Table, TableError, post};
+use gorsespur_services::{Table, TableError, post};
 use gorsespur_runtime::server::{Incoming, Reply};
 use gorsespur_wire::{
     codec::{decode, encode},
--- a/crates/entry/src/owners.rs
+++ b/crates/entry/src/owners.rs
@@ -7,7 +7,7 @@
 
 use gorsespur_core::{name::Name, owner::ShardRow, size::Size};
 use gorsespur_peer::Shared;
-use gorsespur_platform::Table;
+use gorsespur_services::Table;
 use gorsespur_wire::{codec::decode, keys};
 
 /// Finds the owners of shards.
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use gorsespur_peer::{Agent, Shared};
-use gorsespur_platform::{HttpMembers, HttpTable, Table};
+use gorsespur_services::{HttpMembers, HttpTable, Table};
 use gorsespur_runtime::{
     cancel::Cancel,
     logging,
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -14,7 +14,7 @@
     document::Document,
 };
 use gorsespur_entry::{program as entry, settings as entry_settings};
-use gorsespur_platform::HttpTable;
+use gorsespur_services::HttpTable;
 use gorsespur_runtime::{
     cancel::Cancel,
     client::{Answer, Call},
@@ -175,7 +175,7 @@
             shift: 0,
         },
     };
-    let objects = gorsespur_platform::HttpObjects::new(gate, Duration::from_secs(1));
+    let objects = gorsespur_services::HttpObjects::new(gate, Duration::from_secs(1));
     let checkpoints = Arc::new(StoredCheckpoints::new(objects));
     let sim = SimWorker::new(settings, 9, ledger.clone(), checkpoints);
     let any: SocketAddr = ([127, 0, 0, 1], 0).into();
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,142 @@
+//! A client that blocks, for one address.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use crate::{
+    error::{ConnectSnafu, HttpError, LostSnafu},
+    message::{Request, Response},
+    parse::{Limits, parse_response},
+    socket,
+};
+
+/// Connections that are kept while nobody uses them.
+const KEPT: usize = 8;
+
+/// Bytes that one read takes at most.
+const CHUNK: usize = 16 << 10;
+
+/// Calls one address over kept connections; threads share it.
+///
+/// A connection is dropped after any failure, since an answer that was lost may
+/// still arrive on it.
+#[derive(Debug)]
+pub struct Client {
+    addr: SocketAddr,
+    host: String,
+    idle: Mutex<Vec<TcpStream>>,
+}
+
+impl Client {
+    /// Makes a client; connections are opened when they are needed.
+    pub fn new(addr: SocketAddr) -> Client {
+        Client {
+            addr,
+            host: addr.to_string(),
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Sends a request and returns the whole answer within `limit`.
+    ///
+    /// A kept connection that the peer had closed before the request was sent is
+    /// replaced once; a request is never sent twice.
+    pub fn call(&self, request: &Request, limit: Duration) -> Result<Response, HttpError> {
+        let end = Instant::now() + limit;
+        let mut stream = match self.take_idle() {
+            Some(stream) => stream,
+            None => self.connect(limit)?,
+        };
+        let mut out = Vec::with_capacity(256 + request.body.len());
+        request.encode(&self.host, &mut out);
+        let response = exchange(&mut stream, &out, end)?;
+        if response.keep {
+            self.keep(stream);
+        }
+        Ok(response)
+    }
+
+    fn take_idle(&self) -> Option<TcpStream> {
+        loop {
+            let stream = self.lock().pop()?;
+            if is_open(&stream) {
+                return Some(stream);
+            }
+        }
+    }
+
+    fn keep(&self, stream: TcpStream) {
+        let mut idle = self.lock();
+        if idle.len() < KEPT {
+            idle.push(stream);
+        }
+    }
+
+    fn connect(&self, limit: Duration) -> Result<TcpStream, HttpError> {
+        let stream = TcpStream::connect_timeout(&self.addr, limit).map_err(|err| {
+            ConnectSnafu {
+                message: err.to_string(),
+            }
+            .build()
+        })?;
+        socket::tune(&stream);
+        Ok(stream)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<TcpStream>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Tells whether an idle connection is still open: nothing to read, no end.
+fn is_open(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return false;
+    }
+    let mut byte = [0; 1];
+    let quiet = match stream.peek(&mut byte) {
+        Ok(_) => false,
+        Err(err) => err.kind() == ErrorKind::WouldBlock,
+    };
+    quiet && stream.set_nonblocking(false).is_ok()
+}
+
+fn exchange(stream: &mut TcpStream, out: &[u8], end: Instant) -> Result<Response, HttpError> {
+    limit_io(stream, end)?;
+    stream.write_all(out).map_err(lost)?;
+    let mut buf = Vec::new();
+    let mut chunk = vec![0; CHUNK];
+    loop {
+        limit_io(stream, end)?;
+        let n = stream.read(&mut chunk).map_err(lost)?;
+        if n == 0 {
+            return LostSnafu { message: "closed" }.fail();
+        }
+        buf.extend_from_slice(&chunk[..n]);
+        if let Some((response, _)) = parse_response(&buf, Limits::default())? {
+            return Ok(response);
+        }
+    }
+}
+
+fn limit_io(stream: &TcpStream, end: Instant) -> Result<(), HttpError> {
+    let left = end.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(HttpError::Timeout);
+    }
+    stream.set_read_timeout(Some(left)).map_err(lost)?;
+    stream.set_write_timeout(Some(left)).map_err(lost)
+}
+
+fn lost(err: std::io::Error) -> HttpError {
+    match err.kind() {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => HttpError::Timeout,
+        _ => HttpError::Lost {
+            message: err.to_string(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/http/src/error.rs
@@ -0,0 +1,43 @@
+//! Why a call failed, and whether it may have had an effect.
+
+use snafu::Snafu;
+
+/// Why a call failed.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum HttpError {
+    /// No connection could be opened; nothing was sent.
+    #[snafu(display("can't connect: {message}"))]
+    Connect {
+        /// The system's answer.
+        message: String,
+    },
+    /// The answer did not come in time; the call may have had an effect.
+    #[snafu(display("no answer in time"))]
+    Timeout,
+    /// The connection ended before the whole answer; the call may have had an effect.
+    #[snafu(display("connection lost: {message}"))]
+    Lost {
+        /// The system's answer.
+        message: String,
+    },
+    /// The peer sent something that is not HTTP/1.1 as this crate takes it.
+    #[snafu(display("malformed message: {reason}"))]
+    Malformed {
+        /// What is wrong with it.
+        reason: &'static str,
+    },
+    /// A message exceeds a limit on its size.
+    #[snafu(display("message exceeds {limit} bytes"))]
+    TooLarge {
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
+impl HttpError {
+    /// Tells whether the call certainly had no effect.
+    pub fn not_sent(&self) -> bool {
+        matches!(self, HttpError::Connect { .. })
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,25 @@
+//! HTTP/1.1 over connections that are kept.
+//!
+//! Instances have a tenth of a processor, so a connection a call and a thread a
+//! connection cost more than the call. This crate has one codec and three users
+//! of it: [`Client`] blocks and keeps a few connections to one address,
+//! [`Link`] never blocks and belongs to an event loop, [`Server`] has one thread
+//! a connection and limits on time, size and number.
+//!
+//! Limits: bodies are held in memory whole, and have a `Content-Length`;
+//! chunked bodies are refused with an error, never passed on half.
+
+mod client;
+mod error;
+mod link;
+mod message;
+mod parse;
+mod server;
+mod socket;
+
+pub use client::Client;
+pub use error::HttpError;
+pub use link::Link;
+pub use message::{Method, Request, Response};
+pub use parse::{Limits, parse_request, parse_response};
+pub use server::{Handler, Server, ServerSettings};
--- /dev/null
+++ b/crates/http/src/link.rs
@@ -0,0 +1,133 @@
+//! A connection that never blocks, for an event loop.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::SocketAddr,
+};
+
+use mio::{Interest, Registry, Token, net::TcpStream};
+
+use crate::{
+    error::{ConnectSnafu, HttpError, LostSnafu},
+    message::{Request, Response},
+    parse::{Limits, parse_response},
+    socket,
+};
+
+/// Bytes that one read takes at most.
+const CHUNK: usize = 16 << 10;
+
+/// One connection with at most one request under way.
+///
+/// Limits on time are the event loop's: it drops links that are late.
+#[derive(Debug)]
+pub struct Link {
+    stream: TcpStream,
+    host: String,
+    out: Vec<u8>,
+    sent: usize,
+    input: Vec<u8>,
+    ready: bool,
+}
+
+impl Link {
+    /// Starts connecting to `addr` and registers the connection under `token`.
+    pub fn connect(addr: SocketAddr, registry: &Registry, token: Token) -> Result<Link, HttpError> {
+        let mut stream = TcpStream::connect(addr).map_err(refused)?;
+        socket::tune(&stream);
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        registry
+            .register(&mut stream, token, interest)
+            .map_err(refused)?;
+        Ok(Link {
+            stream,
+            host: addr.to_string(),
+            out: Vec::new(),
+            sent: 0,
+            input: Vec::new(),
+            ready: false,
+        })
+    }
+
+    /// Queues a request and sends what the socket takes at once.
+    pub fn send(&mut self, request: &Request) -> Result<(), HttpError> {
+        self.out.clear();
+        self.sent = 0;
+        request.encode(&self.host, &mut self.out);
+        self.flush()
+    }
+
+    /// Goes on sending after the socket became writable.
+    pub fn writable(&mut self) -> Result<(), HttpError> {
+        if !self.ready {
+            if let Ok(Some(err)) = self.stream.take_error() {
+                return Err(refused(err));
+            }
+            if self.stream.peer_addr().is_err() {
+                return Ok(());
+            }
+            self.ready = true;
+        }
+        self.flush()
+    }
+
+    /// Reads after the socket became readable; returns the answer once it is whole.
+    pub fn readable(&mut self) -> Result<Option<Response>, HttpError> {
+        let mut chunk = [0; CHUNK];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return LostSnafu { message: "closed" }.fail(),
+                Ok(n) => {
+                    self.input.extend_from_slice(&chunk[..n]);
+                    if n < CHUNK {
+                        break;
+                    }
+                }
+                Err(err) if err.kind() == ErrorKind::WouldBlock => break,
+                Err(err) if err.kind() == ErrorKind::Interrupted => continue,
+                Err(err) => return Err(self.failed(err)),
+            }
+        }
+        let Some((response, size)) = parse_response(&self.input, Limits::default())? else {
+            return Ok(None);
+        };
+        self.input.drain(..size);
+        Ok(Some(response))
+    }
+
+    /// Takes the connection out of its event loop.
+    pub fn close(mut self, registry: &Registry) {
+        if let Err(err) = registry.deregister(&mut self.stream) {
+            log::debug!("http: deregister: {err}");
+        }
+    }
+
+    fn flush(&mut self) -> Result<(), HttpError> {
+        while self.ready && self.sent < self.out.len() {
+            match self.stream.write(&self.out[self.sent..]) {
+                Ok(n) => self.sent += n,
+                Err(err) if err.kind() == ErrorKind::WouldBlock => break,
+                Err(err) if err.kind() == ErrorKind::Interrupted => continue,
+                Err(err) => return Err(self.failed(err)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Before the connection stands nothing can have been sent.
+    fn failed(&self, err: std::io::Error) -> HttpError {
+        if !self.ready {
+            return refused(err);
+        }
+        HttpError::Lost {
+            message: err.to_string(),
+        }
+    }
+}
+
+fn refused(err: std::io::Error) -> HttpError {
+    ConnectSnafu {
+        message: err.to_string(),
+    }
+    .build()
+}
--- /dev/null
+++ b/crates/http/src/message.rs
@@ -0,0 +1,177 @@
+//! Requests and answers, and how they are written.
+
+use std::io::Write;
+
+/// Methods that are used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Method {
+    /// Reads.
+    Get,
+    /// Creates or changes.
+    Post,
+    /// Stores under a name.
+    Put,
+    /// Removes.
+    Delete,
+    /// Any other; servers refuse it.
+    Other,
+}
+
+impl Method {
+    /// Returns the name on the wire.
+    pub fn name(self) -> &'static str {
+        match self {
+            Method::Get => "GET",
+            Method::Post => "POST",
+            Method::Put => "PUT",
+            Method::Delete => "DELETE",
+            Method::Other => "OPTIONS",
+        }
+    }
+
+    /// Reads a name from the wire.
+    pub fn parse(name: &str) -> Method {
+        match name {
+            "GET" => Method::Get,
+            "POST" => Method::Post,
+            "PUT" => Method::Put,
+            "DELETE" => Method::Delete,
+            _ => Method::Other,
+        }
+    }
+}
+
+/// A request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub path: String,
+    /// Header fields but for those of framing; names in lower case when parsed.
+    pub headers: Vec<(String, String)>,
+    /// Body; empty for none.
+    pub body: Vec<u8>,
+    /// Whether the sender keeps the connection open.
+    pub keep: bool,
+}
+
+impl Request {
+    /// Makes a request without header fields.
+    pub fn new(method: Method, path: impl Into<String>, body: Vec<u8>) -> Request {
+        Request {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body,
+            keep: true,
+        }
+    }
+
+    /// Adds a header field.
+    pub fn with(mut self, name: &str, value: impl Into<String>) -> Request {
+        self.headers.push((name.to_owned(), value.into()));
+        self
+    }
+
+    /// Returns the first header field of a name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+
+    /// Writes the request for the host `host` into `out`.
+    pub fn encode(&self, host: &str, out: &mut Vec<u8>) {
+        let head = format!("{} {} HTTP/1.1\r\nhost: {host}\r\n", self.method.name(), self.path);
+        out.extend_from_slice(head.as_bytes());
+        fields(&self.headers, out);
+        let has_body = !self.body.is_empty() || self.method == Method::Post;
+        finish(out, has_body.then_some(self.body.as_slice()));
+    }
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    /// Status code.
+    pub status: u16,
+    /// Header fields but for those of framing; names in lower case when parsed.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Whether the connection stays open.
+    pub keep: bool,
+}
+
+impl Response {
+    /// Makes an answer without header fields.
+    pub fn new(status: u16, body: Vec<u8>) -> Response {
+        Response {
+            status,
+            headers: Vec::new(),
+            body,
+            keep: true,
+        }
+    }
+
+    /// Adds a header field.
+    pub fn with(mut self, name: &str, value: impl Into<String>) -> Response {
+        self.headers.push((name.to_owned(), value.into()));
+        self
+    }
+
+    /// Returns the first header field of a name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find(&self.headers, name)
+    }
+
+    /// Writes the answer into `out`.
+    pub fn encode(&self, out: &mut Vec<u8>) {
+        let _ = write!(out, "HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        if !self.keep {
+            out.extend_from_slice(b"connection: close\r\n");
+        }
+        fields(&self.headers, out);
+        finish(out, Some(&self.body));
+    }
+}
+
+fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|(n, _)| n == name);
+    found.map(|(_, v)| v.as_str())
+}
+
+fn fields(headers: &[(String, String)], out: &mut Vec<u8>) {
+    for (name, value) in headers {
+        out.extend_from_slice(name.as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(value.as_bytes());
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+fn finish(out: &mut Vec<u8>, body: Option<&[u8]>) {
+    let Some(body) = body else {
+        out.extend_from_slice(b"\r\n");
+        return;
+    };
+    let _ = write!(out, "content-length: {}\r\n\r\n", body.len());
+    out.extend_from_slice(body);
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        410 => "Gone",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/http/src/parse.rs
@@ -0,0 +1,134 @@
+//! Reads messages from a buffer that grows, with `httparse`.
+
+use crate::{
+    error::{HttpError, MalformedSnafu, TooLargeSnafu},
+    message::{Method, Request, Response},
+};
+
+/// Header fields that one message may have.
+const MAX_FIELDS: usize = 64;
+
+/// Limits on the size of a message, in bytes.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// The head: first line and header fields.
+    pub head: usize,
+    /// The body.
+    pub body: usize,
+}
+
+impl Default for Limits {
+    /// Returns what answers of the platform fit in: 16 KiB and 16 MiB.
+    fn default() -> Limits {
+        Limits {
+            head: 16 << 10,
+            body: 16 << 20,
+        }
+    }
+}
+
+/// What the header fields say of framing.
+struct Framing {
+    length: Option<usize>,
+    keep: bool,
+    headers: Vec<(String, String)>,
+}
+
+/// Parses a request at the start of `buf`.
+///
+/// Returns the request and its length in bytes, or nothing if it is not whole yet.
+pub fn parse_request(buf: &[u8], limits: Limits) -> Result<Option<(Request, usize)>, HttpError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut head = httparse::Request::new(&mut fields);
+    let size = match head.parse(buf) {
+        Ok(httparse::Status::Complete(size)) => size,
+        Ok(httparse::Status::Partial) => return partial(buf, limits),
+        Err(_) => return MalformedSnafu { reason: "request head" }.fail(),
+    };
+    let framing = framing(head.headers)?;
+    let Some(body) = body(buf, size, framing.length.unwrap_or(0), limits)? else {
+        return Ok(None);
+    };
+    let request = Request {
+        method: Method::parse(head.method.unwrap_or_default()),
+        path: head.path.unwrap_or_default().to_owned(),
+        headers: framing.headers,
+        body: body.to_vec(),
+        keep: framing.keep,
+    };
+    Ok(Some((request, size + body.len())))
+}
+
+/// Parses an answer at the start of `buf`, like [`parse_request`].
+pub fn parse_response(buf: &[u8], limits: Limits) -> Result<Option<(Response, usize)>, HttpError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut head = httparse::Response::new(&mut fields);
+    let size = match head.parse(buf) {
+        Ok(httparse::Status::Complete(size)) => size,
+        Ok(httparse::Status::Partial) => return partial(buf, limits),
+        Err(_) => return MalformedSnafu { reason: "answer head" }.fail(),
+    };
+    let framing = framing(head.headers)?;
+    let status = head.code.unwrap_or_default();
+    let length = match (framing.length, status) {
+        (Some(length), _) => length,
+        (None, 204 | 304) => 0,
+        (None, _) => return MalformedSnafu { reason: "answer without length" }.fail(),
+    };
+    let Some(body) = body(buf, size, length, limits)? else {
+        return Ok(None);
+    };
+    let response = Response {
+        status,
+        headers: framing.headers,
+        body: body.to_vec(),
+        keep: framing.keep,
+    };
+    Ok(Some((response, size + body.len())))
+}
+
+fn partial<T>(buf: &[u8], limits: Limits) -> Result<Option<T>, HttpError> {
+    if buf.len() > limits.head {
+        return TooLargeSnafu { limit: limits.head }.fail();
+    }
+    Ok(None)
+}
+
+fn body(buf: &[u8], start: usize, length: usize, limits: Limits) -> Result<Option<&[u8]>, HttpError> {
+    if length > limits.body {
+        return TooLargeSnafu { limit: limits.body }.fail();
+    }
+    Ok(buf.get(start..start + length))
+}
+
+fn framing(fields: &[httparse::Header<'_>]) -> Result<Framing, HttpError> {
+    let mut out = Framing {
+        length: None,
+        keep: true,
+        headers: Vec::new(),
+    };
+    for field in fields {
+        let name = field.name.to_ascii_lowercase();
+        let Ok(value) = std::str::from_utf8(field.value) else {
+            return MalformedSnafu { reason: "header field is not text" }.fail();
+        };
+        let value = value.trim();
+        match name.as_str() {
+            "content-length" => out.length = Some(length(value, out.length)?),
+            "transfer-encoding" => return MalformedSnafu { reason: "chunked body" }.fail(),
+            "connection" => out.keep = !value.eq_ignore_ascii_case("close"),
+            _ => out.headers.push((name, value.to_owned())),
+        }
+    }
+    Ok(out)
+}
+
+fn length(value: &str, earlier: Option<usize>) -> Result<usize, HttpError> {
+    let Ok(length) = value.parse() else {
+        return MalformedSnafu { reason: "content-length" }.fail();
+    };
+    if earlier.is_some_and(|e| e != length) {
+        return MalformedSnafu { reason: "two lengths" }.fail();
+    }
+    Ok(length)
+}
--- /dev/null
+++ b/crates/http/src/socket.rs
@@ -0,0 +1,35 @@
+//! Options of sockets.
+
+use std::{net::SocketAddr, time::Duration};
+
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+
+/// Sent bytes that stay unacknowledged for this long end a connection; behind a
+/// cut it would hang otherwise.
+const USER_TIMEOUT: Duration = Duration::from_millis(3000);
+
+/// Sets what every connection needs; a socket without it still works, later.
+pub(crate) fn tune<'a, S>(socket: &'a S)
+where
+    SockRef<'a>: From<&'a S>,
+{
+    let socket = SockRef::from(socket);
+    if let Err(err) = socket.set_tcp_nodelay(true) {
+        log::debug!("http: no TCP_NODELAY: {err}");
+    }
+    if let Err(err) = socket.set_tcp_user_timeout(Some(USER_TIMEOUT)) {
+        log::debug!("http: no TCP_USER_TIMEOUT: {err}");
+    }
+}
+
+/// Connections that may wait to be accepted; a full queue costs callers seconds.
+const BACKLOG: i32 = 512;
+
+/// Binds a listener whose address may have been in use a moment ago.
+pub(crate) fn listen(addr: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/crates/jobs/src/drive.rs
@@ -0,0 +1,297 @@
+//! What is to be done now: commits, starts, looks, and what has run out.
+
+use std::sync::Arc;
+
+use crate::{
+    action::{Action, StartOrder},
+    ids::TaskId,
+    machine::{Batch, Machine},
+    task::Stage,
+};
+
+/// How long an idle worker's look waits, in milliseconds; the longest it takes.
+const IDLE_WAIT: u64 = 2000;
+
+/// Bytes of records that one commit carries at most; a transaction holds 1 MB,
+/// a third more when written as text.
+const BATCH_BYTES: usize = 500_000;
+
+/// Placement runs at least this often, in milliseconds, for what time alone changes.
+const PLACE_PERIOD: u64 = 100;
+
+impl Machine {
+    /// Does all that is due.
+    pub(crate) fn drive(&mut self) {
+        self.lapse();
+        self.check_leaving();
+        self.check_stalled();
+        self.release_times();
+        if self.moved || self.now >= self.placed + PLACE_PERIOD {
+            self.moved = false;
+            self.placed = self.now;
+            self.place();
+        }
+        self.commit();
+        self.send_stops();
+        self.send_paces();
+        self.send_looks();
+    }
+
+    fn release_times(&mut self) {
+        for at in 0..self.open.len() {
+            let id = self.open[at];
+            let Some(state) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let before = state.times.len();
+            state.release(self.wall);
+            self.moved |= state.times.len() > before;
+        }
+    }
+
+    /// Gives up the runs of silent workers whose leases are over.
+    fn lapse(&mut self) {
+        for slot in 0..self.fleet.workers.len() as u32 {
+            let worker = self.fleet.get(slot);
+            let waiting = worker.runs.is_empty() && worker.strays.is_empty();
+            let quiet = worker.silent.is_some() || worker.clock.is_none();
+            if waiting || worker.dead || !quiet || self.now <= worker.lapse() {
+                continue;
+            }
+            let count = worker.runs.len();
+            log::warn!(worker = &*worker.id, runs = count; "worker: its leases are over");
+            self.figures.lapsed += count as u64;
+            self.forget_runs(slot);
+        }
+    }
+
+    /// Stops on leaving workers what would die with them.
+    fn check_leaving(&mut self) {
+        for slot in 0..self.fleet.workers.len() as u32 {
+            let worker = self.fleet.get(slot);
+            let (Some(since), Some(info)) = (worker.leaving, worker.info.as_ref()) else {
+                continue;
+            };
+            let end = since + info.remaining;
+            if worker.runs.is_empty() || worker.dead {
+                continue;
+            }
+            for id in worker.runs.clone() {
+                if !self.ends_before(id, end) {
+                    self.abandon(id);
+                }
+            }
+        }
+    }
+
+    /// Tells whether a run is likely to end before `end`.
+    fn ends_before(&self, id: TaskId, end: u64) -> bool {
+        let Some(state) = self.jobs.get(&id.job) else {
+            return true;
+        };
+        let step = &state.job.spec.steps[id.step as usize];
+        let Some(run) = state.task(id).and_then(|t| t.run.as_ref()) else {
+            return true;
+        };
+        if step.lasting {
+            return false;
+        }
+        let left = step.estimate * u64::from(100 - run.percent.min(100)) / 100;
+        self.now + left + left / 4 < end
+    }
+
+    /// Stops runs whose progress stands still.
+    fn check_stalled(&mut self) {
+        for slot in 0..self.fleet.workers.len() as u32 {
+            let worker = self.fleet.get(slot);
+            if !worker.is_live() || worker.runs.is_empty() || worker.serving > 0 && worker.pace < 100
+            {
+                continue;
+            }
+            for at in 0..worker.runs.len() {
+                let Some(&id) = self.fleet.get(slot).runs.get(at) else {
+                    break;
+                };
+                self.check_stall(slot, id);
+            }
+        }
+    }
+
+    fn check_stall(&mut self, slot: u32, id: TaskId) {
+        let (now, stall) = (self.now, self.settings.stall);
+        let Some(state) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let step = state.job.spec.steps[id.step as usize].clone();
+        let Some(run) = state.task_mut(id).and_then(|t| t.run.as_mut()) else {
+            return;
+        };
+        let Stage::There(at) = run.stage else {
+            return;
+        };
+        // A look a second shows progress: what takes longer a percent is not judged.
+        let limit = stall.max(step.estimate / 20) * if step.fill { 3 } else { 1 };
+        let over = now > at + step.estimate + limit && now > run.moved + limit;
+        if step.lasting || step.gang || !over {
+            return;
+        }
+        log::warn!(task = id.to_string().as_str(), percent = run.percent, still_ms = now - run.moved, worker = &*self.fleet.get(slot).id; "run: stands still");
+        run.stage = Stage::Stopping(None);
+        let limits = (self.settings.quarantine, self.settings.exile);
+        self.fleet.get_mut(slot).did_badly(now, limits);
+    }
+
+    /// Sends the next batch of records, if none is under way.
+    fn commit(&mut self) {
+        if self.batch.is_some() {
+            return;
+        }
+        let mut batch = Batch::default();
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        while records.len() < self.settings.batch && bytes < BATCH_BYTES {
+            if records.len() == self.dirty.len() {
+                break;
+            }
+            let id = self.dirty[records.len()];
+            let workers = &self.fleet;
+            let Some(state) = self.jobs.get_mut(&id) else {
+                break;
+            };
+            state.dirty = false;
+            let record = state.record(|slot| workers.get(slot).id.clone()).encode();
+            bytes += record.len();
+            records.push((id, record));
+            for task in state.task_ids() {
+                let planned = state.task(task).filter(|t| {
+                    let run = t.run.as_ref();
+                    run.is_some_and(|r| r.stage == Stage::Planned)
+                });
+                if let Some(planned) = planned {
+                    batch.starts.push((task, planned.last));
+                }
+            }
+        }
+        self.dirty.drain(..records.len());
+        let whole = self.dirty.is_empty();
+        if whole {
+            self.collect_observed(&mut batch);
+        }
+        if !records.is_empty() {
+            self.figures.commits += 1;
+            self.batch = Some(batch);
+            self.out.push(Action::Commit(records));
+        } else if whole {
+            // Nothing is left to be made durable: ends may be dropped at once.
+            self.observe(&batch);
+        }
+    }
+
+    fn collect_observed(&self, batch: &mut Batch) {
+        for (slot, worker) in self.fleet.workers.iter().enumerate() {
+            if worker.counted > worker.observed {
+                batch.observed.push((slot as u32, worker.counted));
+            }
+        }
+    }
+
+    fn observe(&mut self, batch: &Batch) {
+        for &(slot, number) in &batch.observed {
+            let worker = self.fleet.get_mut(slot);
+            worker.observed = worker.observed.max(number);
+            worker.next_look = worker.next_look.min(self.now);
+        }
+    }
+
+    /// The batch in flight is durable: its starts may be sent, its ends dropped.
+    pub(crate) fn committed(&mut self) {
+        let Some(batch) = self.batch.take() else {
+            return;
+        };
+        self.contact = self.now;
+        self.observe(&batch);
+        for (id, run) in batch.starts {
+            self.send_start(id, run);
+        }
+    }
+
+    fn send_start(&mut self, id: TaskId, number: u32) {
+        let (now, settings) = (self.now, self.settings);
+        let Some(state) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let spec = state.job.spec.clone();
+        let Some(task) = state.task_mut(id).filter(|t| t.last == number) else {
+            return;
+        };
+        let saved = task.saved.clone();
+        let Some(run) = task.run.as_mut().filter(|r| r.stage == Stage::Planned) else {
+            return;
+        };
+        let worker = self.fleet.get_mut(run.worker);
+        let deadline = worker.deadline(&settings);
+        let Some(deadline) = deadline.filter(|_| worker.is_open(now)) else {
+            return self.clear(id);
+        };
+        run.stage = Stage::Sent(now);
+        worker.promised = worker.promised.max(deadline);
+        self.figures.starts += 1;
+        log::info!(task = id.to_string().as_str(), run = number, worker = &*worker.id, waited_ms = now - run.since; "start: sent");
+        let order = StartOrder {
+            task: id,
+            run: number,
+            spec,
+            deadline,
+            saved,
+        };
+        self.out.push(Action::Start(run.worker, order));
+    }
+
+    fn send_looks(&mut self) {
+        let (now, settings) = (self.now, self.settings);
+        let may_renew = now <= self.contact + settings.hold;
+        for (slot, worker) in self.fleet.workers.iter_mut().enumerate() {
+            let wanted = worker.listed || !worker.runs.is_empty() || !worker.strays.is_empty();
+            if worker.dead || worker.looking || worker.info.is_none() || !wanted {
+                continue;
+            }
+            let behind = worker.counted > worker.observed;
+            if now < worker.next_look || behind && now < worker.looked + settings.recheck {
+                continue;
+            }
+            let wait = match (worker.clock, behind || worker.silent.is_some()) {
+                (None, _) | (_, true) => 0,
+                _ if worker.runs.is_empty() => IDLE_WAIT,
+                _ => settings.wait,
+            };
+            let deadline = worker.deadline(&settings).filter(|_| may_renew);
+            worker.promised = worker.promised.max(deadline.unwrap_or(0));
+            worker.looking = true;
+            worker.looked = now;
+            self.figures.looks += 1;
+            self.out.push(Action::Look {
+                worker: slot as u32,
+                observed: worker.observed,
+                deadline,
+                wait,
+            });
+        }
+    }
+
+    /// Returns the names of the workers whose connections may be closed.
+    pub fn closable(&self) -> Vec<u32> {
+        let mut out = Vec::new();
+        for (slot, worker) in self.fleet.workers.iter().enumerate() {
+            let idle = worker.runs.is_empty() && worker.strays.is_empty();
+            if worker.dead || !worker.listed && idle {
+                out.push(slot as u32);
+            }
+        }
+        out
+    }
+
+    /// Returns a worker's name, for logs.
+    pub fn name(&self, slot: u32) -> Arc<str> {
+        self.fleet.get(slot).id.clone()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ends.rs
@@ -0,0 +1,259 @@
+//! What the workers' lists say.
+
+use crate::{
+    event::{End, Ending, Look, Running},
+    ids::TaskId,
+    machine::Machine,
+    record::Outcome,
+    task::{Run, Stage},
+    worker::{Capacity, Stray, size},
+};
+
+/// Ends that one answer holds at most; a full list may be cut.
+const FULL_LIST: usize = 500;
+
+/// First pause of a task after a failure, in milliseconds; it doubles.
+const RETRY_PAUSE: u64 = 40;
+
+/// Doublings of that pause at most.
+const RETRY_DOUBLINGS: usize = 6;
+
+impl Machine {
+    /// Takes a worker's answer to a look that was sent at `sent`.
+    pub(crate) fn looked(&mut self, slot: u32, sent: u64, look: Look) {
+        let now = self.now;
+        let worker = self.fleet.get_mut(slot);
+        if worker.dead {
+            return;
+        }
+        worker.looking = false;
+        worker.clock = Some((look.clock, now));
+        if let Some(since) = worker.silent.take() {
+            log::info!(worker = &*worker.id, silent_ms = now - since; "worker: answers again");
+            self.moved = true;
+        }
+        self.count_ends(slot, &look);
+        for row in &look.running {
+            self.listed(slot, row);
+        }
+        if look.finished.len() < FULL_LIST {
+            self.check_absent(slot, sent, &look);
+        }
+        self.watch(slot, &look);
+    }
+
+    fn count_ends(&mut self, slot: u32, look: &Look) {
+        for end in &look.finished {
+            let worker = self.fleet.get_mut(slot);
+            if end.number <= worker.counted {
+                continue;
+            }
+            worker.counted = end.number;
+            self.ended(slot, end);
+        }
+    }
+
+    fn ended(&mut self, slot: u32, end: &End) {
+        let id = end.task;
+        let Some(state) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let is_final = state.outcome.is_final();
+        let Some(task) = state.task_mut(id) else {
+            return;
+        };
+        let run = task.run.as_ref();
+        let current = run.is_some_and(|r| r.worker == slot) && task.last == end.run;
+        let ran = run.map_or(0, |r| self.now.saturating_sub(r.since));
+        if current && !end.saved.is_empty() {
+            task.saved = end.saved.clone();
+        }
+        log::info!(task = id.to_string().as_str(), run = end.run, worker = &*self.fleet.get(slot).id, how:? = end.ending, current, ran_ms = ran; "run: ended");
+        if current {
+            self.clear(id);
+        }
+        self.mark(id.job);
+        match end.ending {
+            Ending::Done => self.done(slot, id, ran),
+            Ending::Failed => self.failed(slot, id, end.run, is_final),
+            _ => self.figures.stopped += 1,
+        }
+    }
+
+    fn done(&mut self, slot: u32, id: TaskId, ran: u64) {
+        self.figures.done += 1;
+        self.fleet.get_mut(slot).did_well();
+        let Some(state) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let step = &state.job.spec.steps[id.step as usize];
+        if step.lasting || state.outcome.is_final() {
+            return;
+        }
+        if !step.fill && step.estimate > 0 && ran > 0 {
+            self.fleet.get_mut(slot).took(ran * 100 / step.estimate);
+        }
+        let members = match step.gang {
+            true => 0..step.count,
+            false => id.index..id.index + 1,
+        };
+        for index in members {
+            let member = TaskId { index, ..id };
+            self.jobs
+                .get_mut(&id.job)
+                .map(|j| j.times[id.time as usize][id.step as usize].finish(index as usize));
+            self.abandon(member);
+        }
+        self.moved = true;
+        if self.jobs.get(&id.job).is_some_and(|j| j.is_done()) {
+            self.finish(id.job, Outcome::Complete);
+        }
+    }
+
+    fn failed(&mut self, slot: u32, id: TaskId, run: u32, is_final: bool) {
+        self.figures.failed += 1;
+        let now = self.now;
+        let quarantine = (self.settings.quarantine, self.settings.exile);
+        self.fleet.get_mut(slot).did_badly(now, quarantine);
+        let Some(state) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let step = &state.job.spec.steps[id.step as usize];
+        let (gang, lasting) = (step.gang, step.lasting);
+        let queue = state.job.queue.clone();
+        let attempts = self.policy(&queue).map(|q| q.attempts);
+        // A gang fails as one: its runs are counted at its first member.
+        let counter = match gang {
+            true => TaskId { index: 0, ..id },
+            false => id,
+        };
+        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(counter));
+        let Some(task) = task else {
+            return;
+        };
+        if task.failed.contains(&run) {
+            return;
+        }
+        task.failed.push(run);
+        let doublings = (task.failed.len() - 1).min(RETRY_DOUBLINGS);
+        task.pause = now + (RETRY_PAUSE << doublings);
+        task.avoid = Some(slot);
+        let count = task.failed.len() as u32;
+        if !lasting && !is_final && attempts.is_some_and(|a| count >= a) {
+            log::warn!(task = id.to_string().as_str(), failures = count; "job: failed too often");
+            self.finish(id.job, Outcome::Failed);
+        }
+    }
+
+    /// Takes note of a run that a worker lists.
+    fn listed(&mut self, slot: u32, row: &Running) {
+        let now = self.now;
+        let state = self.jobs.get_mut(&row.task.job);
+        let live = state.filter(|j| !j.outcome.is_final() || j.task(row.task).is_some());
+        let Some(task) = live.and_then(|j| j.task_mut(row.task)) else {
+            return self.stray(slot, row);
+        };
+        let here = task.run.as_ref().is_some_and(|r| r.worker == slot);
+        if task.last != row.run || (task.run.is_some() && !here) || task.done && !here {
+            return self.stray(slot, row);
+        }
+        if !row.saved.is_empty() {
+            task.saved = row.saved.clone();
+        }
+        let adopted = task.run.is_none();
+        let run = task
+            .run
+            .get_or_insert_with(|| Run::new(slot, Stage::There(now), now));
+        if matches!(run.stage, Stage::Sent(_) | Stage::Unclear(_) | Stage::Inherited) {
+            run.stage = Stage::There(now);
+        }
+        if run.percent != row.percent {
+            run.percent = row.percent;
+            run.moved = now;
+        }
+        if adopted {
+            self.adopt(slot, row.task);
+        }
+        self.begun(row.task);
+    }
+
+    fn adopt(&mut self, slot: u32, id: TaskId) {
+        let Some(state) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let step = &state.job.spec.steps[id.step as usize];
+        self.fleet.get_mut(slot).reserve(id, step);
+        log::info!(task = id.to_string().as_str(), worker = &*self.fleet.get(slot).id; "run: adopted");
+        if state.outcome.is_final() {
+            self.abandon(id);
+        }
+    }
+
+    /// Takes note that a task of a job has begun.
+    pub(crate) fn begun(&mut self, id: TaskId) {
+        let Some(state) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        if state.outcome == Outcome::Pending {
+            state.outcome = Outcome::Active;
+            self.mark(id.job);
+        }
+    }
+
+    fn stray(&mut self, slot: u32, row: &Running) {
+        let worker = self.fleet.get(slot);
+        let known = |s: &Stray| s.task == row.task && s.run == row.run;
+        if worker.strays.iter().any(known) {
+            return;
+        }
+        let state = self.jobs.get(&row.task.job);
+        let step = state.and_then(|j| j.job.spec.steps.get(row.task.step as usize));
+        log::info!(task = row.task.to_string().as_str(), run = row.run, worker = &*worker.id; "run: not wanted");
+        let size = step.map_or(Capacity::default(), size);
+        self.fleet.get_mut(slot).add_stray(Stray {
+            task: row.task,
+            run: row.run,
+            size,
+            sent: None,
+            halted: None,
+            pause: 0,
+        });
+    }
+
+    /// Draws conclusions from what a look that was sent at `sent` does not list.
+    fn check_absent(&mut self, slot: u32, sent: u64, look: &Look) {
+        let is_listed = |id: TaskId, run: u32| {
+            let rows = &look.running;
+            rows.iter().any(|r| r.task == id && r.run == run)
+        };
+        let worker = self.fleet.get_mut(slot);
+        worker.drop_strays(|s| {
+            s.halted.is_some_and(|at| sent > at) && !is_listed(s.task, s.run)
+        });
+        for id in worker.runs.clone() {
+            let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
+            let Some(task) = task else {
+                continue;
+            };
+            let last = task.last;
+            let Some(run) = task.run.as_mut() else {
+                continue;
+            };
+            if is_listed(id, last) {
+                continue;
+            }
+            match run.stage {
+                Stage::Unclear(at) if sent > at => run.stage = Stage::Stopping(None),
+                Stage::There(at) | Stage::Halted(at) if sent > at => self.gone(id),
+                Stage::Inherited => self.gone(id),
+                _ => {}
+            }
+        }
+    }
+
+    fn gone(&mut self, id: TaskId) {
+        log::info!(task = id.to_string().as_str(); "run: not there");
+        self.clear(id);
+        self.mark(id.job);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/figures.rs
@@ -0,0 +1,26 @@
+//! Figures for operators.
+
+/// What the machine counts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Jobs that are not finished.
+    pub open: u64,
+    /// Starts that were sent.
+    pub starts: u64,
+    /// Runs that did their work.
+    pub done: u64,
+    /// Runs that failed.
+    pub failed: u64,
+    /// Runs that ended otherwise.
+    pub stopped: u64,
+    /// Starts that workers refused.
+    pub refused: u64,
+    /// Starts without an answer.
+    pub unclear: u64,
+    /// Runs given up since their leases were over.
+    pub lapsed: u64,
+    /// Looks that were sent.
+    pub looks: u64,
+    /// Batches that were sent to be committed.
+    pub commits: u64,
+}
--- /dev/null
+++ b/crates/jobs/src/job.rs
@@ -0,0 +1,173 @@
+//! A job and what became of it.
+
+use std::sync::Arc;
+
+use crate::{
+    ids::TaskId,
+    record::{Outcome, Record, TaskRecord},
+    spec::Job,
+    step::StepState,
+    task::Task,
+};
+
+/// A job that the machine knows.
+#[derive(Debug)]
+pub(crate) struct JobState {
+    /// What was accepted.
+    pub(crate) job: Arc<Job>,
+    /// What became of it.
+    pub(crate) outcome: Outcome,
+    /// The steps of each repetition that has fallen due.
+    pub(crate) times: Vec<Vec<StepState>>,
+    /// When the machine learned of it.
+    pub(crate) seen: u64,
+    /// Whether its record changed since it was last sent to be committed.
+    pub(crate) dirty: bool,
+}
+
+impl JobState {
+    pub(crate) fn new(job: Arc<Job>, now: u64) -> JobState {
+        JobState {
+            job,
+            outcome: Outcome::Pending,
+            times: Vec::new(),
+            seen: now,
+            dirty: false,
+        }
+    }
+
+    /// Adds repetitions that are due at `wall`, in milliseconds since 1970.
+    pub(crate) fn release(&mut self, wall: u64) {
+        let spec = &self.job.spec;
+        while (self.times.len() as u32) < spec.repetitions() {
+            let schedule = spec.schedule;
+            let due = schedule.first + self.times.len() as u64 * schedule.interval;
+            if schedule.times > 0 && wall < due {
+                return;
+            }
+            let steps = spec.steps.iter().map(|s| StepState::new(s.count));
+            let steps = steps.collect();
+            self.times.push(steps);
+        }
+    }
+
+    /// Tells whether the steps that `step` depends on are done.
+    pub(crate) fn is_ready(&self, time: usize, step: usize) -> bool {
+        let deps = &self.job.spec.steps[step].deps;
+        let steps = &self.times[time];
+        deps.iter().all(|&d| steps[d as usize].is_done())
+    }
+
+    /// Tells whether every task of every repetition is done.
+    pub(crate) fn is_done(&self) -> bool {
+        let all = self.times.len() as u32 == self.job.spec.repetitions();
+        all && self.times.iter().flatten().all(StepState::is_done)
+    }
+
+    /// Returns a task.
+    pub(crate) fn task(&self, id: TaskId) -> Option<&Task> {
+        let steps = self.times.get(id.time as usize)?;
+        steps.get(id.step as usize)?.tasks.get(id.index as usize)
+    }
+
+    /// Returns a task, to be changed.
+    pub(crate) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let steps = self.times.get_mut(id.time as usize)?;
+        let step = steps.get_mut(id.step as usize)?;
+        step.tasks.get_mut(id.index as usize)
+    }
+
+    /// Returns the names of all tasks that have fallen due.
+    pub(crate) fn task_ids(&self) -> Vec<TaskId> {
+        let mut out = Vec::new();
+        for (time, steps) in self.times.iter().enumerate() {
+            for (step, state) in steps.iter().enumerate() {
+                for index in 0..state.tasks.len() {
+                    out.push(TaskId {
+                        job: self.job.id,
+                        time: time as u32,
+                        step: step as u32,
+                        index: index as u32,
+                    });
+                }
+            }
+        }
+        out
+    }
+
+    /// Returns what is to be kept; `name` gives the name of a worker's slot.
+    pub(crate) fn record(&self, name: impl Fn(u32) -> Arc<str>) -> Record {
+        let mut record = Record {
+            outcome: self.outcome,
+            steps: Vec::new(),
+            tasks: Vec::new(),
+        };
+        if self.outcome.is_final() {
+            return record;
+        }
+        for (time, steps) in self.times.iter().enumerate() {
+            for (step, state) in steps.iter().enumerate() {
+                let at = (time as u32, step as u32);
+                if state.is_done() {
+                    record.steps.push(at);
+                    continue;
+                }
+                tasks(state, at, &name, &mut record.tasks);
+            }
+        }
+        record
+    }
+
+    /// Takes over what was kept; `slot` gives the slot of a worker's name.
+    pub(crate) fn restore(&mut self, record: &Record, mut slot: impl FnMut(&Arc<str>) -> u32) {
+        self.outcome = record.outcome;
+        let times = record.steps.iter().map(|s| s.0);
+        let times = times.chain(record.tasks.iter().map(|t| t.at.0)).max();
+        while times.is_some_and(|t| self.times.len() <= t as usize) {
+            let steps = self.job.spec.steps.iter().map(|s| StepState::new(s.count));
+            self.times.push(steps.collect());
+        }
+        for &(time, step) in &record.steps {
+            let state = &mut self.times[time as usize][step as usize];
+            for index in 0..state.tasks.len() {
+                state.finish(index);
+            }
+        }
+        for kept in &record.tasks {
+            let (time, step, index) = kept.at;
+            let state = &mut self.times[time as usize][step as usize];
+            if kept.done {
+                state.finish(index as usize);
+            }
+            let task = &mut state.tasks[index as usize];
+            task.last = kept.run;
+            task.failed = kept.failed.clone();
+            task.saved = kept.saved.clone();
+            let run = kept.worker.as_ref().map(|w| {
+                crate::task::Run::new(slot(w), crate::task::Stage::Inherited, self.seen)
+            });
+            task.run = run;
+        }
+    }
+}
+
+fn tasks(
+    state: &StepState,
+    at: (u32, u32),
+    name: &impl Fn(u32) -> Arc<str>,
+    out: &mut Vec<TaskRecord>,
+) {
+    for (index, task) in state.tasks.iter().enumerate() {
+        if task.last == 0 {
+            continue;
+        }
+        out.push(TaskRecord {
+            at: (at.0, at.1, index as u32),
+            done: task.done,
+            run: task.last,
+            worker: task.run.as_ref().map(|r| name(r.worker)),
+            failed: task.failed.clone(),
+            saved: task.saved.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/machine.rs
@@ -0,0 +1,262 @@
+//! The state of the decisions, and how events come in.
+
+use std::sync::Arc;
+
+use crate::{
+    action::Action,
+    event::{Answer, Event},
+    figures::Figures,
+    fleet::Fleet,
+    ids::{JobId, TaskId},
+    job::JobState,
+    policy::QueuePolicy,
+    record::{Outcome, Record},
+    settings::Settings,
+    sorted::Sorted,
+    spec::Job,
+    task::Stage,
+};
+
+/// A batch of records on its way to the store.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    /// Runs whose place it makes durable.
+    pub(crate) starts: Vec<(TaskId, u32)>,
+    /// Ends of workers that it makes durable.
+    pub(crate) observed: Vec<(u32, u64)>,
+}
+
+/// The decisions about all jobs, made by the one owner of the lease.
+#[derive(Debug)]
+pub struct Machine {
+    pub(crate) settings: Settings,
+    pub(crate) jobs: Sorted<JobId, JobState>,
+    /// Jobs that are not finished, in the order in which they are to be placed.
+    pub(crate) open: Vec<JobId>,
+    /// Jobs whose records changed.
+    pub(crate) dirty: Vec<JobId>,
+    pub(crate) fleet: Fleet,
+    pub(crate) queues: Vec<QueuePolicy>,
+    pub(crate) batch: Option<Batch>,
+    /// When the store last confirmed the lease.
+    pub(crate) contact: u64,
+    /// Whether something changed that may let tasks be placed.
+    pub(crate) moved: bool,
+    /// When placement last ran.
+    pub(crate) placed: u64,
+    pub(crate) now: u64,
+    pub(crate) wall: u64,
+    pub(crate) out: Vec<Action>,
+    pub(crate) figures: Figures,
+}
+
+impl Machine {
+    /// Makes a machine at `now`; an earlier owner may have granted leases that
+    /// are over at `inherited`, both on the own steady clock in milliseconds.
+    pub fn new(settings: Settings, now: u64, inherited: u64) -> Machine {
+        let fleet = Fleet::new(inherited);
+        Machine {
+            settings,
+            jobs: Sorted::default(),
+            open: Vec::new(),
+            dirty: Vec::new(),
+            fleet,
+            queues: Vec::new(),
+            batch: None,
+            contact: now,
+            moved: true,
+            placed: 0,
+            now,
+            wall: 0,
+            out: Vec::new(),
+            figures: Figures::default(),
+        }
+    }
+
+    /// Takes over a job that an earlier owner had a record of.
+    pub fn restore(&mut self, job: Arc<Job>, record: &Record) {
+        let id = job.id;
+        let mut state = JobState::new(job, self.now);
+        if !record.outcome.is_final() {
+            let fleet = &mut self.fleet;
+            state.restore(record, |name| fleet.slot(name));
+            self.open.push(id);
+        }
+        state.outcome = record.outcome;
+        for task in state.task_ids() {
+            let run = state.task(task).and_then(|t| t.run.as_ref());
+            let Some(run) = run else {
+                continue;
+            };
+            let step = &state.job.spec.steps[task.step as usize];
+            self.fleet.get_mut(run.worker).reserve(task, step);
+        }
+        self.jobs.insert(id, state);
+    }
+
+    /// Takes an event at `now` on the own steady clock, and `wall` since 1970,
+    /// both in milliseconds. [`Machine::settle`] follows after one or several.
+    pub fn handle(&mut self, now: u64, wall: u64, event: Event) {
+        self.now = now.max(self.now);
+        self.wall = wall;
+        match event {
+            Event::Accepted(job) => self.accepted(job),
+            Event::Cancelled(job) => self.cancelled(job),
+            Event::Worker(info) => {
+                self.fleet.announce(info, self.now);
+                self.moved = true;
+            }
+            Event::Unlisted(id) => self.fleet.unlist(&id),
+            Event::Queues(queues) => {
+                self.queues = queues;
+                self.moved = true;
+            }
+            Event::Answer {
+                worker,
+                sent,
+                answer,
+            } => self.answered(worker, sent, answer),
+            Event::Committed => self.committed(),
+            Event::Renewed => self.contact = self.now,
+        }
+    }
+
+    /// Decides, and returns what is to be done.
+    pub fn settle(&mut self, now: u64, wall: u64) -> Vec<Action> {
+        self.now = now.max(self.now);
+        self.wall = wall;
+        self.drive();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns the figures.
+    pub fn figures(&self) -> Figures {
+        Figures {
+            open: self.open.len() as u64,
+            ..self.figures
+        }
+    }
+
+    /// Returns the number of jobs of each queue none of whose tasks has begun.
+    pub fn pending(&self) -> Vec<(Arc<str>, u64)> {
+        let mut counts: Sorted<Arc<str>, u64> = Sorted::default();
+        for id in &self.open {
+            let Some(state) = self.jobs.get(id) else {
+                continue;
+            };
+            if state.outcome != Outcome::Pending {
+                continue;
+            }
+            let queue = &state.job.queue;
+            match counts.get_mut(queue) {
+                Some(count) => *count += 1,
+                None => {
+                    counts.insert(queue.clone(), 1);
+                }
+            }
+        }
+        counts.iter().map(|(q, n)| (q.clone(), *n)).collect()
+    }
+
+    /// Returns where a worker listens, and its name.
+    pub fn worker(&self, slot: u32) -> Option<(std::net::SocketAddr, Arc<str>)> {
+        let worker = self.fleet.workers.get(slot as usize)?;
+        worker.info.as_ref().map(|i| (i.addr, worker.id.clone()))
+    }
+
+    /// Tells whether the job is known already.
+    pub fn knows(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some()
+    }
+
+    fn accepted(&mut self, job: Arc<Job>) {
+        let id = job.id;
+        if self.knows(id) {
+            return;
+        }
+        log::info!(job = id.to_string().as_str(), queue = &*job.queue, chain = job.spec.chain(); "jobs: taken up");
+        self.jobs.insert(id, JobState::new(job, self.now));
+        self.open.push(id);
+        self.moved = true;
+    }
+
+    fn cancelled(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_some_and(|j| !j.outcome.is_final()) {
+            self.finish(id, Outcome::Cancelled);
+        }
+    }
+
+    fn answered(&mut self, worker: u32, sent: u64, answer: Answer) {
+        match answer {
+            Answer::Looked(look) => self.looked(worker, sent, look),
+            Answer::Silent => self.silent(worker),
+            Answer::Fenced => self.out.push(Action::Depose),
+            Answer::Dead => self.worker_dead(worker),
+            Answer::Started(task, run, started) => self.started(worker, task, run, started),
+            Answer::Stopped(task, run, stopped) => self.stopped(worker, task, run, stopped),
+            Answer::Paced(task, run, done) => self.paced(worker, task, run, done),
+        }
+    }
+
+    /// Ends a job; its runs are stopped.
+    pub(crate) fn finish(&mut self, id: JobId, outcome: Outcome) {
+        let now = self.now;
+        let Some(state) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        log::info!(job = id.to_string().as_str(), outcome:? = outcome, after = now - state.seen; "jobs: ended");
+        state.outcome = outcome;
+        let tasks = state.task_ids();
+        self.open.retain(|&j| j != id);
+        for task in tasks {
+            self.abandon(task);
+        }
+        self.mark(id);
+        self.moved = true;
+    }
+
+    /// Has a task's run stopped, or forgets it if nothing was sent.
+    pub(crate) fn abandon(&mut self, id: TaskId) {
+        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
+        let Some(run) = task.and_then(|t| t.run.as_mut()) else {
+            return;
+        };
+        if run.stage == Stage::Planned {
+            self.clear(id);
+        } else if run.is_wanted() {
+            run.stage = Stage::Stopping(None);
+        }
+    }
+
+    /// Forgets a task's run and gives back its room.
+    pub(crate) fn clear(&mut self, id: TaskId) {
+        let Some(state) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let job = state.job.clone();
+        let run = state.task_mut(id).and_then(|t| t.run.take());
+        let Some(run) = run else {
+            return;
+        };
+        let step = &job.spec.steps[id.step as usize];
+        self.fleet.get_mut(run.worker).release(id, step);
+        self.moved = true;
+    }
+
+    /// Takes note that a job's record changed.
+    pub(crate) fn mark(&mut self, id: JobId) {
+        let Some(state) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !state.dirty {
+            state.dirty = true;
+            self.dirty.push(id);
+        }
+    }
+
+    /// Returns the policy of a job's queue, if the configuration has that queue.
+    pub(crate) fn policy(&self, queue: &str) -> Option<&QueuePolicy> {
+        let at = self.queues.binary_search_by(|q| (*q.queue).cmp(queue));
+        at.ok().map(|at| &self.queues[at])
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/order.rs
@@ -0,0 +1,223 @@
+//! What came of orders, and the ends of workers.
+
+use crate::{
+    action::Action,
+    event::{Started, Stopped},
+    ids::TaskId,
+    machine::Machine,
+    task::{Run, Stage},
+    worker::Worker,
+};
+
+/// A worker that had no room, though it should have, gets no run for this long.
+const NO_ROOM_PAUSE: u64 = 250;
+
+/// Pause before a stop without an answer is sent again, in milliseconds.
+const STOP_RETRY: u64 = 400;
+
+/// First pause before a silent worker is asked again, in milliseconds.
+const SILENT_RETRY: u64 = 250;
+
+/// Failures in a row after which a worker gets no work for a while.
+const TOO_MANY_FAILURES: u32 = 2;
+
+/// Weight of the newest run in a worker's slowness, as one in so many.
+const SLOWNESS_WEIGHT: u64 = 4;
+
+impl Worker {
+    /// Takes note that a run did its work here.
+    pub(crate) fn did_well(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Takes note that a run failed or hung here; `limits` are the first and the
+    /// longest time without new work.
+    pub(crate) fn did_badly(&mut self, now: u64, limits: (u64, u64)) {
+        self.failures += 1;
+        if self.failures < TOO_MANY_FAILURES {
+            return;
+        }
+        let doublings = (self.failures - TOO_MANY_FAILURES).min(4);
+        let pause = (limits.0 << doublings).min(limits.1);
+        self.closed = self.closed.max(now + pause);
+        log::warn!(worker = &*self.id, failures = self.failures, pause_ms = pause; "worker: gets no work");
+    }
+
+    /// Takes note of a run's time against its estimate, in percent.
+    pub(crate) fn took(&mut self, percent: u64) {
+        let old = self.slowness * (SLOWNESS_WEIGHT - 1);
+        self.slowness = (old + percent.min(1000)) / SLOWNESS_WEIGHT;
+    }
+}
+
+impl Machine {
+    /// Returns a task's run if it is on this worker under this number.
+    fn run_on(&mut self, slot: u32, id: TaskId, run: u32) -> Option<&mut Run> {
+        let task = self.jobs.get_mut(&id.job)?.task_mut(id)?;
+        if task.last != run {
+            return None;
+        }
+        task.run.as_mut().filter(|r| r.worker == slot)
+    }
+
+    pub(crate) fn started(&mut self, slot: u32, id: TaskId, number: u32, started: Started) {
+        let now = self.now;
+        match started {
+            Started::Dead => return self.worker_dead(slot),
+            Started::Fenced => return self.out.push(Action::Depose),
+            _ => {}
+        }
+        let Some(run) = self.run_on(slot, id, number) else {
+            return;
+        };
+        match started {
+            Started::Done => {
+                if matches!(run.stage, Stage::Sent(_) | Stage::Unclear(_)) {
+                    run.stage = Stage::There(now);
+                }
+                return self.begun(id);
+            }
+            Started::Unknown | Started::Old => {
+                if matches!(run.stage, Stage::Sent(_)) {
+                    run.stage = Stage::Unclear(now);
+                }
+                self.figures.unclear += 1;
+                log::warn!(task = id.to_string().as_str(), run = number, worker = &*self.fleet.get(slot).id, started:?; "start: unclear");
+                return;
+            }
+            _ => {}
+        }
+        let sent = matches!(run.stage, Stage::Sent(_));
+        self.figures.refused += 1;
+        let limits = (self.settings.quarantine, self.settings.exile);
+        let worker = self.fleet.get_mut(slot);
+        log::info!(task = id.to_string().as_str(), run = number, worker = &*worker.id, started:?; "start: refused");
+        match started {
+            Started::Refused => worker.did_badly(now, limits),
+            Started::NotSent => {
+                worker.silent.get_or_insert(now);
+            }
+            _ => worker.closed = worker.closed.max(now + NO_ROOM_PAUSE),
+        }
+        if sent {
+            self.clear(id);
+        }
+    }
+
+    pub(crate) fn stopped(&mut self, slot: u32, id: TaskId, number: u32, stopped: Stopped) {
+        let now = self.now;
+        match stopped {
+            Stopped::Dead => return self.worker_dead(slot),
+            Stopped::Fenced => return self.out.push(Action::Depose),
+            _ => {}
+        }
+        let done = stopped == Stopped::Done;
+        if let Some(run) = self.run_on(slot, id, number) {
+            if matches!(run.stage, Stage::Stopping(_)) {
+                run.stage = match done {
+                    true => Stage::Halted(now),
+                    false => Stage::Stopping(Some(now + STOP_RETRY)),
+                };
+            }
+            return;
+        }
+        let strays = &mut self.fleet.get_mut(slot).strays;
+        let Some(stray) = strays.iter_mut().find(|s| s.task == id && s.run == number) else {
+            return;
+        };
+        stray.sent = None;
+        match done {
+            true => stray.halted = Some(now),
+            false => stray.pause = now + STOP_RETRY,
+        }
+    }
+
+    /// A look got no answer.
+    pub(crate) fn silent(&mut self, slot: u32) {
+        let now = self.now;
+        let worker = self.fleet.get_mut(slot);
+        worker.looking = false;
+        worker.next_look = now + SILENT_RETRY;
+        if worker.silent.is_none() {
+            worker.silent = Some(now);
+            log::warn!(worker = &*worker.id, runs = worker.runs.len(); "worker: silent");
+        }
+    }
+
+    /// A worker's life has ended, and with it all that ran there.
+    pub(crate) fn worker_dead(&mut self, slot: u32) {
+        let worker = self.fleet.get_mut(slot);
+        if worker.dead {
+            return;
+        }
+        log::warn!(worker = &*worker.id, runs = worker.runs.len(); "worker: its life has ended");
+        worker.dead = true;
+        worker.looking = false;
+        self.forget_runs(slot);
+    }
+
+    /// Gives up all runs on a worker; none of them can be there any more.
+    pub(crate) fn forget_runs(&mut self, slot: u32) {
+        let worker = self.fleet.get_mut(slot);
+        worker.drop_strays(|_| true);
+        for id in worker.runs.clone() {
+            self.clear(id);
+            self.mark(id.job);
+        }
+    }
+
+    /// Sends the stops that are wanted.
+    pub(crate) fn send_stops(&mut self) {
+        let now = self.now;
+        for slot in 0..self.fleet.workers.len() as u32 {
+            let worker = self.fleet.get_mut(slot);
+            if worker.dead || worker.info.is_none() || worker.clock.is_none() {
+                continue;
+            }
+            for stray in &mut worker.strays {
+                if stray.sent.is_some() || stray.halted.is_some() || stray.pause > now {
+                    continue;
+                }
+                stray.sent = Some(now);
+                let (task, run) = (stray.task, stray.run);
+                self.out.push(Action::Stop {
+                    worker: slot,
+                    task,
+                    run,
+                });
+            }
+            for at in 0..worker.runs.len() {
+                let id = self.fleet.get(slot).runs[at];
+                self.send_stop(slot, id);
+            }
+        }
+    }
+
+    fn send_stop(&mut self, slot: u32, id: TaskId) {
+        let now = self.now;
+        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
+        let Some(task) = task else {
+            return;
+        };
+        let number = task.last;
+        let Some(run) = task.run.as_mut() else {
+            return;
+        };
+        let due = match run.stage {
+            Stage::Stopping(None) => true,
+            Stage::Stopping(Some(at)) => at <= now,
+            _ => false,
+        };
+        if !due {
+            return;
+        }
+        // The answer sets the next time; this one only guards against its loss.
+        run.stage = Stage::Stopping(Some(u64::MAX));
+        log::info!(task = id.to_string().as_str(), run = number, worker = &*self.fleet.get(slot).id; "stop: sent");
+        self.out.push(Action::Stop {
+            worker: slot,
+            task: id,
+            run: number,
+        });
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/place.rs
@@ -0,0 +1,235 @@
+//! Which task runs where.
+
+use std::cmp::Reverse;
+
+use crate::{
+    ids::{JobId, TaskId},
+    job::JobState,
+    machine::Machine,
+    spec::Step,
+    task::{Run, Stage},
+    worker::{Worker, size},
+};
+
+/// A job of which nothing runs for this long may have a task beyond the share of
+/// processors that filling tasks are given, in milliseconds.
+const STARVED: u64 = 1500;
+
+/// What filling tasks may ask for in all on one worker, in percent of the
+/// processors that the others don't ask for.
+const FILL_LIMIT: u64 = 100;
+
+/// Runs on a worker whose last run failed: one at a time until one does well.
+const PROBATION_RUNS: usize = 1;
+
+/// Why tasks of a step can't all be placed now.
+enum Placed {
+    /// All that waited are placed.
+    All,
+    /// Some are not.
+    Short,
+}
+
+impl Machine {
+    /// Places tasks that wait, the most urgent jobs first.
+    pub(crate) fn place(&mut self) {
+        self.sort_open();
+        for at in 0..self.open.len() {
+            let id = self.open[at];
+            self.place_job(id);
+        }
+    }
+
+    /// Sorts the open jobs: those that can still meet their objective first, then
+    /// by priority, then by age.
+    fn sort_open(&mut self) {
+        let mut keys: Vec<(bool, u32, u64, JobId)> = Vec::with_capacity(self.open.len());
+        for &id in &self.open {
+            let Some(state) = self.jobs.get(&id) else {
+                continue;
+            };
+            let policy = self.policy(&state.job.queue);
+            let priority = policy.map_or(u32::MAX, |p| p.priority);
+            let chain = state.job.spec.chain();
+            let lasting = state.job.spec.steps.iter().any(|s| s.lasting);
+            let goal = policy.map_or(0, |p| (chain as f64 * p.stretch) as u64 + p.latency);
+            let late = !lasting && state.times.len() == 1 && self.now > state.seen + goal;
+            keys.push((late, priority, state.seen, id));
+        }
+        keys.sort_unstable();
+        self.open = keys.into_iter().map(|k| k.3).collect();
+    }
+
+    fn place_job(&mut self, id: JobId) {
+        let Some(state) = self.jobs.get(&id) else {
+            return;
+        };
+        let job = state.job.clone();
+        let Some(service) = self.policy(&job.queue).map(|p| p.service.clone()) else {
+            return;
+        };
+        let mut idle = nothing_runs(state) && self.now > state.seen + STARVED;
+        for time in 0..state.times.len() {
+            for (at, step) in job.spec.steps.iter().enumerate() {
+                let Some(state) = self.jobs.get(&id) else {
+                    return;
+                };
+                if state.times[time][at].is_done() || !state.is_ready(time, at) {
+                    continue;
+                }
+                let first = TaskId {
+                    job: id,
+                    time: time as u32,
+                    step: at as u32,
+                    index: 0,
+                };
+                let placed = match step.gang {
+                    true => self.place_gang(first, step, &service),
+                    false => self.place_step(first, step, &service, &mut idle),
+                };
+                if matches!(placed, Placed::Short) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn place_step(&mut self, first: TaskId, step: &Step, service: &str, idle: &mut bool) -> Placed {
+        for index in 0..step.count {
+            let id = TaskId { index, ..first };
+            let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
+            let Some(task) = task.filter(|t| t.is_waiting(self.now)) else {
+                continue;
+            };
+            let (avoid, failed) = (task.avoid, !task.failed.is_empty());
+            let Some(slot) = self.choose(first, step, service, (avoid, failed), *idle) else {
+                return Placed::Short;
+            };
+            *idle = false;
+            self.plan(id, slot, step, None);
+        }
+        Placed::All
+    }
+
+    /// Places all tasks of a gang, or none.
+    fn place_gang(&mut self, first: TaskId, step: &Step, service: &str) -> Placed {
+        let Some(state) = self.jobs.get(&first.job) else {
+            return Placed::All;
+        };
+        let tasks = &state.times[first.time as usize][first.step as usize].tasks;
+        if tasks.iter().any(|t| !t.is_waiting(self.now)) {
+            return Placed::All;
+        }
+        let run = tasks.iter().map(|t| t.last).max().unwrap_or(0) + 1;
+        let mut planned = Vec::new();
+        for index in 0..step.count {
+            let Some(slot) = self.choose(first, step, service, (None, false), false) else {
+                break;
+            };
+            let id = TaskId { index, ..first };
+            self.plan(id, slot, step, Some(run));
+            planned.push(id);
+        }
+        if planned.len() == step.count as usize {
+            return Placed::All;
+        }
+        for id in planned {
+            self.clear(id);
+        }
+        Placed::Short
+    }
+
+    fn plan(&mut self, id: TaskId, slot: u32, step: &Step, number: Option<u32>) {
+        let now = self.now;
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else {
+            return;
+        };
+        task.last = number.unwrap_or(task.last + 1);
+        let mut run = Run::new(slot, Stage::Planned, now);
+        let worker = self.fleet.get_mut(slot);
+        if step.fill {
+            run.wanted = worker.pace;
+        }
+        task.run = Some(run);
+        worker.reserve(id, step);
+        self.mark(id.job);
+    }
+
+    /// Returns the best worker for a task of a step, if any can take it.
+    fn choose(
+        &self,
+        first: TaskId,
+        step: &Step,
+        service: &str,
+        history: (Option<u32>, bool),
+        starved: bool,
+    ) -> Option<u32> {
+        let state = self.jobs.get(&first.job)?;
+        let runs = &state.times[first.time as usize][first.step as usize];
+        let mut best = None;
+        for (slot, worker) in self.fleet.workers.iter().enumerate() {
+            let slot = slot as u32;
+            let fits = self.fits(worker, step, service, starved);
+            if !fits || history.0 == Some(slot) || history.1 && worker.failures > 0 {
+                continue;
+            }
+            if step.spread > 0 && runs.on_worker(slot) >= step.spread {
+                continue;
+            }
+            let key = Reverse(score(worker, step));
+            if best.as_ref().is_none_or(|(b, _)| key < *b) {
+                best = Some((key, slot));
+            }
+        }
+        best.map(|(_, slot)| slot)
+    }
+
+    fn fits(&self, worker: &Worker, step: &Step, service: &str, starved: bool) -> bool {
+        let Some(info) = &worker.info else {
+            return false;
+        };
+        if !worker.is_open(self.now) || *info.service != *service {
+            return false;
+        }
+        if worker.failures > 0 && worker.runs.len() >= PROBATION_RUNS {
+            return false;
+        }
+        if step.label.as_ref().is_some_and(|l| !info.labels.contains(l)) {
+            return false;
+        }
+        let (room, used, size) = (info.capacity, worker.used, size(step));
+        let fits = used.cpu + size.cpu <= room.cpu
+            && used.memory + size.memory <= room.memory
+            && used.gpu + size.gpu <= room.gpu;
+        if !fits || !step.fill {
+            return fits;
+        }
+        let rest = room.cpu.saturating_sub(worker.used.cpu) * FILL_LIMIT / 100;
+        starved || worker.filling + step.cpu <= rest
+    }
+}
+
+fn nothing_runs(state: &JobState) -> bool {
+    let mut tasks = state.times.iter().flatten().flat_map(|s| &s.tasks);
+    tasks.all(|t| t.run.is_none())
+}
+
+/// Returns how well a worker suits a task of a step; more is better.
+fn score(worker: &Worker, step: &Step) -> i64 {
+    let room = worker.capacity();
+    let free = room.cpu as i64 - worker.used.cpu as i64 - worker.filling as i64;
+    let mut score = free * 1000 / (room.cpu as i64).max(1);
+    if let (Some(rack), Some(info)) = (&step.rack, &worker.info)
+        && info.labels.contains(rack)
+    {
+        score += 5000;
+    }
+    if step.target > 0 {
+        score -= 300 * i64::from(worker.serving);
+    }
+    if step.fill {
+        score -= 150 * i64::from(worker.serving);
+        score -= 10 * i64::from(100 - worker.pace);
+    }
+    score - (worker.slowness as i64 - 100).max(0) * 5
+}
--- /dev/null
+++ b/crates/jobs/src/record.rs
@@ -0,0 +1,80 @@
+//! What is kept of a job beside what was handed in.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+/// Why a record can't be used.
+#[derive(Debug, Snafu)]
+pub enum RecordError {
+    /// It can't be read.
+    #[snafu(display("malformed record"))]
+    Decode {
+        /// The codec's answer.
+        source: rmp_serde::decode::Error,
+    },
+}
+
+/// What became of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Accepted; no task has begun.
+    Pending,
+    /// Some task has begun.
+    Active,
+    /// Every task is done.
+    Complete,
+    /// A task has failed too often.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+impl Outcome {
+    /// Tells whether nothing can follow.
+    pub fn is_final(self) -> bool {
+        matches!(self, Outcome::Complete | Outcome::Failed | Outcome::Cancelled)
+    }
+}
+
+/// What is kept of a task. Written as an array, to save bytes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct TaskRecord {
+    /// Repetition, step and index.
+    pub(crate) at: (u32, u32, u32),
+    /// Whether it is done.
+    pub(crate) done: bool,
+    /// Number of the last run.
+    pub(crate) run: u32,
+    /// Worker of the last run, if that may still be there.
+    pub(crate) worker: Option<Arc<str>>,
+    /// Numbers of the runs that failed.
+    pub(crate) failed: Vec<u32>,
+    /// Saved progress.
+    pub(crate) saved: Arc<str>,
+}
+
+/// What is kept of a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// What became of it.
+    pub outcome: Outcome,
+    /// Steps that are done whole, as repetition and step.
+    pub(crate) steps: Vec<(u32, u32)>,
+    /// Tasks of the other steps that ran.
+    pub(crate) tasks: Vec<TaskRecord>,
+}
+
+impl Record {
+    /// Writes the record.
+    pub fn encode(&self) -> Vec<u8> {
+        // Writing plain data to a vector can't fail.
+        rmp_serde::to_vec(self).unwrap_or_default()
+    }
+
+    /// Reads a record.
+    pub fn decode(bytes: &[u8]) -> Result<Record, RecordError> {
+        rmp_serde::from_slice(bytes).context(DecodeSnafu)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/settings.rs
@@ -0,0 +1,48 @@
+//! Limits and times of the decisions.
+
+/// Limits and times, all in milliseconds of a steady clock unless said otherwise.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Length of a lease on what a worker runs. A takeover has to fit in, a
+    /// worker that vanished holds its tasks for as long.
+    pub lease: u64,
+    /// How long an owner goes on renewing after its last contact with the store.
+    pub hold: u64,
+    /// How long a look waits at a worker for an end.
+    pub wait: u64,
+    /// Between looks while ends wait to become durable.
+    pub recheck: u64,
+    /// A look without an answer for this long, beyond its wait, has failed.
+    pub answer: u64,
+    /// A run whose progress stands still for this long hangs.
+    pub stall: u64,
+    /// First time that a worker which fails everything gets no work.
+    pub quarantine: u64,
+    /// Longest such time.
+    pub exile: u64,
+    /// Records that one commit carries.
+    pub batch: usize,
+}
+
+/// Slowest rate of a worker's clock against ours, in percent.
+pub(crate) const CLOCK_RATE: u64 = 98;
+
+/// Added to a computed end of a lease: a reading is in whole milliseconds and
+/// timers are late.
+pub(crate) const LEASE_MARGIN: u64 = 60;
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            lease: 6000,
+            hold: 6000,
+            wait: 1000,
+            recheck: 700,
+            answer: 900,
+            stall: 1300,
+            quarantine: 2000,
+            exile: 8000,
+            batch: 90,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/step.rs
@@ -0,0 +1,40 @@
+//! The tasks of one step in one repetition.
+
+use crate::task::Task;
+
+/// The tasks of one step in one repetition.
+#[derive(Debug, Clone)]
+pub(crate) struct StepState {
+    /// The tasks.
+    pub(crate) tasks: Vec<Task>,
+    /// How many of them are done.
+    pub(crate) done: u32,
+}
+
+impl StepState {
+    pub(crate) fn new(count: u32) -> StepState {
+        StepState {
+            tasks: vec![Task::default(); count as usize],
+            done: 0,
+        }
+    }
+
+    /// Tells whether every task is done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Marks a task done.
+    pub(crate) fn finish(&mut self, index: usize) {
+        if !self.tasks[index].done {
+            self.tasks[index].done = true;
+            self.done += 1;
+        }
+    }
+
+    /// Returns how many runs the step has on a worker.
+    pub(crate) fn on_worker(&self, worker: u32) -> u32 {
+        let runs = self.tasks.iter().filter_map(|t| t.run.as_ref());
+        runs.filter(|r| r.worker == worker).count() as u32
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/task.rs
@@ -0,0 +1,89 @@
+//! One task and the run it has.
+
+use std::sync::Arc;
+
+/// Where a run stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Its place is not durable yet; nothing was sent.
+    Planned,
+    /// Its start was sent at this time and is unanswered.
+    Sent(u64),
+    /// Its worker said at this time that it is there.
+    There(u64),
+    /// Its start got no answer by this time.
+    Unclear(u64),
+    /// An earlier owner placed it; its worker was not heard yet.
+    Inherited,
+    /// A stop is wanted; the time of the last order, if one is under way.
+    Stopping(Option<u64>),
+    /// Its worker said at this time that it ends, or will never begin.
+    Halted(u64),
+}
+
+/// A run of a task.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    /// Its worker's slot.
+    pub(crate) worker: u32,
+    /// Where it stands.
+    pub(crate) stage: Stage,
+    /// When its place was chosen.
+    pub(crate) since: u64,
+    /// Progress in percent, as last listed.
+    pub(crate) percent: u32,
+    /// When the progress last changed.
+    pub(crate) moved: u64,
+    /// Share of its pace that its worker was told, in percent.
+    pub(crate) pace: u32,
+    /// Share of its pace that is wanted.
+    pub(crate) wanted: u32,
+    /// Whether an order for its pace is under way.
+    pub(crate) pacing: bool,
+}
+
+impl Run {
+    pub(crate) fn new(worker: u32, stage: Stage, now: u64) -> Run {
+        Run {
+            worker,
+            stage,
+            since: now,
+            percent: 0,
+            moved: now,
+            pace: 100,
+            wanted: 100,
+            pacing: false,
+        }
+    }
+
+    /// Tells whether the run is wanted to go on.
+    pub(crate) fn is_wanted(&self) -> bool {
+        !matches!(self.stage, Stage::Stopping(_) | Stage::Halted(_))
+    }
+}
+
+/// A task.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Task {
+    /// Whether it is done.
+    pub(crate) done: bool,
+    /// Number of the last run; 0 before the first.
+    pub(crate) last: u32,
+    /// The run that may be there.
+    pub(crate) run: Option<Run>,
+    /// Numbers of the runs that failed.
+    pub(crate) failed: Vec<u32>,
+    /// Saved progress; empty for none.
+    pub(crate) saved: Arc<str>,
+    /// No new run before this time, after a failure.
+    pub(crate) pause: u64,
+    /// Worker on which the last run failed.
+    pub(crate) avoid: Option<u32>,
+}
+
+impl Task {
+    /// Tells whether the task needs a run now.
+    pub(crate) fn is_waiting(&self, now: u64) -> bool {
+        !self.done && self.run.is_none() && self.pause <= now
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/worker.rs
@@ -0,0 +1,239 @@
+//! What is known of one worker.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use crate::{
+    ids::TaskId,
+    settings::{CLOCK_RATE, LEASE_MARGIN, Settings},
+    spec::Step,
+};
+
+/// What a worker can hold, or a task asks for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Capacity {
+    /// Thousandths of a core.
+    pub cpu: u64,
+    /// Memory in MB.
+    pub memory: u64,
+    /// Accelerators.
+    pub gpu: u64,
+}
+
+/// What a worker announces.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerInfo {
+    /// Its name, new in each life.
+    pub id: Arc<str>,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The service whose tasks it runs.
+    pub service: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Its labels.
+    pub labels: Vec<Arc<str>>,
+    /// Its rack.
+    pub rack: Arc<str>,
+    /// What it can hold.
+    pub capacity: Capacity,
+    /// Whether it takes new work; else it is about to leave.
+    pub ready: bool,
+    /// While it leaves: milliseconds until everything on it dies, at least.
+    pub remaining: u64,
+}
+
+/// A run on a worker that is not wanted there.
+#[derive(Debug, Clone)]
+pub(crate) struct Stray {
+    pub(crate) task: TaskId,
+    pub(crate) run: u32,
+    /// What it takes up.
+    pub(crate) size: Capacity,
+    /// When its stop was sent, if that is unanswered.
+    pub(crate) sent: Option<u64>,
+    /// When its stop was confirmed.
+    pub(crate) halted: Option<u64>,
+    /// No new stop before this time.
+    pub(crate) pause: u64,
+}
+
+/// A worker in one of its lives.
+#[derive(Debug, Clone)]
+pub(crate) struct Worker {
+    /// Its name.
+    pub(crate) id: Arc<str>,
+    /// What it announced; nothing if only records name it.
+    pub(crate) info: Option<WorkerInfo>,
+    /// Whether its announcement is still there.
+    pub(crate) listed: bool,
+    /// Whether its life has ended.
+    pub(crate) dead: bool,
+    /// Its clock's last reading and when that arrived.
+    pub(crate) clock: Option<(u64, u64)>,
+    /// The latest end of a lease that was sent, on its clock.
+    pub(crate) promised: u64,
+    /// Before its first answer: when leases of an earlier owner are over.
+    pub(crate) inherited: u64,
+    /// Highest end that was counted.
+    pub(crate) counted: u64,
+    /// Highest end whose count is durable.
+    pub(crate) observed: u64,
+    /// Whether a look is under way.
+    pub(crate) looking: bool,
+    /// When the last look was sent.
+    pub(crate) looked: u64,
+    /// No look before this time.
+    pub(crate) next_look: u64,
+    /// Since when it has not answered.
+    pub(crate) silent: Option<u64>,
+    /// When it began to leave.
+    pub(crate) leaving: Option<u64>,
+    /// Runs on it, sorted.
+    pub(crate) runs: Vec<TaskId>,
+    /// Runs on it that nobody wants.
+    pub(crate) strays: Vec<Stray>,
+    /// Room that is taken; `cpu` without tasks that fill.
+    pub(crate) used: Capacity,
+    /// Thousandths of a core that its filling tasks ask for.
+    pub(crate) filling: u64,
+    /// Tasks on it that serve under a target.
+    pub(crate) serving: u32,
+    /// Runs that failed or hung on it since one did well.
+    pub(crate) failures: u32,
+    /// No new runs before this time.
+    pub(crate) closed: u64,
+    /// Time that its tasks take against their estimate, in percent, averaged.
+    pub(crate) slowness: u64,
+    /// Share of pace for its filling tasks, in percent.
+    pub(crate) pace: u32,
+    /// When the share last changed.
+    pub(crate) paced: u64,
+}
+
+impl Worker {
+    pub(crate) fn new(id: Arc<str>, inherited: u64) -> Worker {
+        Worker {
+            id,
+            info: None,
+            listed: false,
+            dead: false,
+            clock: None,
+            promised: 0,
+            inherited,
+            counted: 0,
+            observed: 0,
+            looking: false,
+            looked: 0,
+            next_look: 0,
+            silent: None,
+            leaving: None,
+            runs: Vec::new(),
+            strays: Vec::new(),
+            used: Capacity::default(),
+            filling: 0,
+            serving: 0,
+            failures: 0,
+            closed: 0,
+            slowness: 100,
+            pace: 100,
+            paced: 0,
+        }
+    }
+
+    /// Returns what it can hold.
+    pub(crate) fn capacity(&self) -> Capacity {
+        self.info.as_ref().map(|i| i.capacity).unwrap_or_default()
+    }
+
+    /// Tells whether new runs may be placed here.
+    pub(crate) fn is_open(&self, now: u64) -> bool {
+        let ready = self.info.as_ref().is_some_and(|i| i.ready);
+        ready && self.is_live() && self.closed <= now
+    }
+
+    /// Tells whether it is listed and answers.
+    pub(crate) fn is_live(&self) -> bool {
+        self.listed && !self.dead && self.silent.is_none() && self.clock.is_some()
+    }
+
+    /// Returns the end of a lease that is granted now, on the worker's clock.
+    ///
+    /// It counts from a reading of that clock that is already past, so that a
+    /// delayed order grants no more than its sender knows of.
+    pub(crate) fn deadline(&self, settings: &Settings) -> Option<u64> {
+        self.clock.map(|(reading, _)| reading + settings.lease)
+    }
+
+    /// Returns when every lease that was granted here is over, on our clock.
+    pub(crate) fn lapse(&self) -> u64 {
+        let Some((reading, at)) = self.clock else {
+            return self.inherited;
+        };
+        let left = self.promised.saturating_sub(reading);
+        at + left * 100 / CLOCK_RATE + LEASE_MARGIN
+    }
+
+    /// Takes up room for a run of a step.
+    pub(crate) fn reserve(&mut self, task: TaskId, step: &Step) {
+        if let Err(at) = self.runs.binary_search(&task) {
+            self.runs.insert(at, task);
+        }
+        let size = size(step);
+        self.used.cpu += size.cpu;
+        self.used.memory += size.memory;
+        self.used.gpu += size.gpu;
+        self.filling += filling(step);
+        self.serving += u32::from(step.target > 0);
+    }
+
+    /// Gives back the room of a run of a step.
+    pub(crate) fn release(&mut self, task: TaskId, step: &Step) {
+        let Ok(at) = self.runs.binary_search(&task) else {
+            return;
+        };
+        self.runs.remove(at);
+        self.free(size(step));
+        self.filling -= filling(step).min(self.filling);
+        self.serving -= u32::from(step.target > 0).min(self.serving);
+    }
+
+    /// Takes up room for a run that is not wanted.
+    pub(crate) fn add_stray(&mut self, stray: Stray) {
+        self.used.cpu += stray.size.cpu;
+        self.used.memory += stray.size.memory;
+        self.used.gpu += stray.size.gpu;
+        self.strays.push(stray);
+    }
+
+    /// Gives back the room of runs that are not wanted and gone.
+    pub(crate) fn drop_strays(&mut self, gone: impl Fn(&Stray) -> bool) {
+        let mut at = 0;
+        while at < self.strays.len() {
+            if !gone(&self.strays[at]) {
+                at += 1;
+                continue;
+            }
+            let stray = self.strays.remove(at);
+            self.free(stray.size);
+        }
+    }
+
+    fn free(&mut self, size: Capacity) {
+        self.used.cpu -= size.cpu.min(self.used.cpu);
+        self.used.memory -= size.memory.min(self.used.memory);
+        self.used.gpu -= size.gpu.min(self.used.gpu);
+    }
+}
+
+/// Returns the room that a task of a step takes up.
+pub(crate) fn size(step: &Step) -> Capacity {
+    Capacity {
+        cpu: if step.fill { 0 } else { step.cpu },
+        memory: step.memory,
+        gpu: step.gpu,
+    }
+}
+
+fn filling(step: &Step) -> u64 {
+    if step.fill { step.cpu } else { 0 }
+}
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::{io, path::PathBuf};
 
-use gorsespur_platform::MembersError;
+use gorsespur_services::MembersError;
 use gorsespur_runtime::exit::{Blame, FAILED, USAGE};
 use gorsespur_stand::LedgerError;
 use snafu::Snafu;
--- /dev/null
+++ b/crates/node/src/error.rs
@@ -0,0 +1,43 @@
+//! Why a node can't run.
+
+use std::net::SocketAddr;
+
+use gorsespur_runtime::exit::{Blame, FAILED, USAGE};
+use snafu::Snafu;
+
+/// Why a node can't run.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum NodeError {
+    /// An address can't be listened on.
+    #[snafu(display("{addr}: can't listen"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The system's answer.
+        source: std::io::Error,
+    },
+    /// A thread can't be started.
+    #[snafu(display("can't start thread {name}"))]
+    Thread {
+        /// Its name.
+        name: &'static str,
+        /// The system's answer.
+        source: std::io::Error,
+    },
+    /// Signals can't be handled.
+    #[snafu(display("can't handle signals"))]
+    Signals {
+        /// The system's answer.
+        source: std::io::Error,
+    },
+}
+
+impl Blame for NodeError {
+    fn code(&self) -> u8 {
+        match self {
+            NodeError::Listen { .. } => USAGE,
+            _ => FAILED,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/follow.rs
@@ -0,0 +1,93 @@
+//! Follows the configuration.
+
+use std::{sync::Arc, time::Duration};
+
+use gorsespur_runtime::cancel::Cancel;
+
+use crate::{
+    config::Config,
+    metrics::Count,
+    shared::Shared,
+    store::{Row, StoreError, read_one},
+};
+
+/// How long one question for changes waits. A change is in force within two
+/// seconds; a lost question must not use up more than half of that.
+const WAIT: Duration = Duration::from_millis(1000);
+
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Reads the newest configuration from the store, and puts it in force.
+pub(crate) fn refresh(shared: &Shared) -> Result<(), StoreError> {
+    let (table, key) = shared.protocol.config_row();
+    let row = read_one(&*shared.store, table, "", key)?;
+    shared.touched();
+    if let Some(row) = row {
+        take(shared, &row);
+    }
+    Ok(())
+}
+
+fn take(shared: &Shared, row: &Row) {
+    let (_, key) = shared.protocol.config_row();
+    if row.key != key || row.removed {
+        return;
+    }
+    match shared.protocol.config(row) {
+        Ok(config) => {
+            let _: bool = shared.offer(Config { ..config });
+        }
+        Err(err) => log::error!(err = err.to_string().as_str(); "config: can't be read"),
+    }
+}
+
+/// Follows the configuration until cancelled.
+pub(crate) fn follow(shared: &Arc<Shared>, cancel: &Cancel) {
+    let (table, _) = shared.protocol.config_row();
+    let mut version = None;
+    let mut lost = false;
+    while !cancel.is_cancelled() {
+        let step = match version {
+            None => refresh_at(shared),
+            Some(after) => changes(shared, table, after),
+        };
+        match step {
+            Ok(next) => {
+                version = Some(next);
+                if lost {
+                    log::info!("store: answers again");
+                }
+                lost = false;
+            }
+            Err(err) => {
+                if !lost {
+                    log::warn!(err = err.to_string().as_str(); "store: lost");
+                }
+                lost = true;
+                shared.metrics.count(Count::StoreErrors);
+                version = version.filter(|_| err != StoreError::Forgotten);
+                cancel.wait(PAUSE);
+            }
+        }
+    }
+}
+
+fn refresh_at(shared: &Shared) -> Result<u64, StoreError> {
+    let (table, _) = shared.protocol.config_row();
+    let page = crate::store::read_all(&*shared.store, table, "")?;
+    shared.touched();
+    for row in &page.rows {
+        take(shared, row);
+    }
+    Ok(page.version)
+}
+
+fn changes(shared: &Shared, table: &str, after: u64) -> Result<u64, StoreError> {
+    let changes = shared.store.changes(table, after, WAIT)?;
+    shared.touched();
+    for row in &changes.rows {
+        take(shared, row);
+    }
+    Ok(changes.version)
+}
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,277 @@
+//! Callers' requests: jobs are handed in, asked after and cancelled.
+//!
+//! Each answer rests on the store and is given at once: a job that the store
+//! certainly did not take is refused, one of which that is not known is answered
+//! as unclear, so that its caller sends it again.
+
+use std::{sync::Arc, time::Duration};
+
+use gorsespur_http::{Handler, Limits, Method, Request, Response};
+use gorsespur_jobs::{Job, JobId, Outcome, Record};
+use gorsespur_runtime::clock::wall_ms;
+
+use crate::{
+    config::Queue,
+    follow::refresh,
+    metrics::Count,
+    rows::{JOBS, LEASE, LeaseRow, OWNER, OWNER_PART, RECORDS, cancel_key, decode, encode, job_part},
+    shared::Shared,
+    store::{Expect, StoreError, Tx, Write, read_one},
+};
+
+/// Seconds after which a refused caller may come back: most refusals come from a
+/// store that is away for seconds.
+const COME_BACK: &str = "1";
+
+/// Share of a caller's patience, in percent, after which an unclear write is
+/// answered as unclear.
+const PATIENCE: u64 = 60;
+
+/// Patience of a caller that tells none, in milliseconds.
+const DEFAULT_PATIENCE: u64 = 3000;
+
+/// Pause before a refused write is tried again, once.
+const RETRY: Duration = Duration::from_millis(25);
+
+/// Pause before an unclear write is sent again.
+const RESEND: Duration = Duration::from_millis(50);
+
+/// A configuration is asked for anew when the store was silent for this long.
+const STALE: u64 = 1500;
+
+/// What the store did with a write.
+enum Written {
+    /// It is there, by this write or an earlier one.
+    Done,
+    /// Certainly not.
+    Refused(StoreError),
+    /// It can't be told.
+    Unclear,
+}
+
+/// Answers callers.
+pub(crate) struct Front {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Handler for Front {
+    fn handle(&self, request: Request) -> Option<Response> {
+        let start = self.shared.clock.now();
+        let response = self.route(&request, start);
+        log::info!(method = request.method.name(), path = request.path.as_str(), status = response.status, ms = self.shared.clock.now() - start; "front: answered");
+        Some(response)
+    }
+
+    fn limits(&self) -> Limits {
+        let config = self.shared.config();
+        config.map_or_else(Limits::default, |c| Limits {
+            head: c.limits.head,
+            body: c.limits.body,
+        })
+    }
+}
+
+impl Front {
+    fn route(&self, request: &Request, start: u64) -> Response {
+        let host = request.header("host").unwrap_or_default();
+        let path = request.path.split('?').next().unwrap_or_default();
+        let Some(queue) = self.queue(host, path) else {
+            return self.no_queue();
+        };
+        let rest = &path[queue.prefix.len()..];
+        if rest.is_empty() && request.method == Method::Get {
+            return self.pending(&queue);
+        }
+        let Ok(id) = rest.parse::<JobId>() else {
+            return Response::new(400, Vec::new());
+        };
+        match request.method {
+            Method::Post => self.submit(request, &queue, id, start),
+            Method::Get => self.state(id),
+            Method::Delete => self.cancel(request, id, start),
+            Method::Put | Method::Other => Response::new(405, Vec::new()),
+        }
+    }
+
+    /// Finds the queue; before a caller is told that there is none, the newest
+    /// configuration is read.
+    fn queue(&self, host: &str, path: &str) -> Option<Queue> {
+        let find = || self.shared.config()?.find(host, path).cloned();
+        let fresh = self.shared.silence() < STALE;
+        if let Some(queue) = find().filter(|_| fresh) {
+            return Some(queue);
+        }
+        if let Err(err) = refresh(&self.shared) {
+            log::warn!(err = err.to_string().as_str(); "config: not refreshed");
+        }
+        find()
+    }
+
+    fn no_queue(&self) -> Response {
+        let known = self.shared.config().is_some() && self.shared.silence() < STALE;
+        if !known {
+            return self.refuse();
+        }
+        self.shared.metrics.count(Count::Missing);
+        Response::new(404, Vec::new())
+    }
+
+    fn refuse(&self) -> Response {
+        self.shared.metrics.count(Count::Refused);
+        Response::new(503, Vec::new()).with("retry-after", COME_BACK)
+    }
+
+    fn unclear(&self) -> Response {
+        self.shared.metrics.count(Count::Unclear);
+        Response::new(504, Vec::new()).with("retry-after", COME_BACK)
+    }
+
+    fn submit(&self, request: &Request, queue: &Queue, id: JobId, start: u64) -> Response {
+        let submission = match self.shared.protocol.submission(&request.body) {
+            Ok(submission) => submission,
+            Err(err) => {
+                log::info!(job = id.to_string().as_str(), err = err.to_string().as_str(); "front: malformed job");
+                return Response::new(400, Vec::new());
+            }
+        };
+        if let Err(err) = submission.spec.check() {
+            log::info!(job = id.to_string().as_str(), err = err.to_string().as_str(); "front: job refused");
+            return Response::new(400, Vec::new());
+        }
+        let job = Job {
+            id,
+            queue: queue.policy.queue.clone(),
+            accepted: wall_ms(),
+            spec: Arc::new(submission.spec),
+        };
+        let expect = Expect {
+            table: JOBS,
+            key: id.to_string(),
+            version: 0,
+        };
+        let tx = Tx {
+            part: job_part(id),
+            expects: vec![expect],
+            writes: vec![Write {
+                table: JOBS,
+                key: id.to_string(),
+                value: encode(&job),
+            }],
+        };
+        match self.write(&tx, request, start) {
+            Written::Done => {
+                let ms = self.shared.clock.now() - start;
+                self.shared.metrics.accepted(ms);
+                Response::new(200, Vec::new())
+            }
+            Written::Refused(err) => {
+                log::warn!(job = id.to_string().as_str(), err = err.to_string().as_str(); "front: job not taken");
+                self.refuse()
+            }
+            Written::Unclear => {
+                log::warn!(job = id.to_string().as_str(); "front: unclear whether job is taken");
+                self.unclear()
+            }
+        }
+    }
+
+    /// Runs an idempotent write until its effect is known or the caller has
+    /// waited long enough.
+    fn write(&self, tx: &Tx, request: &Request, start: u64) -> Written {
+        let patience = self.shared.protocol.patience(request);
+        let end = start + patience.unwrap_or(DEFAULT_PATIENCE) * PATIENCE / 100;
+        let mut unclear = false;
+        let mut tried = false;
+        loop {
+            match self.shared.store.commit(tx) {
+                Ok(_) => {
+                    self.shared.touched();
+                    return Written::Done;
+                }
+                Err(err @ StoreError::Unknown { .. }) => {
+                    log::debug!(err = err.to_string().as_str(); "front: write unclear");
+                    unclear = true;
+                    std::thread::sleep(RESEND);
+                }
+                Err(err) if !unclear && tried => return Written::Refused(err),
+                Err(_) => {
+                    tried = true;
+                    std::thread::sleep(RETRY);
+                }
+            }
+            self.shared.metrics.count(Count::StoreErrors);
+            if self.shared.clock.now() >= end && unclear {
+                return Written::Unclear;
+            }
+        }
+    }
+
+    /// Reads what became of a job; nothing if it was never accepted.
+    fn outcome(&self, id: JobId) -> Result<Option<Outcome>, StoreError> {
+        let store = &*self.shared.store;
+        let row = read_one(store, RECORDS, OWNER_PART, &id.to_string())?;
+        if let Some(row) = row {
+            let record = Record::decode(&row.value).map_err(|err| StoreError::Malformed {
+                reason: err.to_string(),
+            })?;
+            return Ok(Some(record.outcome));
+        }
+        let row = read_one(store, JOBS, &job_part(id), &id.to_string())?;
+        Ok(row.map(|_| Outcome::Pending))
+    }
+
+    fn state(&self, id: JobId) -> Response {
+        match self.outcome(id) {
+            Ok(Some(outcome)) => Response::new(200, self.shared.protocol.outcome(outcome)),
+            Ok(None) => Response::new(410, Vec::new()),
+            Err(err) => self.store_failed(&err),
+        }
+    }
+
+    fn cancel(&self, request: &Request, id: JobId, start: u64) -> Response {
+        match self.outcome(id) {
+            Ok(Some(Outcome::Cancelled)) => return Response::new(200, Vec::new()),
+            Ok(None | Some(Outcome::Complete | Outcome::Failed)) => {
+                return Response::new(410, Vec::new());
+            }
+            Ok(Some(Outcome::Pending | Outcome::Active)) => {}
+            Err(err) => return self.store_failed(&err),
+        }
+        let tx = Tx {
+            part: job_part(id),
+            expects: Vec::new(),
+            writes: vec![Write {
+                table: JOBS,
+                key: cancel_key(id),
+                value: Vec::new(),
+            }],
+        };
+        match self.write(&tx, request, start) {
+            Written::Done => {
+                self.shared.metrics.count(Count::Cancelled);
+                Response::new(200, Vec::new())
+            }
+            Written::Refused(err) => self.store_failed(&err),
+            Written::Unclear => self.unclear(),
+        }
+    }
+
+    fn pending(&self, queue: &Queue) -> Response {
+        let row = match read_one(&*self.shared.store, LEASE, OWNER_PART, OWNER) {
+            Ok(row) => row,
+            Err(err) => return self.store_failed(&err),
+        };
+        let lease: LeaseRow = row
+            .and_then(|r| decode("lease", &r.value))
+            .unwrap_or_default();
+        let count = lease.pending.iter().find(|(q, _)| *q == queue.policy.queue);
+        let count = count.map_or(0, |(_, n)| *n);
+        Response::new(200, self.shared.protocol.pending(count))
+    }
+
+    fn store_failed(&self, err: &StoreError) -> Response {
+        log::warn!(err = err.to_string().as_str(); "front: store failed");
+        self.shared.metrics.count(Count::StoreErrors);
+        self.refuse()
+    }
+}
--- /dev/null
+++ b/crates/node/src/lease.rs
@@ -0,0 +1,227 @@
+//! Watches the lease, and takes it when its owner has given it up or is gone.
+//!
+//! Taking it too early costs the work of a takeover and no more: the old owner's
+//! next write fails, and workers refuse its lower epoch.
+
+use std::{sync::Arc, time::Duration};
+
+use gorsespur_runtime::cancel::Cancel;
+use rand::Rng;
+
+use crate::{
+    metrics::Count,
+    owner::{self, Tenure},
+    rows::{HEAD, HeadRow, JOURNAL, LEASE, LeaseRow, OWNER, OWNER_PART, decode, encode},
+    shared::Shared,
+    store::{Commit, Expect, Row, StoreError, Tx, Write, read_one},
+};
+
+/// A lease that did not change for this long has no owner, in milliseconds. The
+/// owner renews it each 400 ms; a store at a sixtieth of its speed takes 700 more.
+const STALE: u64 = 1800;
+
+/// Added to that by chance, so that not all instances claim at once, in milliseconds.
+const JITTER: u64 = 300;
+
+/// Added for an instance with a small share of a processor, in milliseconds.
+const SMALL: u64 = 400;
+
+/// Thousandths of a processor from which an instance is not small.
+const LARGE: u64 = 500;
+
+/// How long one question for changes waits.
+const WAIT: Duration = Duration::from_millis(600);
+
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// An owner renews at least this often after its last contact, in milliseconds;
+/// see `journal`.
+const RENEWAL: u64 = 500;
+
+/// The lease as it was last seen.
+struct Seen {
+    row: Option<Row>,
+    lease: LeaseRow,
+    /// When this version was first seen.
+    since: u64,
+    /// The store's version up to which changes are known.
+    version: u64,
+}
+
+/// Watches until cancelled; while this instance owns the lease, it decides.
+pub(crate) fn watch(shared: &Arc<Shared>, cancel: &Cancel) {
+    let mut seen: Option<Seen> = None;
+    let mut rng = rand::rng();
+    let mut patience = patience(shared, &mut rng);
+    while !cancel.is_cancelled() {
+        let step = look(shared, seen.take());
+        let now = match step {
+            Ok(now) => now,
+            Err(err) => {
+                log::debug!(err = err.to_string().as_str(); "lease: not seen");
+                cancel.wait(PAUSE);
+                continue;
+            }
+        };
+        if !is_free(shared, &now, patience) {
+            seen = Some(now);
+            continue;
+        }
+        patience = self::patience(shared, &mut rng);
+        match claim(shared, &now) {
+            Ok(Some(tenure)) => {
+                shared.metrics.count(Count::Takeovers);
+                owner::run(shared, tenure, cancel);
+            }
+            Ok(None) => {}
+            Err(err) => {
+                log::warn!(err = err.to_string().as_str(); "lease: claim failed");
+                cancel.wait(PAUSE);
+            }
+        }
+    }
+}
+
+fn patience(shared: &Shared, rng: &mut impl Rng) -> u64 {
+    let small = match shared.settings.share < LARGE {
+        true => SMALL * (LARGE - shared.settings.share) / LARGE,
+        false => 0,
+    };
+    STALE + small + rng.random_range(0..JITTER)
+}
+
+fn look(shared: &Shared, seen: Option<Seen>) -> Result<Seen, StoreError> {
+    let Some(mut seen) = seen else {
+        return read(shared);
+    };
+    match shared.store.changes(LEASE, seen.version, WAIT) {
+        Err(StoreError::Forgotten) => return read_again(shared, seen),
+        Err(err) => return keep(seen, err, shared),
+        Ok(changes) => {
+            shared.touched();
+            seen.version = changes.version;
+            let row = changes.rows.into_iter().rfind(|r| r.key == OWNER);
+            if let Some(row) = row {
+                let lease = decode("lease", &row.value).unwrap_or_default();
+                seen.row = (!row.removed).then_some(row);
+                seen.lease = lease;
+                seen.since = shared.clock.now();
+            }
+        }
+    }
+    Ok(seen)
+}
+
+/// After a failure what was seen is still true, and its age goes on counting,
+/// but only the store's answer lets it be claimed.
+fn keep(seen: Seen, err: StoreError, shared: &Shared) -> Result<Seen, StoreError> {
+    log::debug!(err = err.to_string().as_str(); "lease: changes not seen");
+    std::thread::sleep(PAUSE);
+    read_again(shared, seen)
+}
+
+fn read_again(shared: &Shared, old: Seen) -> Result<Seen, StoreError> {
+    let new = read(shared)?;
+    let version = |s: &Seen| s.row.as_ref().map(|r| r.version);
+    let same = version(&new) == version(&old);
+    Ok(Seen {
+        since: if same { old.since } else { new.since },
+        ..new
+    })
+}
+
+fn read(shared: &Shared) -> Result<Seen, StoreError> {
+    let page = crate::store::read_all(&*shared.store, LEASE, OWNER_PART)?;
+    shared.touched();
+    let row = page.rows.into_iter().find(|r| r.key == OWNER);
+    let lease = row.as_ref().and_then(|r| decode("lease", &r.value));
+    Ok(Seen {
+        row,
+        lease: lease.unwrap_or_default(),
+        since: shared.clock.now(),
+        version: page.version,
+    })
+}
+
+fn is_free(shared: &Shared, seen: &Seen, patience: u64) -> bool {
+    if shared.is_leaving() {
+        return false;
+    }
+    let mine = seen.lease.owner == *shared.settings.name;
+    let age = shared.clock.now() - seen.since;
+    seen.row.is_none() || seen.lease.released || mine || age > patience
+}
+
+/// Tries to become the owner; nothing if another was faster.
+fn claim(shared: &Arc<Shared>, seen: &Seen) -> Result<Option<Tenure>, StoreError> {
+    let version = seen.row.as_ref().map_or(0, |r| r.version);
+    let epoch = seen.lease.epoch + 1;
+    let lease = LeaseRow {
+        owner: shared.settings.name.to_string(),
+        epoch,
+        released: false,
+        pending: seen.lease.pending.clone(),
+    };
+    let head = HeadRow { epoch, number: 0 };
+    let tx = Tx {
+        part: OWNER_PART.into(),
+        expects: vec![Expect {
+            table: LEASE,
+            key: OWNER.into(),
+            version,
+        }],
+        writes: vec![
+            Write {
+                table: LEASE,
+                key: OWNER.into(),
+                value: encode(&lease),
+            },
+            Write {
+                table: JOURNAL,
+                key: HEAD.into(),
+                value: encode(&head),
+            },
+        ],
+    };
+    let asked = shared.clock.now();
+    let done = match shared.store.commit(&tx) {
+        Ok(Commit::Done(version)) => Some(version),
+        Ok(Commit::Conflict(_)) => None,
+        Err(StoreError::Unknown { .. }) => find_claim(shared, &lease)?,
+        Err(err) => return Err(err),
+    };
+    let Some(version) = done else {
+        log::info!(epoch; "lease: another instance was faster");
+        return Ok(None);
+    };
+    let inherited = inherited(shared, seen, asked);
+    log::info!(epoch, from = seen.lease.owner.as_str(), released = seen.lease.released, age_ms = asked - seen.since; "lease: taken");
+    Ok(Some(Tenure {
+        epoch,
+        head: version,
+        inherited,
+    }))
+}
+
+/// After a lost answer: the version of our claim, if it was done.
+fn find_claim(shared: &Shared, lease: &LeaseRow) -> Result<Option<u64>, StoreError> {
+    let row = read_one(&*shared.store, LEASE, OWNER_PART, OWNER)?;
+    let Some(row) = row else {
+        return Ok(None);
+    };
+    let found: Option<LeaseRow> = decode("lease", &row.value);
+    let ours = found.is_some_and(|l| l.epoch == lease.epoch && l.owner == lease.owner);
+    Ok(ours.then_some(row.version))
+}
+
+/// Returns when the last lease that an earlier owner granted is over.
+fn inherited(shared: &Shared, seen: &Seen, asked: u64) -> u64 {
+    let jobs = &shared.settings.jobs;
+    let lease = jobs.lease * 100 / 98 + 60;
+    match (&seen.row, seen.lease.released) {
+        (None, _) => 0,
+        (Some(_), true) => asked + lease,
+        (Some(_), false) => (seen.since + RENEWAL + jobs.hold).max(asked) + lease,
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,41 @@
+//! One instance: it takes jobs, answers for them, and schedules them while it
+//! holds the lease.
+//!
+//! All instances are alike and keep nothing. What must last is in the store, and
+//! each answer rests on a row there:
+//!
+//! | fact | row | made true by |
+//! |---|---|---|
+//! | a job is accepted | `jobs`/hash/ID | a write on condition that the row is absent |
+//! | a job is cancelled | `jobs`/hash/ID.c | a write |
+//! | what became of a job | `records`/all/ID | the owner's journal |
+//! | who decides | `lease`/all/owner | a write on condition of the version seen |
+//! | the journal's end | `journal`/all/head | each write of the journal, and a takeover |
+//!
+//! One instance owns the lease and decides about all jobs; a takeover moves the
+//! journal's head, so that the old owner's next write fails, and raises the epoch
+//! that workers check. Instances exchange no messages: they meet in the store.
+//!
+//! Limits: the owner's processor bounds the starts a second; see docs/CAPACITY.md.
+
+mod config;
+mod error;
+mod follow;
+mod front;
+mod lease;
+pub mod logging;
+mod metrics;
+mod owner;
+mod program;
+mod protocol;
+mod rows;
+mod settings;
+mod shared;
+mod store;
+
+pub use config::{Config, FrontLimits, Queue};
+pub use error::NodeError;
+pub use program::run;
+pub use protocol::{Order, Protocol, ProtocolError, Submission};
+pub use settings::NodeSettings;
+pub use store::{Changes, Commit, Expect, Page, Range, Row, Store, StoreError, Tx, Write};
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,94 @@
+//! Counters and latency histograms, served as text.
+
+use std::{
+    fmt::Write,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use hdrhistogram::Histogram;
+
+/// Digits that histograms keep.
+const DIGITS: u8 = 2;
+
+/// Longest time a histogram tells apart, in milliseconds.
+const LONGEST: u64 = 120_000;
+
+/// Events that are counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Count {
+    /// Jobs accepted.
+    Accepted,
+    /// Jobs refused since the store did not take them.
+    Refused,
+    /// Requests whose effect could not be told to their caller.
+    Unclear,
+    /// Requests for which there is no queue or job.
+    Missing,
+    /// Cancellations taken.
+    Cancelled,
+    /// Times this instance became the owner.
+    Takeovers,
+    /// Calls to the store that failed.
+    StoreErrors,
+}
+
+/// Names of the counters, in the order of [`Count`].
+const NAMES: [&str; 7] = [
+    "accepted",
+    "refused",
+    "unclear",
+    "missing",
+    "cancelled",
+    "takeovers",
+    "store_errors",
+];
+
+/// Counters and histograms of one process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    counts: [AtomicU64; NAMES.len()],
+    accept: Mutex<Histogram<u32>>,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let histogram = Histogram::new_with_max(LONGEST, DIGITS);
+        // The bounds are constants that the library takes.
+        let accept = histogram.unwrap_or_else(|_| Histogram::new(DIGITS).expect("two digits"));
+        Metrics {
+            counts: Default::default(),
+            accept: Mutex::new(accept),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts an event.
+    pub(crate) fn count(&self, count: Count) {
+        self.counts[count as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records how long it took to accept a job, in milliseconds.
+    pub(crate) fn accepted(&self, ms: u64) {
+        self.count(Count::Accepted);
+        let mut accept = self.accept.lock().unwrap_or_else(PoisonError::into_inner);
+        accept.saturating_record(ms);
+    }
+
+    /// Returns all as text, one figure a line.
+    pub(crate) fn text(&self) -> String {
+        let mut out = String::new();
+        for (name, count) in NAMES.iter().zip(&self.counts) {
+            let _ = writeln!(out, "gorsespur_{name} {}", count.load(Ordering::Relaxed));
+        }
+        let accept = self.accept.lock().unwrap_or_else(PoisonError::into_inner);
+        for quantile in [0.5, 0.95, 0.99, 1.0] {
+            let ms = accept.value_at_quantile(quantile);
+            let _ = writeln!(out, "gorsespur_accept_ms{{quantile=\"{quantile}\"}} {ms}");
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/feed.rs
@@ -0,0 +1,166 @@
+//! Follows the accepted jobs and the workers' announcements.
+
+use std::{sync::Arc, time::Duration};
+
+use gorsespur_jobs::{Event, Job};
+use gorsespur_runtime::cancel::Cancel;
+
+use super::{load::all_jobs, turn::Input};
+use crate::{
+    metrics::Count,
+    rows::{JOBS, JobKey, decode, job_key},
+    shared::Shared,
+    store::{Row, StoreError, read_all},
+};
+
+/// How long one question for changes waits; it bounds how late a thread ends.
+const WAIT: Duration = Duration::from_millis(1000);
+
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// Where a table's changes are to be followed from.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Follow {
+    /// The version; nothing if the whole table has to be read.
+    pub(crate) version: Option<u64>,
+    /// Keys that were there when last told, sorted.
+    pub(crate) keys: Vec<String>,
+}
+
+impl Follow {
+    /// Follows from a version on.
+    pub(crate) fn new(version: u64) -> Follow {
+        Follow {
+            version: Some(version),
+            keys: Vec::new(),
+        }
+    }
+
+    /// Begins with the whole table.
+    pub(crate) fn anew() -> Follow {
+        Follow::default()
+    }
+}
+
+/// Follows the accepted jobs until cancelled.
+pub(crate) fn jobs(shared: &Arc<Shared>, mut follow: Follow, input: &Input, cancel: &Cancel) {
+    while !cancel.is_cancelled() {
+        let mut events = Vec::new();
+        let step = match follow.version {
+            None => list_jobs(shared, &mut follow, &mut events),
+            Some(after) => {
+                let changes = shared.store.changes(JOBS, after, WAIT);
+                changes.map(|c| {
+                    take_jobs(&c.rows, &mut events);
+                    follow.version = Some(c.version);
+                })
+            }
+        };
+        if let Err(err) = step {
+            failed(shared, &mut follow, &err, cancel);
+        }
+        input.events(events);
+    }
+}
+
+fn list_jobs(
+    shared: &Shared,
+    follow: &mut Follow,
+    events: &mut Vec<Event>,
+) -> Result<(), StoreError> {
+    let (rows, version) = all_jobs(shared)?;
+    take_jobs(&rows, events);
+    follow.version = Some(version);
+    Ok(())
+}
+
+/// Turns rows of accepted jobs into events; cancellations come last.
+pub(crate) fn take_jobs(rows: &[Row], events: &mut Vec<Event>) {
+    let mut cancels = Vec::new();
+    for row in rows.iter().filter(|r| !r.removed) {
+        match job_key(&row.key) {
+            Some(JobKey::Job) => {
+                let job = decode::<Job>("job", &row.value);
+                events.extend(job.map(|j| Event::Accepted(Arc::new(j))));
+            }
+            Some(JobKey::Cancel(id)) => cancels.push(Event::Cancelled(id)),
+            None => log::warn!(key = row.key.as_str(); "jobs: unknown key"),
+        }
+    }
+    events.extend(cancels);
+}
+
+/// Follows the workers' announcements until cancelled.
+pub(crate) fn workers(shared: &Arc<Shared>, mut follow: Follow, input: &Input, cancel: &Cancel) {
+    let table = shared.protocol.workers_table();
+    while !cancel.is_cancelled() {
+        let mut events = Vec::new();
+        let step = match follow.version {
+            None => list_workers(shared, &mut follow, &mut events),
+            Some(after) => {
+                let changes = shared.store.changes(table, after, WAIT);
+                changes.map(|c| {
+                    take_workers(shared, &mut follow, &c.rows, &mut events);
+                    follow.version = Some(c.version);
+                })
+            }
+        };
+        if let Err(err) = step {
+            failed(shared, &mut follow, &err, cancel);
+        }
+        input.events(events);
+    }
+}
+
+/// Reads all announcements; those that are no longer there are told as gone.
+pub(crate) fn list_workers(
+    shared: &Shared,
+    follow: &mut Follow,
+    events: &mut Vec<Event>,
+) -> Result<(), StoreError> {
+    let page = read_all(&*shared.store, shared.protocol.workers_table(), "")?;
+    for key in &follow.keys {
+        if !page.rows.iter().any(|r| r.key == *key) {
+            events.push(Event::Unlisted(key.as_str().into()));
+        }
+    }
+    follow.keys.clear();
+    take_workers(shared, follow, &page.rows, events);
+    follow.version = Some(page.version);
+    Ok(())
+}
+
+fn take_workers(shared: &Shared, follow: &mut Follow, rows: &[Row], events: &mut Vec<Event>) {
+    for row in rows {
+        let at = follow.keys.binary_search(&row.key);
+        if row.removed {
+            log::info!(worker = row.key.as_str(); "worker: no longer listed");
+            events.push(Event::Unlisted(row.key.as_str().into()));
+            if let Ok(at) = at {
+                follow.keys.remove(at);
+            }
+            continue;
+        }
+        match shared.protocol.worker(row) {
+            Ok(info) => {
+                log::info!(worker = row.key.as_str(), addr = info.addr.to_string().as_str(), ready = info.ready; "worker: listed");
+                events.push(Event::Worker(info));
+            }
+            Err(err) => log::warn!(worker = row.key.as_str(), err = err.to_string().as_str(); "worker: can't be read"),
+        }
+        if let Err(at) = at {
+            follow.keys.insert(at, row.key.clone());
+        }
+    }
+}
+
+fn failed(shared: &Shared, follow: &mut Follow, err: &StoreError, cancel: &Cancel) {
+    shared.metrics.count(Count::StoreErrors);
+    log::debug!(err = err.to_string().as_str(); "feed: failed");
+    if *err == StoreError::Forgotten {
+        log::info!("feed: history forgotten, the table is read anew");
+        follow.version = None;
+    }
+    cancel.wait(PAUSE);
+}
--- /dev/null
+++ b/crates/node/src/owner/journal.rs
@@ -0,0 +1,191 @@
+//! Writes the journal: batches of records, and renewals of the lease.
+//!
+//! Each write is conditional on the journal's end and moves it, so that a write
+//! whose answer was lost can be sent again: one of the two takes effect, and the
+//! number in the end tells which write that was.
+
+use std::{
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use flume::{Receiver, RecvTimeoutError};
+use gorsespur_jobs::JobId;
+use rand::Rng;
+
+use super::{Tenure, turn::Input};
+use crate::{
+    metrics::Count,
+    rows::{HEAD, HeadRow, JOURNAL, LEASE, LeaseRow, OWNER, OWNER_PART, RECORDS, decode, encode},
+    shared::Shared,
+    store::{Commit, Expect, Row, StoreError, Tx, Write},
+};
+
+/// The lease is renewed this often, in milliseconds.
+const RENEW: u64 = 400;
+
+/// First pause after a failure; it doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest pause after a failure.
+const LAST_PAUSE: Duration = Duration::from_millis(300);
+
+/// What the journal is told.
+pub(crate) enum Entry {
+    /// Make records durable.
+    Records(Vec<(JobId, Vec<u8>)>),
+    /// What the lease tells others from now on.
+    Pending(Vec<(Arc<str>, u64)>),
+    /// Give the lease back.
+    Release,
+}
+
+struct Journal<'a> {
+    shared: &'a Arc<Shared>,
+    lease: LeaseRow,
+    head: u64,
+    number: u64,
+    renewed: u64,
+}
+
+/// Writes until the lease is lost, given back, or the ring is closed.
+pub(crate) fn write(shared: &Arc<Shared>, tenure: Tenure, ring: &Receiver<Entry>, input: &Input) {
+    let mut journal = Journal {
+        shared,
+        lease: LeaseRow {
+            owner: shared.settings.name.to_string(),
+            epoch: tenure.epoch,
+            released: false,
+            pending: Vec::new(),
+        },
+        head: tenure.head,
+        number: 0,
+        renewed: shared.clock.now(),
+    };
+    loop {
+        let due = (journal.renewed + RENEW).saturating_sub(shared.clock.now());
+        let entry = match ring.recv_timeout(Duration::from_millis(due)) {
+            Ok(entry) => Some(entry),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        let (records, release) = match entry {
+            Some(Entry::Pending(pending)) => {
+                journal.lease.pending = pending;
+                continue;
+            }
+            Some(Entry::Records(records)) => (records, false),
+            Some(Entry::Release) => (Vec::new(), true),
+            None => (Vec::new(), false),
+        };
+        journal.lease.released = release;
+        let told = !records.is_empty();
+        if !journal.append(records, ring) {
+            input.deposed();
+            return;
+        }
+        if release {
+            return;
+        }
+        input.durable(told);
+    }
+}
+
+impl Journal<'_> {
+    /// Writes one batch; false if the lease is lost.
+    fn append(&mut self, records: Vec<(JobId, Vec<u8>)>, ring: &Receiver<Entry>) -> bool {
+        self.number += 1;
+        let tx = self.tx(records);
+        let mut pause = FIRST_PAUSE;
+        let mut failing = false;
+        loop {
+            match self.shared.store.commit(&tx) {
+                Ok(Commit::Done(version)) => {
+                    self.accept(version, failing);
+                    return true;
+                }
+                Ok(Commit::Conflict(rows)) => return self.conflict(&rows, failing),
+                Err(err) => {
+                    if !failing {
+                        log::warn!(err = err.to_string().as_str(), number = self.number; "journal: write failed");
+                    }
+                    failing = true;
+                    self.shared.metrics.count(Count::StoreErrors);
+                    if ring.is_disconnected() && matches!(err, StoreError::Unavailable { .. }) {
+                        return false;
+                    }
+                }
+            }
+            let jitter = rand::rng().random_range(50..100);
+            thread::sleep(pause * jitter / 100);
+            pause = (pause * 2).min(LAST_PAUSE);
+        }
+    }
+
+    fn accept(&mut self, version: u64, failing: bool) {
+        if failing {
+            log::info!(number = self.number; "journal: writes again");
+        }
+        self.head = version;
+        self.renewed = self.shared.clock.now();
+        self.shared.touched();
+    }
+
+    /// The end is not as expected: an earlier try of this write was done, or
+    /// another instance owns the lease.
+    fn conflict(&mut self, rows: &[Row], failing: bool) -> bool {
+        let row = rows.iter().find(|r| r.key == HEAD);
+        let found = row.and_then(|r| decode::<HeadRow>("head", &r.value).map(|h| (h, r.version)));
+        let mine = HeadRow {
+            epoch: self.lease.epoch,
+            number: self.number,
+        };
+        match found {
+            Some((head, version)) if head == mine => {
+                self.accept(version, failing);
+                true
+            }
+            _ => {
+                log::warn!(epoch = self.lease.epoch; "journal: another instance owns the lease");
+                false
+            }
+        }
+    }
+
+    fn tx(&self, records: Vec<(JobId, Vec<u8>)>) -> Tx {
+        let head = HeadRow {
+            epoch: self.lease.epoch,
+            number: self.number,
+        };
+        let mut writes = vec![Write {
+            table: JOURNAL,
+            key: HEAD.into(),
+            value: encode(&head),
+        }];
+        let due = self.shared.clock.now() >= self.renewed + RENEW;
+        if due || records.is_empty() || self.lease.released {
+            writes.push(Write {
+                table: LEASE,
+                key: OWNER.into(),
+                value: encode(&self.lease),
+            });
+        }
+        for (id, value) in records {
+            writes.push(Write {
+                table: RECORDS,
+                key: id.to_string(),
+                value,
+            });
+        }
+        Tx {
+            part: OWNER_PART.into(),
+            expects: vec![Expect {
+                table: JOURNAL,
+                key: HEAD.into(),
+                version: self.head,
+            }],
+            writes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/lines.rs
@@ -0,0 +1,258 @@
+//! The connections to the workers.
+
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
+
+use gorsespur_http::{HttpError, Link, Response};
+use gorsespur_jobs::Answer;
+use mio::{Registry, Token};
+
+use crate::{protocol::Order, shared::Shared};
+
+/// Connections to one worker: one for looks, and the others for orders.
+const LINES: usize = 5;
+
+/// Time for an answer beyond what the worker is asked to wait, in milliseconds.
+/// A look may wait longer, since nothing hangs on it alone.
+const LOOK_LIMIT: u64 = 900;
+
+/// Time for an answer to an order, in milliseconds. Workers answer within 5; one
+/// that does not may still carry the order out, which then has to be found out.
+const ORDER_LIMIT: u64 = 700;
+
+/// An order on its way.
+#[derive(Debug)]
+struct Call {
+    order: Order,
+    sent: u64,
+    until: u64,
+}
+
+/// One connection, and what is asked on it.
+#[derive(Debug, Default)]
+struct Line {
+    link: Option<Link>,
+    call: Option<Call>,
+}
+
+/// The connections to one worker.
+#[derive(Debug)]
+struct Post {
+    addr: SocketAddr,
+    id: Arc<str>,
+    lines: [Line; LINES],
+    waiting: VecDeque<Order>,
+}
+
+/// The connections to all workers.
+#[derive(Debug)]
+pub(crate) struct Lines {
+    shared: Arc<Shared>,
+    epoch: u64,
+    posts: Vec<Option<Post>>,
+    /// What came of orders, with the worker and the time they were sent.
+    answers: Vec<(u32, u64, Answer)>,
+}
+
+impl std::fmt::Debug for Shared {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Shared").field("settings", &self.settings).finish()
+    }
+}
+
+impl Lines {
+    pub(crate) fn new(shared: &Arc<Shared>, epoch: u64) -> Lines {
+        Lines {
+            shared: shared.clone(),
+            epoch,
+            posts: Vec::new(),
+            answers: Vec::new(),
+        }
+    }
+
+    /// Returns what came of orders since the last call.
+    pub(crate) fn take_answers(&mut self) -> Vec<(u32, u64, Answer)> {
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Sends an order to a worker, or queues it until a connection is free.
+    pub(crate) fn send(
+        &mut self,
+        registry: &Registry,
+        worker: u32,
+        target: (SocketAddr, Arc<str>),
+        order: Order,
+    ) {
+        let slot = worker as usize;
+        while self.posts.len() <= slot {
+            self.posts.push(None);
+        }
+        let (addr, id) = target;
+        let post = self.posts[slot].get_or_insert_with(|| Post {
+            addr,
+            id,
+            lines: Default::default(),
+            waiting: VecDeque::new(),
+        });
+        let line = match order {
+            Order::Look { .. } => Some(0).filter(|_| post.lines[0].call.is_none()),
+            _ => free_line(post),
+        };
+        match line {
+            Some(line) => self.call(registry, worker, line, order),
+            None => post.waiting.push_back(order),
+        }
+    }
+
+    /// Handles a connection that became ready.
+    pub(crate) fn ready(&mut self, registry: &Registry, token: Token, read: bool, write: bool) {
+        let (worker, line) = ((token.0 / LINES) as u32, token.0 % LINES);
+        let Some(Some(post)) = self.posts.get_mut(worker as usize) else {
+            return;
+        };
+        let Some(link) = post.lines[line].link.as_mut() else {
+            return;
+        };
+        let mut result = Ok(None);
+        if write {
+            result = link.writable().map(|()| None);
+        }
+        if read && result.is_ok() {
+            result = link.readable();
+        }
+        match result {
+            Ok(None) => {}
+            Ok(Some(response)) => {
+                if !response.keep {
+                    self.close(registry, worker, line);
+                }
+                self.finish(worker, line, Ok(response));
+            }
+            Err(err) => {
+                self.close(registry, worker, line);
+                self.finish(worker, line, Err(err));
+            }
+        }
+        self.next(registry, worker, line);
+    }
+
+    /// Gives up what got no answer in time.
+    pub(crate) fn expire(&mut self, registry: &Registry, now: u64) {
+        for worker in 0..self.posts.len() {
+            for line in 0..LINES {
+                let Some(post) = &self.posts[worker] else {
+                    break;
+                };
+                let call = post.lines[line].call.as_ref();
+                if call.is_none_or(|c| c.until > now) {
+                    continue;
+                }
+                self.close(registry, worker as u32, line);
+                self.finish(worker as u32, line, Err(HttpError::Timeout));
+                self.next(registry, worker as u32, line);
+            }
+        }
+    }
+
+    /// Closes all connections to a worker that is not needed any more.
+    pub(crate) fn drop_worker(&mut self, registry: &Registry, worker: u32) {
+        let Some(post) = self.posts.get_mut(worker as usize) else {
+            return;
+        };
+        let Some(post) = post.take_if(|p| p.lines.iter().all(|l| l.call.is_none())) else {
+            return;
+        };
+        for line in post.lines {
+            if let Some(link) = line.link {
+                link.close(registry);
+            }
+        }
+    }
+
+    /// Asks what is queued next on a connection that became free.
+    fn next(&mut self, registry: &Registry, worker: u32, line: usize) {
+        if line == 0 {
+            return;
+        }
+        let Some(Some(post)) = self.posts.get_mut(worker as usize) else {
+            return;
+        };
+        if post.lines[line].call.is_some() {
+            return;
+        }
+        if let Some(order) = post.waiting.pop_front() {
+            self.call(registry, worker, line, order);
+        }
+    }
+
+    fn call(&mut self, registry: &Registry, worker: u32, line: usize, order: Order) {
+        let now = self.shared.clock.now();
+        let Some(Some(post)) = self.posts.get_mut(worker as usize) else {
+            return;
+        };
+        let request = self.shared.protocol.order(&order, self.epoch, &post.id);
+        let limit = match &order {
+            Order::Look { wait, .. } => wait + LOOK_LIMIT,
+            _ => ORDER_LIMIT,
+        };
+        let at = &mut post.lines[line];
+        at.call = Some(Call {
+            order,
+            sent: now,
+            until: now + limit,
+        });
+        if at.link.is_none() {
+            let token = Token(worker as usize * LINES + line);
+            match Link::connect(post.addr, registry, token) {
+                Ok(link) => at.link = Some(link),
+                Err(err) => return self.finish(worker, line, Err(err)),
+            }
+        }
+        let sent = at.link.as_mut().map(|l| l.send(&request));
+        if let Some(Err(err)) = sent {
+            self.close(registry, worker, line);
+            self.finish(worker, line, Err(err));
+        }
+    }
+
+    fn close(&mut self, registry: &Registry, worker: u32, line: usize) {
+        let Some(Some(post)) = self.posts.get_mut(worker as usize) else {
+            return;
+        };
+        if let Some(link) = post.lines[line].link.take() {
+            link.close(registry);
+        }
+    }
+
+    fn finish(&mut self, worker: u32, line: usize, result: Result<Response, HttpError>) {
+        let Some(Some(post)) = self.posts.get_mut(worker as usize) else {
+            return;
+        };
+        let Some(call) = post.lines[line].call.take() else {
+            return;
+        };
+        if let Err(err) = &result {
+            log::info!(worker = &*post.id, order = name(&call.order), err = err.to_string().as_str(), ms = self.shared.clock.now() - call.sent; "order: no answer");
+        }
+        let answer = self.shared.protocol.answer(&call.order, result);
+        self.answers.push((worker, call.sent, answer));
+    }
+}
+
+/// Returns a connection for orders that is free: one that stands, else a new one.
+fn free_line(post: &Post) -> Option<usize> {
+    let free = |l: &usize| post.lines[*l].call.is_none();
+    let open = |l: &usize| post.lines[*l].link.is_some();
+    let found = (1..LINES).filter(free).find(open);
+    // A second connection is worth its price only if the first one is held up.
+    let busy = (1..LINES).filter(|l| !free(l)).count();
+    found.or_else(|| (busy == 0 || post.waiting.len() >= busy * 3).then(|| (1..LINES).find(free))?)
+}
+
+fn name(order: &Order) -> &'static str {
+    match order {
+        Order::Look { .. } => "look",
+        Order::Start(_) => "start",
+        Order::Stop(..) => "stop",
+        Order::Pace(..) => "pace",
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner/load.rs
@@ -0,0 +1,78 @@
+//! Reads all jobs and workers after a takeover.
+
+use std::sync::Arc;
+
+use gorsespur_jobs::{Event, Job, Machine, Record, Sorted};
+use gorsespur_runtime::clock::wall_ms;
+
+use super::{Tenure, feed::Follow};
+use crate::{
+    rows::{JOBS, OWNER_PART, RECORDS, decode},
+    shared::Shared,
+    store::{Row, StoreError, read_all},
+};
+
+/// A machine that knows all jobs, and from where on changes are to be followed.
+pub(crate) struct Loaded {
+    pub(crate) machine: Machine,
+    pub(crate) jobs: Follow,
+    pub(crate) workers: Follow,
+}
+
+/// Reads all jobs, their records and the workers.
+pub(crate) fn load(shared: &Arc<Shared>, tenure: Tenure) -> Result<Loaded, StoreError> {
+    let store = &*shared.store;
+    let now = shared.clock.now();
+    let mut machine = Machine::new(shared.settings.jobs, now, tenure.inherited);
+    let mut records: Sorted<String, Record> = Sorted::default();
+    // The jobs first: a record that is newer than its job's row does no harm.
+    let (rows, version) = all_jobs(shared)?;
+    for row in read_all(store, RECORDS, OWNER_PART)?.rows {
+        match Record::decode(&row.value) {
+            Ok(record) => {
+                records.insert(row.key, record);
+            }
+            Err(err) => log::error!(key = row.key.as_str(), err = err.to_string().as_str(); "owner: record can't be read"),
+        }
+    }
+    for row in &rows {
+        let Some(record) = records.get(&row.key) else {
+            continue;
+        };
+        if let Some(job) = decode::<Job>("job", &row.value) {
+            machine.restore(Arc::new(job), record);
+        }
+    }
+    let mut jobs = Follow::new(version);
+    let mut workers = Follow::anew();
+    let mut events = Vec::new();
+    feed::take_jobs(&rows, &mut events);
+    if let Some(config) = shared.config() {
+        events.push(Event::Queues(config.policies()));
+    }
+    feed::list_workers(shared, &mut workers, &mut events)?;
+    jobs.version = Some(version);
+    for event in events {
+        machine.handle(shared.clock.now(), wall_ms(), event);
+    }
+    Ok(Loaded {
+        machine,
+        jobs,
+        workers,
+    })
+}
+
+/// Reads the rows of all accepted jobs, and the version before the first read.
+pub(crate) fn all_jobs(shared: &Shared) -> Result<(Vec<Row>, u64), StoreError> {
+    let store = &*shared.store;
+    let mut rows = Vec::new();
+    let mut version = None;
+    for part in crate::rows::job_parts() {
+        let page = read_all(store, JOBS, &part)?;
+        version.get_or_insert(page.version);
+        rows.extend(page.rows);
+    }
+    Ok((rows, version.unwrap_or(0)))
+}
+
+use super::feed;
--- /dev/null
+++ b/crates/node/src/owner/turn.rs
@@ -0,0 +1,234 @@
+//! The thread that decides: it waits for answers and inputs, and acts.
+
+use std::{io, sync::Arc, time::Duration};
+
+use flume::{Receiver, Sender};
+use gorsespur_jobs::{Action, Event, Machine};
+use gorsespur_runtime::{cancel::Cancel, clock::wall_ms};
+use mio::{Events, Poll, Token, Waker};
+
+use super::{RING, Tenure, journal::Entry, lines::Lines};
+use crate::{config::Config, protocol::Order, shared::Shared};
+
+/// Longest sleep: times run out within this precision.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Connections that one wake-up handles at most.
+const EVENTS: usize = 256;
+
+/// Token of the waker; no connection has it.
+const WAKE: Token = Token(usize::MAX);
+
+/// What lies behind is told this often, in milliseconds.
+const TELL_PERIOD: u64 = 300;
+
+/// What other threads tell the one that decides.
+enum Told {
+    Events(Vec<Event>),
+    Durable(bool),
+    Deposed,
+}
+
+/// The sending end of the ring to the thread that decides.
+#[derive(Clone)]
+pub(crate) struct Input {
+    ring: Sender<Told>,
+    waker: Arc<Waker>,
+}
+
+impl Input {
+    /// Passes events on.
+    pub(crate) fn events(&self, events: Vec<Event>) {
+        if !events.is_empty() {
+            self.tell(Told::Events(events));
+        }
+    }
+
+    /// A write of the journal is durable; `batch` tells whether it held records.
+    pub(crate) fn durable(&self, batch: bool) {
+        self.tell(Told::Durable(batch));
+    }
+
+    /// The lease is lost.
+    pub(crate) fn deposed(&self) {
+        self.tell(Told::Deposed);
+    }
+
+    fn tell(&self, told: Told) {
+        // The other end is gone only when the tenure is over.
+        let sent = self.ring.send(told).is_ok();
+        if sent && let Err(err) = self.waker.wake() {
+            log::warn!(err = err.to_string().as_str(); "owner: no wake-up");
+        }
+    }
+}
+
+/// The state of the thread that decides.
+pub(crate) struct Turn {
+    shared: Arc<Shared>,
+    machine: Machine,
+    lines: Lines,
+    poll: Poll,
+    input: Input,
+    told: Receiver<Told>,
+    config: Option<Arc<Config>>,
+    tell_at: u64,
+    over: bool,
+}
+
+impl Turn {
+    /// Makes the event loop.
+    pub(crate) fn new(shared: &Arc<Shared>, tenure: Tenure, machine: Machine) -> io::Result<Turn> {
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), WAKE)?);
+        let (ring, told) = flume::bounded(RING);
+        Ok(Turn {
+            shared: shared.clone(),
+            machine,
+            lines: Lines::new(shared, tenure.epoch),
+            poll,
+            input: Input { ring, waker },
+            told,
+            config: None,
+            tell_at: 0,
+            over: false,
+        })
+    }
+
+    /// Returns the sending end of the ring.
+    pub(crate) fn input(&self) -> Input {
+        self.input.clone()
+    }
+
+    /// Decides until the lease is lost or `cancel` is cancelled.
+    pub(crate) fn run(mut self, journal: &Sender<Entry>, cancel: &Cancel) {
+        let mut events = Events::with_capacity(EVENTS);
+        while !self.over && !cancel.is_cancelled() {
+            if let Err(err) = self.poll.poll(&mut events, Some(TICK))
+                && err.kind() != io::ErrorKind::Interrupted
+            {
+                log::error!(err = err.to_string().as_str(); "owner: event loop failed");
+                break;
+            }
+            for event in &events {
+                if event.token() == WAKE {
+                    continue;
+                }
+                let read = event.is_readable() || event.is_read_closed() || event.is_error();
+                let registry = self.poll.registry();
+                self.lines.ready(registry, event.token(), read, event.is_writable());
+            }
+            self.turn(journal);
+        }
+        if !self.over {
+            self.send(journal, Entry::Release);
+        }
+    }
+
+    fn turn(&mut self, journal: &Sender<Entry>) {
+        let now = self.shared.clock.now();
+        self.lines.expire(self.poll.registry(), now);
+        self.take_told(now);
+        self.take_config(now);
+        // Sending may fail at once, which is an answer again.
+        loop {
+            for (worker, sent, answer) in self.lines.take_answers() {
+                let event = Event::Answer {
+                    worker,
+                    sent,
+                    answer,
+                };
+                self.machine.handle(now, wall_ms(), event);
+            }
+            let actions = self.machine.settle(now, wall_ms());
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.act(action, journal);
+            }
+        }
+        if now >= self.tell_at {
+            self.tell_at = now + TELL_PERIOD;
+            self.send(journal, Entry::Pending(self.machine.pending()));
+            for worker in self.machine.closable() {
+                self.lines.drop_worker(self.poll.registry(), worker);
+            }
+        }
+    }
+
+    fn take_told(&mut self, now: u64) {
+        while let Ok(told) = self.told.try_recv() {
+            match told {
+                Told::Events(events) => {
+                    for event in events {
+                        self.machine.handle(now, wall_ms(), event);
+                    }
+                }
+                Told::Durable(batch) => {
+                    let event = if batch { Event::Committed } else { Event::Renewed };
+                    self.machine.handle(now, wall_ms(), event);
+                }
+                Told::Deposed => self.over = true,
+            }
+        }
+    }
+
+    fn take_config(&mut self, now: u64) {
+        let config = self.shared.config();
+        let known = |c: &Option<Arc<Config>>| c.as_ref().map(|c| c.version);
+        if known(&config) == known(&self.config) {
+            return;
+        }
+        if let Some(config) = &config {
+            let event = Event::Queues(config.policies());
+            self.machine.handle(now, wall_ms(), event);
+        }
+        self.config = config;
+    }
+
+    fn act(&mut self, action: Action, journal: &Sender<Entry>) {
+        if self.over {
+            return;
+        }
+        let (worker, order) = match action {
+            Action::Look {
+                worker,
+                observed,
+                deadline,
+                wait,
+            } => {
+                let order = Order::Look {
+                    observed,
+                    deadline,
+                    wait,
+                };
+                (worker, order)
+            }
+            Action::Start(worker, start) => (worker, Order::Start(start)),
+            Action::Stop { worker, task, run } => (worker, Order::Stop(task, run)),
+            Action::Pace {
+                worker,
+                task,
+                run,
+                percent,
+            } => (worker, Order::Pace(task, run, percent)),
+            Action::Commit(records) => return self.send(journal, Entry::Records(records)),
+            Action::Depose => {
+                log::warn!("owner: a worker has seen a higher epoch");
+                self.over = true;
+                return;
+            }
+        };
+        if let Some(target) = self.machine.worker(worker) {
+            let registry = self.poll.registry();
+            self.lines.send(registry, worker, target, order);
+        }
+    }
+
+    fn send(&self, journal: &Sender<Entry>, entry: Entry) {
+        if journal.send(entry).is_err() {
+            log::debug!("owner: journal has ended");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/rows.rs
@@ -0,0 +1,104 @@
+//! Names and contents of the node's own rows.
+
+use std::sync::Arc;
+
+use gorsespur_jobs::JobId;
+use serde::{Deserialize, Serialize};
+
+/// Jobs as they were accepted, and their cancellations.
+pub(crate) const JOBS: &str = "jobs";
+
+/// What became of jobs.
+pub(crate) const RECORDS: &str = "records";
+
+/// Who decides.
+pub(crate) const LEASE: &str = "lease";
+
+/// The journal's end.
+pub(crate) const JOURNAL: &str = "journal";
+
+/// The part that all of the owner's rows are in, so that one transaction spans them.
+pub(crate) const OWNER_PART: &str = "all";
+
+/// Key of the lease.
+pub(crate) const OWNER: &str = "owner";
+
+/// Key of the journal's end.
+pub(crate) const HEAD: &str = "head";
+
+/// Parts of the accepted jobs. A part takes some 150 transactions a second one
+/// after another, so that several keep accepting quick in a burst.
+const JOB_PARTS: u64 = 4;
+
+/// What follows a job's name in the key of its cancellation.
+const CANCEL: &str = ".c";
+
+/// Returns the part of a job's rows.
+pub(crate) fn job_part(id: JobId) -> String {
+    (id.0 % JOB_PARTS).to_string()
+}
+
+/// Returns all parts of the accepted jobs.
+pub(crate) fn job_parts() -> impl Iterator<Item = String> {
+    (0..JOB_PARTS).map(|p| p.to_string())
+}
+
+/// Returns the key of a job's cancellation.
+pub(crate) fn cancel_key(id: JobId) -> String {
+    format!("{id}{CANCEL}")
+}
+
+/// What a key among the accepted jobs names.
+pub(crate) enum JobKey {
+    /// A job.
+    Job,
+    /// Its cancellation.
+    Cancel(JobId),
+}
+
+/// Reads a key among the accepted jobs.
+pub(crate) fn job_key(key: &str) -> Option<JobKey> {
+    match key.strip_suffix(CANCEL) {
+        Some(id) => id.parse().ok().map(JobKey::Cancel),
+        None => key.parse::<JobId>().ok().map(|_| JobKey::Job),
+    }
+}
+
+/// The row of the lease.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LeaseRow {
+    /// Name of the owner.
+    pub(crate) owner: String,
+    /// Grows with each owner; the fencing token at the workers.
+    pub(crate) epoch: u64,
+    /// Whether the owner has given it back and sends nothing any more.
+    pub(crate) released: bool,
+    /// Jobs by queue none of whose tasks has begun.
+    pub(crate) pending: Vec<(Arc<str>, u64)>,
+}
+
+/// The row of the journal's end: who wrote last, and which write it was.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HeadRow {
+    /// The writer's epoch.
+    pub(crate) epoch: u64,
+    /// Number of the write in that epoch.
+    pub(crate) number: u64,
+}
+
+/// Writes a row's value.
+pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    // Writing plain data to a vector can't fail.
+    rmp_serde::to_vec(value).unwrap_or_default()
+}
+
+/// Reads a row's value; logs what can't be read.
+pub(crate) fn decode<'a, T: Deserialize<'a>>(what: &str, bytes: &'a [u8]) -> Option<T> {
+    match rmp_serde::from_slice(bytes) {
+        Ok(value) => Some(value),
+        Err(err) => {
+            log::error!(what, err = err.to_string().as_str(); "store: row can't be read");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,78 @@
+//! What the threads of a node share.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use gorsespur_runtime::clock::Clock;
+
+use crate::{config::Config, metrics::Metrics, protocol::Protocol, settings::NodeSettings, store::Store};
+
+/// What the threads of a node share.
+pub(crate) struct Shared {
+    pub(crate) settings: NodeSettings,
+    pub(crate) store: Box<dyn Store>,
+    pub(crate) protocol: Box<dyn Protocol>,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
+    config: Mutex<Option<Arc<Config>>>,
+    /// When the store last answered, in milliseconds.
+    contact: AtomicU64,
+    /// Whether the process is about to end.
+    pub(crate) leaving: AtomicBool,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: NodeSettings,
+        store: Box<dyn Store>,
+        protocol: Box<dyn Protocol>,
+    ) -> Shared {
+        Shared {
+            settings,
+            store,
+            protocol,
+            clock: Clock::new(),
+            metrics: Metrics::default(),
+            config: Mutex::new(None),
+            contact: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the newest configuration, if any was read.
+    pub(crate) fn config(&self) -> Option<Arc<Config>> {
+        let config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
+        config.clone()
+    }
+
+    /// Takes a configuration unless a newer one is in force; tells whether it changed.
+    pub(crate) fn offer(&self, new: Config) -> bool {
+        let mut config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
+        if config.as_ref().is_some_and(|c| c.version >= new.version) {
+            return false;
+        }
+        log::info!(version = new.version, queues = new.queues.len(); "config: in force");
+        *config = Some(Arc::new(new));
+        true
+    }
+
+    /// Takes note that the store answered.
+    pub(crate) fn touched(&self) {
+        self.contact.store(self.clock.now(), Ordering::Relaxed);
+    }
+
+    /// Returns the milliseconds since the store last answered.
+    pub(crate) fn silence(&self) -> u64 {
+        let last = self.contact.load(Ordering::Relaxed);
+        self.clock.now().saturating_sub(last)
+    }
+
+    /// Tells whether the process is about to end.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+}
--- a/crates/peer/src/agent.rs
+++ b/crates/peer/src/agent.rs
@@ -3,7 +3,7 @@
 use std::{net::UdpSocket, sync::Arc, thread, time::Duration};
 
 use gorsespur_core::{name::Name, route::RouteCounts, shard::ShardStatus};
-use gorsespur_platform::{Members, Table};
+use gorsespur_services::{Members, Table};
 use gorsespur_runtime::{
     cancel::Cancel,
     server::{Incoming, Reply},
--- a/crates/peer/src/config.rs
+++ b/crates/peer/src/config.rs
@@ -8,7 +8,7 @@
     retry::{Backoff, Breaker},
     spread::pick,
 };
-use gorsespur_platform::{Table, TableError, post};
+use gorsespur_services::{Table, TableError, post};
 use gorsespur_runtime::cancel::Cancel;
 use gorsespur_wire::{
     codec::decode,
--- a/crates/peer/src/list.rs
+++ b/crates/peer/src/list.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gorsespur_platform::Members;
+use gorsespur_services::Members;
 use gorsespur_runtime::cancel::Cancel;
 
 use crate::Shared;
--- a/crates/peer/tests/config.rs
+++ b/crates/peer/tests/config.rs
@@ -20,7 +20,7 @@
     document::Document,
 };
 use gorsespur_peer::{Agent, AgentSettings, Layout, Zone};
-use gorsespur_platform::{Members, MembersError, Table, TableError, fake::FakePlatform};
+use gorsespur_services::{Members, MembersError, Table, TableError, fake::FakePlatform};
 use gorsespur_runtime::{
     cancel::Cancel,
     server::{Limits, serve},
--- a/crates/sched/src/exchanger.rs
+++ b/crates/sched/src/exchanger.rs
@@ -7,7 +7,7 @@
     name::Name,
     shard::{Event, WorkerRequest},
 };
-use gorsespur_platform::Workers;
+use gorsespur_services::Workers;
 
 use crate::input::Input;
 
--- a/crates/sched/src/inbox.rs
+++ b/crates/sched/src/inbox.rs
@@ -8,7 +8,7 @@
     retry::Backoff,
     shard::{Event, JobSpec},
 };
-use gorsespur_platform::Table;
+use gorsespur_services::Table;
 use gorsespur_runtime::cancel::Cancel;
 use gorsespur_wire::{codec::decode, keys};
 
--- a/crates/sched/src/inquiry.rs
+++ b/crates/sched/src/inquiry.rs
@@ -15,7 +15,7 @@
 
 use flume::Sender;
 use gorsespur_core::{name::Name, shard::Event};
-use gorsespur_platform::post;
+use gorsespur_services::post;
 use gorsespur_runtime::cancel::Cancel;
 use gorsespur_wire::{
     paths::PEER_JOBS,
--- a/crates/sched/src/journal.rs
+++ b/crates/sched/src/journal.rs
@@ -13,7 +13,7 @@
     retry::Backoff,
     shard::{FinishedJob, Record},
 };
-use gorsespur_platform::{Table, TableError};
+use gorsespur_services::{Table, TableError};
 use gorsespur_runtime::{
     cancel::Cancel,
     clock::{Clock, wall_hour},
--- a/crates/sched/src/keeper.rs
+++ b/crates/sched/src/keeper.rs
@@ -10,7 +10,7 @@
     spread::stable_hash,
 };
 use gorsespur_peer::{ShardAt, Shared};
-use gorsespur_platform::{Objects, Table};
+use gorsespur_services::{Objects, Table};
 use gorsespur_runtime::{cancel::Cancel, metrics::Metrics};
 use gorsespur_wire::{codec::decode, keys};
 
--- a/crates/sched/src/program.rs
+++ b/crates/sched/src/program.rs
@@ -8,7 +8,7 @@
 };
 
 use gorsespur_peer::{Agent, Shared};
-use gorsespur_platform::{
+use gorsespur_services::{
     HttpMembers, HttpObjects, HttpTable, HttpWorkers, Objects, Table, Workers,
 };
 use gorsespur_runtime::{
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -1,7 +1,7 @@
 //! Recovery of a shard's book: snapshot and the journal behind it.
 
 use gorsespur_core::{name::Name, owner::ShardRow, shard::Book};
-use gorsespur_platform::{ObjectError, Objects, Table, TableError};
+use gorsespur_services::{ObjectError, Objects, Table, TableError};
 use gorsespur_wire::{
     codec::{CodecError, decode},
     keys, objects,
--- a/crates/sched/tests/journal.rs
+++ b/crates/sched/tests/journal.rs
@@ -9,7 +9,7 @@
     size::Size,
     template::Priority,
 };
-use gorsespur_platform::{
+use gorsespur_services::{
     Objects, Table,
     fake::{FakePlatform, Fault},
 };
--- a/crates/sched/tests/sweep.rs
+++ b/crates/sched/tests/sweep.rs
@@ -6,7 +6,7 @@
     name::Name,
     shard::{JobKey, checkpoint_key},
 };
-use gorsespur_platform::{Objects, Table, fake::FakePlatform};
+use gorsespur_services::{Objects, Table, fake::FakePlatform};
 use gorsespur_sched::sweep::Sweep;
 use gorsespur_wire::{
     codec::encode,
--- a/crates/stand/src/checkpoints.rs
+++ b/crates/stand/src/checkpoints.rs
@@ -5,7 +5,7 @@
     sync::{Mutex, PoisonError},
 };
 
-use gorsespur_platform::{HttpObjects, Objects};
+use gorsespur_services::{HttpObjects, Objects};
 
 /// Keeps the progress of tasks.
 pub trait Checkpoints: Send + Sync {
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -8,7 +8,7 @@
 
 use clap::Parser;
 use gorsespur_core::{name::Name, size::Size};
-use gorsespur_platform::HttpObjects;
+use gorsespur_services::HttpObjects;
 use gorsespur_runtime::{
     cancel::Cancel,
     clock::wall_ms,
--- a/crates/stand/src/platform.rs
+++ b/crates/stand/src/platform.rs
@@ -6,7 +6,7 @@
 };
 
 use gorsespur_core::name::Name;
-use gorsespur_platform::Rows;
+use gorsespur_services::Rows;
 use gorsespur_wire::{
     members::MemberList,
     table::{GetAnswer, ScanAnswer, ScanRequest, Tx, TxAnswer},
