--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -97,15 +97,22 @@
     fn append(&mut self, records: Vec<(JobId, Vec<u8>)>, ring: &Receiver<Entry>) -> bool {
         self.number += 1;
         let tx = self.tx(records);
+        let renews = tx.writes.iter().any(|w| w.table == LEASE);
+        let sent = self.shared.clock.now();
         let mut pause = FIRST_PAUSE;
         let mut failing = false;
         loop {
             match self.shared.store.commit(&tx) {
                 Ok(Commit::Done(version)) => {
                     self.accept(version, failing);
-                    return true;
+                    break;
+                }
+                Ok(Commit::Conflict(rows)) => {
+                    if !self.conflict(&rows, failing) {
+                        return false;
+                    }
+                    break;
                 }
-                Ok(Commit::Conflict(rows)) => return self.conflict(&rows, failing),
                 Err(err) => {
                     if !failing {
                         log::warn!(err = err.to_string().as_str(), number = self.number; "journal: write failed");
@@ -121,6 +128,10 @@
             thread::sleep(pause * jitter / 100);
             pause = (pause * 2).min(LAST_PAUSE);
         }
+        if renews {
+            self.renewed = sent;
+        }
+        true
     }
 
     fn accept(&mut self, version: u64, failing: bool) {
@@ -128,7 +139,6 @@
             log::info!(number = self.number; "journal: writes again");
         }
         self.head = version;
-        self.renewed = self.shared.clock.now();
         self.shared.touched();
     }
 
