--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -104,8 +104,7 @@
     fn check_stalled(&mut self) {
         for slot in 0..self.fleet.workers.len() as u32 {
             let worker = self.fleet.get(slot);
-            if !worker.is_live() || worker.runs.is_empty() || worker.serving > 0 && worker.pace < 100
-            {
+            if !worker.is_live() || worker.runs.is_empty() {
                 continue;
             }
             for at in 0..worker.runs.len() {
@@ -131,7 +130,8 @@
         };
         // A look a second shows progress: what takes longer a percent is not judged.
         let limit = stall.max(step.estimate / 20) * if step.fill { 3 } else { 1 };
-        let over = now > at + step.estimate + limit && now > run.moved + limit;
+        let slowed = run.pace < 100 || run.wanted < 100;
+        let over = !slowed && now > at + step.estimate + limit && now > run.moved + limit;
         if step.lasting || step.gang || !over {
             return;
         }
--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/fleet.rs
@@ -46,6 +46,10 @@
         } else if worker.leaving.is_none() {
             worker.leaving = Some(now);
         }
+        let old = worker.info.as_ref().filter(|_| worker.listed);
+        if old.is_none_or(|o| o.ready != info.ready) {
+            log::info!(worker = &*info.id, addr = info.addr.to_string().as_str(), ready = info.ready, remaining_ms = info.remaining; "worker: listed");
+        }
         worker.listed = true;
         worker.info = Some(info);
         slot
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -27,6 +27,7 @@
 mod machine;
 mod order;
 mod pace;
+mod pairs;
 mod place;
 mod policy;
 mod record;
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -9,6 +9,7 @@
     fleet::Fleet,
     ids::{JobId, TaskId},
     job::JobState,
+    pairs::Pairs,
     policy::QueuePolicy,
     record::{Outcome, Record},
     settings::Settings,
@@ -37,6 +38,7 @@
     pub(crate) dirty: Vec<JobId>,
     pub(crate) fleet: Fleet,
     pub(crate) queues: Vec<QueuePolicy>,
+    pub(crate) pairs: Pairs,
     pub(crate) batch: Option<Batch>,
     /// When the store last confirmed the lease.
     pub(crate) contact: u64,
@@ -62,6 +64,7 @@
             dirty: Vec::new(),
             fleet,
             queues: Vec::new(),
+            pairs: Pairs::default(),
             batch: None,
             contact: now,
             moved: true,
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -15,9 +15,9 @@
 /// processors that filling tasks are given, in milliseconds.
 const STARVED: u64 = 1500;
 
-/// What filling tasks may ask for in all on one worker, in percent of the
-/// processors that the others don't ask for.
-const FILL_LIMIT: u64 = 100;
+/// What serving tasks use of the processors that they ask for, in percent: about
+/// half on average, and it swings. Filling tasks are given the rest.
+const SERVING_USE: u64 = 60;
 
 /// Runs on a worker whose last run failed: one at a time until one does well.
 const PROBATION_RUNS: usize = 1;
@@ -145,11 +145,8 @@
             return;
         };
         task.last = number.unwrap_or(task.last + 1);
-        let mut run = Run::new(slot, Stage::Planned, now);
+        let run = Run::new(slot, Stage::Planned, now);
         let worker = self.fleet.get_mut(slot);
-        if step.fill {
-            run.wanted = worker.pace;
-        }
         task.run = Some(run);
         worker.reserve(id, step);
         self.mark(id.job);
@@ -166,6 +163,8 @@
     ) -> Option<u32> {
         let state = self.jobs.get(&first.job)?;
         let runs = &state.times[first.time as usize][first.step as usize];
+        let image = step.image.clone().unwrap_or_default();
+        let cores = step.cpu as f64 / 1000.0;
         let mut best = None;
         for (slot, worker) in self.fleet.workers.iter().enumerate() {
             let slot = slot as u32;
@@ -173,6 +172,9 @@
             if !fits || history.0 == Some(slot) || history.1 && worker.failures > 0 {
                 continue;
             }
+            if step.fill && !starved && self.would_disturb(slot, &image, cores) {
+                continue;
+            }
             if step.spread > 0 && runs.on_worker(slot) >= step.spread {
                 continue;
             }
@@ -204,7 +206,8 @@
         if !fits || !step.fill {
             return fits;
         }
-        let rest = room.cpu.saturating_sub(worker.used.cpu) * FILL_LIMIT / 100;
+        let unused = worker.serving_cpu * (100 - SERVING_USE) / 100;
+        let rest = room.cpu.saturating_sub(worker.used.cpu) + unused;
         starved || worker.filling + step.cpu <= rest
     }
 }
@@ -217,7 +220,8 @@
 /// Returns how well a worker suits a task of a step; more is better.
 fn score(worker: &Worker, step: &Step) -> i64 {
     let room = worker.capacity();
-    let free = room.cpu as i64 - worker.used.cpu as i64 - worker.filling as i64;
+    let unused = worker.serving_cpu * (100 - SERVING_USE) / 100;
+    let free = (room.cpu + unused) as i64 - (worker.used.cpu + worker.filling) as i64;
     let mut score = free * 1000 / (room.cpu as i64).max(1);
     if let (Some(rack), Some(info)) = (&step.rack, &worker.info)
         && info.labels.contains(rack)
@@ -227,9 +231,5 @@
     if step.target > 0 {
         score -= 300 * i64::from(worker.serving);
     }
-    if step.fill {
-        score -= 150 * i64::from(worker.serving);
-        score -= 10 * i64::from(100 - worker.pace);
-    }
     score - (worker.slowness as i64 - 100).max(0) * 5
 }
--- a/crates/jobs/src/task.rs
+++ b/crates/jobs/src/task.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use crate::pairs::Pairs;
+
 /// Where a run stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Stage {
@@ -40,6 +42,15 @@
     pub(crate) wanted: u32,
     /// Whether an order for its pace is under way.
     pub(crate) pacing: bool,
+    /// When it was first slowed from full pace.
+    pub(crate) slowed: u64,
+    /// For a task that serves: the logarithm of its tail when nothing disturbs it.
+    pub(crate) base: f64,
+    /// For a task that serves: the logarithm that its tail is to stay below; 0
+    /// before its first figure.
+    pub(crate) limit: f64,
+    /// For a task that serves: its last tail in milliseconds.
+    pub(crate) tail: u64,
 }
 
 impl Run {
@@ -53,6 +64,10 @@
             pace: 100,
             wanted: 100,
             pacing: false,
+            slowed: 0,
+            base: Pairs::first_base(),
+            limit: 0.0,
+            tail: 0,
         }
     }
 
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     ids::TaskId,
+    pairs::Press,
     settings::{CLOCK_RATE, LEASE_MARGIN, Settings},
     spec::Step,
 };
@@ -104,9 +105,11 @@
     pub(crate) closed: u64,
     /// Time that its tasks take against their estimate, in percent, averaged.
     pub(crate) slowness: u64,
-    /// Share of pace for its filling tasks, in percent.
-    pub(crate) pace: u32,
-    /// When the share last changed.
+    /// What fills here, as last listed.
+    pub(crate) press: Vec<Press>,
+    /// Thousandths of a core that its serving tasks ask for.
+    pub(crate) serving_cpu: u64,
+    /// When the pace of its filling tasks last changed.
     pub(crate) paced: u64,
 }
 
@@ -135,7 +138,8 @@
             failures: 0,
             closed: 0,
             slowness: 100,
-            pace: 100,
+            press: Vec::new(),
+            serving_cpu: 0,
             paced: 0,
         }
     }
@@ -184,6 +188,7 @@
         self.used.gpu += size.gpu;
         self.filling += filling(step);
         self.serving += u32::from(step.target > 0);
+        self.serving_cpu += serving(step);
     }
 
     /// Gives back the room of a run of a step.
@@ -195,6 +200,7 @@
         self.free(size(step));
         self.filling -= filling(step).min(self.filling);
         self.serving -= u32::from(step.target > 0).min(self.serving);
+        self.serving_cpu -= serving(step).min(self.serving_cpu);
     }
 
     /// Takes up room for a run that is not wanted.
@@ -234,6 +240,10 @@
     }
 }
 
+fn serving(step: &Step) -> u64 {
+    if step.target > 0 { step.cpu } else { 0 }
+}
+
 fn filling(step: &Step) -> u64 {
     if step.fill { step.cpu } else { 0 }
 }
--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -16,6 +16,10 @@
 /// How long one question for changes waits; it bounds how late a thread ends.
 const WAIT: Duration = Duration::from_millis(1000);
 
+/// Pause between questions for changed workers. Each writes its row every other
+/// second, so that without it nearly each write would be a call and a wake-up.
+const WORKERS_PAUSE: Duration = Duration::from_millis(300);
+
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(60);
 
@@ -110,6 +114,7 @@
             failed(shared, &mut follow, &err, cancel);
         }
         input.events(events);
+        cancel.wait(WORKERS_PAUSE);
     }
 }
 
@@ -144,7 +149,6 @@
         }
         match shared.protocol.worker(row) {
             Ok(info) => {
-                log::info!(worker = row.key.as_str(), addr = info.addr.to_string().as_str(), ready = info.ready; "worker: listed");
                 events.push(Event::Worker(info));
             }
             Err(err) => log::warn!(worker = row.key.as_str(), err = err.to_string().as_str(); "worker: can't be read"),
