Keep serving tasks of one image together

Cause: most workers served images that different fills disturb, so that no worker was free of disturbance for a heavy fill.

--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -35,6 +35,7 @@
         self.send_stops();
         self.send_paces();
         self.send_looks();
+        self.summarise();
     }
 
     fn release_times(&mut self) {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -35,6 +35,7 @@
 mod sorted;
 mod spec;
 mod step;
+mod summary;
 mod task;
 mod worker;
 
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -46,6 +46,8 @@
     pub(crate) moved: bool,
     /// When placement last ran.
     pub(crate) placed: u64,
+    /// When the load was last logged.
+    pub(crate) summarised: u64,
     pub(crate) now: u64,
     pub(crate) wall: u64,
     pub(crate) out: Vec<Action>,
@@ -69,6 +71,7 @@
             contact: now,
             moved: true,
             placed: 0,
+            summarised: 0,
             now,
             wall: 0,
             out: Vec::new(),
--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/pace.rs
@@ -34,9 +34,19 @@
 /// A task that was slowed for this long moves to another worker, in milliseconds.
 const MOVE_AFTER: u64 = 1500;
 
-/// Tasks whose pressure is at least this share of the largest are slowed, in percent.
+/// Tasks whose pressure is at least this share of the largest are slowed.
 const CULPRIT: f64 = 0.4;
 
+/// Pressure below this, as a logarithm, is noise: its task is no culprit.
+const HARMLESS: f64 = 0.04;
+
+/// A tail that has been over its target for this long without a known culprit
+/// slows all that fills, in milliseconds ...
+const SUSPECT_ALL: u64 = 1200;
+
+/// ... and for this long stops them, before the users count it as harm (4 s).
+const STOP_ALL: u64 = 2200;
+
 /// A tail that is expected to stay below this share of its target is no reason
 /// to keep a filling task away.
 const ROOM: f64 = 0.8;
@@ -44,11 +54,14 @@
 /// A serving task that is over its target.
 struct Over {
     image: Arc<str>,
+    /// For how long, in milliseconds.
+    time: u64,
 }
 
 impl Machine {
     /// Takes note of the figures that a worker lists, and chooses paces.
     pub(crate) fn watch(&mut self, slot: u32, look: &Look) {
+        let now = self.now;
         let press = self.press(look);
         let mut over = Vec::new();
         let mut worst = 0;
@@ -67,14 +80,18 @@
             }
             self.pairs.learn(&image, &mut run.base, tail, &press);
             run.limit = (target as f64 * ROOM).ln();
-            run.tail = tail;
             let share = tail * 100 / target;
             worst = worst.max(share);
             if share > HIGH {
-                over.push(Over { image });
+                let since = *run.over.get_or_insert(now);
+                over.push(Over {
+                    image,
+                    time: now - since,
+                });
+            } else {
+                run.over = None;
             }
         }
-        let now = self.now;
         let worker = self.fleet.get_mut(slot);
         worker.press = press;
         if worker.filling == 0 || now < worker.paced + PERIOD {
@@ -109,6 +126,7 @@
     /// Slows the filling tasks that press most on the tails over their targets.
     fn slow_down(&mut self, slot: u32, over: &[Over], worst: u64) {
         let now = self.now;
+        let longest = over.iter().map(|o| o.time).max().unwrap_or(0);
         let mut shares = Vec::new();
         for &id in &self.fleet.get(slot).runs {
             let Some(state) = self.jobs.get(&id.job) else {
@@ -120,13 +138,15 @@
             }
             let image = step.image.clone().unwrap_or_default();
             let weights = over.iter().map(|o| self.pairs.weight(&image, &o.image));
-            let share = weights.fold(0.0, f64::max) * step.cpu as f64;
+            let share = weights.fold(0.0, f64::max) * step.cpu as f64 / 1000.0;
             shares.push((id, share));
         }
         let most = shares.iter().map(|s| s.1).fold(0.0, f64::max);
         for (id, share) in shares {
-            if share >= most * CULPRIT {
-                self.slow_run(id);
+            if longest > STOP_ALL {
+                self.slow_run(id, 0);
+            } else if longest > SUSPECT_ALL || share >= HARMLESS && share >= most * CULPRIT {
+                self.slow_run(id, SLOW_DOWN);
             }
         }
         let worker = self.fleet.get_mut(slot);
@@ -134,7 +154,7 @@
         log::debug!(worker = &*worker.id, worst, most:? = most; "pace: slowed");
     }
 
-    fn slow_run(&mut self, id: TaskId) {
+    fn slow_run(&mut self, id: TaskId, percent: u32) {
         let now = self.now;
         let Some(state) = self.jobs.get_mut(&id.job) else {
             return;
@@ -146,7 +166,7 @@
         if run.wanted == 100 {
             run.slowed = now;
         }
-        let pace = run.wanted * SLOW_DOWN / 100;
+        let pace = run.wanted * percent / 100;
         run.wanted = if pace < LEAST { 0 } else { pace };
         let moves = saves && now > run.slowed + MOVE_AFTER;
         if moves && matches!(run.stage, Stage::There(_)) {
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -1,6 +1,6 @@
 //! Which task runs where.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, sync::Arc};
 
 use crate::{
     ids::{JobId, TaskId},
@@ -22,6 +22,16 @@
 /// Runs on a worker whose last run failed: one at a time until one does well.
 const PROBATION_RUNS: usize = 1;
 
+/// What a serving task of the same image on a worker adds to its score, in
+/// thousandths of the worker's processors.
+const ALIKE: i64 = 200;
+
+/// What one of another image takes off.
+const UNLIKE: i64 = 400;
+
+/// What takes off a tail that is expected to grow by a factor of e.
+const DISTURBED: f64 = 1000.0;
+
 /// Why tasks of a step can't all be placed now.
 enum Placed {
     /// All that waited are placed.
@@ -178,7 +188,14 @@
             if step.spread > 0 && runs.on_worker(slot) >= step.spread {
                 continue;
             }
-            let key = Reverse(score(worker, step));
+            let mut points = score(worker, step);
+            if step.target > 0 {
+                points += self.alike(worker, &image);
+            }
+            if step.fill {
+                points -= self.disturbance(worker, &image, cores);
+            }
+            let key = Reverse(points);
             if best.as_ref().is_none_or(|(b, _)| key < *b) {
                 best = Some((key, slot));
             }
@@ -186,6 +203,40 @@
         best.map(|(_, slot)| slot)
     }
 
+    /// Returns how well a serving task suits those that a worker has.
+    ///
+    /// Images differ in what disturbs them. Where a worker serves one image only,
+    /// what disturbs the others can fill there.
+    fn alike(&self, worker: &Worker, image: &Arc<str>) -> i64 {
+        let mut points = 0;
+        for id in &worker.runs {
+            let state = self.jobs.get(&id.job);
+            let step = state.and_then(|j| j.job.spec.steps.get(id.step as usize));
+            let Some(step) = step.filter(|s| s.target > 0) else {
+                continue;
+            };
+            points += match step.image.as_ref() == Some(image) {
+                true => ALIKE,
+                false => -UNLIKE,
+            };
+        }
+        points
+    }
+
+    /// Returns how much a filling task would disturb a worker's serving tasks.
+    fn disturbance(&self, worker: &Worker, image: &Arc<str>, cores: f64) -> i64 {
+        let mut points = 0.0;
+        for id in &worker.runs {
+            let state = self.jobs.get(&id.job);
+            let step = state.and_then(|j| j.job.spec.steps.get(id.step as usize));
+            let serve = step.filter(|s| s.target > 0).and_then(|s| s.image.as_ref());
+            if let Some(serve) = serve {
+                points += self.pairs.weight(image, serve) * cores * DISTURBED;
+            }
+        }
+        points as i64
+    }
+
     fn fits(&self, worker: &Worker, step: &Step, service: &str, starved: bool) -> bool {
         let Some(info) = &worker.info else {
             return false;
@@ -228,8 +279,5 @@
     {
         score += 5000;
     }
-    if step.target > 0 {
-        score -= 300 * i64::from(worker.serving);
-    }
     score - (worker.slowness as i64 - 100).max(0) * 5
 }
--- /dev/null
+++ b/crates/jobs/src/summary.rs
@@ -0,0 +1,51 @@
+//! A line a second that tells how full the workers are.
+
+use crate::{machine::Machine, worker::Capacity};
+
+/// Milliseconds from one line to the next.
+const PERIOD: u64 = 1000;
+
+impl Machine {
+    /// Logs how full the workers are, and what waits.
+    pub(crate) fn summarise(&mut self) {
+        if self.now < self.summarised + PERIOD {
+            return;
+        }
+        self.summarised = self.now;
+        let mut room = Capacity::default();
+        let mut used = Capacity::default();
+        let (mut filling, mut open, mut serving) = (0, 0, 0);
+        for worker in &self.fleet.workers {
+            if !worker.is_open(self.now) {
+                continue;
+            }
+            open += 1;
+            room.cpu += worker.capacity().cpu;
+            room.memory += worker.capacity().memory;
+            used.cpu += worker.used.cpu;
+            used.memory += worker.used.memory;
+            filling += worker.filling;
+            serving += worker.serving_cpu;
+        }
+        let (mut waiting, mut running, mut slowed) = (0, 0, 0);
+        for id in &self.open {
+            let Some(state) = self.jobs.get(id) else {
+                continue;
+            };
+            for task in state.times.iter().flatten().flat_map(|s| &s.tasks) {
+                let Some(run) = &task.run else {
+                    waiting += u32::from(!task.done);
+                    continue;
+                };
+                running += 1;
+                slowed += u32::from(run.wanted < 100);
+            }
+        }
+        log::info!(
+            workers = open, cpu = room.cpu, cpu_used = used.cpu, serving, filling,
+            memory = room.memory, memory_used = used.memory,
+            jobs = self.open.len(), waiting, running, slowed;
+            "owner: load"
+        );
+    }
+}
--- a/crates/jobs/src/task.rs
+++ b/crates/jobs/src/task.rs
@@ -49,8 +49,8 @@
     /// For a task that serves: the logarithm that its tail is to stay below; 0
     /// before its first figure.
     pub(crate) limit: f64,
-    /// For a task that serves: its last tail in milliseconds.
-    pub(crate) tail: u64,
+    /// For a task that serves: since when its tail is close to its target.
+    pub(crate) over: Option<u64>,
 }
 
 impl Run {
@@ -67,7 +67,7 @@
             slowed: 0,
             base: Pairs::first_base(),
             limit: 0.0,
-            tail: 0,
+            over: None,
         }
     }
 
