Learn disturbance from changes, and set paces by it

Cause: levels of tails tell little, since a task's own load moves its tail by a factor of four; changes within a half second explain 0.38 of the variance in logarithms.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     ids::TaskId,
+    pairs::Image,
     record::{Outcome, Record, TaskRecord},
     spec::Job,
     step::StepState,
@@ -15,6 +16,8 @@
 pub(crate) struct JobState {
     /// What was accepted.
     pub(crate) job: Arc<Job>,
+    /// Number of each step's image.
+    pub(crate) images: Vec<Image>,
     /// What became of it.
     pub(crate) outcome: Outcome,
     /// The steps of each repetition that has fallen due.
@@ -26,9 +29,10 @@
 }
 
 impl JobState {
-    pub(crate) fn new(job: Arc<Job>, now: u64) -> JobState {
+    pub(crate) fn new(job: Arc<Job>, images: Vec<Image>, now: u64) -> JobState {
         JobState {
             job,
+            images,
             outcome: Outcome::Pending,
             times: Vec::new(),
             seen: now,
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -9,7 +9,7 @@
     fleet::Fleet,
     ids::{JobId, TaskId},
     job::JobState,
-    pairs::Pairs,
+    pairs::{Image, Pairs},
     policy::QueuePolicy,
     record::{Outcome, Record},
     settings::Settings,
@@ -39,6 +39,8 @@
     pub(crate) fleet: Fleet,
     pub(crate) queues: Vec<QueuePolicy>,
     pub(crate) pairs: Pairs,
+    /// Numbers of images.
+    pub(crate) images: Sorted<Arc<str>, Image>,
     pub(crate) batch: Option<Batch>,
     /// When the store last confirmed the lease.
     pub(crate) contact: u64,
@@ -67,6 +69,7 @@
             fleet,
             queues: Vec::new(),
             pairs: Pairs::default(),
+            images: Sorted::default(),
             batch: None,
             contact: now,
             moved: true,
@@ -82,7 +85,8 @@
     /// Takes over a job that an earlier owner had a record of.
     pub fn restore(&mut self, job: Arc<Job>, record: &Record) {
         let id = job.id;
-        let mut state = JobState::new(job, self.now);
+        let images = self.number_images(&job);
+        let mut state = JobState::new(job, images, self.now);
         if !record.outcome.is_final() {
             let fleet = &mut self.fleet;
             state.restore(record, |name| fleet.slot(name));
@@ -181,11 +185,29 @@
             return;
         }
         log::info!(job = id.to_string().as_str(), queue = &*job.queue, chain = job.spec.chain(); "jobs: taken up");
-        self.jobs.insert(id, JobState::new(job, self.now));
+        let images = self.number_images(&job);
+        self.jobs.insert(id, JobState::new(job, images, self.now));
         self.open.push(id);
         self.moved = true;
     }
 
+    /// Returns the number of each step's image.
+    fn number_images(&mut self, job: &Job) -> Vec<Image> {
+        let mut out = Vec::with_capacity(job.spec.steps.len());
+        for step in &job.spec.steps {
+            let Some(name) = &step.image else {
+                out.push(0);
+                continue;
+            };
+            let next = self.images.len() as Image + 1;
+            if self.images.get(name).is_none() {
+                self.images.insert(name.clone(), next);
+            }
+            out.push(self.images.get(name).copied().unwrap_or(0));
+        }
+        out
+    }
+
     fn cancelled(&mut self, id: JobId) {
         if self.jobs.get(&id).is_some_and(|j| !j.outcome.is_final()) {
             self.finish(id, Outcome::Cancelled);
--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/pace.rs
@@ -1,106 +1,137 @@
 //! Keeps tasks that serve under their latency target, by slowing or moving those
 //! that fill and disturb them.
-
-use std::sync::Arc;
+//!
+//! Each new figure gives a serving task's tail; by how much the filling tasks
+//! beside it lengthen it is learned by pairs of images. The paces of those that do
+//! are set so that the tail stays under its target. Where that fails for a second,
+//! all are slowed, and after two all are stopped.
 
 use crate::{
     action::Action,
     event::Look,
     ids::TaskId,
     machine::Machine,
-    pairs::Press,
+    pairs::{Image, Pairs, Press},
     task::Stage,
 };
 
-/// A tail above this share of its target, in percent, slows what fills.
-const HIGH: u64 = 85;
+/// A tail is kept below this share of its target.
+const SHARE: f64 = 0.75;
+
+/// A tail above this share of its target counts as over it: figures are rough.
+const OVER: f64 = 0.9;
 
-/// All tails below this share of their targets, in percent, let it speed up.
-const LOW: u64 = 65;
+/// Figures are of half a second: a worker's are used this often, in milliseconds.
+const PERIOD: u64 = 450;
 
-/// Milliseconds from one change of pace to the next: the figure is of the last
-/// half second, and a change takes a tenth of one.
-const PERIOD: u64 = 600;
+/// A core that lengthens a tail by less than this, as a logarithm, is no culprit:
+/// estimates are that rough.
+const HARMLESS: f64 = 0.04;
 
-/// What a slowed task speeds up by, in percent of full pace.
-const SPEED_UP: u32 = 25;
+/// What stands for the excess on a worker on which nothing is disturbed, as a
+/// logarithm: as good as a tail at a tenth of its target.
+const CALM: f64 = -2.3;
 
-/// A slowed task keeps this share of its pace, in percent.
-const SLOW_DOWN: u32 = 40;
+/// Paces are changed if they differ by as many percent.
+const STEP: u32 = 15;
 
 /// A pace below this, in percent, is none.
 const LEAST: u32 = 10;
 
+/// A tail that has been over its target for this long slows all that fills, in
+/// milliseconds ...
+const SLOW_ALL: u64 = 1200;
+
+/// ... to this pace in percent ...
+const SLOW_PACE: u32 = 30;
+
+/// ... and for this long stops them, before the users count it as harm (4 s).
+const STOP_ALL: u64 = 2200;
+
 /// A task that was slowed for this long moves to another worker, in milliseconds.
 const MOVE_AFTER: u64 = 1500;
 
-/// Tasks whose pressure is at least this share of the largest are slowed.
-const CULPRIT: f64 = 0.4;
-
-/// Pressure below this, as a logarithm, is noise: its task is no culprit.
-const HARMLESS: f64 = 0.04;
+/// A slowed task moves if its pace is below this, in percent.
+const MOVE_BELOW: u32 = 50;
 
-/// A tail that has been over its target for this long without a known culprit
-/// slows all that fills, in milliseconds ...
-const SUSPECT_ALL: u64 = 1200;
+/// A serving run on a worker, as placement and pacing see it.
+#[derive(Debug, Clone, Copy)]
+struct Served {
+    image: Image,
+    /// Logarithm of its tail without what fills.
+    base: f64,
+    /// Recent peak of that.
+    peak: f64,
+    /// The logarithm that its tail is to stay below.
+    limit: f64,
+    /// For how long it is over its target, in milliseconds.
+    over: u64,
+}
 
-/// ... and for this long stops them, before the users count it as harm (4 s).
-const STOP_ALL: u64 = 2200;
+/// A filling run on a worker.
+#[derive(Debug, Clone, Copy)]
+struct Filler {
+    task: TaskId,
+    image: Image,
+    /// Cores that it uses at full pace.
+    cores: f64,
+    /// Its pace in percent.
+    pace: u32,
+}
 
-/// A tail that is expected to stay below this share of its target is no reason
-/// to keep a filling task away.
-const ROOM: f64 = 0.8;
+/// What serving tasks on a worker bear besides what fills there already.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Slack {
+    /// Image and what is left to its limit, as a logarithm.
+    rows: Vec<(Image, f64)>,
+}
 
-/// A serving task that is over its target.
-struct Over {
-    image: Arc<str>,
-    /// For how long, in milliseconds.
-    time: u64,
+impl Slack {
+    /// Returns by how much a filling task would push a tail over its limit, as a
+    /// logarithm; 0 or less if none, and the less the better.
+    pub(crate) fn excess(&self, pairs: &Pairs, image: Image, cores: f64) -> f64 {
+        let mut most = f64::NEG_INFINITY;
+        for &(serve, left) in &self.rows {
+            let weight = pairs.weight(image, serve);
+            if weight > HARMLESS {
+                most = most.max(weight * cores - left);
+            }
+        }
+        most.max(CALM)
+    }
 }
 
 impl Machine {
     /// Takes note of the figures that a worker lists, and chooses paces.
     pub(crate) fn watch(&mut self, slot: u32, look: &Look) {
         let now = self.now;
+        let worker = self.fleet.get_mut(slot);
+        if worker.serving == 0 || now < worker.figured + PERIOD {
+            return;
+        }
+        worker.figured = now;
         let press = self.press(look);
-        let mut over = Vec::new();
-        let mut worst = 0;
         for row in &look.running {
+            let Some(ms) = row.figure.filter(|f| *f > 0) else {
+                continue;
+            };
             let Some(state) = self.jobs.get_mut(&row.task.job) else {
                 continue;
             };
-            let step = &state.job.spec.steps[row.task.step as usize];
-            let (target, image) = (step.target, step.image.clone().unwrap_or_default());
+            let image = state.images[row.task.step as usize];
+            let target = state.job.spec.steps[row.task.step as usize].target;
             let run = state.task_mut(row.task).and_then(|t| t.run.as_mut());
-            let (Some(run), Some(tail)) = (run, row.figure) else {
+            let Some(run) = run.filter(|_| target > 0) else {
                 continue;
             };
-            if target == 0 {
-                continue;
-            }
-            self.pairs.learn(&image, &mut run.base, tail, &press);
-            run.limit = (target as f64 * ROOM).ln();
-            let share = tail * 100 / target;
-            worst = worst.max(share);
-            if share > HIGH {
-                let since = *run.over.get_or_insert(now);
-                over.push(Over {
-                    image,
-                    time: now - since,
-                });
-            } else {
-                run.over = None;
+            self.pairs.learn(image, &mut run.tail, ms, &press);
+            match ms as f64 > target as f64 * OVER {
+                true => run.over = run.over.or(Some(now)),
+                false => run.over = None,
             }
         }
-        let worker = self.fleet.get_mut(slot);
-        worker.press = press;
-        if worker.filling == 0 || now < worker.paced + PERIOD {
-            return;
-        }
-        if !over.is_empty() {
-            self.slow_down(slot, &over, worst);
-        } else if worst < LOW {
-            self.speed_up(slot);
+        if self.fleet.get(slot).filling > 0 {
+            self.choose_paces(slot);
         }
     }
 
@@ -108,12 +139,16 @@
     fn press(&self, look: &Look) -> Vec<Press> {
         let mut out: Vec<Press> = Vec::new();
         for row in &look.running {
-            let state = self.jobs.get(&row.task.job);
-            let step = state.and_then(|j| j.job.spec.steps.get(row.task.step as usize));
-            let Some(step) = step.filter(|s| s.fill) else {
+            let Some(state) = self.jobs.get(&row.task.job) else {
+                continue;
+            };
+            let Some(step) = state.job.spec.steps.get(row.task.step as usize) else {
                 continue;
             };
-            let image = step.image.clone().unwrap_or_default();
+            if !step.fill {
+                continue;
+            }
+            let image = state.images[row.task.step as usize];
             let cores = row.figure.unwrap_or(step.cpu) as f64 / 1000.0;
             match out.iter_mut().find(|p| p.image == image) {
                 Some(p) => p.cores += cores,
@@ -123,39 +158,97 @@
         out
     }
 
-    /// Slows the filling tasks that press most on the tails over their targets.
-    fn slow_down(&mut self, slot: u32, over: &[Over], worst: u64) {
-        let now = self.now;
-        let longest = over.iter().map(|o| o.time).max().unwrap_or(0);
-        let mut shares = Vec::new();
-        for &id in &self.fleet.get(slot).runs {
-            let Some(state) = self.jobs.get(&id.job) else {
+    /// Returns what serves and what fills on a worker.
+    fn residents(&self, slot: u32) -> (Vec<Served>, Vec<Filler>) {
+        let (mut served, mut fillers) = (Vec::new(), Vec::new());
+        for &task in &self.fleet.get(slot).runs {
+            let Some(state) = self.jobs.get(&task.job) else {
                 continue;
             };
-            let step = &state.job.spec.steps[id.step as usize];
-            if !step.fill {
+            let step = &state.job.spec.steps[task.step as usize];
+            let Some(run) = state.task(task).and_then(|t| t.run.as_ref()) else {
                 continue;
+            };
+            let image = state.images[task.step as usize];
+            if step.target > 0 {
+                served.push(Served {
+                    image,
+                    base: run.tail.base_or(step.target),
+                    peak: run.tail.peak_or(step.target),
+                    limit: (step.target as f64 * SHARE).ln(),
+                    over: run.over.map_or(0, |since| self.now - since),
+                });
+            } else if step.fill {
+                fillers.push(Filler {
+                    task,
+                    image,
+                    cores: step.cpu as f64 / 1000.0,
+                    pace: run.wanted,
+                });
             }
-            let image = step.image.clone().unwrap_or_default();
-            let weights = over.iter().map(|o| self.pairs.weight(&image, &o.image));
-            let share = weights.fold(0.0, f64::max) * step.cpu as f64 / 1000.0;
-            shares.push((id, share));
         }
-        let most = shares.iter().map(|s| s.1).fold(0.0, f64::max);
-        for (id, share) in shares {
-            if longest > STOP_ALL {
-                self.slow_run(id, 0);
-            } else if longest > SUSPECT_ALL || share >= HARMLESS && share >= most * CULPRIT {
-                self.slow_run(id, SLOW_DOWN);
+        (served, fillers)
+    }
+
+    /// Returns what a worker's serving tasks bear besides what fills there.
+    pub(crate) fn slack(&self, slot: u32) -> Slack {
+        if self.fleet.get(slot).serving == 0 {
+            return Slack::default();
+        }
+        let (served, fillers) = self.residents(slot);
+        let mut slack = Slack::default();
+        for s in &served {
+            let there = fillers.iter().map(|f| {
+                let pace = f64::from(f.pace) / 100.0;
+                self.pairs.weight(f.image, s.image) * f.cores * pace
+            });
+            // A load that was high a while ago comes back while the task runs.
+            let base = (s.base + s.peak) / 2.0;
+            let left = s.limit - base - there.sum::<f64>();
+            match slack.rows.iter_mut().find(|r| r.0 == s.image) {
+                Some(row) => row.1 = row.1.min(left),
+                None => slack.rows.push((s.image, left)),
             }
         }
-        let worker = self.fleet.get_mut(slot);
-        worker.paced = now;
-        log::debug!(worker = &*worker.id, worst, most:? = most; "pace: slowed");
+        slack
     }
 
-    fn slow_run(&mut self, id: TaskId, percent: u32) {
+    fn choose_paces(&mut self, slot: u32) {
+        let (served, fillers) = self.residents(slot);
+        let longest = served.iter().map(|s| s.over).max().unwrap_or(0);
+        let mut paces = vec![100; fillers.len()];
+        for s in &served {
+            let pressure = |f: &Filler| self.pairs.weight(f.image, s.image) * f.cores;
+            let full: f64 = fillers.iter().map(pressure).sum();
+            let room = (s.limit - s.base).max(0.0);
+            if full <= room {
+                continue;
+            }
+            let pace = (room / full * 100.0) as u32;
+            for (at, filler) in fillers.iter().enumerate() {
+                if self.pairs.weight(filler.image, s.image) > HARMLESS {
+                    paces[at] = paces[at].min(pace);
+                }
+            }
+        }
+        for (filler, pace) in fillers.iter().zip(paces) {
+            let pace = match longest {
+                t if t > STOP_ALL => 0,
+                t if t > SLOW_ALL => pace.min(SLOW_PACE),
+                _ if pace < LEAST => 0,
+                _ => pace,
+            };
+            self.want_pace(filler, pace);
+        }
+    }
+
+    fn want_pace(&mut self, filler: &Filler, pace: u32) {
         let now = self.now;
+        let id = filler.task;
+        let small = pace.abs_diff(filler.pace) < STEP;
+        if small && (pace == filler.pace || pace > 0 && pace < 100) {
+            return;
+        }
         let Some(state) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -163,61 +256,18 @@
         let Some(run) = state.task_mut(id).and_then(|t| t.run.as_mut()) else {
             return;
         };
-        if run.wanted == 100 {
-            run.slowed = now;
+        run.wanted = pace;
+        if pace >= MOVE_BELOW {
+            run.slowed = None;
+            return;
         }
-        let pace = run.wanted * percent / 100;
-        run.wanted = if pace < LEAST { 0 } else { pace };
-        let moves = saves && now > run.slowed + MOVE_AFTER;
-        if moves && matches!(run.stage, Stage::There(_)) {
-            log::info!(task = id.to_string().as_str(), pace = run.wanted; "run: moves, it disturbs");
+        let since = *run.slowed.get_or_insert(now);
+        if saves && now > since + MOVE_AFTER && matches!(run.stage, Stage::There(_)) {
+            log::info!(task = id.to_string().as_str(), pace; "run: moves, it disturbs");
             run.stage = Stage::Stopping(None);
         }
     }
 
-    fn speed_up(&mut self, slot: u32) {
-        let now = self.now;
-        let mut changed = false;
-        for id in self.fleet.get(slot).runs.clone() {
-            let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
-            let Some(run) = task.and_then(|t| t.run.as_mut()) else {
-                continue;
-            };
-            changed |= run.wanted < 100;
-            run.wanted = (run.wanted + SPEED_UP).min(100);
-        }
-        if changed {
-            self.fleet.get_mut(slot).paced = now;
-        }
-    }
-
-    /// Tells whether a filling task would push a tail on a worker over its target.
-    pub(crate) fn would_disturb(&self, slot: u32, image: &Arc<str>, cores: f64) -> bool {
-        let worker = self.fleet.get(slot);
-        if worker.serving == 0 {
-            return false;
-        }
-        for &id in &worker.runs {
-            let Some(state) = self.jobs.get(&id.job) else {
-                continue;
-            };
-            let step = &state.job.spec.steps[id.step as usize];
-            let Some(run) = state.task(id).and_then(|t| t.run.as_ref()) else {
-                continue;
-            };
-            if step.target == 0 || run.limit == 0.0 {
-                continue;
-            }
-            let serve = step.image.clone().unwrap_or_default();
-            let added = self.pairs.weight(image, &serve) * cores;
-            let now = run.base + self.pairs.pressure(&serve, &worker.press);
-            if added > 0.02 && now + added > run.limit {
-                return true;
-            }
-        }
-        false
-    }
-
     /// Sends the changes of pace that are wanted.
     pub(crate) fn send_paces(&mut self) {
         for slot in 0..self.fleet.workers.len() as u32 {
--- a/crates/jobs/src/pairs.rs
+++ b/crates/jobs/src/pairs.rs
@@ -1,81 +1,137 @@
-//! How much tasks that fill lengthen the tails of tasks that serve.
+//! How much tasks that fill disturb tasks that serve.
 //!
-//! Measured on the users' bench (weldcert quiet-1, 5,000 answers): most pairs of
-//! images don't disturb each other at all, some lengthen the tail by a tenth to
-//! a fifth for each core in use, and the tail of an undisturbed task moves by a
-//! factor of three with its own load. So there is an estimate for each pair, and
-//! a baseline for each serving run; both follow the rough figures as they come.
-
-use std::sync::Arc;
+//! Measured on the users' bench (tmdro quiet-1, 13,000 pairs of figures): a core
+//! of one image lengthens the tail of another by a factor, between 1.1 and 1.4 for
+//! some pairs and 1.0 for most, and factors multiply. A tail without disturbance
+//! moves by a factor of four with its own load within ten to twenty seconds, so
+//! that only differences from one half second to the next tell something (they
+//! explain 0.38 of the variance; levels explain 0.05 to 0.25, and loads computed
+//! from tails as in a queue explain less in both ways).
 
 use crate::sorted::Sorted;
 
-/// Share of an error that a run's baseline takes up: it follows loads that swing
-/// within some twenty seconds.
-const BASE_RATE: f64 = 0.15;
-
 /// Share of an error that the pairs take up.
-const PAIR_RATE: f64 = 0.25;
+const RATE: f64 = 0.3;
+
+/// Added to the squared cores, so that small changes teach little.
+const NOISE: f64 = 8.0;
+
+/// Largest error that is learned from, as a logarithm: a figure may be far off.
+const MAX_ERROR: f64 = 1.5;
+
+/// Largest factor of one core, as a logarithm.
+const MAX_WEIGHT: f64 = 0.6;
 
-/// Added to the squared cores, so that little use teaches little.
-const NOISE: f64 = 1.0;
+/// Factor of one core of an image that was never seen beside the other, as a
+/// logarithm: below the mean over all pairs, so that unknown pairs are tried.
+const FIRST_WEIGHT: f64 = 0.03;
 
-/// Largest error that is learned from: a figure may be far off.
-const MAX_ERROR: f64 = 1.2;
+/// Target over tail of a serving task before its first figure.
+const FIRST_FACTOR: f64 = 2.5;
 
-/// Largest estimate, as a logarithm for each core.
-const MAX_WEIGHT: f64 = 1.5;
+/// Share of the newest figure in a baseline.
+const BASE_RATE: f64 = 0.5;
 
-/// Tail of a serving task that was never seen, in milliseconds.
-const FIRST_TAIL: f64 = 50.0;
+/// What a peak of the baseline loses each half second, as a logarithm.
+const PEAK_DECAY: f64 = 0.04;
 
-/// What a filling task uses.
-#[derive(Debug, Clone)]
+/// Number of an image; 0 for none.
+pub(crate) type Image = u16;
+
+/// What filling tasks of one image use.
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Press {
-    /// Its image.
-    pub(crate) image: Arc<str>,
+    /// Their image.
+    pub(crate) image: Image,
     /// Cores in use.
     pub(crate) cores: f64,
 }
 
-/// Estimates by pair: the logarithm by which one core of the first image lengthens
-/// the tail of the second.
+/// What is known of one serving run.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Tail {
+    /// Logarithm of its tail without what fills; 0 before the first figure.
+    pub(crate) base: f64,
+    /// Recent peak of that.
+    pub(crate) peak: f64,
+    /// Logarithm of the last tail and what filled then.
+    last: Option<(f64, Vec<Press>)>,
+}
+
+impl Tail {
+    /// Returns the baseline, or what is taken for it before the first figure.
+    pub(crate) fn base_or(&self, target: u64) -> f64 {
+        match self.last {
+            Some(_) => self.base,
+            None => (target as f64 / FIRST_FACTOR).ln(),
+        }
+    }
+
+    /// Returns the recent peak of the baseline.
+    pub(crate) fn peak_or(&self, target: u64) -> f64 {
+        self.peak.max(self.base_or(target))
+    }
+}
+
+/// The logarithms of the factors, by pair.
 #[derive(Debug, Default)]
 pub(crate) struct Pairs {
-    weights: Sorted<(Arc<str>, Arc<str>), f64>,
+    weights: Sorted<(Image, Image), f64>,
 }
 
 impl Pairs {
-    /// Returns the estimate for a pair; none is taken as harmless.
-    pub(crate) fn weight(&self, fill: &Arc<str>, serve: &Arc<str>) -> f64 {
-        let key = (fill.clone(), serve.clone());
-        self.weights.get(&key).copied().unwrap_or(0.0)
+    /// Returns the logarithm by which a core of a filling image lengthens the tail
+    /// of a serving one.
+    pub(crate) fn weight(&self, fill: Image, serve: Image) -> f64 {
+        let weight = self.weights.get(&(fill, serve));
+        weight.copied().unwrap_or(FIRST_WEIGHT)
     }
 
     /// Returns the logarithm by which filling tasks lengthen a tail.
-    pub(crate) fn pressure(&self, serve: &Arc<str>, press: &[Press]) -> f64 {
-        let each = press.iter().map(|p| self.weight(&p.image, serve) * p.cores);
+    pub(crate) fn pressure(&self, serve: Image, press: &[Press]) -> f64 {
+        let each = press.iter().map(|p| self.weight(p.image, serve) * p.cores);
         each.sum()
     }
 
-    /// Returns the baseline of a run that was never measured.
-    pub(crate) fn first_base() -> f64 {
-        FIRST_TAIL.ln()
+    /// Learns from a tail in milliseconds, and from what filled at that time.
+    pub(crate) fn learn(&mut self, serve: Image, tail: &mut Tail, ms: u64, press: &[Press]) {
+        let level = (ms.max(1) as f64).ln();
+        if let Some((before, old)) = tail.last.take() {
+            self.learn_change(serve, level - before, &change(&old, press));
+        }
+        let base = level - self.pressure(serve, press);
+        tail.base = match tail.base {
+            0.0 => base,
+            old => old + BASE_RATE * (base - old),
+        };
+        tail.peak = (tail.peak - PEAK_DECAY).max(tail.base);
+        tail.last = Some((level, press.to_vec()));
     }
 
-    /// Learns from a tail in milliseconds, and moves the run's baseline.
-    pub(crate) fn learn(&mut self, serve: &Arc<str>, base: &mut f64, tail: u64, press: &[Press]) {
-        if tail == 0 {
-            return;
-        }
-        let expected = *base + self.pressure(serve, press);
-        let error = ((tail as f64).ln() - expected).clamp(-MAX_ERROR, MAX_ERROR);
-        *base += BASE_RATE * error;
-        let norm = NOISE + press.iter().map(|p| p.cores * p.cores).sum::<f64>();
-        for p in press {
-            let weight = self.weight(&p.image, serve) + PAIR_RATE * error * p.cores / norm;
-            let key = (p.image.clone(), serve.clone());
+    fn learn_change(&mut self, serve: Image, moved: f64, change: &[Press]) {
+        let expected = self.pressure(serve, change);
+        let error = (moved - expected).clamp(-MAX_ERROR, MAX_ERROR);
+        let norm = NOISE + change.iter().map(|c| c.cores * c.cores).sum::<f64>();
+        for c in change {
+            let weight = self.weight(c.image, serve) + RATE * error * c.cores / norm;
+            let key = (c.image, serve);
             self.weights.insert(key, weight.clamp(0.0, MAX_WEIGHT));
         }
     }
 }
+
+/// Returns the changes from one time to the next.
+fn change(old: &[Press], new: &[Press]) -> Vec<Press> {
+    let mut out = new.to_vec();
+    for p in old {
+        match out.iter_mut().find(|o| o.image == p.image) {
+            Some(o) => o.cores -= p.cores,
+            None => out.push(Press {
+                cores: -p.cores,
+                ..*p
+            }),
+        }
+    }
+    out.retain(|p| p.cores != 0.0);
+    out
+}
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -1,11 +1,13 @@
 //! Which task runs where.
 
-use std::{cmp::Reverse, sync::Arc};
+use std::sync::Arc;
 
 use crate::{
     ids::{JobId, TaskId},
     job::JobState,
     machine::Machine,
+    pace::Slack,
+    pairs::Image,
     spec::Step,
     task::{Run, Stage},
     worker::{Worker, size},
@@ -29,8 +31,8 @@
 /// What one of another image takes off.
 const UNLIKE: i64 = 400;
 
-/// What takes off a tail that is expected to grow by a factor of e.
-const DISTURBED: f64 = 1000.0;
+/// What a tail takes off that comes closer to its limit by a factor of e.
+const DISTURBED: f64 = 400.0;
 
 /// Why tasks of a step can't all be placed now.
 enum Placed {
@@ -40,13 +42,34 @@
     Short,
 }
 
+/// A task that no worker can take in this pass, nor any larger one of its kind.
+#[derive(Debug, PartialEq)]
+struct Misfit {
+    image: Image,
+    fill: bool,
+    service: Arc<str>,
+    size: (u64, u64, u64),
+}
+
+/// What one pass of placement found out.
+#[derive(Debug, Default)]
+struct Pass {
+    /// What serving tasks bear, by worker; worked out when it is needed.
+    slack: Vec<Option<Slack>>,
+    misfits: Vec<Misfit>,
+}
+
 impl Machine {
     /// Places tasks that wait, the most urgent jobs first.
     pub(crate) fn place(&mut self) {
         self.sort_open();
+        let mut pass = Pass {
+            slack: vec![None; self.fleet.workers.len()],
+            misfits: Vec::new(),
+        };
         for at in 0..self.open.len() {
             let id = self.open[at];
-            self.place_job(id);
+            self.place_job(id, &mut pass);
         }
     }
 
@@ -70,7 +93,7 @@
         self.open = keys.into_iter().map(|k| k.3).collect();
     }
 
-    fn place_job(&mut self, id: JobId) {
+    fn place_job(&mut self, id: JobId, pass: &mut Pass) {
         let Some(state) = self.jobs.get(&id) else {
             return;
         };
@@ -94,8 +117,8 @@
                     index: 0,
                 };
                 let placed = match step.gang {
-                    true => self.place_gang(first, step, &service),
-                    false => self.place_step(first, step, &service, &mut idle),
+                    true => self.place_gang(first, step, &service, pass),
+                    false => self.place_step(first, step, &service, (&mut idle, pass)),
                 };
                 if matches!(placed, Placed::Short) {
                     break;
@@ -104,7 +127,13 @@
         }
     }
 
-    fn place_step(&mut self, first: TaskId, step: &Step, service: &str, idle: &mut bool) -> Placed {
+    fn place_step(
+        &mut self,
+        first: TaskId,
+        step: &Step,
+        service: &Arc<str>,
+        (idle, pass): (&mut bool, &mut Pass),
+    ) -> Placed {
         for index in 0..step.count {
             let id = TaskId { index, ..first };
             let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
@@ -112,17 +141,25 @@
                 continue;
             };
             let (avoid, failed) = (task.avoid, !task.failed.is_empty());
-            let Some(slot) = self.choose(first, step, service, (avoid, failed), *idle) else {
+            let chosen = self.choose(first, step, service, (avoid, failed), (*idle, pass));
+            let Some(slot) = chosen else {
                 return Placed::Short;
             };
             *idle = false;
+            pass.slack[slot as usize] = None;
             self.plan(id, slot, step, None);
         }
         Placed::All
     }
 
     /// Places all tasks of a gang, or none.
-    fn place_gang(&mut self, first: TaskId, step: &Step, service: &str) -> Placed {
+    fn place_gang(
+        &mut self,
+        first: TaskId,
+        step: &Step,
+        service: &Arc<str>,
+        pass: &mut Pass,
+    ) -> Placed {
         let Some(state) = self.jobs.get(&first.job) else {
             return Placed::All;
         };
@@ -133,9 +170,11 @@
         let run = tasks.iter().map(|t| t.last).max().unwrap_or(0) + 1;
         let mut planned = Vec::new();
         for index in 0..step.count {
-            let Some(slot) = self.choose(first, step, service, (None, false), false) else {
+            let chosen = self.choose(first, step, service, (None, false), (false, pass));
+            let Some(slot) = chosen else {
                 break;
             };
+            pass.slack[slot as usize] = None;
             let id = TaskId { index, ..first };
             self.plan(id, slot, step, Some(run));
             planned.push(id);
@@ -167,22 +206,30 @@
         &self,
         first: TaskId,
         step: &Step,
-        service: &str,
-        history: (Option<u32>, bool),
-        starved: bool,
+        service: &Arc<str>,
+        (avoid, failed): (Option<u32>, bool),
+        (starved, pass): (bool, &mut Pass),
     ) -> Option<u32> {
         let state = self.jobs.get(&first.job)?;
         let runs = &state.times[first.time as usize][first.step as usize];
-        let image = step.image.clone().unwrap_or_default();
+        let image = state.images[first.step as usize];
+        let misfit = Misfit {
+            image,
+            fill: step.fill,
+            service: service.clone(),
+            size: (step.cpu, step.memory, step.gpu),
+        };
+        if !starved && pass.misfits.iter().any(|m| m.covers(&misfit)) {
+            return None;
+        }
         let cores = step.cpu as f64 / 1000.0;
-        let mut best = None;
-        for (slot, worker) in self.fleet.workers.iter().enumerate() {
-            let slot = slot as u32;
-            let fits = self.fits(worker, step, service, starved);
-            if !fits || history.0 == Some(slot) || history.1 && worker.failures > 0 {
+        let mut best: Option<(i64, u32)> = None;
+        for slot in 0..self.fleet.workers.len() as u32 {
+            let worker = self.fleet.get(slot);
+            if !self.fits(worker, step, service, starved) || avoid == Some(slot) {
                 continue;
             }
-            if step.fill && !starved && self.would_disturb(slot, &image, cores) {
+            if failed && worker.failures > 0 {
                 continue;
             }
             if step.spread > 0 && runs.on_worker(slot) >= step.spread {
@@ -190,16 +237,25 @@
             }
             let mut points = score(worker, step);
             if step.target > 0 {
-                points += self.alike(worker, &image);
+                points += self.alike(worker, image);
             }
             if step.fill {
-                points -= self.disturbance(worker, &image, cores);
+                let slack = pass.slack[slot as usize].get_or_insert_with(|| self.slack(slot));
+                let excess = slack.excess(&self.pairs, image, cores);
+                if excess > 0.0 && !starved {
+                    continue;
+                }
+                points -= (excess * DISTURBED) as i64;
             }
-            let key = Reverse(points);
-            if best.as_ref().is_none_or(|(b, _)| key < *b) {
-                best = Some((key, slot));
+            if best.is_none_or(|(b, _)| points > b) {
+                best = Some((points, slot));
             }
         }
+        // What any worker may take, others of the same kind may as well.
+        let plain = step.label.is_none() && step.spread == 0 && avoid.is_none() && !failed;
+        if best.is_none() && plain && !starved {
+            pass.misfits.push(misfit);
+        }
         best.map(|(_, slot)| slot)
     }
 
@@ -207,15 +263,16 @@
     ///
     /// Images differ in what disturbs them. Where a worker serves one image only,
     /// what disturbs the others can fill there.
-    fn alike(&self, worker: &Worker, image: &Arc<str>) -> i64 {
+    fn alike(&self, worker: &Worker, image: Image) -> i64 {
         let mut points = 0;
         for id in &worker.runs {
-            let state = self.jobs.get(&id.job);
-            let step = state.and_then(|j| j.job.spec.steps.get(id.step as usize));
-            let Some(step) = step.filter(|s| s.target > 0) else {
+            let Some(state) = self.jobs.get(&id.job) else {
                 continue;
             };
-            points += match step.image.as_ref() == Some(image) {
+            if state.job.spec.steps[id.step as usize].target == 0 {
+                continue;
+            }
+            points += match state.images[id.step as usize] == image {
                 true => ALIKE,
                 false => -UNLIKE,
             };
@@ -223,20 +280,6 @@
         points
     }
 
-    /// Returns how much a filling task would disturb a worker's serving tasks.
-    fn disturbance(&self, worker: &Worker, image: &Arc<str>, cores: f64) -> i64 {
-        let mut points = 0.0;
-        for id in &worker.runs {
-            let state = self.jobs.get(&id.job);
-            let step = state.and_then(|j| j.job.spec.steps.get(id.step as usize));
-            let serve = step.filter(|s| s.target > 0).and_then(|s| s.image.as_ref());
-            if let Some(serve) = serve {
-                points += self.pairs.weight(image, serve) * cores * DISTURBED;
-            }
-        }
-        points as i64
-    }
-
     fn fits(&self, worker: &Worker, step: &Step, service: &str, starved: bool) -> bool {
         let Some(info) = &worker.info else {
             return false;
@@ -263,6 +306,18 @@
     }
 }
 
+impl Misfit {
+    /// Tells whether `other` can't be placed either.
+    fn covers(&self, other: &Misfit) -> bool {
+        self.image == other.image
+            && self.fill == other.fill
+            && self.service == other.service
+            && self.size.0 <= other.size.0
+            && self.size.1 <= other.size.1
+            && self.size.2 <= other.size.2
+    }
+}
+
 fn nothing_runs(state: &JobState) -> bool {
     let mut tasks = state.times.iter().flatten().flat_map(|s| &s.tasks);
     tasks.all(|t| t.run.is_none())
--- a/crates/jobs/src/task.rs
+++ b/crates/jobs/src/task.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::pairs::Pairs;
+use crate::pairs::Tail;
 
 /// Where a run stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,13 +42,10 @@
     pub(crate) wanted: u32,
     /// Whether an order for its pace is under way.
     pub(crate) pacing: bool,
-    /// When it was first slowed from full pace.
-    pub(crate) slowed: u64,
-    /// For a task that serves: the logarithm of its tail when nothing disturbs it.
-    pub(crate) base: f64,
-    /// For a task that serves: the logarithm that its tail is to stay below; 0
-    /// before its first figure.
-    pub(crate) limit: f64,
+    /// Since when it is slowed much.
+    pub(crate) slowed: Option<u64>,
+    /// For a task that serves: what is known of its tail.
+    pub(crate) tail: Tail,
     /// For a task that serves: since when its tail is close to its target.
     pub(crate) over: Option<u64>,
 }
@@ -64,9 +61,8 @@
             pace: 100,
             wanted: 100,
             pacing: false,
-            slowed: 0,
-            base: Pairs::first_base(),
-            limit: 0.0,
+            slowed: None,
+            tail: Tail::default(),
             over: None,
         }
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -4,7 +4,6 @@
 
 use crate::{
     ids::TaskId,
-    pairs::Press,
     settings::{CLOCK_RATE, LEASE_MARGIN, Settings},
     spec::Step,
 };
@@ -105,12 +104,10 @@
     pub(crate) closed: u64,
     /// Time that its tasks take against their estimate, in percent, averaged.
     pub(crate) slowness: u64,
-    /// What fills here, as last listed.
-    pub(crate) press: Vec<Press>,
     /// Thousandths of a core that its serving tasks ask for.
     pub(crate) serving_cpu: u64,
-    /// When the pace of its filling tasks last changed.
-    pub(crate) paced: u64,
+    /// When its figures were last used.
+    pub(crate) figured: u64,
 }
 
 impl Worker {
@@ -138,9 +135,8 @@
             failures: 0,
             closed: 0,
             slowness: 100,
-            press: Vec::new(),
             serving_cpu: 0,
-            paced: 0,
+            figured: 0,
         }
     }
 
