Try workers again after a failure, and let tasks return to them

Cause: after one failure a worker with other runs got no work until one did well; lasting tasks never end, so that it stayed closed (weldcert mix: LOST 5, lasting tasks waited 16 s beside free room). Ruled out: no room (82 cores were free). Change: a worker is tried with two runs, again after 4 s; a lasting task at work for 1.5 s counts as having done well.

--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -15,6 +15,9 @@
 /// First pause of a task after a failure, in milliseconds; it doubles.
 const RETRY_PAUSE: u64 = 40;
 
+/// A lasting task that is at work for this long has done well, in milliseconds.
+const SETTLED: u64 = 1500;
+
 /// Doublings of that pause at most.
 const RETRY_DOUBLINGS: usize = 6;
 
@@ -171,9 +174,15 @@
             run.percent = row.percent;
             run.moved = now;
         }
+        let settled = now > run.since + SETTLED && row.percent == 100;
+        let since = run.since;
         if adopted {
             self.adopt(slot, row.task);
         }
+        let worker = self.fleet.get_mut(slot);
+        if settled && worker.failures > 0 && since > worker.failed {
+            worker.did_well();
+        }
         self.begun(row.task);
     }
 
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -18,9 +18,19 @@
 /// First pause before a silent worker is asked again, in milliseconds.
 const SILENT_RETRY: u64 = 250;
 
-/// Failures in a row after which a worker gets no work for a while.
+/// After one failure a worker gets no new work for this long, in milliseconds:
+/// others of its runs may end meanwhile and tell more.
+const FIRST_CLOSED: u64 = 300;
+
+/// Failures in a row after which a worker gets no work for a longer while.
 const TOO_MANY_FAILURES: u32 = 2;
 
+/// Runs that a worker is tried with after a failure, until one does well.
+const PROBES: u32 = 2;
+
+/// Tries are repeated after this long, in milliseconds: a run may neither end nor fail.
+const PROBE_AGAIN: u64 = 4000;
+
 /// Weight of the newest run in a worker's slowness, as one in so many.
 const SLOWNESS_WEIGHT: u64 = 4;
 
@@ -28,13 +38,23 @@
     /// Takes note that a run did its work here.
     pub(crate) fn did_well(&mut self) {
         self.failures = 0;
+        self.probes = 0;
+    }
+
+    /// Tells whether its last runs failed and enough others are to show why.
+    pub(crate) fn is_on_trial(&self, now: u64) -> bool {
+        let recent = now < self.failed + PROBE_AGAIN * u64::from(self.failures);
+        self.failures > 0 && recent && self.probes >= PROBES
     }
 
     /// Takes note that a run failed or hung here; `limits` are the first and the
     /// longest time without new work.
     pub(crate) fn did_badly(&mut self, now: u64, limits: (u64, u64)) {
         self.failures += 1;
+        self.failed = now;
+        self.probes = 0;
         if self.failures < TOO_MANY_FAILURES {
+            self.closed = self.closed.max(now + FIRST_CLOSED);
             return;
         }
         let doublings = (self.failures - TOO_MANY_FAILURES).min(4);
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -21,8 +21,9 @@
 /// half on average, and it swings. Filling tasks are given the rest.
 const SERVING_USE: u64 = 60;
 
-/// Runs on a worker whose last run failed: one at a time until one does well.
-const PROBATION_RUNS: usize = 1;
+/// A task does not go back to the worker that it failed on for this long, and not
+/// to one that others failed on, in milliseconds.
+const AVOID: u64 = 2500;
 
 /// What a serving task of the same image on a worker adds to its score, in
 /// thousandths of the worker's processors.
@@ -140,7 +141,8 @@
             let Some(task) = task.filter(|t| t.is_waiting(self.now)) else {
                 continue;
             };
-            let (avoid, failed) = (task.avoid, !task.failed.is_empty());
+            let recent = self.now < task.pause + AVOID;
+            let (avoid, failed) = (task.avoid.filter(|_| recent), recent && task.avoid.is_some());
             let chosen = self.choose(first, step, service, (avoid, failed), (*idle, pass));
             let Some(slot) = chosen else {
                 return Placed::Short;
@@ -198,6 +200,7 @@
         let worker = self.fleet.get_mut(slot);
         task.run = Some(run);
         worker.reserve(id, step);
+        worker.probes += 1;
         self.mark(id.job);
     }
 
@@ -287,7 +290,7 @@
         if !worker.is_open(self.now) || *info.service != *service {
             return false;
         }
-        if worker.failures > 0 && worker.runs.len() >= PROBATION_RUNS {
+        if worker.is_on_trial(self.now) {
             return false;
         }
         if step.label.as_ref().is_some_and(|l| !info.labels.contains(l)) {
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -100,6 +100,10 @@
     pub(crate) serving: u32,
     /// Runs that failed or hung on it since one did well.
     pub(crate) failures: u32,
+    /// When the last of them did.
+    pub(crate) failed: u64,
+    /// Runs placed on it since then.
+    pub(crate) probes: u32,
     /// No new runs before this time.
     pub(crate) closed: u64,
     /// Time that its tasks take against their estimate, in percent, averaged.
@@ -133,6 +137,8 @@
             filling: 0,
             serving: 0,
             failures: 0,
+            failed: 0,
+            probes: 0,
             closed: 0,
             slowness: 100,
             serving_cpu: 0,
