Place what can meet its objective first, and refuse while the store is silent

Cause: with more work than room, age order made nearly all filling jobs late; callers were held for up to 1.8 s by a store that did not answer.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -68,6 +68,24 @@
         all && self.times.iter().flatten().all(StepState::is_done)
     }
 
+    /// Returns the longest chain of estimated times of steps that are not done, in
+    /// milliseconds.
+    pub(crate) fn chain_left(&self) -> u64 {
+        let spec = &self.job.spec;
+        let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+        for (at, step) in spec.steps.iter().enumerate() {
+            let before = step.deps.iter().map(|&d| ends[d as usize]).max();
+            let state = self.times.first().map(|t| &t[at]);
+            let own = match state {
+                Some(state) if state.is_done() => 0,
+                Some(state) => step.estimate * u64::from(100 - state.least_percent()) / 100,
+                None => step.estimate,
+            };
+            ends.push(before.unwrap_or(0) + own);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
     /// Returns a task.
     pub(crate) fn task(&self, id: TaskId) -> Option<&Task> {
         let steps = self.times.get(id.time as usize)?;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -8,6 +8,8 @@
     machine::Machine,
     pace::Slack,
     pairs::Image,
+    policy::QueuePolicy,
+    record::Outcome,
     spec::Step,
     task::{Run, Stage},
     worker::{Worker, size},
@@ -35,6 +37,23 @@
 /// What a tail takes off that comes closer to its limit by a factor of e.
 const DISTURBED: f64 = 400.0;
 
+/// Time that a task takes against its estimate, in percent, with its start.
+const USUAL_TIME: u64 = 105;
+
+/// Multiplier that spreads jobs' names over all orders.
+const LOTTERY: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// How a job stands to its objective; the first come first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// It can meet its objective, and has begun; or has none.
+    Begun,
+    /// It can meet its objective.
+    Fresh,
+    /// It can't.
+    Late,
+}
+
 /// Why tasks of a step can't all be placed now.
 enum Placed {
     /// All that waited are placed.
@@ -74,26 +93,46 @@
         }
     }
 
-    /// Sorts the open jobs: those that can still meet their objective first, then
-    /// by priority, then by age.
+    /// Sorts the open jobs into the order in which they are placed.
+    ///
+    /// With more work than room, first come first served makes all jobs late. So
+    /// those that can't meet their objective any more come last, and of the others
+    /// those that have begun come first; the rest wait in an order that does not
+    /// depend on their age or size, so that some are in time and not all late.
     fn sort_open(&mut self) {
-        let mut keys: Vec<(bool, u32, u64, JobId)> = Vec::with_capacity(self.open.len());
+        let mut keys: Vec<(Standing, u32, u64, JobId)> = Vec::with_capacity(self.open.len());
         for &id in &self.open {
             let Some(state) = self.jobs.get(&id) else {
                 continue;
             };
             let policy = self.policy(&state.job.queue);
             let priority = policy.map_or(u32::MAX, |p| p.priority);
-            let chain = state.job.spec.chain();
-            let lasting = state.job.spec.steps.iter().any(|s| s.lasting);
-            let goal = policy.map_or(0, |p| (chain as f64 * p.stretch) as u64 + p.latency);
-            let late = !lasting && state.times.len() == 1 && self.now > state.seen + goal;
-            keys.push((late, priority, state.seen, id));
+            let standing = self.standing(state, policy);
+            let order = id.0.wrapping_mul(LOTTERY);
+            keys.push((standing, priority, order, id));
         }
         keys.sort_unstable();
         self.open = keys.into_iter().map(|k| k.3).collect();
     }
 
+    fn standing(&self, state: &JobState, policy: Option<&QueuePolicy>) -> Standing {
+        let spec = &state.job.spec;
+        let begun = state.outcome == Outcome::Active;
+        let Some(policy) = policy.filter(|_| spec.schedule.times == 0) else {
+            return Standing::Begun;
+        };
+        if spec.steps.iter().any(|s| s.lasting) {
+            return Standing::Begun;
+        }
+        let goal = (spec.chain() as f64 * policy.stretch) as u64 + policy.latency;
+        let left = state.chain_left() * USUAL_TIME / 100;
+        match (self.now + left > state.seen + goal, begun) {
+            (true, _) => Standing::Late,
+            (false, true) => Standing::Begun,
+            (false, false) => Standing::Fresh,
+        }
+    }
+
     fn place_job(&mut self, id: JobId, pass: &mut Pass) {
         let Some(state) = self.jobs.get(&id) else {
             return;
--- a/crates/jobs/src/step.rs
+++ b/crates/jobs/src/step.rs
@@ -32,6 +32,13 @@
         }
     }
 
+    /// Returns the least progress of its tasks that are not done, in percent.
+    pub(crate) fn least_percent(&self) -> u32 {
+        let open = self.tasks.iter().filter(|t| !t.done);
+        let percents = open.map(|t| t.run.as_ref().map_or(0, |r| r.percent.min(100)));
+        percents.min().unwrap_or(0)
+    }
+
     /// Returns how many runs the step has on a worker.
     pub(crate) fn on_worker(&self, worker: u32) -> u32 {
         let runs = self.tasks.iter().filter_map(|t| t.run.as_ref());
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -65,6 +65,7 @@
                     log::warn!(err = err.to_string().as_str(); "store: lost");
                 }
                 lost = true;
+                shared.untouched();
                 shared.metrics.count(Count::StoreErrors);
                 version = version.filter(|_| err != StoreError::Forgotten);
                 cancel.wait(PAUSE);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -25,7 +25,7 @@
 
 /// Share of a caller's patience, in percent, after which an unclear write is
 /// answered as unclear.
-const PATIENCE: u64 = 60;
+const PATIENCE: u64 = 40;
 
 /// Patience of a caller that tells none, in milliseconds.
 const DEFAULT_PATIENCE: u64 = 3000;
@@ -178,6 +178,11 @@
     /// Runs an idempotent write until its effect is known or the caller has
     /// waited long enough.
     fn write(&self, tx: &Tx, request: &Request, start: u64) -> Written {
+        if self.shared.store_is_lost() {
+            return Written::Refused(StoreError::Unavailable {
+                reason: "it did not answer lately".into(),
+            });
+        }
         let patience = self.shared.protocol.patience(request);
         let end = start + patience.unwrap_or(DEFAULT_PATIENCE) * PATIENCE / 100;
         let mut unclear = false;
@@ -191,6 +196,7 @@
                 Err(err @ StoreError::Unknown { .. }) => {
                     log::debug!(err = err.to_string().as_str(); "front: write unclear");
                     unclear = true;
+                    self.shared.untouched();
                     std::thread::sleep(RESEND);
                 }
                 Err(err) if !unclear && tried => return Written::Refused(err),
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -117,6 +117,7 @@
 /// but only the store's answer lets it be claimed.
 fn keep(seen: Seen, err: StoreError, shared: &Shared) -> Result<Seen, StoreError> {
     log::debug!(err = err.to_string().as_str(); "lease: changes not seen");
+    shared.untouched();
     std::thread::sleep(PAUSE);
     read_again(shared, seen)
 }
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -52,7 +52,9 @@
 impl Handler for Ready {
     fn handle(&self, _request: Request) -> Option<Response> {
         let shared = &self.shared;
-        let able = shared.config().is_some() && shared.silence() < READY_SILENCE;
+        let able = shared.config().is_some()
+            && shared.silence() < READY_SILENCE
+            && !shared.store_is_lost();
         let status = if able && !shared.is_leaving() { 200 } else { 503 };
         Some(Response::new(status, Vec::new()))
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -11,6 +11,10 @@
 
 use crate::{config::Config, metrics::Metrics, protocol::Protocol, settings::NodeSettings, store::Store};
 
+/// After a call without an answer, others are spared for this long unless one is
+/// answered meanwhile, in milliseconds.
+const BREAK: u64 = 1500;
+
 /// What the threads of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: NodeSettings,
@@ -21,6 +25,8 @@
     config: Mutex<Option<Arc<Config>>>,
     /// When the store last answered, in milliseconds.
     contact: AtomicU64,
+    /// When a call to the store last got no answer, in milliseconds.
+    lost: AtomicU64,
     /// Whether the process is about to end.
     pub(crate) leaving: AtomicBool,
 }
@@ -39,6 +45,7 @@
             metrics: Metrics::default(),
             config: Mutex::new(None),
             contact: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
         }
     }
@@ -65,6 +72,19 @@
         self.contact.store(self.clock.now(), Ordering::Relaxed);
     }
 
+    /// Takes note that the store did not answer.
+    pub(crate) fn untouched(&self) {
+        self.lost.store(self.clock.now(), Ordering::Relaxed);
+    }
+
+    /// Tells whether the store did not answer lately, and not since: a call would
+    /// only hold its caller up.
+    pub(crate) fn store_is_lost(&self) -> bool {
+        let lost = self.lost.load(Ordering::Relaxed);
+        let since = lost > self.contact.load(Ordering::Relaxed);
+        since && self.clock.now() < lost + BREAK
+    }
+
     /// Returns the milliseconds since the store last answered.
     pub(crate) fn silence(&self) -> u64 {
         let last = self.contact.load(Ordering::Relaxed);
