--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -23,11 +23,14 @@
 /// Added to that by chance, so that not all instances claim at once, in milliseconds.
 const JITTER: u64 = 300;
 
-/// Added for an instance with a small share of a processor, in milliseconds.
-const SMALL: u64 = 400;
+/// An instance with no share of a processor at all would wait this much longer than
+/// the largest that ever owned the lease, in milliseconds: deciding takes more than
+/// a tenth of a processor, and a small instance falls behind for good.
+const SMALL: u64 = 600;
 
-/// Thousandths of a processor from which an instance is not small.
-const LARGE: u64 = 500;
+/// A lease whose owner has less than half of an instance's share goes to that
+/// instance after this long, in milliseconds.
+const UPGRADE: u64 = 1500;
 
 /// How long one question for changes waits.
 const WAIT: Duration = Duration::from_millis(600);
@@ -45,15 +48,24 @@
     lease: LeaseRow,
     /// When this version was first seen.
     since: u64,
+    /// When its epoch was first seen.
+    begun: u64,
     /// The store's version up to which changes are known.
     version: u64,
 }
 
+impl Seen {
+    /// Returns for how long the epoch has been the same, in milliseconds.
+    fn epoch_age(&self, shared: &Shared) -> u64 {
+        shared.clock.now() - self.begun
+    }
+}
+
 /// Watches until cancelled; while this instance owns the lease, it decides.
 pub(crate) fn watch(shared: &Arc<Shared>, cancel: &Cancel) {
     let mut seen: Option<Seen> = None;
     let mut rng = rand::rng();
-    let mut patience = patience(shared, &mut rng);
+    let mut jitter = rng.random_range(0..JITTER);
     while !cancel.is_cancelled() {
         let step = look(shared, seen.take());
         let now = match step {
@@ -64,11 +76,11 @@
                 continue;
             }
         };
-        if !is_free(shared, &now, patience) {
+        if !is_free(shared, &now, jitter) {
             seen = Some(now);
             continue;
         }
-        patience = self::patience(shared, &mut rng);
+        jitter = rng.random_range(0..JITTER);
         match claim(shared, &now) {
             Ok(Some(tenure)) => {
                 shared.metrics.count(Count::Takeovers);
@@ -83,14 +95,6 @@
     }
 }
 
-fn patience(shared: &Shared, rng: &mut impl Rng) -> u64 {
-    let small = match shared.settings.share < LARGE {
-        true => SMALL * (LARGE - shared.settings.share) / LARGE,
-        false => 0,
-    };
-    STALE + small + rng.random_range(0..JITTER)
-}
-
 fn look(shared: &Shared, seen: Option<Seen>) -> Result<Seen, StoreError> {
     let Some(mut seen) = seen else {
         return read(shared);
@@ -103,8 +107,11 @@
             seen.version = changes.version;
             let row = changes.rows.into_iter().rfind(|r| r.key == OWNER);
             if let Some(row) = row {
-                let lease = decode("lease", &row.value).unwrap_or_default();
+                let lease: LeaseRow = decode("lease", &row.value).unwrap_or_default();
                 seen.row = (!row.removed).then_some(row);
+                if lease.epoch != seen.lease.epoch {
+                    seen.begun = shared.clock.now();
+                }
                 seen.lease = lease;
                 seen.since = shared.clock.now();
             }
@@ -128,6 +135,10 @@
     let same = version(&new) == version(&old);
     Ok(Seen {
         since: if same { old.since } else { new.since },
+        begun: match new.lease.epoch == old.lease.epoch {
+            true => old.begun,
+            false => new.begun,
+        },
         ..new
     })
 }
@@ -141,17 +152,25 @@
         row,
         lease: lease.unwrap_or_default(),
         since: shared.clock.now(),
+        begun: shared.clock.now(),
         version: page.version,
     })
 }
 
-fn is_free(shared: &Shared, seen: &Seen, patience: u64) -> bool {
+fn is_free(shared: &Shared, seen: &Seen, jitter: u64) -> bool {
     if shared.is_leaving() {
         return false;
     }
-    let mine = seen.lease.owner == *shared.settings.name;
+    let (share, lease) = (shared.settings.share, &seen.lease);
+    let largest = lease.largest.max(share).max(1);
+    let small = SMALL * (largest - share) / largest;
     let age = shared.clock.now() - seen.since;
-    seen.row.is_none() || seen.lease.released || mine || age > patience
+    let mine = lease.owner == *shared.settings.name;
+    if seen.row.is_none() || lease.released || mine {
+        return age >= small;
+    }
+    let upgrade = lease.share * 2 < share && age < UPGRADE && seen.epoch_age(shared) > UPGRADE;
+    upgrade || age > STALE + jitter + small
 }
 
 /// Tries to become the owner; nothing if another was faster.
@@ -162,6 +181,8 @@
         owner: shared.settings.name.to_string(),
         epoch,
         released: false,
+        share: shared.settings.share,
+        largest: seen.lease.largest.max(shared.settings.share),
         pending: seen.lease.pending.clone(),
     };
     let head = HeadRow { epoch, number: 0 };
@@ -200,6 +221,7 @@
     log::info!(epoch, from = seen.lease.owner.as_str(), released = seen.lease.released, age_ms = asked - seen.since; "lease: taken");
     Ok(Some(Tenure {
         epoch,
+        largest: lease.largest,
         head: version,
         inherited,
     }))
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -57,6 +57,8 @@
             owner: shared.settings.name.to_string(),
             epoch: tenure.epoch,
             released: false,
+            share: shared.settings.share,
+            largest: tenure.largest,
             pending: Vec::new(),
         },
         head: tenure.head,
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -27,6 +27,8 @@
 pub(crate) struct Tenure {
     /// The fencing token at the workers.
     pub(crate) epoch: u64,
+    /// The largest share of a processor of any owner so far, in thousandths.
+    pub(crate) largest: u64,
     /// Version of the journal's end.
     pub(crate) head: u64,
     /// When leases of an earlier owner are over.
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -73,6 +73,10 @@
     pub(crate) epoch: u64,
     /// Whether the owner has given it back and sends nothing any more.
     pub(crate) released: bool,
+    /// The owner's share of a processor, in thousandths.
+    pub(crate) share: u64,
+    /// The largest share of any owner so far, in thousandths.
+    pub(crate) largest: u64,
     /// Jobs by queue none of whose tasks has begun.
     pub(crate) pending: Vec<(Arc<str>, u64)>,
 }
