--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -26,9 +26,9 @@
 /// Key of the journal's end.
 pub(crate) const HEAD: &str = "head";
 
-/// Parts of the accepted jobs. A part takes some 150 transactions a second one
-/// after another, so that several keep accepting quick in a burst.
-const JOB_PARTS: u64 = 4;
+/// Parts of the accepted jobs. A part takes its transactions one after another, and
+/// two a second while the store is slow; reading more of them makes takeovers slow.
+const JOB_PARTS: u64 = 16;
 
 /// What follows a job's name in the key of its cancellation.
 const CANCEL: &str = ".c";
