--- /dev/null
+++ b/crates/jobs/tests/common/judge.rs
@@ -0,0 +1,75 @@
+//! What must hold, as the workers see it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use gorsespur_jobs::{Ending, Spec, TaskId};
+
+use super::SimWorker;
+
+/// Watches starts and ends, and remembers what was wrong.
+#[derive(Debug, Default)]
+pub struct Judge {
+    pub wrong: Vec<String>,
+    /// Tasks of which a run ended done.
+    pub done: BTreeSet<TaskId>,
+    /// Ends that a durable record counts.
+    pub noted_done: BTreeMap<TaskId, u64>,
+    pub noted_failed: BTreeMap<TaskId, u32>,
+}
+
+impl Judge {
+    /// A run began on a worker.
+    pub fn begun(&mut self, now: u64, task: TaskId, attempts: u32, spec: &Spec) {
+        if self.noted_done.contains_key(&task) {
+            self.wrong.push(format!("{now}: {task} begins after it was done"));
+        }
+        let step = &spec.steps[task.step as usize];
+        let failed = self.noted_failed.get(&task).copied().unwrap_or(0);
+        if !step.lasting && failed >= attempts {
+            self.wrong.push(format!("{now}: {task} begins after {failed} failures"));
+        }
+        for &dep in &step.deps {
+            for index in 0..spec.steps[dep as usize].count {
+                let before = TaskId {
+                    step: dep,
+                    index,
+                    ..task
+                };
+                if !self.done.contains(&before) {
+                    self.wrong.push(format!("{now}: {task} begins before {before} is done"));
+                }
+            }
+        }
+    }
+
+    /// A worker was told that it may forget ends up to a number.
+    pub fn observed(&mut self, now: u64, worker: &SimWorker, number: u64) {
+        for end in worker.ends.iter().filter(|e| e.number <= number) {
+            match end.ending {
+                Ending::Done => {
+                    self.noted_done.entry(end.task).or_insert(now);
+                }
+                Ending::Failed => *self.noted_failed.entry(end.task).or_insert(0) += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// No task may run twice at once on workers that are alive.
+    pub fn check(&mut self, now: u64, workers: &[SimWorker]) {
+        let mut seen: BTreeMap<TaskId, &str> = BTreeMap::new();
+        for end in workers.iter().flat_map(|w| &w.ends) {
+            if end.ending == Ending::Done {
+                self.done.insert(end.task);
+            }
+        }
+        for worker in workers.iter().filter(|w| w.alive) {
+            for run in &worker.runs {
+                if let Some(other) = seen.insert(run.task, &worker.id) {
+                    let here = &worker.id;
+                    self.wrong.push(format!("{now}: {} runs on {other} and {here}", run.task));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/common/mod.rs
@@ -0,0 +1,34 @@
+//! A world for the machine: workers, a store and owners in virtual time.
+
+mod judge;
+mod sim;
+mod world;
+
+pub use judge::Judge;
+pub use sim::{Mode, SimWorker};
+pub use world::{World, WorldSettings};
+
+use gorsespur_jobs::{Spec, Step};
+
+/// A step of short tasks.
+pub fn short(count: u32, estimate: u64) -> Step {
+    Step {
+        count,
+        cpu: 1000,
+        memory: 1000,
+        estimate,
+        ..Step::default()
+    }
+}
+
+/// A job of these steps, each after the one before.
+pub fn chain(mut steps: Vec<Step>) -> Spec {
+    for (at, step) in steps.iter_mut().enumerate().skip(1) {
+        step.deps = vec![at as u32 - 1];
+    }
+    Spec {
+        text: "work".into(),
+        steps,
+        ..Spec::default()
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/common/sim.rs
@@ -0,0 +1,223 @@
+//! A worker as the users' pages describe one.
+
+use std::sync::Arc;
+
+use gorsespur_jobs::{End, Ending, Look, Running, Started, StartOrder, Stopped, TaskId};
+
+/// Ends that one answer holds at most.
+const FULL_LIST: usize = 500;
+
+/// What is wrong with a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// Nothing.
+    Well,
+    /// Whatever it starts fails after a tenth of its time.
+    FailsAll,
+    /// What it runs makes no progress.
+    Hangs,
+    /// What it runs takes so many times as long.
+    Slow(u64),
+}
+
+/// A run on a worker.
+#[derive(Debug, Clone)]
+pub struct SimRun {
+    pub task: TaskId,
+    pub run: u32,
+    pub work: u64,
+    pub done: u64,
+    pub lasting: bool,
+    pub fill: bool,
+    pub target: u64,
+    pub pace: u32,
+    pub stops: Option<u64>,
+    pub size: (u64, u64),
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct SimWorker {
+    pub id: Arc<str>,
+    pub alive: bool,
+    /// Nobody reaches it, and it reaches nobody.
+    pub cut: bool,
+    /// Orders are carried out this much later and not answered, in milliseconds.
+    pub late: u64,
+    pub mode: Mode,
+    pub fence: u64,
+    /// End of its lease on its own clock.
+    pub deadline: u64,
+    /// Its clock runs at this rate, in percent, and began at an odd time.
+    pub rate: u64,
+    pub begun: u64,
+    pub room: (u64, u64),
+    pub runs: Vec<SimRun>,
+    pub ends: Vec<End>,
+    /// Runs at or below these never begin any more.
+    pub barred: Vec<(TaskId, u32)>,
+    next: u64,
+    /// Logarithm by which a core of what fills lengthens tails here.
+    pub press: f64,
+}
+
+impl SimWorker {
+    pub fn new(id: &str, now: u64, rate: u64) -> SimWorker {
+        SimWorker {
+            id: id.into(),
+            alive: true,
+            cut: false,
+            late: 0,
+            mode: Mode::Well,
+            fence: 0,
+            deadline: 0,
+            rate,
+            begun: now,
+            room: (8000, 16000),
+            runs: Vec::new(),
+            ends: Vec::new(),
+            barred: Vec::new(),
+            next: 1,
+            press: 0.0,
+        }
+    }
+
+    pub fn clock(&self, now: u64) -> u64 {
+        7_000 + (now - self.begun) * self.rate / 100
+    }
+
+    fn grant(&mut self, deadline: Option<u64>) {
+        self.deadline = self.deadline.max(deadline.unwrap_or(0));
+    }
+
+    fn end(&mut self, at: usize, ending: Ending) {
+        let run = self.runs.remove(at);
+        self.barred.push((run.task, run.run));
+        self.ends.push(End {
+            number: self.next,
+            task: run.task,
+            run: run.run,
+            ending,
+            saved: "".into(),
+        });
+        self.next += 1;
+    }
+
+    /// Works for `ms` until `now`; ends what lapses, stops, fails or is done.
+    pub fn advance(&mut self, now: u64, ms: u64) {
+        let lapsed = self.clock(now) > self.deadline;
+        let mut at = 0;
+        while at < self.runs.len() {
+            let mode = self.mode;
+            let run = &mut self.runs[at];
+            run.done += match mode {
+                Mode::Hangs => 0,
+                Mode::Slow(times) => ms / times,
+                _ => ms * u64::from(run.pace) / 100,
+            };
+            let ending = match () {
+                () if lapsed => Some(Ending::Lapsed),
+                () if run.stops.is_some_and(|t| t <= now) => Some(Ending::Stopped),
+                () if mode == Mode::FailsAll && run.done * 10 >= run.work => Some(Ending::Failed),
+                () if !run.lasting && run.done >= run.work => Some(Ending::Done),
+                () => None,
+            };
+            match ending {
+                Some(ending) => self.end(at, ending),
+                None => at += 1,
+            }
+        }
+    }
+
+    pub fn look(&mut self, now: u64, fence: u64, observed: u64, deadline: Option<u64>) -> Option<Look> {
+        if fence < self.fence {
+            return None;
+        }
+        self.fence = fence;
+        self.grant(deadline);
+        self.ends.retain(|e| e.number > observed);
+        let running = self.runs.iter().map(|r| Running {
+            task: r.task,
+            run: r.run,
+            saved: "".into(),
+            percent: match r.lasting {
+                true => 100,
+                false => (r.done * 100 / r.work.max(1)).min(99) as u32,
+            },
+            figure: Some(self.figure(r)),
+        });
+        Some(Look {
+            clock: self.clock(now),
+            running: running.collect(),
+            finished: self.ends.iter().take(FULL_LIST).cloned().collect(),
+        })
+    }
+
+    fn figure(&self, run: &SimRun) -> u64 {
+        if run.target == 0 {
+            return run.size.0 * u64::from(run.pace) / 100;
+        }
+        let fills = self.runs.iter().filter(|r| r.fill);
+        let cores: f64 = fills.map(|r| r.size.0 as f64 * f64::from(r.pace) / 1e5).sum();
+        (run.target as f64 * 0.4 * (self.press * cores).exp()) as u64
+    }
+
+    pub fn start(&mut self, now: u64, fence: u64, order: &StartOrder) -> Started {
+        if fence < self.fence {
+            return Started::Fenced;
+        }
+        self.fence = fence;
+        self.grant(Some(order.deadline));
+        let same = |r: &SimRun| r.task == order.task && r.run == order.run;
+        if self.runs.iter().any(same) {
+            return Started::Done;
+        }
+        let barred = |b: &(TaskId, u32)| b.0 == order.task && b.1 >= order.run;
+        if self.barred.iter().any(barred) {
+            return Started::Old;
+        }
+        if self.clock(now) > order.deadline {
+            return Started::NoRoom;
+        }
+        let step = &order.spec.steps[order.task.step as usize];
+        let size = (if step.fill { 0 } else { step.cpu }, step.memory);
+        let used = self.runs.iter().fold((0, 0), |u, r| {
+            let cpu = if r.fill { 0 } else { r.size.0 };
+            (u.0 + cpu, u.1 + r.size.1)
+        });
+        if used.0 + size.0 > self.room.0 || used.1 + size.1 > self.room.1 {
+            return Started::NoRoom;
+        }
+        self.runs.push(SimRun {
+            task: order.task,
+            run: order.run,
+            work: step.estimate.max(1),
+            done: 0,
+            lasting: step.lasting,
+            fill: step.fill,
+            target: step.target,
+            pace: 100,
+            stops: None,
+            size: (step.cpu, step.memory),
+        });
+        Started::Done
+    }
+
+    pub fn stop(&mut self, now: u64, fence: u64, task: TaskId, run: u32) -> Stopped {
+        if fence < self.fence {
+            return Stopped::Fenced;
+        }
+        self.fence = fence;
+        self.barred.push((task, run));
+        let found = self.runs.iter_mut().find(|r| r.task == task && r.run == run);
+        if let Some(found) = found {
+            found.stops.get_or_insert(now + 200);
+        }
+        Stopped::Done
+    }
+
+    pub fn pace(&mut self, task: TaskId, run: u32, percent: u32) -> bool {
+        let found = self.runs.iter_mut().find(|r| r.task == task && r.run == run);
+        found.map(|r| r.pace = percent).is_some()
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/common/world.rs
@@ -0,0 +1,428 @@
+//! Owners, a store and workers in virtual time.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use gorsespur_jobs::{
+    Action, Answer, Capacity, Event, Job, JobId, Machine, Outcome, QueuePolicy, Record, Settings,
+    Spec, Started, Stopped, WorkerInfo,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::{Judge, SimWorker};
+
+/// Milliseconds of one step of the world.
+pub const TICK: u64 = 5;
+
+/// Milliseconds after which an order without an answer is given up.
+const ORDER_LIMIT: u64 = 700;
+
+/// Milliseconds that a write takes.
+const WRITE: u64 = 10;
+
+/// Sizes of the world.
+#[derive(Debug, Clone, Copy)]
+pub struct WorldSettings {
+    pub workers: usize,
+    pub attempts: u32,
+    pub seed: u64,
+    /// Share of answers that are lost, in percent.
+    pub lost: u32,
+}
+
+impl Default for WorldSettings {
+    fn default() -> WorldSettings {
+        WorldSettings {
+            workers: 4,
+            attempts: 3,
+            seed: 1,
+            lost: 0,
+        }
+    }
+}
+
+/// Something on its way.
+#[derive(Debug, Clone)]
+enum Parcel {
+    Order(usize, Action, u64),
+    Answer(u32, u64, Answer),
+}
+
+/// One owner's machine and what is on its way to and from it.
+struct Owner {
+    machine: Machine,
+    epoch: u64,
+    slots: BTreeMap<u32, usize>,
+    parcels: Vec<(u64, Parcel)>,
+    commit: Option<(u64, Vec<(JobId, Vec<u8>)>)>,
+    paused: bool,
+    deposed: bool,
+}
+
+/// The world.
+pub struct World {
+    pub now: u64,
+    pub settings: WorldSettings,
+    pub workers: Vec<SimWorker>,
+    pub judge: Judge,
+    pub store_down: bool,
+    records: BTreeMap<JobId, Vec<u8>>,
+    jobs: BTreeMap<JobId, Arc<Job>>,
+    cancelled: Vec<JobId>,
+    owners: Vec<Owner>,
+    epoch: u64,
+    renewed: u64,
+    rng: SmallRng,
+}
+
+impl World {
+    pub fn new(settings: WorldSettings) -> World {
+        let now = 3_600_000;
+        let mut world = World {
+            now,
+            settings,
+            workers: Vec::new(),
+            judge: Judge::default(),
+            store_down: false,
+            records: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            cancelled: Vec::new(),
+            owners: Vec::new(),
+            epoch: 0,
+            renewed: now,
+            rng: SmallRng::seed_from_u64(settings.seed),
+        };
+        for at in 0..settings.workers {
+            let rate = 98 + (at as u64 % 3);
+            world.workers.push(SimWorker::new(&format!("w{at}"), now, rate));
+        }
+        world.take_over(0);
+        world
+    }
+
+    /// A new owner takes over; the old one is not told. `inherited` is when leases
+    /// of earlier owners are over.
+    pub fn take_over(&mut self, inherited: u64) {
+        self.epoch += 1;
+        let mut machine = Machine::new(Settings::default(), self.now, inherited);
+        for (id, record) in &self.records {
+            let record = Record::decode(record).expect("own record");
+            machine.restore(self.jobs[id].clone(), &record);
+        }
+        let mut owner = Owner {
+            machine,
+            epoch: self.epoch,
+            slots: BTreeMap::new(),
+            parcels: Vec::new(),
+            commit: None,
+            paused: false,
+            deposed: false,
+        };
+        let policy = QueuePolicy {
+            queue: "q".into(),
+            service: "s".into(),
+            priority: 0,
+            attempts: self.settings.attempts,
+            stretch: 1.5,
+            latency: 250,
+        };
+        owner.machine.handle(self.now, self.now, Event::Queues(vec![policy]));
+        for job in self.jobs.values() {
+            owner.machine.handle(self.now, self.now, Event::Accepted(job.clone()));
+        }
+        for &id in &self.cancelled {
+            owner.machine.handle(self.now, self.now, Event::Cancelled(id));
+        }
+        self.owners.push(owner);
+        for at in 0..self.workers.len() {
+            self.announce(at, true);
+        }
+    }
+
+    /// The newest owner stops and wakes up again.
+    pub fn pause(&mut self, paused: bool) {
+        if let Some(owner) = self.owners.last_mut() {
+            owner.paused = paused;
+        }
+    }
+
+    /// The end of all leases that the newest owner may have granted.
+    pub fn lease_end(&self) -> u64 {
+        let settings = Settings::default();
+        self.renewed.max(self.now) + settings.hold + settings.lease * 100 / 98 + 100
+    }
+
+    /// Tells the newest owner of a worker.
+    pub fn announce(&mut self, at: usize, ready: bool) {
+        let worker = &self.workers[at];
+        if worker.cut || !worker.alive {
+            return;
+        }
+        let info = WorkerInfo {
+            id: worker.id.clone(),
+            addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
+            service: "s".into(),
+            zone: "z".into(),
+            labels: vec!["a".into(), format!("r{}", at / 2).into()],
+            rack: format!("r{}", at / 2).into(),
+            capacity: Capacity {
+                cpu: worker.room.0,
+                memory: worker.room.1,
+                gpu: 0,
+            },
+            ready,
+            remaining: if ready { 0 } else { 2000 },
+        };
+        self.tell(Event::Worker(info));
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        let now = self.now;
+        if let Some(owner) = self.owners.last_mut() {
+            owner.machine.handle(now, now, event);
+        }
+    }
+
+    pub fn submit(&mut self, id: u64, spec: Spec) -> JobId {
+        let id = JobId(id);
+        let job = Arc::new(Job {
+            id,
+            queue: "q".into(),
+            accepted: 0,
+            spec: Arc::new(spec),
+        });
+        self.jobs.insert(id, job.clone());
+        self.tell(Event::Accepted(job));
+        id
+    }
+
+    pub fn cancel(&mut self, id: JobId) {
+        self.cancelled.push(id);
+        self.tell(Event::Cancelled(id));
+    }
+
+    /// What the store says became of a job.
+    pub fn outcome(&self, id: JobId) -> Outcome {
+        let record = self.records.get(&id);
+        record.map_or(Outcome::Pending, |r| Record::decode(r).expect("own record").outcome)
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.jobs.keys().all(|&id| {
+            let lasting = self.jobs[&id].spec.steps.iter().any(|s| s.lasting);
+            lasting || self.outcome(id).is_final()
+        })
+    }
+
+    pub fn run_until_done(&mut self, limit: u64) -> bool {
+        let end = self.now + limit;
+        while self.now < end && !self.all_done() {
+            self.step();
+        }
+        self.all_done()
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        for worker in self.workers.iter_mut().filter(|w| w.alive) {
+            worker.advance(self.now, TICK);
+        }
+        for at in 0..self.owners.len() {
+            self.deliver(at);
+            self.write(at);
+            self.settle(at);
+        }
+        self.judge.check(self.now, &self.workers);
+    }
+
+    fn write(&mut self, at: usize) {
+        let (now, epoch, down) = (self.now, self.epoch, self.store_down);
+        let owner = &mut self.owners[at];
+        if owner.paused || owner.deposed || down {
+            return;
+        }
+        if owner.epoch < epoch {
+            // The journal's end has moved: its next write fails.
+            owner.deposed = true;
+            return;
+        }
+        if now.is_multiple_of(400) {
+            owner.machine.handle(now, now, Event::Renewed);
+            self.renewed = now;
+        }
+        let owner = &mut self.owners[at];
+        let Some((due, records)) = owner.commit.take_if(|(due, _)| *due <= now) else {
+            return;
+        };
+        let _ = due;
+        for (id, record) in records {
+            self.records.insert(id, record);
+        }
+        self.renewed = now;
+        owner.machine.handle(now, now, Event::Committed);
+    }
+
+    fn settle(&mut self, at: usize) {
+        let now = self.now;
+        let owner = &mut self.owners[at];
+        if owner.paused || owner.deposed {
+            return;
+        }
+        let actions = owner.machine.settle(now, now);
+        for action in actions {
+            self.act(at, action);
+        }
+    }
+
+    fn act(&mut self, at: usize, action: Action) {
+        let now = self.now;
+        let worker = match &action {
+            Action::Commit(records) => {
+                self.owners[at].commit = Some((now + WRITE, records.clone()));
+                return;
+            }
+            Action::Depose => {
+                self.owners[at].deposed = true;
+                return;
+            }
+            Action::Look { worker, .. }
+            | Action::Stop { worker, .. }
+            | Action::Pace { worker, .. } => *worker,
+            Action::Start(worker, _) => *worker,
+        };
+        let owner = &mut self.owners[at];
+        let (_, id) = owner.machine.worker(worker).expect("announced");
+        let index = match owner.slots.get(&worker) {
+            Some(&index) => index,
+            None => {
+                let index = self.workers.iter().position(|w| w.id == id).expect("known");
+                owner.slots.insert(worker, index);
+                index
+            }
+        };
+        let late = self.workers[index].late;
+        let is_look = matches!(action, Action::Look { .. });
+        let extra = if is_look { 0 } else { late };
+        let due = now + 2 + extra;
+        owner.parcels.push((due, Parcel::Order(index, action, now)));
+    }
+
+    fn deliver(&mut self, at: usize) {
+        let now = self.now;
+        let paused = self.owners[at].paused;
+        let parcels = &mut self.owners[at].parcels;
+        let mut due = Vec::new();
+        parcels.retain(|(t, parcel)| {
+            // Answers wait for a paused process.
+            let waits = *t > now || paused && matches!(parcel, Parcel::Answer(..));
+            if !waits {
+                due.push(parcel.clone());
+            }
+            waits
+        });
+        for parcel in due {
+            match parcel {
+                Parcel::Answer(worker, sent, answer) => {
+                    let owner = &mut self.owners[at];
+                    if !owner.deposed {
+                        let event = Event::Answer {
+                            worker,
+                            sent,
+                            answer,
+                        };
+                        owner.machine.handle(now, now, event);
+                    }
+                }
+                Parcel::Order(index, action, sent) => self.carry_out(at, index, action, sent),
+            }
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, index: usize, action: Action, sent: u64) {
+        let now = self.now;
+        let fence = self.owners[at].epoch;
+        let late = now > sent + ORDER_LIMIT;
+        let lost = self.rng.random_range(0..100) < self.settings.lost;
+        let worker = &mut self.workers[index];
+        let reached = worker.alive && !worker.cut;
+        let (slot, answer, silence) = match &action {
+            Action::Look {
+                worker: slot,
+                observed,
+                deadline,
+                wait,
+            } => {
+                let silence = Answer::Silent;
+                let look = reached
+                    .then(|| {
+                        if fence >= worker.fence {
+                            self.judge.observed(now, worker, *observed);
+                        }
+                        worker.look(now, fence, *observed, *deadline)
+                    })
+                    .flatten();
+                let answer = look.map_or(Answer::Fenced, Answer::Looked);
+                // An end is answered at once; else the worker waits.
+                let _ = wait;
+                (*slot, answer, silence)
+            }
+            Action::Start(slot, order) => {
+                let silence = Answer::Started(order.task, order.run, Started::Unknown);
+                let mut started = Started::Unknown;
+                if reached {
+                    let before = worker.runs.len();
+                    started = worker.start(now, fence, order);
+                    if worker.runs.len() > before {
+                        let attempts = self.settings.attempts;
+                        self.judge.begun(now, order.task, attempts, &order.spec);
+                    }
+                }
+                (*slot, Answer::Started(order.task, order.run, started), silence)
+            }
+            Action::Stop {
+                worker: slot,
+                task,
+                run,
+            } => {
+                let silence = Answer::Stopped(*task, *run, Stopped::Unknown);
+                let mut stopped = Stopped::Unknown;
+                if reached {
+                    stopped = worker.stop(now, fence, *task, *run);
+                }
+                (*slot, Answer::Stopped(*task, *run, stopped), silence)
+            }
+            Action::Pace {
+                worker: slot,
+                task,
+                run,
+                percent,
+            } => {
+                let done = reached && worker.pace(*task, *run, *percent);
+                (*slot, Answer::Paced(*task, *run, done), Answer::Paced(*task, *run, false))
+            }
+            Action::Commit(_) | Action::Depose => return,
+        };
+        let waits = matches!(&action, Action::Look { wait, .. } if *wait > 0);
+        let idle = match &answer {
+            Answer::Looked(look) => look.finished.is_empty(),
+            _ => false,
+        };
+        let owner = &mut self.owners[at];
+        let parcel = match reached && !lost && !late {
+            // A waiting worker answers at an end; here it is asked again soon.
+            true if waits && idle => (now + 100, Parcel::Answer(slot, sent, answer)),
+            true => (now + 2, Parcel::Answer(slot, sent, answer)),
+            false => {
+                let due = (sent + ORDER_LIMIT).max(now);
+                (due, Parcel::Answer(slot, sent, silence))
+            }
+        };
+        owner.parcels.push(parcel);
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/promises.rs
@@ -0,0 +1,268 @@
+//! Promises under every fault, and under random series of them.
+
+mod common;
+
+use common::{Mode, World, WorldSettings, chain, short};
+use gorsespur_jobs::{Event, Outcome, Step};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use test_case::test_case;
+
+/// What can happen to the world.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    WorkerDies,
+    WorkerCut,
+    WorkerLate,
+    WorkerFailsAll,
+    WorkerHangs,
+    WorkerSlow,
+    WorkerLeaves,
+    StoreDown,
+    OwnerGone,
+    OwnerPaused,
+    OwnerReplacedAlive,
+    AllOff,
+}
+
+const FAULTS: [Fault; 12] = [
+    Fault::WorkerDies,
+    Fault::WorkerCut,
+    Fault::WorkerLate,
+    Fault::WorkerFailsAll,
+    Fault::WorkerHangs,
+    Fault::WorkerSlow,
+    Fault::WorkerLeaves,
+    Fault::StoreDown,
+    Fault::OwnerGone,
+    Fault::OwnerPaused,
+    Fault::OwnerReplacedAlive,
+    Fault::AllOff,
+];
+
+fn strike(world: &mut World, fault: Fault, at: usize) {
+    match fault {
+        Fault::WorkerDies => world.workers[at].alive = false,
+        Fault::WorkerCut => world.workers[at].cut = true,
+        Fault::WorkerLate => world.workers[at].late = 4000,
+        Fault::WorkerFailsAll => world.workers[at].mode = Mode::FailsAll,
+        Fault::WorkerHangs => world.workers[at].mode = Mode::Hangs,
+        Fault::WorkerSlow => world.workers[at].mode = Mode::Slow(6),
+        Fault::WorkerLeaves => world.announce(at, false),
+        Fault::StoreDown => world.store_down = true,
+        Fault::OwnerGone => {
+            world.pause(true);
+            let end = world.lease_end();
+            world.take_over(end);
+        }
+        Fault::OwnerPaused => {
+            world.pause(true);
+            world.run(2500);
+            world.pause(false);
+        }
+        Fault::OwnerReplacedAlive => {
+            let end = world.lease_end();
+            world.take_over(end);
+        }
+        Fault::AllOff => {
+            world.pause(true);
+            let end = world.lease_end();
+            world.run(9000);
+            world.take_over(end);
+        }
+    }
+}
+
+fn mend(world: &mut World, at: usize) {
+    let worker = &mut world.workers[at];
+    worker.cut = false;
+    worker.late = 0;
+    worker.mode = Mode::Well;
+    world.store_down = false;
+    world.announce(at, true);
+}
+
+fn fill(world: &mut World) {
+    for id in 1..=6 {
+        let steps = vec![short(3, 600), short(2, 900), short(1, 300)];
+        world.submit(id, chain(steps));
+    }
+    let lasting = Step {
+        lasting: true,
+        ..short(2, 0)
+    };
+    world.submit(100, chain(vec![lasting]));
+}
+
+fn check(world: &World) {
+    assert!(world.judge.wrong.is_empty(), "{:#?}", world.judge.wrong);
+}
+
+#[test_case(Fault::WorkerDies)]
+#[test_case(Fault::WorkerCut)]
+#[test_case(Fault::WorkerLate)]
+#[test_case(Fault::WorkerFailsAll)]
+#[test_case(Fault::WorkerHangs)]
+#[test_case(Fault::WorkerSlow)]
+#[test_case(Fault::WorkerLeaves)]
+#[test_case(Fault::StoreDown)]
+#[test_case(Fault::OwnerGone)]
+#[test_case(Fault::OwnerPaused)]
+#[test_case(Fault::OwnerReplacedAlive)]
+#[test_case(Fault::AllOff)]
+fn one_fault_breaks_no_promise(fault: Fault) {
+    for delay in [0, 20, 400, 900, 1700] {
+        let mut world = World::new(WorldSettings {
+            attempts: 6,
+            ..WorldSettings::default()
+        });
+        world.run(100);
+        fill(&mut world);
+        world.run(delay);
+        strike(&mut world, fault, 1);
+        world.run(4000);
+        mend(&mut world, 1);
+        assert!(world.run_until_done(60_000), "{fault:?} after {delay} ms");
+        check(&world);
+        for id in 1..=6 {
+            assert_eq!(world.outcome(gorsespur_jobs::JobId(id)), Outcome::Complete);
+        }
+    }
+}
+
+#[test]
+fn random_series_of_faults_break_no_promise() {
+    for seed in 0..120 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut world = World::new(WorldSettings {
+            workers: 5,
+            attempts: 40,
+            seed,
+            lost: rng.random_range(0..4),
+        });
+        world.run(100);
+        fill(&mut world);
+        for id in 10..rng.random_range(12..30) {
+            world.run(rng.random_range(0..400));
+            world.submit(id, chain(vec![short(2, 500), short(2, 700)]));
+        }
+        for _ in 0..rng.random_range(1..5) {
+            let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+            let at = rng.random_range(0..4);
+            strike(&mut world, fault, at);
+            world.run(rng.random_range(0..5000));
+            if rng.random_bool(0.5) {
+                mend(&mut world, at);
+            }
+        }
+        for at in 0..5 {
+            mend(&mut world, at);
+        }
+        let done = world.run_until_done(120_000);
+        assert!(world.judge.wrong.is_empty(), "seed {seed}: {:#?}", world.judge.wrong);
+        assert!(done, "seed {seed}: jobs are left");
+    }
+}
+
+#[test]
+fn a_cancelled_job_stops_everywhere() {
+    let mut world = World::new(WorldSettings::default());
+    world.run(100);
+    let lasting = Step {
+        lasting: true,
+        ..short(6, 0)
+    };
+    let id = world.submit(1, chain(vec![lasting]));
+    world.run(1500);
+    assert_eq!(world.outcome(id), Outcome::Active);
+    world.cancel(id);
+    world.run(1500);
+    assert_eq!(world.outcome(id), Outcome::Cancelled);
+    assert!(world.workers.iter().all(|w| w.runs.is_empty()));
+    check(&world);
+}
+
+#[test]
+fn a_task_that_fails_too_often_fails_its_job() {
+    let mut world = World::new(WorldSettings::default());
+    for worker in &mut world.workers {
+        worker.mode = Mode::FailsAll;
+    }
+    world.run(100);
+    let id = world.submit(1, chain(vec![short(1, 500)]));
+    assert!(world.run_until_done(60_000));
+    assert_eq!(world.outcome(id), Outcome::Failed);
+    check(&world);
+}
+
+#[test]
+fn a_gang_starts_as_one() {
+    let mut world = World::new(WorldSettings::default());
+    world.run(100);
+    let gang = Step {
+        gang: true,
+        ..short(30, 500)
+    };
+    // 30 tasks fit into 32 cores only while nothing else runs.
+    world.submit(1, chain(vec![short(8, 400)]));
+    world.run(100);
+    let id = world.submit(2, chain(vec![gang]));
+    world.run(200);
+    assert_eq!(world.outcome(id), Outcome::Pending);
+    assert!(world.run_until_done(10_000));
+    check(&world);
+}
+
+#[test]
+fn labels_and_spread_are_kept() {
+    let mut world = World::new(WorldSettings::default());
+    world.run(100);
+    let step = Step {
+        label: Some("r1".into()),
+        spread: 2,
+        ..short(4, 60_000)
+    };
+    world.submit(1, chain(vec![step]));
+    world.run(1000);
+    let counts: Vec<_> = world.workers.iter().map(|w| w.runs.len()).collect();
+    assert_eq!(counts, [0, 0, 2, 2]);
+}
+
+#[test]
+fn an_unlisted_worker_gets_nothing_new() {
+    let mut world = World::new(WorldSettings::default());
+    world.run(100);
+    world.tell(Event::Unlisted("w0".into()));
+    world.submit(1, chain(vec![short(8, 500)]));
+    world.run(300);
+    assert!(world.workers[0].runs.is_empty());
+}
+
+#[test]
+fn what_fills_is_slowed_where_it_disturbs() {
+    let mut world = World::new(WorldSettings {
+        workers: 1,
+        ..WorldSettings::default()
+    });
+    world.workers[0].press = 0.5;
+    world.run(100);
+    let serve = Step {
+        lasting: true,
+        target: 100,
+        image: Some("serve".into()),
+        ..short(1, 0)
+    };
+    world.submit(1, chain(vec![serve]));
+    world.run(1500);
+    let fill = Step {
+        fill: true,
+        image: Some("fill".into()),
+        ..short(5, 20_000)
+    };
+    world.submit(2, chain(vec![fill]));
+    world.run(5000);
+    let runs = &world.workers[0].runs;
+    let cores: f64 = runs.iter().filter(|r| r.fill).map(|r| f64::from(r.pace) / 100.0).sum();
+    // The tail is 40 ms without what fills; e^(0.5 * 1.8) times that is the target.
+    assert!(cores < 1.85, "{cores} cores fill");
+    assert!(cores > 0.1, "nothing fills any more");
+}
