Count a tail as over its target until it is clearly below

Ruled out: a silent worker or a lost order for a pace. Change: it counts until a figure is below 0.8; all are slowed after 1.0 s and stopped after 1.9 s.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -6,8 +6,8 @@
     name::{Name, check_name},
     retry::Backoff,
 };
-use gorsespur_services::{Table, TableError};
 use gorsespur_runtime::clock::wall_ms;
+use gorsespur_services::{Table, TableError};
 use gorsespur_wire::{
     codec::encode,
     keys,
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -3,11 +3,11 @@
 use std::path::PathBuf;
 
 use gorsespur_core::problem::Problems;
-use gorsespur_services::{MembersError, TableError};
 use gorsespur_runtime::{
     exit::{Blame, FAILED, USAGE},
     settings::{SettingsError, YamlError},
 };
+use gorsespur_services::{MembersError, TableError};
 use gorsespur_wire::codec::CodecError;
 use snafu::Snafu;
 
--- a/crates/ctl/src/program.rs
+++ b/crates/ctl/src/program.rs
@@ -3,8 +3,8 @@
 use std::{env, net::SocketAddr, time::Duration};
 
 use gorsespur_core::problem::Problems;
-use gorsespur_services::{HttpMembers, HttpTable};
 use gorsespur_runtime::settings::load;
+use gorsespur_services::{HttpMembers, HttpTable};
 use serde::Deserialize;
 use serde_json::json;
 use snafu::{OptionExt, ResultExt};
--- a/crates/entry/src/cancel_jobs.rs
+++ b/crates/entry/src/cancel_jobs.rs
@@ -7,8 +7,8 @@
     route::Outcome,
     shard::JobKey,
 };
-use gorsespur_services::post;
 use gorsespur_runtime::server::{Incoming, Reply};
+use gorsespur_services::post;
 use gorsespur_wire::{
     codec::decode,
     keys,
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -16,12 +16,12 @@
     route::Outcome,
     spread::{StableHasher, stable_hash},
 };
-use gorsespur_services::{Table, TableError};
 use gorsespur_runtime::{
     client::field,
     clock::{Clock, wall_hour},
     server::{Incoming, Reply},
 };
+use gorsespur_services::{Table, TableError};
 use gorsespur_wire::{
     codec::{decode, encode},
     fields::OUTCOME,
--- a/crates/entry/src/job_api.rs
+++ b/crates/entry/src/job_api.rs
@@ -10,8 +10,8 @@
     template::Organisation,
 };
 use gorsespur_peer::{ShardAt, Shared};
-use gorsespur_services::{Table, TableError, post};
 use gorsespur_runtime::server::{Incoming, Reply};
+use gorsespur_services::{Table, TableError, post};
 use gorsespur_wire::{
     codec::{decode, encode},
     keys,
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use gorsespur_peer::{Agent, Shared};
-use gorsespur_services::{HttpMembers, HttpTable, Table};
 use gorsespur_runtime::{
     cancel::Cancel,
     logging,
@@ -13,6 +12,7 @@
     settings::load,
     signals::cancel_on_signal,
 };
+use gorsespur_services::{HttpMembers, HttpTable, Table};
 use snafu::ResultExt;
 
 use crate::{
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -14,13 +14,13 @@
     document::Document,
 };
 use gorsespur_entry::{program as entry, settings as entry_settings};
-use gorsespur_services::HttpTable;
 use gorsespur_runtime::{
     cancel::Cancel,
     client::{Answer, Call},
     settings::parse_yaml,
 };
 use gorsespur_sched::{program as sched, settings as sched_settings};
+use gorsespur_services::HttpTable;
 use gorsespur_stand::{
     Gate, Ledger, Platform, PlatformFaults, SimSettings, SimWorker, Slowdown, StoredCheckpoints,
     TargetLoad, WorkerStand, serve_platform, serve_worker,
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -81,7 +81,11 @@
 
     /// Writes the request for the host `host` into `out`.
     pub fn encode(&self, host: &str, out: &mut Vec<u8>) {
-        let head = format!("{} {} HTTP/1.1\r\nhost: {host}\r\n", self.method.name(), self.path);
+        let head = format!(
+            "{} {} HTTP/1.1\r\nhost: {host}\r\n",
+            self.method.name(),
+            self.path
+        );
         out.extend_from_slice(head.as_bytes());
         fields(&self.headers, out);
         let has_body = !self.body.is_empty() || self.method == Method::Post;
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -43,7 +43,12 @@
     let size = match head.parse(buf) {
         Ok(httparse::Status::Complete(size)) => size,
         Ok(httparse::Status::Partial) => return partial(buf, limits),
-        Err(_) => return MalformedSnafu { reason: "request head" }.fail(),
+        Err(_) => {
+            return MalformedSnafu {
+                reason: "request head",
+            }
+            .fail();
+        }
     };
     let framing = framing(head.headers)?;
     let Some(body) = body(buf, size, framing.length.unwrap_or(0), limits)? else {
@@ -66,14 +71,24 @@
     let size = match head.parse(buf) {
         Ok(httparse::Status::Complete(size)) => size,
         Ok(httparse::Status::Partial) => return partial(buf, limits),
-        Err(_) => return MalformedSnafu { reason: "answer head" }.fail(),
+        Err(_) => {
+            return MalformedSnafu {
+                reason: "answer head",
+            }
+            .fail();
+        }
     };
     let framing = framing(head.headers)?;
     let status = head.code.unwrap_or_default();
     let length = match (framing.length, status) {
         (Some(length), _) => length,
         (None, 204 | 304) => 0,
-        (None, _) => return MalformedSnafu { reason: "answer without length" }.fail(),
+        (None, _) => {
+            return MalformedSnafu {
+                reason: "answer without length",
+            }
+            .fail();
+        }
     };
     let Some(body) = body(buf, size, length, limits)? else {
         return Ok(None);
@@ -94,7 +109,12 @@
     Ok(None)
 }
 
-fn body(buf: &[u8], start: usize, length: usize, limits: Limits) -> Result<Option<&[u8]>, HttpError> {
+fn body(
+    buf: &[u8],
+    start: usize,
+    length: usize,
+    limits: Limits,
+) -> Result<Option<&[u8]>, HttpError> {
     if length > limits.body {
         return TooLargeSnafu { limit: limits.body }.fail();
     }
@@ -110,12 +130,20 @@
     for field in fields {
         let name = field.name.to_ascii_lowercase();
         let Ok(value) = std::str::from_utf8(field.value) else {
-            return MalformedSnafu { reason: "header field is not text" }.fail();
+            return MalformedSnafu {
+                reason: "header field is not text",
+            }
+            .fail();
         };
         let value = value.trim();
         match name.as_str() {
             "content-length" => out.length = Some(length(value, out.length)?),
-            "transfer-encoding" => return MalformedSnafu { reason: "chunked body" }.fail(),
+            "transfer-encoding" => {
+                return MalformedSnafu {
+                    reason: "chunked body",
+                }
+                .fail();
+            }
             "connection" => out.keep = !value.eq_ignore_ascii_case("close"),
             _ => out.headers.push((name, value.to_owned())),
         }
@@ -125,10 +153,16 @@
 
 fn length(value: &str, earlier: Option<usize>) -> Result<usize, HttpError> {
     let Ok(length) = value.parse() else {
-        return MalformedSnafu { reason: "content-length" }.fail();
+        return MalformedSnafu {
+            reason: "content-length",
+        }
+        .fail();
     };
     if earlier.is_some_and(|e| e != length) {
-        return MalformedSnafu { reason: "two lengths" }.fail();
+        return MalformedSnafu {
+            reason: "two lengths",
+        }
+        .fail();
     }
     Ok(length)
 }
--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -167,7 +167,10 @@
         let run = task
             .run
             .get_or_insert_with(|| Run::new(slot, Stage::There(now), now));
-        if matches!(run.stage, Stage::Sent(_) | Stage::Unclear(_) | Stage::Inherited) {
+        if matches!(
+            run.stage,
+            Stage::Sent(_) | Stage::Unclear(_) | Stage::Inherited
+        ) {
             run.stage = Stage::There(now);
         }
         if run.percent != row.percent {
@@ -236,9 +239,7 @@
             rows.iter().any(|r| r.task == id && r.run == run)
         };
         let worker = self.fleet.get_mut(slot);
-        worker.drop_strays(|s| {
-            s.halted.is_some_and(|at| sent > at) && !is_listed(s.task, s.run)
-        });
+        worker.drop_strays(|s| s.halted.is_some_and(|at| sent > at) && !is_listed(s.task, s.run));
         for id in worker.runs.clone() {
             let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
             let Some(task) = task else {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -165,9 +165,10 @@
             task.last = kept.run;
             task.failed = kept.failed.clone();
             task.saved = kept.saved.clone();
-            let run = kept.worker.as_ref().map(|w| {
-                crate::task::Run::new(slot(w), crate::task::Stage::Inherited, self.seen)
-            });
+            let run = kept
+                .worker
+                .as_ref()
+                .map(|w| crate::task::Run::new(slot(w), crate::task::Stage::Inherited, self.seen));
             task.run = run;
         }
     }
--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/pace.rs
@@ -21,6 +21,10 @@
 /// A tail above this share of its target counts as over it: figures are rough.
 const OVER: f64 = 0.9;
 
+/// It counts so until a figure is below this share: one low figure among high ones
+/// does not end what the users count as harm.
+const UNDER: f64 = 0.8;
+
 /// Figures are of half a second: a worker's are used this often, in milliseconds.
 const PERIOD: u64 = 450;
 
@@ -43,13 +47,13 @@
 
 /// A tail that has been over its target for this long slows all that fills, in
 /// milliseconds ...
-const SLOW_ALL: u64 = 1200;
+const SLOW_ALL: u64 = 1000;
 
 /// ... to this pace in percent ...
 const SLOW_PACE: u32 = 30;
 
 /// ... and for this long stops them, before the users count it as harm (4 s).
-const STOP_ALL: u64 = 2200;
+const STOP_ALL: u64 = 1900;
 
 /// A task that was slowed for this long moves to another worker, in milliseconds.
 const MOVE_AFTER: u64 = 1500;
@@ -128,9 +132,11 @@
                 continue;
             };
             self.pairs.learn(image, &mut run.tail, ms, &press);
-            match ms as f64 > target as f64 * OVER {
-                true => run.over = run.over.or(Some(now)),
-                false => run.over = None,
+            let share = ms as f64 / target as f64;
+            if share > OVER {
+                run.over = run.over.or(Some(now));
+            } else if share < UNDER {
+                run.over = None;
             }
         }
         if self.fleet.get(slot).filling > 0 {
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -181,7 +181,10 @@
                 continue;
             };
             let recent = self.now < task.pause + AVOID;
-            let (avoid, failed) = (task.avoid.filter(|_| recent), recent && task.avoid.is_some());
+            let (avoid, failed) = (
+                task.avoid.filter(|_| recent),
+                recent && task.avoid.is_some(),
+            );
             let chosen = self.choose(first, step, service, (avoid, failed), (*idle, pass));
             let Some(slot) = chosen else {
                 return Placed::Short;
@@ -332,7 +335,11 @@
         if worker.is_on_trial(self.now) {
             return false;
         }
-        if step.label.as_ref().is_some_and(|l| !info.labels.contains(l)) {
+        if step
+            .label
+            .as_ref()
+            .is_some_and(|l| !info.labels.contains(l))
+        {
             return false;
         }
         let (room, used, size) = (info.capacity, worker.used, size(step));
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -34,7 +34,10 @@
 impl Outcome {
     /// Tells whether nothing can follow.
     pub fn is_final(self) -> bool {
-        matches!(self, Outcome::Complete | Outcome::Failed | Outcome::Cancelled)
+        matches!(
+            self,
+            Outcome::Complete | Outcome::Failed | Outcome::Cancelled
+        )
     }
 }
 
--- a/crates/jobs/tests/common/judge.rs
+++ b/crates/jobs/tests/common/judge.rs
@@ -21,12 +21,14 @@
     /// A run began on a worker.
     pub fn begun(&mut self, now: u64, task: TaskId, attempts: u32, spec: &Spec) {
         if self.noted_done.contains_key(&task) {
-            self.wrong.push(format!("{now}: {task} begins after it was done"));
+            self.wrong
+                .push(format!("{now}: {task} begins after it was done"));
         }
         let step = &spec.steps[task.step as usize];
         let failed = self.noted_failed.get(&task).copied().unwrap_or(0);
         if !step.lasting && failed >= attempts {
-            self.wrong.push(format!("{now}: {task} begins after {failed} failures"));
+            self.wrong
+                .push(format!("{now}: {task} begins after {failed} failures"));
         }
         for &dep in &step.deps {
             for index in 0..spec.steps[dep as usize].count {
@@ -36,7 +38,8 @@
                     ..task
                 };
                 if !self.done.contains(&before) {
-                    self.wrong.push(format!("{now}: {task} begins before {before} is done"));
+                    self.wrong
+                        .push(format!("{now}: {task} begins before {before} is done"));
                 }
             }
         }
@@ -67,7 +70,8 @@
             for run in &worker.runs {
                 if let Some(other) = seen.insert(run.task, &worker.id) {
                     let here = &worker.id;
-                    self.wrong.push(format!("{now}: {} runs on {other} and {here}", run.task));
+                    self.wrong
+                        .push(format!("{now}: {} runs on {other} and {here}", run.task));
                 }
             }
         }
--- a/crates/jobs/tests/common/sim.rs
+++ b/crates/jobs/tests/common/sim.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gorsespur_jobs::{End, Ending, Look, Running, Started, StartOrder, Stopped, TaskId};
+use gorsespur_jobs::{End, Ending, Look, Running, StartOrder, Started, Stopped, TaskId};
 
 /// Ends that one answer holds at most.
 const FULL_LIST: usize = 500;
@@ -57,6 +57,9 @@
     /// Runs at or below these never begin any more.
     pub barred: Vec<(TaskId, u32)>,
     next: u64,
+    /// Tails of serving tasks in percent of their targets, one
+    /// each half second in turn; computed if empty.
+    pub tails: Vec<u64>,
     /// Logarithm by which a core of what fills lengthens tails here.
     pub press: f64,
 }
@@ -78,6 +81,7 @@
             ends: Vec::new(),
             barred: Vec::new(),
             next: 1,
+            tails: Vec::new(),
             press: 0.0,
         }
     }
@@ -129,7 +133,13 @@
         }
     }
 
-    pub fn look(&mut self, now: u64, fence: u64, observed: u64, deadline: Option<u64>) -> Option<Look> {
+    pub fn look(
+        &mut self,
+        now: u64,
+        fence: u64,
+        observed: u64,
+        deadline: Option<u64>,
+    ) -> Option<Look> {
         if fence < self.fence {
             return None;
         }
@@ -144,7 +154,7 @@
                 true => 100,
                 false => (r.done * 100 / r.work.max(1)).min(99) as u32,
             },
-            figure: Some(self.figure(r)),
+            figure: Some(self.figure(now, r)),
         });
         Some(Look {
             clock: self.clock(now),
@@ -153,12 +163,18 @@
         })
     }
 
-    fn figure(&self, run: &SimRun) -> u64 {
+    fn figure(&self, now: u64, run: &SimRun) -> u64 {
         if run.target == 0 {
             return run.size.0 * u64::from(run.pace) / 100;
         }
         let fills = self.runs.iter().filter(|r| r.fill);
-        let cores: f64 = fills.map(|r| r.size.0 as f64 * f64::from(r.pace) / 1e5).sum();
+        let cores: f64 = fills
+            .map(|r| r.size.0 as f64 * f64::from(r.pace) / 1e5)
+            .sum();
+        if !self.tails.is_empty() {
+            let at = (now / 500) as usize % self.tails.len();
+            return run.target * self.tails[at] / 100;
+        }
         (run.target as f64 * 0.4 * (self.press * cores).exp()) as u64
     }
 
@@ -209,7 +225,10 @@
         }
         self.fence = fence;
         self.barred.push((task, run));
-        let found = self.runs.iter_mut().find(|r| r.task == task && r.run == run);
+        let found = self
+            .runs
+            .iter_mut()
+            .find(|r| r.task == task && r.run == run);
         if let Some(found) = found {
             found.stops.get_or_insert(now + 200);
         }
@@ -217,7 +236,10 @@
     }
 
     pub fn pace(&mut self, task: TaskId, run: u32, percent: u32) -> bool {
-        let found = self.runs.iter_mut().find(|r| r.task == task && r.run == run);
+        let found = self
+            .runs
+            .iter_mut()
+            .find(|r| r.task == task && r.run == run);
         found.map(|r| r.pace = percent).is_some()
     }
 }
--- a/crates/jobs/tests/common/world.rs
+++ b/crates/jobs/tests/common/world.rs
@@ -93,7 +93,9 @@
         };
         for at in 0..settings.workers {
             let rate = 98 + (at as u64 % 3);
-            world.workers.push(SimWorker::new(&format!("w{at}"), now, rate));
+            world
+                .workers
+                .push(SimWorker::new(&format!("w{at}"), now, rate));
         }
         world.take_over(0);
         world
@@ -125,12 +127,18 @@
             stretch: 1.5,
             latency: 250,
         };
-        owner.machine.handle(self.now, self.now, Event::Queues(vec![policy]));
+        owner
+            .machine
+            .handle(self.now, self.now, Event::Queues(vec![policy]));
         for job in self.jobs.values() {
-            owner.machine.handle(self.now, self.now, Event::Accepted(job.clone()));
+            owner
+                .machine
+                .handle(self.now, self.now, Event::Accepted(job.clone()));
         }
         for &id in &self.cancelled {
-            owner.machine.handle(self.now, self.now, Event::Cancelled(id));
+            owner
+                .machine
+                .handle(self.now, self.now, Event::Cancelled(id));
         }
         self.owners.push(owner);
         for at in 0..self.workers.len() {
@@ -203,7 +211,9 @@
     /// What the store says became of a job.
     pub fn outcome(&self, id: JobId) -> Outcome {
         let record = self.records.get(&id);
-        record.map_or(Outcome::Pending, |r| Record::decode(r).expect("own record").outcome)
+        record.map_or(Outcome::Pending, |r| {
+            Record::decode(r).expect("own record").outcome
+        })
     }
 
     pub fn all_done(&self) -> bool {
@@ -383,7 +393,11 @@
                         self.judge.begun(now, order.task, attempts, &order.spec);
                     }
                 }
-                (*slot, Answer::Started(order.task, order.run, started), silence)
+                (
+                    *slot,
+                    Answer::Started(order.task, order.run, started),
+                    silence,
+                )
             }
             Action::Stop {
                 worker: slot,
@@ -404,7 +418,11 @@
                 percent,
             } => {
                 let done = reached && worker.pace(*task, *run, *percent);
-                (*slot, Answer::Paced(*task, *run, done), Answer::Paced(*task, *run, false))
+                (
+                    *slot,
+                    Answer::Paced(*task, *run, done),
+                    Answer::Paced(*task, *run, false),
+                )
             }
             Action::Commit(_) | Action::Depose => return,
         };
--- a/crates/jobs/tests/promises.rs
+++ b/crates/jobs/tests/promises.rs
@@ -158,7 +158,11 @@
             mend(&mut world, at);
         }
         let done = world.run_until_done(120_000);
-        assert!(world.judge.wrong.is_empty(), "seed {seed}: {:#?}", world.judge.wrong);
+        assert!(
+            world.judge.wrong.is_empty(),
+            "seed {seed}: {:#?}",
+            world.judge.wrong
+        );
         assert!(done, "seed {seed}: jobs are left");
     }
 }
@@ -261,7 +265,8 @@
     world.submit(2, chain(vec![fill]));
     world.run(5000);
     let runs = &world.workers[0].runs;
-    let cores: f64 = runs.iter().filter(|r| r.fill).map(|r| f64::from(r.pace) / 100.0).sum();
+    let fills = runs.iter().filter(|r| r.fill);
+    let cores: f64 = fills.map(|r| f64::from(r.pace) / 100.0).sum();
     // The tail is 40 ms without what fills; e^(0.5 * 1.8) times that is the target.
     assert!(cores < 1.85, "{cores} cores fill");
     assert!(cores > 0.1, "nothing fills any more");
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -2,8 +2,8 @@
 
 use std::{io, path::PathBuf};
 
-use gorsespur_services::MembersError;
 use gorsespur_runtime::exit::{Blame, FAILED, USAGE};
+use gorsespur_services::MembersError;
 use gorsespur_stand::LedgerError;
 use snafu::Snafu;
 
--- a/crates/load/src/measure/faults.rs
+++ b/crates/load/src/measure/faults.rs
@@ -8,8 +8,8 @@
 };
 
 use gorsespur_core::{name::Name, owner::ShardRow};
-use gorsespur_services::{HttpTable, Table, post};
 use gorsespur_runtime::clock::wall_ms;
+use gorsespur_services::{HttpTable, Table, post};
 use gorsespur_stand::{PlatformFaults, WorkerFaults};
 use gorsespur_wire::{codec::decode, paths::PEER_STATUS, peer::InstanceStatus};
 use snafu::ResultExt;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -14,7 +14,9 @@
     config::Queue,
     follow::refresh,
     metrics::Count,
-    rows::{JOBS, LEASE, LeaseRow, OWNER, OWNER_PART, RECORDS, cancel_key, decode, encode, job_part},
+    rows::{
+        JOBS, LEASE, LeaseRow, OWNER, OWNER_PART, RECORDS, cancel_key, decode, encode, job_part,
+    },
     shared::Shared,
     store::{Expect, StoreError, Tx, Write, read_one},
 };
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -85,7 +85,9 @@
         .format(move |out, message, record| {
             let mut fields = Fields(Map::new());
             fields.0.insert("ms".into(), wall_ms().into());
-            fields.0.insert("level".into(), record.level().as_str().into());
+            fields
+                .0
+                .insert("level".into(), record.level().as_str().into());
             fields.0.insert("node".into(), name.as_str().into());
             fields.0.insert("msg".into(), message.to_string().into());
             if record.key_values().visit(&mut fields).is_err() {
@@ -106,7 +108,8 @@
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let note = format!("{{\"level\":\"WARN\",\"msg\":\"log: lines dropped\",\"count\":{lost}}}\n");
+            let note =
+                format!("{{\"level\":\"WARN\",\"msg\":\"log: lines dropped\",\"count\":{lost}}}\n");
             bytes.extend_from_slice(note.as_bytes());
         }
         // Nobody reads the output: there is nowhere to say so.
--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -151,7 +151,9 @@
             Ok(info) => {
                 events.push(Event::Worker(info));
             }
-            Err(err) => log::warn!(worker = row.key.as_str(), err = err.to_string().as_str(); "worker: can't be read"),
+            Err(err) => {
+                log::warn!(worker = row.key.as_str(), err = err.to_string().as_str(); "worker: can't be read")
+            }
         }
         if let Err(at) = at {
             follow.keys.insert(at, row.key.clone());
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -4,11 +4,7 @@
 //! whose answer was lost can be sent again: one of the two takes effect, and the
 //! number in the end tells which write that was.
 
-use std::{
-    sync::Arc,
-    thread,
-    time::Duration,
-};
+use std::{sync::Arc, thread, time::Duration};
 
 use flume::{Receiver, RecvTimeoutError};
 use gorsespur_jobs::JobId;
--- a/crates/node/src/owner/lines.rs
+++ b/crates/node/src/owner/lines.rs
@@ -55,7 +55,9 @@
 
 impl std::fmt::Debug for Shared {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Shared").field("settings", &self.settings).finish()
+        f.debug_struct("Shared")
+            .field("settings", &self.settings)
+            .finish()
     }
 }
 
@@ -245,7 +247,8 @@
     let found = (1..LINES).filter(free).find(open);
     // A second connection is worth its price only if the first one is held up.
     let busy = (1..LINES).filter(|l| !free(l)).count();
-    found.or_else(|| (busy == 0 || post.waiting.len() >= busy * 3).then(|| (1..LINES).find(free))?)
+    found
+        .or_else(|| (busy == 0 || post.waiting.len() >= busy * 3).then(|| (1..LINES).find(free))?)
 }
 
 fn name(order: &Order) -> &'static str {
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -32,7 +32,9 @@
             Ok(record) => {
                 records.insert(row.key, record);
             }
-            Err(err) => log::error!(key = row.key.as_str(), err = err.to_string().as_str(); "owner: record can't be read"),
+            Err(err) => {
+                log::error!(key = row.key.as_str(), err = err.to_string().as_str(); "owner: record can't be read")
+            }
         }
     }
     for row in &rows {
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -116,7 +116,8 @@
                 }
                 let read = event.is_readable() || event.is_read_closed() || event.is_error();
                 let registry = self.poll.registry();
-                self.lines.ready(registry, event.token(), read, event.is_writable());
+                self.lines
+                    .ready(registry, event.token(), read, event.is_writable());
             }
             self.turn(journal);
         }
@@ -166,7 +167,11 @@
                     }
                 }
                 Told::Durable(batch) => {
-                    let event = if batch { Event::Committed } else { Event::Renewed };
+                    let event = if batch {
+                        Event::Committed
+                    } else {
+                        Event::Renewed
+                    };
                     self.machine.handle(now, wall_ms(), event);
                 }
                 Told::Deposed => self.over = true,
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -55,7 +55,11 @@
         let able = shared.config().is_some()
             && shared.silence() < READY_SILENCE
             && !shared.store_is_lost();
-        let status = if able && !shared.is_leaving() { 200 } else { 503 };
+        let status = if able && !shared.is_leaving() {
+            200
+        } else {
+            503
+        };
         Some(Response::new(status, Vec::new()))
     }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,15 +1,15 @@
 //! What the threads of a node share.
 
-use std::{
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use gorsespur_runtime::clock::Clock;
 
-use crate::{config::Config, metrics::Metrics, protocol::Protocol, settings::NodeSettings, store::Store};
+use crate::{
+    config::Config, metrics::Metrics, protocol::Protocol, settings::NodeSettings, store::Store,
+};
 
 /// After a call without an answer, others are spared for this long unless one is
 /// answered meanwhile, in milliseconds.
--- a/crates/peer/src/agent.rs
+++ b/crates/peer/src/agent.rs
@@ -3,11 +3,11 @@
 use std::{net::UdpSocket, sync::Arc, thread, time::Duration};
 
 use gorsespur_core::{name::Name, route::RouteCounts, shard::ShardStatus};
-use gorsespur_services::{Members, Table};
 use gorsespur_runtime::{
     cancel::Cancel,
     server::{Incoming, Reply},
 };
+use gorsespur_services::{Members, Table};
 use gorsespur_wire::{
     codec::{CONTENT_TYPE, decode, encode},
     paths::PEER_CONFIG,
--- a/crates/peer/src/config.rs
+++ b/crates/peer/src/config.rs
@@ -8,8 +8,8 @@
     retry::{Backoff, Breaker},
     spread::pick,
 };
-use gorsespur_services::{Table, TableError, post};
 use gorsespur_runtime::cancel::Cancel;
+use gorsespur_services::{Table, TableError, post};
 use gorsespur_wire::{
     codec::decode,
     keys::{self, CONFIG, CONFIG_HEAD},
--- a/crates/peer/src/list.rs
+++ b/crates/peer/src/list.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use gorsespur_services::Members;
 use gorsespur_runtime::cancel::Cancel;
+use gorsespur_services::Members;
 
 use crate::Shared;
 
--- a/crates/peer/tests/config.rs
+++ b/crates/peer/tests/config.rs
@@ -20,11 +20,11 @@
     document::Document,
 };
 use gorsespur_peer::{Agent, AgentSettings, Layout, Zone};
-use gorsespur_services::{Members, MembersError, Table, TableError, fake::FakePlatform};
 use gorsespur_runtime::{
     cancel::Cancel,
     server::{Limits, serve},
 };
+use gorsespur_services::{Members, MembersError, Table, TableError, fake::FakePlatform};
 use gorsespur_wire::{
     keys,
     members::{InstanceInfo, MemberList},
--- a/crates/sched/src/inbox.rs
+++ b/crates/sched/src/inbox.rs
@@ -8,8 +8,8 @@
     retry::Backoff,
     shard::{Event, JobSpec},
 };
-use gorsespur_services::Table;
 use gorsespur_runtime::cancel::Cancel;
+use gorsespur_services::Table;
 use gorsespur_wire::{codec::decode, keys};
 
 use crate::input::Input;
--- a/crates/sched/src/inquiry.rs
+++ b/crates/sched/src/inquiry.rs
@@ -15,8 +15,8 @@
 
 use flume::Sender;
 use gorsespur_core::{name::Name, shard::Event};
-use gorsespur_services::post;
 use gorsespur_runtime::cancel::Cancel;
+use gorsespur_services::post;
 use gorsespur_wire::{
     paths::PEER_JOBS,
     peer::{JobsAnswer, JobsRequest},
--- a/crates/sched/src/journal.rs
+++ b/crates/sched/src/journal.rs
@@ -13,11 +13,11 @@
     retry::Backoff,
     shard::{FinishedJob, Record},
 };
-use gorsespur_services::{Table, TableError};
 use gorsespur_runtime::{
     cancel::Cancel,
     clock::{Clock, wall_hour},
 };
+use gorsespur_services::{Table, TableError};
 use gorsespur_wire::{
     codec::{decode, encode},
     keys,
--- a/crates/sched/src/keeper.rs
+++ b/crates/sched/src/keeper.rs
@@ -10,8 +10,8 @@
     spread::stable_hash,
 };
 use gorsespur_peer::{ShardAt, Shared};
-use gorsespur_services::{Objects, Table};
 use gorsespur_runtime::{cancel::Cancel, metrics::Metrics};
+use gorsespur_services::{Objects, Table};
 use gorsespur_wire::{codec::decode, keys};
 
 use crate::{
--- a/crates/sched/src/program.rs
+++ b/crates/sched/src/program.rs
@@ -8,9 +8,6 @@
 };
 
 use gorsespur_peer::{Agent, Shared};
-use gorsespur_services::{
-    HttpMembers, HttpObjects, HttpTable, HttpWorkers, Objects, Table, Workers,
-};
 use gorsespur_runtime::{
     cancel::Cancel,
     logging,
@@ -20,6 +17,9 @@
     settings::load,
     signals::cancel_on_signal,
 };
+use gorsespur_services::{
+    HttpMembers, HttpObjects, HttpTable, HttpWorkers, Objects, Table, Workers,
+};
 use snafu::ResultExt;
 
 use crate::{
--- a/crates/sched/src/sweep.rs
+++ b/crates/sched/src/sweep.rs
@@ -9,8 +9,8 @@
 use std::{sync::Arc, time::Duration};
 
 use gorsespur_core::{name::Name, shard::checkpoint_key};
-use gorsespur_services::{Objects, Table, TableError};
 use gorsespur_runtime::{cancel::Cancel, clock::wall_hour};
+use gorsespur_services::{Objects, Table, TableError};
 use gorsespur_wire::{
     codec::decode,
     keys,
--- a/crates/sched/tests/journal.rs
+++ b/crates/sched/tests/journal.rs
@@ -9,15 +9,15 @@
     size::Size,
     template::Priority,
 };
-use gorsespur_services::{
-    Objects, Table,
-    fake::{FakePlatform, Fault},
-};
 use gorsespur_runtime::{cancel::Cancel, clock::Clock};
 use gorsespur_sched::{
     journal::{Batch, Journal, JournalError, Taker},
     recover,
 };
+use gorsespur_services::{
+    Objects, Table,
+    fake::{FakePlatform, Fault},
+};
 use gorsespur_wire::{
     codec::{decode, encode},
     keys, objects,
--- a/crates/sched/tests/sweep.rs
+++ b/crates/sched/tests/sweep.rs
@@ -6,8 +6,8 @@
     name::Name,
     shard::{JobKey, checkpoint_key},
 };
-use gorsespur_services::{Objects, Table, fake::FakePlatform};
 use gorsespur_sched::sweep::Sweep;
+use gorsespur_services::{Objects, Table, fake::FakePlatform};
 use gorsespur_wire::{
     codec::encode,
     keys,
--- a/crates/stand/src/main.rs
+++ b/crates/stand/src/main.rs
@@ -8,7 +8,6 @@
 
 use clap::Parser;
 use gorsespur_core::{name::Name, size::Size};
-use gorsespur_services::HttpObjects;
 use gorsespur_runtime::{
     cancel::Cancel,
     clock::wall_ms,
@@ -16,6 +15,7 @@
     logging::{LogSettings, start},
     signals::cancel_on_signal,
 };
+use gorsespur_services::HttpObjects;
 use gorsespur_stand::{
     Gate, Ledger, Platform, SimSettings, SimWorker, Slowdown, StandError, StoredCheckpoints,
     TargetLoad,
