--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -79,14 +79,14 @@
         find(&self.headers, name)
     }
 
-    /// Writes the request for the host `host` into `out`.
+    /// Writes the request into `out`, for the host `host` if it names none.
     pub fn encode(&self, host: &str, out: &mut Vec<u8>) {
-        let head = format!(
-            "{} {} HTTP/1.1\r\nhost: {host}\r\n",
-            self.method.name(),
-            self.path
-        );
+        let head = format!("{} {} HTTP/1.1\r\n", self.method.name(), self.path);
         out.extend_from_slice(head.as_bytes());
+        if self.header("host").is_none() {
+            let host = format!("host: {host}\r\n");
+            out.extend_from_slice(host.as_bytes());
+        }
         fields(&self.headers, out);
         let has_body = !self.body.is_empty() || self.method == Method::Post;
         finish(out, has_body.then_some(self.body.as_slice()));
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -1,6 +1,7 @@
 //! Starts and stops a node.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     thread,
     time::Duration,
@@ -40,6 +41,9 @@
 /// Time for answers under way when the process ends.
 const LAST_ANSWERS: Duration = Duration::from_millis(800);
 
+/// Time for the last log lines to be written.
+const LAST_LINES: Duration = Duration::from_millis(60);
+
 /// Store silence beyond which an instance takes no new connections, in milliseconds:
 /// it would refuse what others can take.
 const READY_SILENCE: u64 = 2500;
@@ -83,9 +87,82 @@
     }
 }
 
+/// A node that runs.
+pub struct Node {
+    shared: Arc<Shared>,
+    cancel: Cancel,
+    watcher: thread::JoinHandle<()>,
+    front: Option<Server>,
+    ready: Option<Server>,
+}
+
+impl Node {
+    /// Starts a node.
+    ///
+    /// Errors: an address can't be bound, a thread can't be started.
+    pub fn start(
+        settings: NodeSettings,
+        store: Box<dyn Store>,
+        protocol: Box<dyn Protocol>,
+    ) -> Result<Node, NodeError> {
+        let shared = Arc::new(Shared::new(settings, store, protocol));
+        let cancel = Cancel::new();
+        log::info!(name = &*shared.settings.name, share = shared.settings.share; "node: starts");
+        let handler = Ready {
+            shared: shared.clone(),
+        };
+        let ready = serve(shared.settings.ready, FEW, handler)?;
+        let handler = Figures {
+            shared: shared.clone(),
+        };
+        serve(shared.settings.metrics, FEW, handler)?;
+        // The configuration is followed to the very end: a stopping instance answers.
+        spawn("config", &shared, &Cancel::new(), follow)?;
+        let handler = Front {
+            shared: shared.clone(),
+        };
+        let front = serve(shared.settings.front, shared.settings.connections, handler)?;
+        let watcher = spawn("lease", &shared, &cancel, watch)?;
+        Ok(Node {
+            shared,
+            cancel,
+            watcher,
+            front,
+            ready,
+        })
+    }
+
+    /// Returns where callers' requests arrive, if the node takes any.
+    pub fn front(&self) -> Option<SocketAddr> {
+        self.front.as_ref().map(Server::addr)
+    }
+
+    /// Returns where the balancer asks, if it does.
+    pub fn ready(&self) -> Option<SocketAddr> {
+        self.ready.as_ref().map(Server::addr)
+    }
+
+    /// Gives the lease back, goes on answering for a while, and lets answers finish.
+    pub fn stop(self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+        self.cancel.cancel();
+        if let Some(front) = &self.front {
+            front.drain();
+            thread::sleep(self.shared.settings.linger);
+            if !front.quiesce(LAST_ANSWERS) {
+                log::warn!("node: answers were cut by the stop");
+            }
+        }
+        if self.watcher.join().is_err() {
+            log::error!("node: the lease's thread has failed");
+        }
+        log::info!("node: stopped");
+    }
+}
+
 /// Runs a node until SIGTERM; `reload` is called at SIGHUP.
 ///
-/// Errors: an address can't be bound, a thread can't be started.
+/// Errors: as [`Node::start`], and signals that can't be handled.
 pub fn run(
     settings: NodeSettings,
     store: Box<dyn Store>,
@@ -93,41 +170,7 @@
     reload: impl Fn(),
 ) -> Result<(), NodeError> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context(SignalsSnafu)?;
-    let shared = Arc::new(Shared::new(settings, store, protocol));
-    let cancel = Cancel::new();
-    log::info!(name = &*shared.settings.name, share = shared.settings.share; "node: starts");
-    let few = ServerSettings {
-        connections: FEW,
-        head: HEAD,
-        idle: IDLE,
-    };
-    let mut servers = Vec::new();
-    if let Some(addr) = shared.settings.ready {
-        let handler = Arc::new(Ready {
-            shared: shared.clone(),
-        });
-        servers.push(Server::start(addr, few, handler).context(ListenSnafu { addr })?);
-    }
-    if let Some(addr) = shared.settings.metrics {
-        let handler = Arc::new(Figures {
-            shared: shared.clone(),
-        });
-        servers.push(Server::start(addr, few, handler).context(ListenSnafu { addr })?);
-    }
-    // The configuration is followed to the very end: a stopping instance answers.
-    spawn("config", &shared, &Cancel::new(), follow)?;
-    let mut front = None;
-    if let Some(addr) = shared.settings.front {
-        let handler = Arc::new(Front {
-            shared: shared.clone(),
-        });
-        let settings = ServerSettings {
-            connections: shared.settings.connections,
-            ..few
-        };
-        front = Some(Server::start(addr, settings, handler).context(ListenSnafu { addr })?);
-    }
-    let watcher = spawn("lease", &shared, &cancel, watch)?;
+    let node = Node::start(settings, store, protocol)?;
     for signal in signals.forever() {
         if signal != SIGHUP {
             log::info!(signal; "node: stops");
@@ -136,28 +179,26 @@
         log::info!("node: reloads");
         reload();
     }
-    stop(&shared, &cancel, front.as_ref());
-    // The others end with the process; the lease must be given back first.
-    if watcher.join().is_err() {
-        log::error!("node: the lease's thread has failed");
-    }
-    log::info!("node: stopped");
-    thread::sleep(Duration::from_millis(60));
+    node.stop();
+    thread::sleep(LAST_LINES);
     Ok(())
 }
 
-/// Gives the lease back, goes on answering for a while, then lets answers finish.
-fn stop(shared: &Shared, cancel: &Cancel, front: Option<&Server>) {
-    shared.leaving.store(true, Ordering::Relaxed);
-    cancel.cancel();
-    let Some(front) = front else {
-        return;
+fn serve<H: Handler>(
+    addr: Option<SocketAddr>,
+    connections: usize,
+    handler: H,
+) -> Result<Option<Server>, NodeError> {
+    let Some(addr) = addr else {
+        return Ok(None);
     };
-    front.drain();
-    thread::sleep(shared.settings.linger);
-    if !front.quiesce(LAST_ANSWERS) {
-        log::warn!("node: answers were cut by the stop");
-    }
+    let settings = ServerSettings {
+        connections,
+        head: HEAD,
+        idle: IDLE,
+    };
+    let server = Server::start(addr, settings, Arc::new(handler));
+    server.map(Some).context(ListenSnafu { addr })
 }
 
 fn spawn(
