--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -9,8 +9,8 @@
     route::{RouteEvent, Share, TargetList},
 };
 use gorsespur_peer::Shared;
-use gorsespur_platform::post;
 use gorsespur_runtime::cancel::Cancel;
+use gorsespur_services::post;
 use gorsespur_wire::{
     paths::PEER_TARGETS,
     peer::{TargetsAnswer, TargetsRequest},
--- /dev/null
+++ b/crates/http/tests/contract.rs
@@ -0,0 +1,206 @@
+//! The client and the server against peers that misbehave.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use gorsespur_http::{
+    Client, Handler, HttpError, Limits, Method, Request, Response, Server, ServerSettings,
+    parse_request, parse_response,
+};
+use test_case::test_case;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// A peer that reads a head and writes these bytes, on each connection in turn.
+fn peer(answers: Vec<&'static [u8]>) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let addr = listener.local_addr().expect("address");
+    let heads = Arc::new(AtomicUsize::new(0));
+    let count = heads.clone();
+    thread::spawn(move || {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().expect("accept");
+            let mut buf = [0; 4096];
+            let _ = stream.read(&mut buf).expect("read");
+            count.fetch_add(1, Ordering::SeqCst);
+            stream.write_all(answer).expect("write");
+        }
+    });
+    (addr, heads)
+}
+
+fn get(client: &Client) -> Result<Response, HttpError> {
+    client.call(&Request::new(Method::Get, "/", Vec::new()), LIMIT)
+}
+
+#[test_case(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nab"; "body")]
+#[test_case(b"HTTP/1.1 200 OK\r\ncontent-le"; "head")]
+#[test_case(b""; "all")]
+fn a_cut_answer_is_never_whole(answer: &'static [u8]) {
+    let (addr, heads) = peer(vec![answer]);
+    let err = get(&Client::new(addr)).expect_err("cut");
+    assert!(matches!(err, HttpError::Lost { .. }), "{err}");
+    assert_eq!(heads.load(Ordering::SeqCst), 1, "a request is sent once");
+}
+
+#[test_case(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"; "chunked")]
+#[test_case(b"HTTP/1.1 200 OK\r\n\r\nabc"; "no length")]
+#[test_case(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab"; "two lengths")]
+#[test_case(b"SSH-2.0-OpenSSH\r\n\r\n"; "not HTTP")]
+fn what_is_not_understood_is_an_error(answer: &'static [u8]) {
+    let (addr, _) = peer(vec![answer]);
+    let err = get(&Client::new(addr)).expect_err("malformed");
+    assert!(matches!(err, HttpError::Malformed { .. }), "{err}");
+}
+
+#[test]
+fn a_silent_peer_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let client = Client::new(listener.local_addr().expect("address"));
+    let request = Request::new(Method::Get, "/", Vec::new());
+    let err = client.call(&request, Duration::from_millis(50));
+    assert_eq!(err, Err(HttpError::Timeout));
+}
+
+#[test]
+fn nobody_there_means_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let addr = listener.local_addr().expect("address");
+    drop(listener);
+    assert!(get(&Client::new(addr)).expect_err("nobody").not_sent());
+}
+
+/// After a failure the connection is not used again: the late answer of one call
+/// must not be taken for that of the next.
+#[test]
+fn a_late_answer_is_not_taken_for_the_next() {
+    let ok: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let (addr, _) = peer(vec![
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nlate",
+        ok,
+    ]);
+    let client = Client::new(addr);
+    assert!(get(&client).is_err());
+    assert_eq!(get(&client).expect("answer").body, b"ok");
+}
+
+struct Echo;
+
+impl Handler for Echo {
+    fn handle(&self, request: Request) -> Option<Response> {
+        match request.path.as_str() {
+            "/close" => None,
+            _ => Some(Response::new(200, request.body)),
+        }
+    }
+
+    fn limits(&self) -> Limits {
+        Limits {
+            head: 1024,
+            body: 100,
+        }
+    }
+}
+
+fn server(connections: usize, head: Duration) -> Server {
+    let settings = ServerSettings {
+        connections,
+        head,
+        idle: LIMIT,
+    };
+    let addr = "127.0.0.1:0".parse().expect("address");
+    Server::start(addr, settings, Arc::new(Echo)).expect("server")
+}
+
+fn raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).expect("connect");
+    stream.write_all(bytes).expect("write");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("read");
+    text
+}
+
+#[test]
+fn a_connection_is_kept_and_answers_in_order() {
+    let server = server(8, LIMIT);
+    let client = Client::new(server.addr());
+    for body in [b"one", b"two"] {
+        let request = Request::new(Method::Post, "/", body.to_vec());
+        assert_eq!(client.call(&request, LIMIT).expect("answer").body, body);
+    }
+}
+
+#[test_case("POST / HTTP/1.1\r\ncontent-length: 101\r\n\r\n", "413"; "long body")]
+#[test_case("POST / HTTP/1.1\r\ncontent-length: x\r\n\r\n", "400"; "bad length")]
+#[test_case("\u{0}\r\n\r\n", "400"; "not HTTP")]
+fn a_bad_request_is_refused(bytes: &str, status: &str) {
+    let server = server(8, LIMIT);
+    let answer = raw(server.addr(), bytes.as_bytes());
+    assert!(answer.contains(status), "{answer}");
+}
+
+#[test]
+fn a_head_without_end_is_refused() {
+    let server = server(8, LIMIT);
+    let long = format!("GET / HTTP/1.1\r\nx: {}", "y".repeat(2000));
+    assert!(raw(server.addr(), long.as_bytes()).contains("413"));
+}
+
+#[test]
+fn a_request_that_does_not_end_is_refused() {
+    let server = server(8, Duration::from_millis(50));
+    assert!(raw(server.addr(), b"GET / HT").contains("408"));
+}
+
+#[test]
+fn too_many_connections_are_closed_and_others_go_on() {
+    let server = server(1, LIMIT);
+    let client = Client::new(server.addr());
+    let request = Request::new(Method::Get, "/", Vec::new());
+    client.call(&request, LIMIT).expect("first");
+    assert!(get(&Client::new(server.addr())).is_err());
+    client.call(&request, LIMIT).expect("first again");
+}
+
+#[test]
+fn a_draining_server_tells_its_callers_to_move() {
+    let server = server(8, LIMIT);
+    server.drain();
+    let answer = get(&Client::new(server.addr())).expect("answer");
+    assert!(!answer.keep);
+    assert!(server.quiesce(LIMIT));
+}
+
+#[test]
+fn each_split_of_a_message_parses_to_the_same() {
+    let request = Request::new(Method::Post, "/a", b"body".to_vec()).with("x", "y");
+    let response = Response::new(200, b"body".to_vec()).with("x", "y");
+    let (mut first, mut second) = (Vec::new(), Vec::new());
+    request.encode("host", &mut first);
+    response.encode(&mut second);
+    for end in 0..first.len() {
+        let part = parse_request(&first[..end], Limits::default());
+        assert_eq!(part, Ok(None), "{end}");
+    }
+    for end in 0..second.len() {
+        let part = parse_response(&second[..end], Limits::default());
+        assert_eq!(part, Ok(None), "{end}");
+    }
+    let (parsed, size) = parse_request(&first, Limits::default())
+        .expect("request")
+        .expect("whole");
+    assert_eq!(
+        (size, parsed.body, parsed.method),
+        (first.len(), b"body".to_vec(), Method::Post)
+    );
+    let whole = parse_response(&second, Limits::default()).expect("answer");
+    assert_eq!(whole.expect("whole").0.header("x"), Some("y"));
+}
--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -102,9 +102,9 @@
         };
         for index in members {
             let member = TaskId { index, ..id };
-            self.jobs
-                .get_mut(&id.job)
-                .map(|j| j.times[id.time as usize][id.step as usize].finish(index as usize));
+            if let Some(state) = self.jobs.get_mut(&id.job) {
+                state.times[id.time as usize][id.step as usize].finish(index as usize);
+            }
             self.abandon(member);
         }
         self.moved = true;
--- a/crates/jobs/tests/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -47,13 +47,16 @@
     Answer(u32, u64, Answer),
 }
 
+/// Records on their way to the store, and when they are there.
+type Write = (u64, Vec<(JobId, Vec<u8>)>);
+
 /// One owner's machine and what is on its way to and from it.
 struct Owner {
     machine: Machine,
     epoch: u64,
     slots: BTreeMap<u32, usize>,
     parcels: Vec<(u64, Parcel)>,
-    commit: Option<(u64, Vec<(JobId, Vec<u8>)>)>,
+    commit: Option<Write>,
     paused: bool,
     deposed: bool,
 }
--- a/crates/jobs/tests/promises.rs
+++ b/crates/jobs/tests/all/promises.rs
@@ -1,8 +1,6 @@
 //! Promises under every fault, and under random series of them.
 
-mod common;
-
-use common::{Mode, World, WorldSettings, chain, short};
+use crate::common::{Mode, World, WorldSettings, chain, short};
 use gorsespur_jobs::{Event, Outcome, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
--- a/crates/jobs/tests/regression.rs
+++ b/crates/jobs/tests/all/regression.rs
@@ -1,8 +1,6 @@
 //! Bugs that were found, each with its cause and the day that showed it.
 
-mod common;
-
-use common::{Mode, World, WorldSettings, chain, short};
+use crate::common::{Mode, World, WorldSettings, chain, short};
 use gorsespur_jobs::{Outcome, Step};
 
 fn serving(count: u32) -> Step {
