--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -29,6 +29,9 @@
 /// answered as unclear.
 const PATIENCE: u64 = 40;
 
+/// Least time for an answer of the store, in milliseconds.
+const LEAST: u64 = 100;
+
 /// Patience of a caller that tells none, in milliseconds.
 const DEFAULT_PATIENCE: u64 = 3000;
 
@@ -180,17 +183,19 @@
     /// Runs an idempotent write until its effect is known or the caller has
     /// waited long enough.
     fn write(&self, tx: &Tx, request: &Request, start: u64) -> Written {
-        if self.shared.store_is_lost() {
+        let Some(_leave) = self.shared.may_try() else {
             return Written::Refused(StoreError::Unavailable {
                 reason: "it did not answer lately".into(),
             });
-        }
+        };
         let patience = self.shared.protocol.patience(request);
         let end = start + patience.unwrap_or(DEFAULT_PATIENCE) * PATIENCE / 100;
         let mut unclear = false;
         let mut tried = false;
         loop {
-            match self.shared.store.commit(tx) {
+            let left = end.saturating_sub(self.shared.clock.now());
+            let limit = Duration::from_millis(left.max(LEAST));
+            match self.shared.store.commit(tx, limit) {
                 Ok(_) => {
                     self.shared.touched();
                     return Written::Done;
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -35,6 +35,9 @@
 /// How long one question for changes waits.
 const WAIT: Duration = Duration::from_millis(600);
 
+/// Time for an answer to a claim, as for writes of the journal.
+const LIMIT: Duration = Duration::from_millis(2500);
+
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -207,7 +210,7 @@
         ],
     };
     let asked = shared.clock.now();
-    let done = match shared.store.commit(&tx) {
+    let done = match shared.store.commit(&tx, LIMIT) {
         Ok(Commit::Done(version)) => Some(version),
         Ok(Commit::Conflict(_)) => None,
         Err(StoreError::Unknown { .. }) => find_claim(shared, &lease)?,
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -21,6 +21,10 @@
 /// The lease is renewed this often, in milliseconds.
 const RENEW: u64 = 400;
 
+/// Time for an answer to a write. At a sixtieth of the store's speed a write takes
+/// 700 ms and waits for others.
+const LIMIT: Duration = Duration::from_millis(2500);
+
 /// First pause after a failure; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -100,7 +104,7 @@
         let mut pause = FIRST_PAUSE;
         let mut failing = false;
         loop {
-            match self.shared.store.commit(&tx) {
+            match self.shared.store.commit(&tx, LIMIT) {
                 Ok(Commit::Done(version)) => {
                     self.accept(version, failing);
                     break;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -11,9 +11,26 @@
     config::Config, metrics::Metrics, protocol::Protocol, settings::NodeSettings, store::Store,
 };
 
-/// After a call without an answer, others are spared for this long unless one is
-/// answered meanwhile, in milliseconds.
-const BREAK: u64 = 1500;
+/// After a call without an answer, callers are not held up by another for this long
+/// unless one is answered meanwhile, in milliseconds.
+const BREAK: u64 = 1000;
+
+/// An instance asks for changes each 600 ms at least: without any answer for this
+/// long the store is lost, in milliseconds.
+const SILENT: u64 = 1100;
+
+/// Leave to call the store; given back when it is dropped.
+pub(crate) struct Try<'a> {
+    alone: Option<&'a AtomicBool>,
+}
+
+impl Drop for Try<'_> {
+    fn drop(&mut self) {
+        if let Some(alone) = self.alone {
+            alone.store(false, Ordering::SeqCst);
+        }
+    }
+}
 
 /// What the threads of a node share.
 pub(crate) struct Shared {
@@ -27,6 +44,8 @@
     contact: AtomicU64,
     /// When a call to the store last got no answer, in milliseconds.
     lost: AtomicU64,
+    /// Whether a caller tries a store that did not answer.
+    trying: AtomicBool,
     /// Whether the process is about to end.
     pub(crate) leaving: AtomicBool,
 }
@@ -46,6 +65,7 @@
             config: Mutex::new(None),
             contact: AtomicU64::new(0),
             lost: AtomicU64::new(0),
+            trying: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
         }
     }
@@ -77,12 +97,23 @@
         self.lost.store(self.clock.now(), Ordering::Relaxed);
     }
 
-    /// Tells whether the store did not answer lately, and not since: a call would
-    /// only hold its caller up.
+    /// Tells whether the store's last call got no answer, or none came lately.
     pub(crate) fn store_is_lost(&self) -> bool {
         let lost = self.lost.load(Ordering::Relaxed);
-        let since = lost > self.contact.load(Ordering::Relaxed);
-        since && self.clock.now() < lost + BREAK
+        lost > self.contact.load(Ordering::Relaxed) || self.silence() > SILENT
+    }
+
+    /// Gives leave to hold a caller up by a call to the store: while that does not
+    /// answer only one at a time, and after a pause.
+    pub(crate) fn may_try(&self) -> Option<Try<'_>> {
+        if !self.store_is_lost() {
+            return Some(Try { alone: None });
+        }
+        let rested = self.clock.now() >= self.lost.load(Ordering::Relaxed) + BREAK;
+        let alone = rested && !self.trying.swap(true, Ordering::SeqCst);
+        alone.then_some(Try {
+            alone: Some(&self.trying),
+        })
     }
 
     /// Returns the milliseconds since the store last answered.
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -133,8 +133,10 @@
     /// a first change.
     fn changes(&self, table: &str, after: u64, wait: Duration) -> Result<Changes, StoreError>;
 
-    /// Runs a transaction.
-    fn commit(&self, tx: &Tx) -> Result<Commit, StoreError>;
+    /// Runs a transaction; no answer within `limit` leaves it unclear. While the
+    /// store is slow transactions wait for each other, and each that is sent again
+    /// makes the others wait longer: the limit should be generous.
+    fn commit(&self, tx: &Tx, limit: Duration) -> Result<Commit, StoreError>;
 }
 
 /// Reads all rows of one part; the version is the first page's.
