--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -50,6 +50,8 @@
     Begun,
     /// It can meet its objective.
     Fresh,
+    /// It has none: a core of a short job earns four times as much.
+    Lasting,
     /// It can't.
     Late,
 }
@@ -122,7 +124,7 @@
             return Standing::Begun;
         };
         if spec.steps.iter().any(|s| s.lasting) {
-            return Standing::Begun;
+            return Standing::Lasting;
         }
         let goal = (spec.chain() as f64 * policy.stretch) as u64 + policy.latency;
         let left = state.chain_left() * USUAL_TIME / 100;
