--- /dev/null
+++ b/crates/node/src/contest.rs
@@ -0,0 +1,54 @@
+//! Who takes a lease that may be free.
+
+use crate::rows::LeaseRow;
+
+/// A lease that did not change for this long has no owner, in milliseconds. The
+/// owner renews it each 400 ms; a store at a sixtieth of its speed takes 700 more.
+const STALE: u64 = 1800;
+
+/// Added to that by chance, so that not all instances claim at once, in milliseconds.
+pub(crate) const JITTER: u64 = 300;
+
+/// An instance with no share of a processor at all would wait this much longer than
+/// the largest that ever owned the lease, in milliseconds: deciding takes more than
+/// a tenth of a processor, and a small instance falls behind for good.
+const SMALL: u64 = 600;
+
+/// A lease whose owner has less than half of an instance's share goes to that
+/// instance after this long, in milliseconds.
+const UPGRADE: u64 = 1500;
+
+/// What an instance knows when it asks whether to take the lease.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Contest<'a> {
+    /// The lease; nothing if nobody ever had it.
+    pub(crate) lease: Option<&'a LeaseRow>,
+    /// The instance's name.
+    pub(crate) name: &'a str,
+    /// Its share of a processor, in thousandths.
+    pub(crate) share: u64,
+    /// For how long the lease was not renewed, in milliseconds.
+    pub(crate) age: u64,
+    /// For how long it has had its owner, in milliseconds.
+    pub(crate) tenure: u64,
+    /// A delay by chance, in milliseconds.
+    pub(crate) jitter: u64,
+}
+
+impl Contest<'_> {
+    /// Tells whether the instance should take the lease now.
+    pub(crate) fn is_won(&self) -> bool {
+        let Some(lease) = self.lease else {
+            return true;
+        };
+        let largest = lease.largest.max(self.share).max(1);
+        let small = SMALL * (largest - self.share) / largest;
+        // An owner that asks has started anew and holds nothing.
+        if lease.released || lease.owner == self.name {
+            return self.age >= small;
+        }
+        let steady = self.age < UPGRADE && self.tenure > UPGRADE;
+        let relieves = lease.share * 2 < self.share && steady;
+        relieves || self.age > STALE + self.jitter + small
+    }
+}
--- /dev/null
+++ b/crates/node/src/contest_tests.rs
@@ -0,0 +1,77 @@
+//! Who takes the lease, and when.
+
+use test_case::test_case;
+
+use crate::{contest::Contest, rows::LeaseRow};
+
+fn lease(share: u64) -> LeaseRow {
+    LeaseRow {
+        owner: "other".into(),
+        epoch: 3,
+        share,
+        largest: 500,
+        ..LeaseRow::default()
+    }
+}
+
+fn contest(lease: &LeaseRow, share: u64, age: u64) -> Contest<'_> {
+    Contest {
+        lease: Some(lease),
+        name: "me",
+        share,
+        age,
+        tenure: 60_000,
+        jitter: 0,
+    }
+}
+
+#[test]
+fn a_lease_that_nobody_had_is_taken_at_once() {
+    let none = LeaseRow::default();
+    let never = Contest {
+        lease: None,
+        ..contest(&none, 69, 0)
+    };
+    assert!(never.is_won());
+}
+
+#[test_case(1700, false; "renewed lately")]
+#[test_case(2000, true; "not renewed")]
+fn a_lease_is_taken_when_it_is_stale(age: u64, won: bool) {
+    assert_eq!(contest(&lease(500), 500, age).is_won(), won);
+}
+
+#[test]
+fn an_owner_that_started_anew_takes_its_lease_at_once() {
+    let mine = LeaseRow {
+        owner: "me".into(),
+        ..lease(500)
+    };
+    assert!(contest(&mine, 500, 0).is_won());
+}
+
+/// tmdro-seat-grown trouble-2: an instance with 0.069 of a processor took the
+/// lease that one with 0.5 gave back, and never got through reading the jobs.
+#[test]
+fn a_small_instance_waits_for_a_large_one() {
+    let given_back = LeaseRow {
+        released: true,
+        ..lease(500)
+    };
+    assert!(contest(&given_back, 500, 0).is_won());
+    assert!(!contest(&given_back, 69, 400).is_won());
+    assert!(contest(&given_back, 69, 600).is_won());
+}
+
+#[test]
+fn a_small_owner_is_relieved() {
+    assert!(contest(&lease(69), 500, 100).is_won());
+    assert!(!contest(&lease(69), 69, 100).is_won());
+    assert!(!contest(&lease(300), 500, 100).is_won());
+    let new = lease(69);
+    let soon = Contest {
+        tenure: 500,
+        ..contest(&new, 500, 100)
+    };
+    assert!(!soon.is_won());
+}
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 
 use crate::{
+    contest::{Contest, JITTER},
     metrics::Count,
     owner::{self, Tenure},
     rows::{HEAD, HeadRow, JOURNAL, LEASE, LeaseRow, OWNER, OWNER_PART, decode, encode},
@@ -16,22 +17,6 @@
     store::{Commit, Expect, Row, StoreError, Tx, Write, read_one},
 };
 
-/// A lease that did not change for this long has no owner, in milliseconds. The
-/// owner renews it each 400 ms; a store at a sixtieth of its speed takes 700 more.
-const STALE: u64 = 1800;
-
-/// Added to that by chance, so that not all instances claim at once, in milliseconds.
-const JITTER: u64 = 300;
-
-/// An instance with no share of a processor at all would wait this much longer than
-/// the largest that ever owned the lease, in milliseconds: deciding takes more than
-/// a tenth of a processor, and a small instance falls behind for good.
-const SMALL: u64 = 600;
-
-/// A lease whose owner has less than half of an instance's share goes to that
-/// instance after this long, in milliseconds.
-const UPGRADE: u64 = 1500;
-
 /// How long one question for changes waits.
 const WAIT: Duration = Duration::from_millis(600);
 
@@ -58,9 +43,16 @@
 }
 
 impl Seen {
-    /// Returns for how long the epoch has been the same, in milliseconds.
-    fn epoch_age(&self, shared: &Shared) -> u64 {
-        shared.clock.now() - self.begun
+    fn contest<'a>(&'a self, shared: &'a Shared, jitter: u64) -> Contest<'a> {
+        let now = shared.clock.now();
+        Contest {
+            lease: self.row.as_ref().map(|_| &self.lease),
+            name: &shared.settings.name,
+            share: shared.settings.share,
+            age: now - self.since,
+            tenure: now - self.begun,
+            jitter,
+        }
     }
 }
 
@@ -79,7 +71,7 @@
                 continue;
             }
         };
-        if !is_free(shared, &now, jitter) {
+        if shared.is_leaving() || !now.contest(shared, jitter).is_won() {
             seen = Some(now);
             continue;
         }
@@ -160,22 +152,6 @@
     })
 }
 
-fn is_free(shared: &Shared, seen: &Seen, jitter: u64) -> bool {
-    if shared.is_leaving() {
-        return false;
-    }
-    let (share, lease) = (shared.settings.share, &seen.lease);
-    let largest = lease.largest.max(share).max(1);
-    let small = SMALL * (largest - share) / largest;
-    let age = shared.clock.now() - seen.since;
-    let mine = lease.owner == *shared.settings.name;
-    if seen.row.is_none() || lease.released || mine {
-        return age >= small;
-    }
-    let upgrade = lease.share * 2 < share && age < UPGRADE && seen.epoch_age(shared) > UPGRADE;
-    upgrade || age > STALE + jitter + small
-}
-
 /// Tries to become the owner; nothing if another was faster.
 fn claim(shared: &Arc<Shared>, seen: &Seen) -> Result<Option<Tenure>, StoreError> {
     let version = seen.row.as_ref().map_or(0, |r| r.version);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,9 @@
 //! Limits: the owner's processor bounds the starts a second; see docs/CAPACITY.md.
 
 mod config;
+mod contest;
+#[cfg(test)]
+mod contest_tests;
 mod error;
 mod follow;
 mod front;
