--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,6 +8,7 @@
     },
 };
 
+use gorsespur_jobs::Figures;
 use hdrhistogram::Histogram;
 
 /// Digits that histograms keep.
@@ -51,6 +52,8 @@
 pub(crate) struct Metrics {
     counts: [AtomicU64; NAMES.len()],
     accept: Mutex<Histogram<u32>>,
+    /// What the owner counted; of its last time as the owner.
+    decided: Mutex<Figures>,
 }
 
 impl Default for Metrics {
@@ -61,6 +64,7 @@
         Metrics {
             counts: Default::default(),
             accept: Mutex::new(accept),
+            decided: Mutex::default(),
         }
     }
 }
@@ -78,6 +82,11 @@
         accept.saturating_record(ms);
     }
 
+    /// Takes over what the owner has counted.
+    pub(crate) fn decided(&self, figures: Figures) {
+        *self.decided.lock().unwrap_or_else(PoisonError::into_inner) = figures;
+    }
+
     /// Returns all as text, one figure a line.
     pub(crate) fn text(&self) -> String {
         let mut out = String::new();
@@ -89,6 +98,23 @@
             let ms = accept.value_at_quantile(quantile);
             let _ = writeln!(out, "gorsespur_accept_ms{{quantile=\"{quantile}\"}} {ms}");
         }
+        drop(accept);
+        let decided = *self.decided.lock().unwrap_or_else(PoisonError::into_inner);
+        let rows = [
+            ("open_jobs", decided.open),
+            ("starts", decided.starts),
+            ("starts_refused", decided.refused),
+            ("starts_unclear", decided.unclear),
+            ("runs_done", decided.done),
+            ("runs_failed", decided.failed),
+            ("runs_stopped", decided.stopped),
+            ("runs_lapsed", decided.lapsed),
+            ("looks", decided.looks),
+            ("commits", decided.commits),
+        ];
+        for (name, count) in rows {
+            let _ = writeln!(out, "gorsespur_owner_{name} {count}");
+        }
         out
     }
 }
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -152,6 +152,7 @@
         if now >= self.tell_at {
             self.tell_at = now + TELL_PERIOD;
             self.send(journal, Entry::Pending(self.machine.pending()));
+            self.shared.metrics.decided(self.machine.figures());
             for worker in self.machine.closable() {
                 self.lines.drop_worker(self.poll.registry(), worker);
             }
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -94,6 +94,7 @@
     watcher: thread::JoinHandle<()>,
     front: Option<Server>,
     ready: Option<Server>,
+    metrics: Option<Server>,
 }
 
 impl Node {
@@ -115,7 +116,7 @@
         let handler = Figures {
             shared: shared.clone(),
         };
-        serve(shared.settings.metrics, FEW, handler)?;
+        let metrics = serve(shared.settings.metrics, FEW, handler)?;
         // The configuration is followed to the very end: a stopping instance answers.
         spawn("config", &shared, &Cancel::new(), follow)?;
         let handler = Front {
@@ -129,6 +130,7 @@
             watcher,
             front,
             ready,
+            metrics,
         })
     }
 
@@ -142,6 +144,11 @@
         self.ready.as_ref().map(Server::addr)
     }
 
+    /// Returns where metrics are read, if they are.
+    pub fn metrics(&self) -> Option<SocketAddr> {
+        self.metrics.as_ref().map(Server::addr)
+    }
+
     /// Gives the lease back, goes on answering for a while, and lets answers finish.
     pub fn stop(self) {
         self.shared.leaving.store(true, Ordering::Relaxed);
