--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -1,7 +1,5 @@
 //! What is to be done now: commits, starts, looks, and what has run out.
 
-use std::sync::Arc;
-
 use crate::{
     action::{Action, StartOrder},
     ids::TaskId,
@@ -291,9 +289,4 @@
         }
         out
     }
-
-    /// Returns a worker's name, for logs.
-    pub fn name(&self, slot: u32) -> Arc<str> {
-        self.fleet.get(slot).id.clone()
-    }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -132,14 +132,14 @@
     }
 
     fn submit(&self, request: &Request, queue: &Queue, id: JobId, start: u64) -> Response {
-        let submission = match self.shared.protocol.submission(&request.body) {
-            Ok(submission) => submission,
+        let spec = match self.shared.protocol.submission(&request.body) {
+            Ok(spec) => spec,
             Err(err) => {
                 log::info!(job = id.to_string().as_str(), err = err.to_string().as_str(); "front: malformed job");
                 return Response::new(400, Vec::new());
             }
         };
-        if let Err(err) = submission.spec.check() {
+        if let Err(err) = spec.check() {
             log::info!(job = id.to_string().as_str(), err = err.to_string().as_str(); "front: job refused");
             return Response::new(400, Vec::new());
         }
@@ -147,7 +147,7 @@
             id,
             queue: queue.policy.queue.clone(),
             accepted: wall_ms(),
-            spec: Arc::new(submission.spec),
+            spec: Arc::new(spec),
         };
         let expect = Expect {
             table: JOBS,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -39,6 +39,6 @@
 pub use config::{Config, FrontLimits, Queue};
 pub use error::NodeError;
 pub use program::{Node, run};
-pub use protocol::{Order, Protocol, ProtocolError, Submission};
+pub use protocol::{Order, Protocol, ProtocolError};
 pub use settings::NodeSettings;
 pub use store::{Changes, Commit, Expect, Page, Range, Row, Store, StoreError, Tx, Write};
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -42,13 +42,6 @@
     Pace(TaskId, u32, u32),
 }
 
-/// What a caller handed in, and until when it waits.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Submission {
-    /// What is to be run.
-    pub spec: Spec,
-}
-
 /// Translates between the node and those it talks to.
 pub trait Protocol: Send + Sync + 'static {
     /// Table and key of the configuration's row.
@@ -70,7 +63,7 @@
     fn answer(&self, order: &Order, result: Result<Response, HttpError>) -> Answer;
 
     /// Reads what a caller hands in.
-    fn submission(&self, body: &[u8]) -> Result<Submission, ProtocolError>;
+    fn submission(&self, body: &[u8]) -> Result<Spec, ProtocolError>;
 
     /// Writes what became of a job.
     fn outcome(&self, outcome: Outcome) -> Vec<u8>;
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -126,9 +126,6 @@
     /// Reads rows of one part, up to a page.
     fn read(&self, range: Range<'_>) -> Result<Page, StoreError>;
 
-    /// Lists the parts of a table that have rows.
-    fn parts(&self, table: &str) -> Result<Vec<String>, StoreError>;
-
     /// Returns what changed in a table after a version, waiting up to `wait` for
     /// a first change.
     fn changes(&self, table: &str, after: u64, wait: Duration) -> Result<Changes, StoreError>;
