--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -5,7 +5,6 @@
 use gorsespur_runtime::cancel::Cancel;
 
 use crate::{
-    config::Config,
     metrics::Count,
     shared::Shared,
     store::{Row, StoreError, read_one},
@@ -35,9 +34,7 @@
         return;
     }
     match shared.protocol.config(row) {
-        Ok(config) => {
-            let _: bool = shared.offer(Config { ..config });
-        }
+        Ok(config) => shared.offer(config),
         Err(err) => log::error!(err = err.to_string().as_str(); "config: can't be read"),
     }
 }
--- a/crates/node/src/owner/lines.rs
+++ b/crates/node/src/owner/lines.rs
@@ -53,14 +53,6 @@
     answers: Vec<(u32, u64, Answer)>,
 }
 
-impl std::fmt::Debug for Shared {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Shared")
-            .field("settings", &self.settings)
-            .finish()
-    }
-}
-
 impl Lines {
     pub(crate) fn new(shared: &Arc<Shared>, epoch: u64) -> Lines {
         Lines {
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -5,7 +5,10 @@
 use gorsespur_jobs::{Event, Job, Machine, Record, Sorted};
 use gorsespur_runtime::clock::wall_ms;
 
-use super::{Tenure, feed::Follow};
+use super::{
+    Tenure,
+    feed::{self, Follow},
+};
 use crate::{
     rows::{JOBS, OWNER_PART, RECORDS, decode},
     shared::Shared,
@@ -45,7 +48,7 @@
             machine.restore(Arc::new(job), record);
         }
     }
-    let mut jobs = Follow::new(version);
+    let jobs = Follow::new(version);
     let mut workers = Follow::anew();
     let mut events = Vec::new();
     feed::take_jobs(&rows, &mut events);
@@ -53,7 +56,6 @@
         events.push(Event::Queues(config.policies()));
     }
     feed::list_workers(shared, &mut workers, &mut events)?;
-    jobs.version = Some(version);
     for event in events {
         machine.handle(shared.clock.now(), wall_ms(), event);
     }
@@ -76,5 +78,3 @@
     }
     Ok((rows, version.unwrap_or(0)))
 }
-
-use super::feed;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,8 +1,11 @@
 //! What the threads of a node share.
 
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    fmt,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use gorsespur_runtime::clock::Clock;
@@ -50,6 +53,14 @@
     pub(crate) leaving: AtomicBool,
 }
 
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut out = f.debug_struct("Shared");
+        out.field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Shared {
     pub(crate) fn new(
         settings: NodeSettings,
@@ -76,15 +87,14 @@
         config.clone()
     }
 
-    /// Takes a configuration unless a newer one is in force; tells whether it changed.
-    pub(crate) fn offer(&self, new: Config) -> bool {
+    /// Puts a configuration in force unless that or a newer one is.
+    pub(crate) fn offer(&self, new: Config) {
         let mut config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
         if config.as_ref().is_some_and(|c| c.version >= new.version) {
-            return false;
+            return;
         }
         log::info!(version = new.version, queues = new.queues.len(); "config: in force");
         *config = Some(Arc::new(new));
-        true
     }
 
     /// Takes note that the store answered.
