--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -43,8 +43,8 @@
 
     /// Sends a request and returns the whole answer within `limit`.
     ///
-    /// A kept connection that the peer had closed before the request was sent is
-    /// replaced once; a request is never sent twice.
+    /// Kept connections that the peer has closed are passed over before anything is
+    /// sent; a request is never sent twice.
     pub fn call(&self, request: &Request, limit: Duration) -> Result<Response, HttpError> {
         let end = Instant::now() + limit;
         let mut stream = match self.take_idle() {
--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -53,9 +53,9 @@
     fn lapse(&mut self) {
         for slot in 0..self.fleet.workers.len() as u32 {
             let worker = self.fleet.get(slot);
-            let waiting = worker.runs.is_empty() && worker.strays.is_empty();
+            let idle = worker.runs.is_empty() && worker.strays.is_empty();
             let quiet = worker.silent.is_some() || worker.clock.is_none();
-            if waiting || worker.dead || !quiet || self.now <= worker.lapse() {
+            if idle || worker.dead || !quiet || self.now <= worker.lapse() {
                 continue;
             }
             let count = worker.runs.len();
@@ -121,7 +121,8 @@
         let Some(state) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        let step = state.job.spec.steps[id.step as usize].clone();
+        let job = state.job.clone();
+        let step = &job.spec.steps[id.step as usize];
         let Some(run) = state.task_mut(id).and_then(|t| t.run.as_mut()) else {
             return;
         };
@@ -137,8 +138,7 @@
         }
         log::warn!(task = id.to_string().as_str(), percent = run.percent, still_ms = now - run.moved, worker = &*self.fleet.get(slot).id; "run: stands still");
         run.stage = Stage::Stopping(None);
-        let limits = (self.settings.quarantine, self.settings.exile);
-        self.fleet.get_mut(slot).did_badly(now, limits);
+        self.blame(slot);
     }
 
     /// Sends the next batch of records, if none is under way.
--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -116,8 +116,7 @@
     fn failed(&mut self, slot: u32, id: TaskId, run: u32, is_final: bool) {
         self.figures.failed += 1;
         let now = self.now;
-        let quarantine = (self.settings.quarantine, self.settings.exile);
-        self.fleet.get_mut(slot).did_badly(now, quarantine);
+        self.blame(slot);
         let Some(state) = self.jobs.get(&id.job) else {
             return;
         };
@@ -152,8 +151,7 @@
     fn listed(&mut self, slot: u32, row: &Running) {
         let now = self.now;
         let state = self.jobs.get_mut(&row.task.job);
-        let live = state.filter(|j| !j.outcome.is_final() || j.task(row.task).is_some());
-        let Some(task) = live.and_then(|j| j.task_mut(row.task)) else {
+        let Some(task) = state.and_then(|j| j.task_mut(row.task)) else {
             return self.stray(slot, row);
         };
         let here = task.run.as_ref().is_some_and(|r| r.worker == slot);
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -81,6 +81,12 @@
         task.run.as_mut().filter(|r| r.worker == slot)
     }
 
+    /// Takes note that a run failed or hung on a worker, or was refused by it.
+    pub(crate) fn blame(&mut self, slot: u32) {
+        let limits = (self.settings.quarantine, self.settings.exile);
+        self.fleet.get_mut(slot).did_badly(self.now, limits);
+    }
+
     pub(crate) fn started(&mut self, slot: u32, id: TaskId, number: u32, started: Started) {
         let now = self.now;
         match started {
@@ -110,11 +116,10 @@
         }
         let sent = matches!(run.stage, Stage::Sent(_));
         self.figures.refused += 1;
-        let limits = (self.settings.quarantine, self.settings.exile);
         let worker = self.fleet.get_mut(slot);
         log::info!(task = id.to_string().as_str(), run = number, worker = &*worker.id, started:?; "start: refused");
         match started {
-            Started::Refused => worker.did_badly(now, limits),
+            Started::Refused => self.blame(slot),
             Started::NotSent => {
                 worker.silent.get_or_insert(now);
             }
--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/pace.rs
@@ -3,8 +3,8 @@
 //!
 //! Each new figure gives a serving task's tail; by how much the filling tasks
 //! beside it lengthen it is learned by pairs of images. The paces of those that do
-//! are set so that the tail stays under its target. Where that fails for a second,
-//! all are slowed, and after two all are stopped.
+//! are set so that the tail stays under its target. Where that fails for most of a
+//! second, all are slowed, and soon after all are stopped.
 
 use crate::{
     action::Action,
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -187,10 +187,7 @@
         if let Err(at) = self.runs.binary_search(&task) {
             self.runs.insert(at, task);
         }
-        let size = size(step);
-        self.used.cpu += size.cpu;
-        self.used.memory += size.memory;
-        self.used.gpu += size.gpu;
+        self.take(size(step));
         self.filling += filling(step);
         self.serving += u32::from(step.target > 0);
         self.serving_cpu += serving(step);
@@ -210,9 +207,7 @@
 
     /// Takes up room for a run that is not wanted.
     pub(crate) fn add_stray(&mut self, stray: Stray) {
-        self.used.cpu += stray.size.cpu;
-        self.used.memory += stray.size.memory;
-        self.used.gpu += stray.size.gpu;
+        self.take(stray.size);
         self.strays.push(stray);
     }
 
@@ -229,6 +224,12 @@
         }
     }
 
+    fn take(&mut self, size: Capacity) {
+        self.used.cpu += size.cpu;
+        self.used.memory += size.memory;
+        self.used.gpu += size.gpu;
+    }
+
     fn free(&mut self, size: Capacity) {
         self.used.cpu -= size.cpu.min(self.used.cpu);
         self.used.memory -= size.memory.min(self.used.memory);
