Use no kept connection after one has gone silent

The client kept up to eight to the store: after each silence the next call took the next silent one and lost its whole time limit (1 to 2.5 s) again. The owner's connections to a worker likewise.

Change: after a call without an answer in time, the client drops all kept connections, and the owner closes all of a worker's on which nothing is asked.

The contract test failed before (the second call took another silent connection) and passes.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -23,7 +23,8 @@
 /// Calls one address over kept connections; threads share it.
 ///
 /// A connection is dropped after any failure, since an answer that was lost may
-/// still arrive on it.
+/// still arrive on it. After silence all kept connections are: open ones may have
+/// gone silent for good, all at once, while new ones work.
 #[derive(Debug)]
 pub struct Client {
     addr: SocketAddr,
@@ -53,7 +54,11 @@
         };
         let mut out = Vec::with_capacity(256 + request.body.len());
         request.encode(&self.host, &mut out);
-        let response = exchange(&mut stream, &out, end)?;
+        let response = exchange(&mut stream, &out, end).inspect_err(|err| {
+            if matches!(err, HttpError::Timeout) {
+                self.lock().clear();
+            }
+        })?;
         if response.keep {
             self.keep(stream);
         }
--- a/crates/http/tests/contract.rs
+++ b/crates/http/tests/contract.rs
@@ -204,3 +204,49 @@
     let whole = parse_response(&second, Limits::default()).expect("answer");
     assert_eq!(whole.expect("whole").0.header("x"), Some("y"));
 }
+
+/// Answers one request on each connection, then stays silent on it; the first
+/// `together` answers wait for each other, so that as many connections are opened.
+fn silent_after_one(together: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let addr = listener.local_addr().expect("address");
+    thread::spawn(move || {
+        let mut held = Vec::new();
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("connection");
+            let mut head = [0; 1024];
+            let _ = stream.read(&mut head).expect("request");
+            held.push(stream);
+            if held.len() < together {
+                continue;
+            }
+            let first = if held.len() == together {
+                0
+            } else {
+                held.len() - 1
+            };
+            for stream in &mut held[first..] {
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                stream.write_all(answer).expect("answer");
+            }
+        }
+    });
+    addr
+}
+
+/// The users' pages: open connections may go silent for good, all at once, while new
+/// ones work. Each kept one cost a call its whole time limit.
+#[test]
+fn after_one_silent_connection_no_other_kept_one_is_used() {
+    const KEPT: usize = 3;
+    let client = Arc::new(Client::new(silent_after_one(KEPT)));
+    let request = Request::new(Method::Get, "/", Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..KEPT {
+            scope.spawn(|| client.call(&request, LIMIT).expect("first"));
+        }
+    });
+    let silent = client.call(&request, Duration::from_millis(100));
+    assert_eq!(silent, Err(HttpError::Timeout));
+    client.call(&request, LIMIT).expect("a new connection");
+}
--- a/crates/node/src/owner/lines.rs
+++ b/crates/node/src/owner/lines.rs
@@ -141,12 +141,26 @@
                     continue;
                 }
                 self.close(registry, worker as u32, line);
+                self.close_idle(registry, worker);
                 self.finish(worker as u32, line, Err(HttpError::Timeout));
                 self.next(registry, worker as u32, line);
             }
         }
     }
 
+    /// Closes the connections to a worker on which nothing is asked: open ones may
+    /// have gone silent for good, all at once, while new ones work.
+    fn close_idle(&mut self, registry: &Registry, worker: usize) {
+        let Some(Some(post)) = self.posts.get_mut(worker) else {
+            return;
+        };
+        for line in post.lines.iter_mut().filter(|l| l.call.is_none()) {
+            if let Some(link) = line.link.take() {
+                link.close(registry);
+            }
+        }
+    }
+
     /// Closes all connections to a worker that is not needed any more.
     pub(crate) fn drop_worker(&mut self, registry: &Registry, worker: u32) {
         let Some(post) = self.posts.get_mut(worker as usize) else {
