Stop all that fills after 1.5 s over a target, whatever one figure says

Figures are off by up to a quarter.

Change: the time counts until a figure is below 0.75; what disturbs is slowed after 0.8 s as before, and all that fills is stopped after 1.5 s.

The regression test failed before and passes.

--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/pace.rs
@@ -4,7 +4,7 @@
 //! Each new figure gives a serving task's tail; by how much the filling tasks
 //! beside it lengthen it is learned by pairs of images. The paces of those that do
 //! are set so that the tail stays under its target. Where that fails for most of a
-//! second, they are slowed more and soon stopped; at last all that fills is stopped.
+//! second, they are slowed more, and soon all that fills is stopped.
 
 use std::sync::Arc;
 
@@ -26,8 +26,8 @@
 const OVER: f64 = 0.9;
 
 /// It counts so until a figure is below this share: one low figure among high ones
-/// does not end what the users count as harm.
-const UNDER: f64 = 0.8;
+/// does not end what the users count as harm. Figures are off by up to a quarter.
+const UNDER: f64 = 0.75;
 
 /// Figures are of half a second: a worker's are used this often, in milliseconds.
 const PERIOD: u64 = 450;
@@ -52,12 +52,9 @@
 /// ... to this pace in percent ...
 const SLOW_PACE: u32 = 30;
 
-/// ... for this long stops it ...
-const STOP_AFTER: u64 = 1500;
-
 /// ... and for this long stops all that fills, whatever is known of it, before the
 /// users count it as harm (4 s).
-const STOP_ALL: u64 = 2300;
+const STOP_ALL: u64 = 1500;
 
 /// A task that was slowed for this long moves to another worker, in milliseconds.
 const MOVE_AFTER: u64 = 1500;
@@ -271,7 +268,7 @@
             false => 100,
         };
         let most = match served.over {
-            t if t > STOP_AFTER => 0,
+            t if t > STOP_ALL => 0,
             t if t > SLOW_AFTER => fitting.min(SLOW_PACE),
             _ => fitting,
         };
--- a/crates/jobs/tests/all/regression.rs
+++ b/crates/jobs/tests/all/regression.rs
@@ -43,12 +43,10 @@
     assert_eq!(world.outcome(id), Outcome::Active);
 }
 
-/// A serving task stayed over its target for 4 s while others filled beside it.
-///
-/// Cause: the time over the target began anew with each figure a little below it,
-/// and figures are rough. Found by a hunt: tmdro, mix seed 652337052647, HARM 1.
-#[test]
-fn one_low_figure_does_not_end_the_time_over_the_target() {
+/// Serves and fills on one worker whose tail goes through these percents of its target,
+/// one each half second; returns the longest time that something fills then, in
+/// milliseconds.
+fn longest_harm(tails: &[u64]) -> u64 {
     let mut world = World::new(WorldSettings {
         workers: 1,
         ..WorldSettings::default()
@@ -58,9 +56,8 @@
     world.run(1000);
     world.submit(2, chain(vec![filling(3, 60_000)]));
     world.run(1000);
-    world.workers[0].tails = vec![105, 102, 85, 104];
-    let mut harmed = 0;
-    let mut filled = false;
+    world.workers[0].tails = tails.to_vec();
+    let (mut harmed, mut longest, mut filled) = (0, 0, false);
     for _ in 0..200 {
         world.run(50);
         let runs = &world.workers[0].runs;
@@ -71,12 +68,29 @@
             }
             false => harmed = 0,
         }
-        assert!(
-            harmed < 4000,
-            "filled for 4 s beside a tail over its target"
-        );
+        longest = longest.max(harmed);
     }
     assert!(filled);
+    longest
+}
+
+/// A serving task stayed over its target for 4 s while others filled beside it.
+///
+/// Cause: the time over the target began anew with each figure a little below it,
+/// and figures are rough. Found by a hunt: tmdro, mix seed 652337052647, HARM 1.
+#[test]
+fn one_low_figure_does_not_end_the_time_over_the_target() {
+    assert!(longest_harm(&[105, 102, 85, 104]) < 4000);
+}
+
+/// The same, by a figure that was off by a quarter.
+///
+/// Cause: the time began anew below 0.8 of the target, and harmless tasks, as far as
+/// was known, were stopped only 2.3 s after that. Found by a hunt: weldcert, scale-2
+/// seed 880420665051, HARM 2; its replay did not break the rule again.
+#[test]
+fn a_very_low_figure_does_not_end_the_time_over_the_target() {
+    assert!(longest_harm(&[105, 102, 76, 104]) < 4000);
 }
 
 /// A filling task began at full pace beside a tail that was over its target.
