Lower paces between looks for the time that a tail is over its target

Seven tasks began to fill on one worker at once. A figure tells of the last half second and comes each second; the times until all that fills is stopped were asked at looks only, so that up to a second more went by.

Ruled out: a wrong pair (all tasks on the worker were concerned).

Change: after 1.2 s all that fills is slowed, after 1.8 s stopped, and between looks, each half second, paces are lowered for the time alone.

The new regression test let tasks fill for 3.2 s of the 3.0 allowed before.

--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/pace.rs
@@ -5,6 +5,7 @@
 //! beside it lengthen it is learned by pairs of images. The paces of those that do
 //! are set so that the tail stays under its target. Where that fails for most of a
 //! second, they are slowed more and soon stopped, and at last all that fills is.
+//! These times run out between the worker's looks as well.
 
 use std::sync::Arc;
 
@@ -52,12 +53,16 @@
 /// ... to this pace in percent ...
 const SLOW_PACE: u32 = 30;
 
-/// ... for this long stops it ...
+/// ... for this long slows all that fills, whatever is known of it ...
+const SLOW_ALL: u64 = 1200;
+
+/// ... for this long stops what disturbs it ...
 const STOP_AFTER: u64 = 1500;
 
-/// ... and for this long stops all that fills, whatever is known of it, before the
-/// users count it as harm (4 s): a look comes each second.
-const STOP_ALL: u64 = 2200;
+/// ... and for this long stops all that fills. A figure tells of the last half second
+/// and comes each second, a pace takes effect within half a second more, and the users
+/// count 4 s as harm.
+const STOP_ALL: u64 = 1800;
 
 /// A task that was slowed for this long moves to another worker, in milliseconds.
 const MOVE_AFTER: u64 = 1500;
@@ -75,6 +80,24 @@
     over: u64,
 }
 
+impl Served {
+    /// Returns the highest paces, in percent, of what disturbs it and of all else that
+    /// fills, for the time that it is over its target.
+    fn caps(&self) -> (u32, u32) {
+        let harmful = match self.over {
+            t if t > STOP_AFTER => 0,
+            t if t > SLOW_AFTER => SLOW_PACE,
+            _ => 100,
+        };
+        let others = match self.over {
+            t if t > STOP_ALL => 0,
+            t if t > SLOW_ALL => SLOW_PACE,
+            _ => 100,
+        };
+        (harmful, others)
+    }
+}
+
 /// A filling run on a worker.
 #[derive(Debug, Clone, Copy)]
 struct Filler {
@@ -120,6 +143,7 @@
         }
         worker.figured = now;
         let press: Arc<[Press]> = self.press(look).into();
+        let mut over = false;
         for row in &look.running {
             let Some(ms) = row.figure.filter(|f| *f > 0) else {
                 continue;
@@ -145,13 +169,17 @@
             } else if share < UNDER {
                 run.over = None;
             }
+            over |= run.over.is_some();
         }
-        if self.fleet.get(slot).filling > 0 {
+        let worker = self.fleet.get_mut(slot);
+        worker.over = over && worker.filling > 0;
+        if worker.filling > 0 {
             self.choose_paces(slot);
         }
     }
 
-    /// Fits the disturbances to the figures, each half second.
+    /// Fits the disturbances to the figures, each half second, and lowers paces where a
+    /// tail has been over its target for long.
     pub(crate) fn fit(&mut self) {
         if self.now < self.fitted + FIT_PERIOD {
             return;
@@ -164,6 +192,11 @@
                 step.headroom.update(newest);
             }
         }
+        for slot in 0..self.fleet.workers.len() as u32 {
+            if self.fleet.get(slot).over {
+                self.escalate(slot);
+            }
+        }
     }
 
     /// Returns what fills on a worker, with the cores in use.
@@ -270,15 +303,26 @@
             true => (room.max(0.0) / full * 100.0) as u32,
             false => 100,
         };
-        let most = match served.over {
-            t if t > STOP_AFTER => 0,
-            t if t > SLOW_AFTER => fitting.min(SLOW_PACE),
-            _ => fitting,
-        };
+        let (harmful, others) = served.caps();
         for (filler, pace) in fillers.iter().zip(paces) {
-            let harmful = self.pairs.weight(filler.image, served.image) > HARMLESS;
-            if harmful || served.over > STOP_ALL {
-                *pace = (*pace).min(most);
+            let harms = self.pairs.weight(filler.image, served.image) > HARMLESS;
+            let most = if harms { fitting.min(harmful) } else { others };
+            *pace = (*pace).min(most);
+        }
+    }
+
+    /// Lowers paces for the time alone that tails have been over their targets.
+    fn escalate(&mut self, slot: u32) {
+        let (served, fillers) = self.residents(slot);
+        for filler in &fillers {
+            let most = served.iter().map(|s| {
+                let harms = self.pairs.weight(filler.image, s.image) > HARMLESS;
+                let (harmful, others) = s.caps();
+                if harms { harmful } else { others }
+            });
+            let most = most.min().unwrap_or(100);
+            if most < filler.pace {
+                self.want_pace(filler, most);
             }
         }
     }
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -114,6 +114,8 @@
     pub(crate) serving_cpu: u64,
     /// When its figures were last used.
     pub(crate) figured: u64,
+    /// Whether a tail on it was over its target then, and something filled.
+    pub(crate) over: bool,
 }
 
 impl Worker {
@@ -146,6 +148,7 @@
             slowness: 100,
             serving_cpu: 0,
             figured: 0,
+            over: false,
         }
     }
 
--- a/crates/jobs/tests/all/regression.rs
+++ b/crates/jobs/tests/all/regression.rs
@@ -44,9 +44,9 @@
 }
 
 /// Serves and fills on one worker whose tail goes through these percents of its target,
-/// one each half second; returns the longest time that something fills then, in
-/// milliseconds.
-fn longest_harm(tails: &[u64]) -> u64 {
+/// one each half second, from `after` milliseconds on; returns the longest time that
+/// something fills then, in milliseconds.
+fn longest_harm(after: u64, tails: &[u64]) -> u64 {
     let mut world = World::new(WorldSettings {
         workers: 1,
         ..WorldSettings::default()
@@ -55,7 +55,7 @@
     world.submit(1, chain(vec![serving(1)]));
     world.run(1000);
     world.submit(2, chain(vec![filling(3, 60_000)]));
-    world.run(1000);
+    world.run(after);
     world.workers[0].tails = tails.to_vec();
     let (mut harmed, mut longest, mut filled) = (0, 0, false);
     for _ in 0..200 {
@@ -80,7 +80,7 @@
 /// and figures are rough. Found by a hunt: tmdro, mix seed 652337052647, HARM 1.
 #[test]
 fn one_low_figure_does_not_end_the_time_over_the_target() {
-    assert!(longest_harm(&[105, 102, 85, 104]) < 4000);
+    assert!(longest_harm(1000, &[105, 102, 85, 104]) < 4000);
 }
 
 /// The same, by a figure that was off by a quarter.
@@ -90,7 +90,22 @@
 /// seed 880420665051, HARM 2; its replay did not break the rule again.
 #[test]
 fn a_very_low_figure_does_not_end_the_time_over_the_target() {
-    assert!(longest_harm(&[105, 102, 76, 104]) < 4000);
+    assert!(longest_harm(1000, &[105, 102, 76, 104]) < 4000);
+}
+
+/// The same, from the moment on at which many tasks began to fill.
+///
+/// Cause: how long a tail is over its target was asked at looks only, which come each
+/// second, and the first one after that moment is not yet above it. Found by a hunt:
+/// weldcert, trouble-2 seed 1055382634003 and mix 101064284358, HARM 1 and 2.
+#[test]
+fn what_fills_is_stopped_half_a_second_before_it_is_harm() {
+    let phases = (1000..2200).step_by(100);
+    let longest = phases.map(|after| longest_harm(after, &[120])).max();
+    assert!(
+        longest < Some(3000),
+        "{longest:?} ms, and half a second unseen"
+    );
 }
 
 /// A filling task began at full pace beside a tail that was over its target.
