--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/pace.rs
@@ -276,6 +276,19 @@
         slack
     }
 
+    /// Returns the headroom that what fills on a worker would take from a serving task.
+    pub(crate) fn pressure_on(&self, slot: u32, serve: Image) -> f64 {
+        if self.fleet.get(slot).filling == 0 {
+            return 0.0;
+        }
+        let (_, fillers) = self.residents(slot);
+        let taken = fillers.iter().map(|f| {
+            let pace = f64::from(f.pace) / 100.0;
+            self.pairs.weight(f.image, serve) * f.cores * pace
+        });
+        taken.sum()
+    }
+
     fn choose_paces(&mut self, slot: u32) {
         let (served, fillers) = self.residents(slot);
         let mut paces = vec![100; fillers.len()];
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -227,6 +227,7 @@
             let mut points = score(worker, step);
             if step.target > 0 {
                 points += self.alike(worker, image);
+                points -= (self.pressure_on(slot, image) * DISTURBED) as i64;
             }
             if step.fill {
                 let slack = pass.slack[slot as usize].get_or_insert_with(|| self.slack(slot));
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -97,3 +97,34 @@
     assert!(seen.over < 0.003 * seen.served, "{seen:?}");
     assert!(seen.heavy > 150.0, "{seen:?}");
 }
+
+#[test]
+fn what_serves_begins_where_nothing_disturbs_it() {
+    let mut world = world();
+    let long = |image: &str| Step {
+        count: 4,
+        estimate: 60_000,
+        spread: 1,
+        ..filling(image, 4)
+    };
+    world.submit(10, chain(vec![long("heavy")]));
+    world.run(200);
+    world.submit(11, chain(vec![long("light")]));
+    world.run(8000);
+    let serve = Step {
+        lasting: true,
+        target: 100,
+        spread: 1,
+        image: Some("serve".into()),
+        ..short(4, 0)
+    };
+    let before: Vec<usize> = world.workers.iter().map(|w| w.runs.len()).collect();
+    world.submit(12, chain(vec![serve]));
+    world.run(300);
+    for (worker, before) in world.workers.iter().zip(before) {
+        let mut images = worker.runs.iter().filter_map(|r| r.image.as_deref());
+        let disturbed = images.any(|i| i == "heavy");
+        let begun = worker.runs.len() > before;
+        assert!(!(begun && disturbed), "{:?}", worker.runs);
+    }
+}
