--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -36,12 +36,14 @@
 mod room;
 mod sample;
 mod settings;
+mod slack;
 mod sorted;
 mod spec;
 mod standing;
 mod step;
 mod summary;
 mod task;
+mod watch;
 mod worker;
 
 pub use action::{Action, StartOrder};
--- /dev/null
+++ b/crates/jobs/src/slack.rs
@@ -0,0 +1,128 @@
+//! What serving tasks on a worker bear besides what fills there.
+
+use crate::{
+    headroom::Headroom,
+    ids::TaskId,
+    machine::Machine,
+    pace::LEAST_HEADROOM,
+    pairs::{HARMLESS, Pairs},
+    sample::Image,
+};
+
+/// What stands for the excess on a worker on which nothing is disturbed: as good as a
+/// target of five times the tail.
+const CALM: f64 = -4.0;
+
+/// A serving run on a worker, as placement and pacing see it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Served {
+    pub(crate) image: Image,
+    /// Target over tail without what fills.
+    pub(crate) headroom: Headroom,
+    /// For how long it is over its target, in milliseconds.
+    pub(crate) over: u64,
+}
+
+/// A filling run on a worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Filler {
+    pub(crate) task: TaskId,
+    pub(crate) image: Image,
+    /// Cores that it uses at full pace.
+    pub(crate) cores: f64,
+    /// Its pace in percent.
+    pub(crate) pace: u32,
+}
+
+/// What serving tasks on a worker bear besides what fills there already.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Slack {
+    /// Image and the headroom that is left to it.
+    rows: Vec<(Image, f64)>,
+    /// Whether a tail is over its target; nothing may begin to fill then.
+    pub(crate) over: bool,
+}
+
+impl Slack {
+    /// Returns by how much more headroom a filling task would take than there is; 0 or
+    /// less if there is enough, and the less the better.
+    pub(crate) fn excess(&self, pairs: &Pairs, image: Image, cores: f64) -> f64 {
+        let mut most = f64::NEG_INFINITY;
+        for &(serve, left) in &self.rows {
+            let weight = pairs.weight(image, serve);
+            if weight > HARMLESS {
+                most = most.max(weight * cores - left);
+            }
+        }
+        most.max(CALM)
+    }
+}
+
+impl Machine {
+    /// Returns what serves and what fills on a worker.
+    pub(crate) fn residents(&self, slot: u32) -> (Vec<Served>, Vec<Filler>) {
+        let (mut served, mut fillers) = (Vec::new(), Vec::new());
+        for &task in &self.fleet.get(slot).runs {
+            let Some(state) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let step = &state.job.spec.steps[task.step as usize];
+            let Some(run) = state.task(task).and_then(|t| t.run.as_ref()) else {
+                continue;
+            };
+            let image = state.images[task.step as usize];
+            if step.target > 0 {
+                let runs = &state.times[task.time as usize][task.step as usize];
+                served.push(Served {
+                    image,
+                    headroom: runs.headroom,
+                    over: run.over.map_or(0, |since| self.now - since),
+                });
+            } else if step.fill {
+                fillers.push(Filler {
+                    task,
+                    image,
+                    cores: step.cpu as f64 / 1000.0,
+                    pace: run.wanted,
+                });
+            }
+        }
+        (served, fillers)
+    }
+
+    /// Returns what a worker's serving tasks bear besides what fills there.
+    pub(crate) fn slack(&self, slot: u32) -> Slack {
+        if self.fleet.get(slot).serving == 0 {
+            return Slack::default();
+        }
+        let (served, fillers) = self.residents(slot);
+        let mut slack = Slack::default();
+        for s in &served {
+            slack.over |= s.over > 0;
+            let there = fillers.iter().map(|f| {
+                let pace = f64::from(f.pace) / 100.0;
+                self.pairs.weight(f.image, s.image) * f.cores * pace
+            });
+            // A load that was high a while ago comes back while the task runs.
+            let left = s.headroom.later() - LEAST_HEADROOM - there.sum::<f64>();
+            match slack.rows.iter_mut().find(|r| r.0 == s.image) {
+                Some(row) => row.1 = row.1.min(left),
+                None => slack.rows.push((s.image, left)),
+            }
+        }
+        slack
+    }
+
+    /// Returns the headroom that what fills on a worker would take from a serving task.
+    pub(crate) fn pressure_on(&self, slot: u32, serve: Image) -> f64 {
+        if self.fleet.get(slot).filling == 0 {
+            return 0.0;
+        }
+        let (_, fillers) = self.residents(slot);
+        let taken = fillers.iter().map(|f| {
+            let pace = f64::from(f.pace) / 100.0;
+            self.pairs.weight(f.image, serve) * f.cores * pace
+        });
+        taken.sum()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/watch.rs
@@ -0,0 +1,112 @@
+//! Takes note of workers' figures, and learns from them.
+
+use std::sync::Arc;
+
+use crate::{
+    event::Look,
+    machine::Machine,
+    sample::{Group, Press},
+};
+
+/// A tail above this share of its target counts as over it: figures are rough.
+const OVER: f64 = 0.9;
+
+/// It counts so until a figure is below this share: one low figure among high ones
+/// does not end what the users count as harm. Figures are off by up to a quarter.
+const UNDER: f64 = 0.75;
+
+/// Figures are of half a second: a worker's are used this often, in milliseconds.
+const PERIOD: u64 = 450;
+
+/// Milliseconds from one fit of the disturbances to the next.
+const FIT_PERIOD: u64 = 500;
+
+impl Machine {
+    /// Takes note of the figures that a worker lists, and chooses paces.
+    pub(crate) fn watch(&mut self, slot: u32, look: &Look) {
+        let now = self.now;
+        let worker = self.fleet.get_mut(slot);
+        if worker.serving == 0 || now < worker.figured + PERIOD {
+            return;
+        }
+        worker.figured = now;
+        let press: Arc<[Press]> = self.press(look).into();
+        let mut over = false;
+        for row in &look.running {
+            let Some(ms) = row.figure.filter(|f| *f > 0) else {
+                continue;
+            };
+            let Some(state) = self.jobs.get_mut(&row.task.job) else {
+                continue;
+            };
+            let image = state.images[row.task.step as usize];
+            let target = state.job.spec.steps[row.task.step as usize].target;
+            let run = state.task_mut(row.task).and_then(|t| t.run.as_mut());
+            let Some(run) = run.filter(|_| target > 0) else {
+                continue;
+            };
+            let group = Group {
+                job: row.task.job,
+                time: row.task.time,
+                step: row.task.step,
+            };
+            let share = ms as f64 / target as f64;
+            self.pairs.note(group, image, 1.0 / share, &press);
+            if share > OVER {
+                run.over = run.over.or(Some(now));
+            } else if share < UNDER {
+                run.over = None;
+            }
+            over |= run.over.is_some();
+        }
+        let worker = self.fleet.get_mut(slot);
+        worker.over = over && worker.filling > 0;
+        if worker.filling > 0 {
+            self.choose_paces(slot);
+        }
+    }
+
+    /// Fits the disturbances to the figures, each half second, and lowers paces where a
+    /// tail has been over its target for long.
+    pub(crate) fn fit(&mut self) {
+        if self.now < self.fitted + FIT_PERIOD {
+            return;
+        }
+        self.fitted = self.now;
+        for (group, newest) in self.pairs.fit() {
+            let state = self.jobs.get_mut(&group.job);
+            let step = state.and_then(|j| j.step_mut(group.time, group.step));
+            if let Some(step) = step {
+                step.headroom.update(newest);
+            }
+        }
+        for slot in 0..self.fleet.workers.len() as u32 {
+            if self.fleet.get(slot).over {
+                self.escalate(slot);
+            }
+        }
+    }
+
+    /// Returns what fills on a worker, with the cores in use.
+    fn press(&self, look: &Look) -> Vec<Press> {
+        let mut out: Vec<Press> = Vec::new();
+        for row in &look.running {
+            let Some(state) = self.jobs.get(&row.task.job) else {
+                continue;
+            };
+            let Some(step) = state.job.spec.steps.get(row.task.step as usize) else {
+                continue;
+            };
+            if !step.fill {
+                continue;
+            }
+            let image = state.images[row.task.step as usize];
+            let cores = row.figure.unwrap_or(step.cpu) as f64 / 1000.0;
+            match out.iter_mut().find(|p| p.image == image) {
+                Some(p) => p.cores += cores,
+                None => out.push(Press { image, cores }),
+            }
+        }
+        out
+    }
+}
