Let one caller at a time wait for a silent store, whatever it asks

With a configuration older than 1.5 s an instance read it anew for each caller, and the state of a job, with a time limit of 1 s each; only writes let one caller at a time try a silent store.

Change: each request needs that leave; all others are refused at once. A read that fails counts as a loss of the store.

The whole-node test saw 8 reads of 8 callers before, and sees 2 at most.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -62,7 +62,12 @@
 impl Handler for Front {
     fn handle(&self, request: Request) -> Option<Response> {
         let start = self.shared.clock.now();
-        let response = self.route(&request, start);
+        // Every answer rests on the store: while that is silent only one caller waits.
+        let leave = self.shared.may_try();
+        let response = match leave {
+            Some(_) => self.route(&request, start),
+            None => self.refuse(),
+        };
         log::info!(method = request.method.name(), path = request.path.as_str(), status = response.status, ms = self.shared.clock.now() - start; "front: answered");
         Some(response)
     }
@@ -183,11 +188,6 @@
     /// Runs an idempotent write until its effect is known or the caller has
     /// waited long enough.
     fn write(&self, tx: &Tx, request: &Request, start: u64) -> Written {
-        let Some(_leave) = self.shared.may_try() else {
-            return Written::Refused(StoreError::Unavailable {
-                reason: "it did not answer lately".into(),
-            });
-        };
         let patience = self.shared.protocol.patience(request);
         let end = start + patience.unwrap_or(DEFAULT_PATIENCE) * PATIENCE / 100;
         let mut unclear = false;
@@ -284,6 +284,7 @@
 
     fn store_failed(&self, err: &StoreError) -> Response {
         log::warn!(err = err.to_string().as_str(); "front: store failed");
+        self.shared.untouched();
         self.shared.metrics.count(Count::StoreErrors);
         self.refuse()
     }
