Weigh disturbances by the share of a worker, not by the core

Hypothesis: what is taken depends on the share of the processors; with weights in that unit, one threshold holds for all sizes. Change: press, weights and thresholds in shares; harmless below 1.6 of headroom for a whole worker (0.025 a core of 64; it was 3.2 and 6.4). The tests on 64 and 96 cores fail before and pass after.

--- a/crates/jobs/src/fit.rs
+++ b/crates/jobs/src/fit.rs
@@ -2,13 +2,13 @@
 
 use crate::sample::{Image, Press, Sample};
 
-/// Weight of the first guess, in squared cores at a headroom of one: as much as a
-/// second beside one task.
-const PRIOR: f64 = 2.0;
+/// Weight of the first guess, in squared shares of a worker at a headroom of one: as
+/// much as a second beside one task on a twentieth of the processors.
+const PRIOR: f64 = 0.002;
 
-/// Headroom that a core of an image takes that was never seen beside the other: the
-/// mean over all pairs.
-pub(crate) const FIRST_WEIGHT: f64 = 0.11;
+/// Headroom that an image takes that was never seen beside the other, if it uses all
+/// processors: the mean over all pairs.
+pub(crate) const FIRST_WEIGHT: f64 = 3.5;
 
 /// What older differences keep of their weight at each fit, one a half second:
 /// half is gone after some 15 seconds.
@@ -24,8 +24,8 @@
 /// Below this headroom a worker is overloaded, and the figure tells no more than that.
 const OVERLOAD: f64 = 0.4;
 
-/// Largest headroom that one core takes.
-const MAX_WEIGHT: f64 = 2.0;
+/// Largest headroom that an image takes if it uses all processors.
+const MAX_WEIGHT: f64 = 64.0;
 
 /// What filling images take from one serving image.
 #[derive(Debug, Default)]
@@ -34,7 +34,7 @@
     squares: Vec<Vec<f64>>,
     /// Sums of products of differences in use and in headroom.
     products: Vec<f64>,
-    /// Headroom that a core takes, by filling image.
+    /// Headroom that a whole worker takes, by filling image.
     weights: Vec<f64>,
 }
 
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Returns the headroom that a core of a filling image takes.
+    /// Returns the headroom that a whole worker of a filling image takes.
     pub(crate) fn weight(&self, image: Image) -> f64 {
         let weight = self.weights.get(image as usize);
         weight.copied().unwrap_or(FIRST_WEIGHT)
@@ -59,7 +59,7 @@
 
     /// Returns the headroom that what fills takes.
     fn pressure(&self, press: &[Press]) -> f64 {
-        let each = press.iter().map(|p| self.weight(p.image) * p.cores);
+        let each = press.iter().map(|p| self.weight(p.image) * p.share);
         each.sum()
     }
 
@@ -86,27 +86,27 @@
         let all = samples.iter().flat_map(|s| s.press.iter());
         let most = all.map(|p| p.image as usize + 1).max().unwrap_or(0);
         self.grow(most);
-        let (mut cores, mut taken, mut total) = (vec![0.0; most], 0.0, 0.0);
+        let (mut shares, mut taken, mut total) = (vec![0.0; most], 0.0, 0.0);
         for sample in samples {
             let lost = base - self.believed(sample, base);
             let trust = sample.trust();
             total += trust;
             taken += lost * trust;
             for a in sample.press.iter() {
-                cores[a.image as usize] += a.cores * trust;
-                self.products[a.image as usize] += a.cores * lost * trust;
+                shares[a.image as usize] += a.share * trust;
+                self.products[a.image as usize] += a.share * lost * trust;
                 for b in sample.press.iter() {
-                    self.squares[a.image as usize][b.image as usize] += a.cores * b.cores * trust;
+                    self.squares[a.image as usize][b.image as usize] += a.share * b.share * trust;
                 }
             }
         }
         for a in 0..most {
-            if cores[a] == 0.0 {
+            if shares[a] == 0.0 {
                 continue;
             }
-            self.products[a] -= cores[a] * taken / total;
+            self.products[a] -= shares[a] * taken / total;
             for b in 0..most {
-                self.squares[a][b] -= cores[a] * cores[b] / total;
+                self.squares[a][b] -= shares[a] * shares[b] / total;
             }
         }
     }
--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/pace.rs
@@ -88,8 +88,8 @@
         for filler in fillers {
             let weight = self.pairs.weight(filler.image, served.image);
             match weight > HARMLESS {
-                true => full += weight * filler.cores,
-                false => room -= weight * filler.cores,
+                true => full += weight * filler.share,
+                false => room -= weight * filler.share,
             }
         }
         let fitting = match full > room {
--- a/crates/jobs/src/pairs.rs
+++ b/crates/jobs/src/pairs.rs
@@ -22,9 +22,9 @@
     sorted::Sorted,
 };
 
-/// What takes less than this of headroom for a core does not disturb: below what is
-/// taken for unknown pairs, above the errors of the fit.
-pub(crate) const HARMLESS: f64 = 0.1;
+/// What takes less than this of headroom with all processors of a worker does not
+/// disturb: below what is taken for unknown pairs, above the errors of the fit.
+pub(crate) const HARMLESS: f64 = 1.6;
 
 /// Headrooms of one step that are compared at least.
 const ENOUGH: usize = 3;
@@ -42,7 +42,7 @@
 }
 
 impl Pairs {
-    /// Returns the headroom that a core of a filling image takes from a serving one.
+    /// Returns the headroom that a whole worker of a filling image takes from a serving one.
     pub(crate) fn weight(&self, fill: Image, serve: Image) -> f64 {
         let weight = self.fits.get(&serve).map(|f| f.weight(fill));
         weight.unwrap_or(FIRST_WEIGHT)
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -213,7 +213,6 @@
         if !starved && pass.misfits.iter().any(|m| m.covers(&misfit)) {
             return None;
         }
-        let cores = step.cpu as f64 / 1000.0;
         let mut best: Option<(i64, u32)> = None;
         for slot in 0..self.fleet.workers.len() as u32 {
             let worker = self.fleet.get(slot);
@@ -233,7 +232,7 @@
             }
             if step.fill {
                 let slack = pass.slack[slot as usize].get_or_insert_with(|| self.slack(slot));
-                let excess = slack.excess(&self.pairs, image, cores);
+                let excess = slack.excess(&self.pairs, image, worker.share(step.cpu));
                 if slack.over || excess > 0.0 && !starved {
                     continue;
                 }
--- a/crates/jobs/src/sample.rs
+++ b/crates/jobs/src/sample.rs
@@ -12,8 +12,8 @@
 pub(crate) struct Press {
     /// Their image.
     pub(crate) image: Image,
-    /// Cores in use.
-    pub(crate) cores: f64,
+    /// What they use of the worker's processors, as a share of all.
+    pub(crate) share: f64,
 }
 
 /// The tasks of one step in one repetition: they share their load.
--- a/crates/jobs/src/slack.rs
+++ b/crates/jobs/src/slack.rs
@@ -28,8 +28,8 @@
 pub(crate) struct Filler {
     pub(crate) task: TaskId,
     pub(crate) image: Image,
-    /// Cores that it uses at full pace.
-    pub(crate) cores: f64,
+    /// Share of the worker's processors that it uses at full pace.
+    pub(crate) share: f64,
     /// Its pace in percent.
     pub(crate) pace: u32,
 }
@@ -46,12 +46,12 @@
 impl Slack {
     /// Returns by how much more headroom a filling task would take than there is; 0 or
     /// less if there is enough, and the less the better.
-    pub(crate) fn excess(&self, pairs: &Pairs, image: Image, cores: f64) -> f64 {
+    pub(crate) fn excess(&self, pairs: &Pairs, image: Image, share: f64) -> f64 {
         let mut most = f64::NEG_INFINITY;
         for &(serve, left) in &self.rows {
             let weight = pairs.weight(image, serve);
             if weight > HARMLESS {
-                most = most.max(weight * cores - left);
+                most = most.max(weight * share - left);
             }
         }
         most.max(CALM)
@@ -62,7 +62,8 @@
     /// Returns what serves and what fills on a worker.
     pub(crate) fn residents(&self, slot: u32) -> (Vec<Served>, Vec<Filler>) {
         let (mut served, mut fillers) = (Vec::new(), Vec::new());
-        for &task in &self.fleet.get(slot).runs {
+        let worker = self.fleet.get(slot);
+        for &task in &worker.runs {
             let Some(state) = self.jobs.get(&task.job) else {
                 continue;
             };
@@ -82,7 +83,7 @@
                 fillers.push(Filler {
                     task,
                     image,
-                    cores: step.cpu as f64 / 1000.0,
+                    share: worker.share(step.cpu),
                     pace: run.wanted,
                 });
             }
@@ -101,7 +102,7 @@
             slack.over |= s.over > 0;
             let there = fillers.iter().map(|f| {
                 let pace = f64::from(f.pace) / 100.0;
-                self.pairs.weight(f.image, s.image) * f.cores * pace
+                self.pairs.weight(f.image, s.image) * f.share * pace
             });
             // A load that was high a while ago comes back while the task runs.
             let left = s.headroom.later() - LEAST_HEADROOM - there.sum::<f64>();
@@ -121,7 +122,7 @@
         let (_, fillers) = self.residents(slot);
         let taken = fillers.iter().map(|f| {
             let pace = f64::from(f.pace) / 100.0;
-            self.pairs.weight(f.image, serve) * f.cores * pace
+            self.pairs.weight(f.image, serve) * f.share * pace
         });
         taken.sum()
     }
--- a/crates/jobs/src/watch.rs
+++ b/crates/jobs/src/watch.rs
@@ -30,7 +30,7 @@
             return;
         }
         worker.figured = now;
-        let press: Arc<[Press]> = self.press(look).into();
+        let press: Arc<[Press]> = self.press(slot, look).into();
         let mut over = false;
         for row in &look.running {
             let Some(ms) = row.figure.filter(|f| *f > 0) else {
@@ -87,8 +87,9 @@
         }
     }
 
-    /// Returns what fills on a worker, with the cores in use.
-    fn press(&self, look: &Look) -> Vec<Press> {
+    /// Returns what fills on a worker, with its share of the processors.
+    fn press(&self, slot: u32, look: &Look) -> Vec<Press> {
+        let worker = self.fleet.get(slot);
         let mut out: Vec<Press> = Vec::new();
         for row in &look.running {
             let Some(state) = self.jobs.get(&row.task.job) else {
@@ -101,10 +102,10 @@
                 continue;
             }
             let image = state.images[row.task.step as usize];
-            let cores = row.figure.unwrap_or(step.cpu) as f64 / 1000.0;
+            let share = worker.share(row.figure.unwrap_or(step.cpu));
             match out.iter_mut().find(|p| p.image == image) {
-                Some(p) => p.cores += cores,
-                None => out.push(Press { image, cores }),
+                Some(p) => p.share += share,
+                None => out.push(Press { image, share }),
             }
         }
         out
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/worker.rs
@@ -157,6 +157,11 @@
         self.info.as_ref().map(|i| i.capacity).unwrap_or_default()
     }
 
+    /// Returns what share of its processors so many thousandths of a core are.
+    pub(crate) fn share(&self, cpu: u64) -> f64 {
+        cpu as f64 / self.capacity().cpu.max(1) as f64
+    }
+
     /// Tells whether new runs may be placed here.
     pub(crate) fn is_open(&self, now: u64) -> bool {
         let ready = self.info.as_ref().is_some_and(|i| i.ready);
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -63,9 +63,10 @@
     pub tails: Vec<u64>,
     /// Logarithm by which a core of what fills lengthens tails here.
     pub press: f64,
-    /// Whether tails grow as in a queue: the load of a job swings, and a core of the
-    /// image "heavy" takes half of a headroom.
+    /// Whether tails grow as in a queue, where the load of a job swings.
     pub queues: bool,
+    /// Headroom that a core of the image "heavy" takes then.
+    pub heavy: f64,
 }
 
 impl SimWorker {
@@ -88,6 +89,7 @@
             tails: Vec::new(),
             press: 0.0,
             queues: false,
+            heavy: 0.5,
         }
     }
 
@@ -197,7 +199,7 @@
         let cores: f64 = runs
             .map(|r| r.size.0 as f64 * f64::from(r.pace) / 1e5)
             .sum();
-        (6.0 * (1.0 - load) - 0.5 * cores).max(0.1)
+        (6.0 * (1.0 - load) - self.heavy * cores).max(0.1)
     }
 
     pub fn start(&mut self, now: u64, fence: u64, order: &StartOrder) -> Started {
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -2,17 +2,28 @@
 
 use crate::common::{World, WorldSettings, chain, short};
 use gorsespur_jobs::Step;
+use test_case::test_case;
 
 const WORKERS: usize = 8;
 
 /// A world with two jobs that serve on all workers, after five calm seconds.
 fn world() -> World {
+    sized_world(1)
+}
+
+/// The same with workers that are so many times as large, on which a core disturbs
+/// that much less.
+fn sized_world(times: u64) -> World {
     let mut world = World::new(WorldSettings {
         workers: WORKERS,
         ..WorldSettings::default()
     });
-    for worker in &mut world.workers {
+    for at in 0..WORKERS {
+        let worker = &mut world.workers[at];
         worker.queues = true;
+        worker.room = (8000 * times, 16_000 * times);
+        worker.heavy = 0.5 / times as f64;
+        world.announce(at, true);
     }
     world.run(100);
     for id in 1..3 {
@@ -21,7 +32,7 @@
             target: 100,
             spread: 1,
             image: Some("serve".into()),
-            ..short(WORKERS as u32, 0)
+            ..sized(WORKERS as u32, 0, times)
         };
         world.submit(id, chain(vec![serve]));
     }
@@ -29,11 +40,24 @@
     world
 }
 
+/// A step of tasks that ask for so many times as much as short ones.
+fn sized(count: u32, estimate: u64, times: u64) -> Step {
+    Step {
+        cpu: 1000 * times,
+        memory: 1000 * times,
+        ..short(count, estimate)
+    }
+}
+
 fn filling(image: &str, count: u32) -> Step {
+    sized_filling(image, count, 1)
+}
+
+fn sized_filling(image: &str, count: u32, times: u64) -> Step {
     Step {
         fill: true,
         image: Some(image.into()),
-        ..short(count, 2_000)
+        ..sized(count, 2_000, times)
     }
 }
 
@@ -51,13 +75,22 @@
 /// Fills with four harmless images and a heavy one; what the first 10 s teach does
 /// not count.
 fn fill() -> Seen {
-    let mut world = world();
+    fill_workers(1)
+}
+
+/// The same on workers, with tasks, that are so many times as large.
+fn fill_workers(times: u64) -> Seen {
+    let mut world = sized_world(times);
     let mut seen = Seen::default();
     for step in 0..800 {
         if step % 10 == 0 {
             let image = ["light", "thin", "small", "soft"][step / 10 % 4];
-            world.submit(1000 + step as u64, chain(vec![filling(image, 4)]));
-            world.submit(5000 + step as u64, chain(vec![filling("heavy", 2)]));
+            world.submit(
+                1000 + step as u64,
+                chain(vec![sized_filling(image, 4, times)]),
+            );
+            let heavy = sized_filling("heavy", 2, times);
+            world.submit(5000 + step as u64, chain(vec![heavy]));
         }
         world.run(50);
         if step >= 200 {
@@ -98,6 +131,16 @@
     assert!(seen.heavy > 150.0, "{seen:?}");
 }
 
+#[test_case(2; "of 16 cores")]
+#[test_case(8; "of 64 cores")]
+#[test_case(12; "of 96 cores")]
+fn what_disturbs_is_known_on_large_workers(times: u64) {
+    let seen = fill_workers(times);
+    assert!(seen.over < 0.003 * seen.served, "{seen:?}");
+    assert!(seen.slowed < 0.001 * seen.harmless, "{seen:?}");
+    assert!(seen.heavy > 150.0, "{seen:?}");
+}
+
 #[test]
 fn what_serves_begins_where_nothing_disturbs_it() {
     let mut world = world();
