Pile up no more of what hardly disturbs than the peak of a load bears

Hypothesis: what hardly disturbs counts too, with a margin of its own. Change: LIGHT_MARGIN 0.6; SERVING_USE 36 to 42 and HARMLESS 2.4 to 2.8, a middle of what suits the three small sites.

--- a/crates/jobs/src/pairs.rs
+++ b/crates/jobs/src/pairs.rs
@@ -24,7 +24,7 @@
 
 /// What takes less than this of headroom with all processors of a worker does not
 /// disturb: below what is taken for unknown pairs, above the errors of the fit.
-pub(crate) const HARMLESS: f64 = 2.4;
+pub(crate) const HARMLESS: f64 = 2.8;
 
 /// Headrooms of one step that are compared at least.
 const ENOUGH: usize = 3;
--- a/crates/jobs/src/slack.rs
+++ b/crates/jobs/src/slack.rs
@@ -13,6 +13,10 @@
 /// target of five times the tail.
 const CALM: f64 = -4.0;
 
+/// What hardly disturbs may take so much more than there is: many such tasks together
+/// do disturb at the peak of a load, but each little.
+const LIGHT_MARGIN: f64 = 0.6;
+
 /// A serving run on a worker, as placement and pacing see it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Served {
@@ -50,8 +54,11 @@
         let mut most = f64::NEG_INFINITY;
         for &(serve, left) in &self.rows {
             let weight = pairs.weight(image, serve);
+            let excess = weight * share - left;
             if weight > HARMLESS {
-                most = most.max(weight * share - left);
+                most = most.max(excess);
+            } else if excess > LIGHT_MARGIN {
+                most = most.max(excess - LIGHT_MARGIN);
             }
         }
         most.max(CALM)
--- a/crates/jobs/src/spare.rs
+++ b/crates/jobs/src/spare.rs
@@ -11,7 +11,7 @@
 /// What serving tasks are thought to use of the processors that they ask for, in
 /// percent, on average. They use about half: what fills is slowed a little at times, but
 /// hardly a processor stands idle while tasks wait.
-const SERVING_USE: u64 = 36;
+const SERVING_USE: u64 = 42;
 
 /// Largest share of what a serving task asks for that it leaves: it is never idle.
 const MOST_UNUSED: f64 = 0.9;
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -69,6 +69,8 @@
     pub queues: bool,
     /// Headroom that a core of the image "heavy" takes then.
     pub heavy: f64,
+    /// Headroom that a core of any other image that fills takes.
+    pub light: f64,
     /// Time that every task takes that does not last, whatever its caller guessed;
     /// none for what was guessed.
     pub length: Option<u64>,
@@ -99,6 +101,7 @@
             press: 0.0,
             queues: false,
             heavy: 0.5,
+            light: 0.0,
             length: None,
             shares: false,
             flaky: 0,
@@ -227,12 +230,15 @@
     /// Target over tail of a serving run: at most 4.6 and at least 1.7 if nothing
     /// disturbs it.
     pub fn headroom(&self, now: u64, run: &SimRun) -> f64 {
-        let heavy = |r: &&SimRun| r.fill && r.image.as_deref() == Some("heavy");
-        let runs = self.runs.iter().filter(heavy);
-        let cores: f64 = runs
-            .map(|r| r.size.0 as f64 * f64::from(r.pace) / 1e5)
-            .sum();
-        (6.0 * (1.0 - load(now, run)) - self.heavy * cores).max(0.1)
+        let mut headroom = 6.0 * (1.0 - load(now, run));
+        for fill in self.runs.iter().filter(|r| r.fill) {
+            let weight = match fill.image.as_deref() {
+                Some("heavy") => self.heavy,
+                _ => self.light,
+            };
+            headroom -= weight * fill.size.0 as f64 * f64::from(fill.pace) / 1e5;
+        }
+        headroom.max(0.1)
     }
 
     pub fn start(&mut self, now: u64, fence: u64, order: &StartOrder) -> Started {
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -171,3 +171,24 @@
         assert!(!(begun && disturbed), "{:?}", worker.runs);
     }
 }
+
+#[test]
+fn what_hardly_disturbs_does_not_pile_up_at_the_peak_of_a_load() {
+    let mut world = world();
+    for worker in &mut world.workers {
+        worker.light = 0.28;
+    }
+    let mut seen = Seen::default();
+    for step in 0..800 {
+        if step % 10 == 0 {
+            let image = ["light", "thin", "small", "soft"][step / 10 % 4];
+            world.submit(1000 + step as u64, chain(vec![filling(image, 12)]));
+        }
+        world.run(50);
+        if step >= 200 {
+            count(&world, &mut seen);
+        }
+    }
+    assert!(seen.over < 0.3 * seen.served, "{seen:?}");
+    assert!(seen.harmless > 1250.0, "{seen:?}");
+}
