--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! One zone in this process: platform, worker, scheduler and entry.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     sync::{Arc, Mutex, PoisonError},
     thread,
@@ -20,7 +20,7 @@
     settings::parse_yaml,
 };
 use gorsespur_sched::{program as sched, settings as sched_settings};
-use gorsespur_services::HttpTable;
+use gorsespur_services::{HttpTable, fake::own_addr};
 use gorsespur_stand::{
     Gate, Ledger, Platform, PlatformFaults, SimSettings, SimWorker, Slowdown, StoredCheckpoints,
     TargetLoad, WorkerStand, serve_platform, serve_worker,
@@ -41,11 +41,6 @@
     cancel: Cancel,
 }
 
-fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
-}
-
 fn common(id: &str, listen: SocketAddr, seed: SocketAddr, gate: SocketAddr) -> String {
     format!(
         "instance: {{id: {id}, zone: home, listen: '{listen}', seeds: ['{seed}'], \
@@ -91,7 +86,8 @@
         };
         let table = HttpTable::new(gate, Duration::from_secs(2));
         apply(&table, &change).expect("accepted");
-        let (s, e) = (free_addr(), free_addr());
+        let own = || own_addr().expect("an address");
+        let (s, e) = (own(), own());
         let raw = parse_yaml(&common("sched1", s, e, gate)).expect("good settings");
         let settings = sched_settings::check(raw).expect("good settings");
         let sched = sched::start(&settings, None, &Cancel::new()).expect("a scheduler");
--- a/crates/peer/tests/config.rs
+++ b/crates/peer/tests/config.rs
@@ -24,7 +24,10 @@
     cancel::Cancel,
     server::{Limits, serve},
 };
-use gorsespur_services::{Members, MembersError, Table, TableError, fake::FakePlatform};
+use gorsespur_services::{
+    Members, MembersError, Table, TableError,
+    fake::{FakePlatform, own_addr},
+};
 use gorsespur_wire::{
     keys,
     members::{InstanceInfo, MemberList},
@@ -74,9 +77,8 @@
     }
 }
 
-fn free_addr() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+fn own() -> SocketAddr {
+    own_addr().expect("an address")
 }
 
 fn settings(id: &str, zone: &str, listen: SocketAddr, seed: SocketAddr) -> AgentSettings {
@@ -155,7 +157,7 @@
 fn changes_come_into_force_by_the_log_and_without_it() {
     let platform = Arc::new(FakePlatform::new());
     let cancel = Cancel::new();
-    let here = free_addr();
+    let here = own();
     let table: Arc<dyn Table> = platform.clone();
     let agent = Agent::start(
         settings("a", "east", here, here),
@@ -184,7 +186,7 @@
     let platform = Arc::new(FakePlatform::new());
     apply(platform.as_ref(), &change(0, 10)).expect("accepted");
     let cancel = Cancel::new();
-    let (here, there) = (free_addr(), free_addr());
+    let (here, there) = (own(), own());
     serving_agent(&platform, here, there, &cancel);
     let far = settings("b", "west", there, here);
     let far = Agent::start(far, Arc::new(NoTable), Arc::new(NoMembers), &cancel);
@@ -205,7 +207,7 @@
     let platform = Arc::new(FakePlatform::new());
     apply(platform.as_ref(), &change(0, 10)).expect("accepted");
     let cancel = Cancel::new();
-    let (here, there) = (free_addr(), free_addr());
+    let (here, there) = (own(), own());
     let near = serving_agent(&platform, here, here, &cancel);
     let shown = Arc::new(AtomicBool::new(false));
     let members = LateMembers {
--- a/crates/services/src/fake.rs
+++ b/crates/services/src/fake.rs
@@ -5,7 +5,13 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    sync::{Mutex, MutexGuard, PoisonError},
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    process,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU8, Ordering},
+    },
 };
 
 use gorsespur_core::name::Name;
@@ -13,6 +19,24 @@
 
 use crate::{ObjectError, Objects, Rows, Table, TableError};
 
+/// First of the last bytes of the loopback addresses that are given out.
+const FIRST_HOST: u8 = 2;
+
+/// Returns an address that no other socket of this machine uses or is given.
+///
+/// A port that is found free and given back may be taken by any socket before it is
+/// bound again. So each call has a loopback address to itself, which no socket is bound
+/// to unless it names it; it is derived from the process and from the call.
+///
+/// Errors: the system has no sockets left.
+pub fn own_addr() -> io::Result<SocketAddr> {
+    static NEXT: AtomicU8 = AtomicU8::new(FIRST_HOST);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let host = NEXT.fetch_add(1, Ordering::Relaxed);
+    let address = Ipv4Addr::new(127, high | 0x80, low, host);
+    TcpListener::bind((address, 0))?.local_addr()
+}
+
 /// A fault of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
