--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -69,11 +69,15 @@
     pub queues: bool,
     /// Headroom that a core of the image "heavy" takes then.
     pub heavy: f64,
+    /// Headroom that a core of any other image that fills takes.
+    pub light: f64,
     /// Time that every task takes that does not last, whatever its caller guessed;
     /// none for what was guessed.
     pub length: Option<u64>,
     /// Whether what fills shares the processors that others leave.
     pub shares: bool,
+    /// Runs of a hundred that fail half-way by their task's own fault.
+    pub flaky: u64,
 }
 
 impl SimWorker {
@@ -97,8 +101,10 @@
             press: 0.0,
             queues: false,
             heavy: 0.5,
+            light: 0.0,
             length: None,
             shares: false,
+            flaky: 0,
         }
     }
 
@@ -145,6 +151,7 @@
                 () if lapsed => Some(Ending::Lapsed),
                 () if run.stops.is_some_and(|t| t <= now) => Some(Ending::Stopped),
                 () if mode == Mode::FailsAll && run.done * 10 >= run.work => Some(Ending::Failed),
+                () if run.done * 2 >= run.work && fails(run, self.flaky) => Some(Ending::Failed),
                 () if !run.lasting && run.done >= run.work => Some(Ending::Done),
                 () => None,
             };
@@ -223,12 +230,15 @@
     /// Target over tail of a serving run: at most 4.6 and at least 1.7 if nothing
     /// disturbs it.
     pub fn headroom(&self, now: u64, run: &SimRun) -> f64 {
-        let heavy = |r: &&SimRun| r.fill && r.image.as_deref() == Some("heavy");
-        let runs = self.runs.iter().filter(heavy);
-        let cores: f64 = runs
-            .map(|r| r.size.0 as f64 * f64::from(r.pace) / 1e5)
-            .sum();
-        (6.0 * (1.0 - load(now, run)) - self.heavy * cores).max(0.1)
+        let mut headroom = 6.0 * (1.0 - load(now, run));
+        for fill in self.runs.iter().filter(|r| r.fill) {
+            let weight = match fill.image.as_deref() {
+                Some("heavy") => self.heavy,
+                _ => self.light,
+            };
+            headroom -= weight * fill.size.0 as f64 * f64::from(fill.pace) / 1e5;
+        }
+        headroom.max(0.1)
     }
 
     pub fn start(&mut self, now: u64, fence: u64, order: &StartOrder) -> Started {
@@ -305,6 +315,13 @@
     0.48 + 0.24 * (turn * std::f64::consts::TAU).sin()
 }
 
+/// Tells whether a run fails by its task's own fault, by an order without pattern.
+fn fails(run: &SimRun, percent: u64) -> bool {
+    let name = run.task.job.0 << 32 ^ u64::from(run.task.index) << 8 ^ u64::from(run.run);
+    let mixed = name.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+    !run.lasting && mixed % 100 < percent
+}
+
 /// Returns what a figure is off by: up to a tenth, by an order without pattern.
 fn rough(now: u64, task: TaskId) -> f64 {
     let mixed =
