--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/pace.rs
@@ -11,7 +11,6 @@
     action::Action,
     ids::TaskId,
     machine::Machine,
-    pairs::HARMLESS,
     slack::{Filler, Served},
     task::Stage,
 };
@@ -86,10 +85,10 @@
     fn protect(&self, served: &Served, fillers: &[Filler], paces: &mut [u32]) {
         let (mut room, mut full) = (served.headroom.soon() - LEAST_HEADROOM, 0.0);
         for filler in fillers {
-            let weight = self.pairs.weight(filler.image, served.image);
-            match weight > HARMLESS {
-                true => full += weight * filler.share,
-                false => room -= weight * filler.share,
+            let taken = self.pairs.weight(filler.image, served.image) * filler.share;
+            match self.pairs.harms(filler.image, served.image) {
+                true => full += taken,
+                false => room -= taken,
             }
         }
         let fitting = match full > room {
@@ -98,7 +97,7 @@
         };
         let (harmful, others) = served.caps();
         for (filler, pace) in fillers.iter().zip(paces) {
-            let harms = self.pairs.weight(filler.image, served.image) > HARMLESS;
+            let harms = self.pairs.harms(filler.image, served.image);
             let most = if harms { fitting.min(harmful) } else { others };
             *pace = (*pace).min(most);
         }
@@ -109,7 +108,7 @@
         let (served, fillers) = self.residents(slot);
         for filler in &fillers {
             let most = served.iter().map(|s| {
-                let harms = self.pairs.weight(filler.image, s.image) > HARMLESS;
+                let harms = self.pairs.harms(filler.image, s.image);
                 let (harmful, others) = s.caps();
                 if harms { harmful } else { others }
             });
--- a/crates/jobs/src/pairs.rs
+++ b/crates/jobs/src/pairs.rs
@@ -24,7 +24,7 @@
 
 /// What takes less than this of headroom with all processors of a worker does not
 /// disturb: below what is taken for unknown pairs, above the errors of the fit.
-pub(crate) const HARMLESS: f64 = 2.8;
+const HARMLESS: f64 = 2.8;
 
 /// Headrooms of one step that are compared at least.
 const ENOUGH: usize = 3;
@@ -48,6 +48,11 @@
         weight.unwrap_or(FIRST_WEIGHT)
     }
 
+    /// Tells whether a filling image disturbs a serving one.
+    pub(crate) fn harms(&self, fill: Image, serve: Image) -> bool {
+        self.weight(fill, serve) > HARMLESS
+    }
+
     /// Takes a headroom, and what filled beside it.
     pub(crate) fn note(&mut self, group: Group, serve: Image, headroom: f64, press: &Arc<[Press]>) {
         self.samples.push(Sample {
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -31,6 +31,19 @@
 /// What a headroom that is less by one takes off.
 const DISTURBED: f64 = 250.0;
 
+/// A task that asks for a worker.
+#[derive(Debug, Clone, Copy)]
+struct Request<'a> {
+    /// Its step's first task.
+    first: TaskId,
+    step: &'a Step,
+    service: &'a Arc<str>,
+    /// The worker that it failed on of late.
+    avoid: Option<u32>,
+    /// Whether its job has waited for long with nothing at work.
+    starved: bool,
+}
+
 /// Why tasks of a step can't all be placed now.
 enum Placed {
     /// All that waited are placed.
@@ -120,12 +133,14 @@
                 continue;
             };
             let recent = self.now < task.pause + AVOID;
-            let (avoid, failed) = (
-                task.avoid.filter(|_| recent),
-                recent && task.avoid.is_some(),
-            );
-            let chosen = self.choose(first, step, service, (avoid, failed), (*idle, pass));
-            let Some(slot) = chosen else {
+            let request = Request {
+                first,
+                step,
+                service,
+                avoid: task.avoid.filter(|_| recent),
+                starved: *idle,
+            };
+            let Some(slot) = self.choose(request, pass) else {
                 let state = self.jobs.get(&id.job).filter(|j| self.is_overdue(j));
                 if let Some(state) = state.filter(|_| step.lasting) {
                     let runs = &state.times[id.time as usize][id.step as usize];
@@ -156,10 +171,16 @@
             return Placed::All;
         }
         let run = tasks.iter().map(|t| t.last).max().unwrap_or(0) + 1;
+        let request = Request {
+            first,
+            step,
+            service,
+            avoid: None,
+            starved: false,
+        };
         let mut planned = Vec::new();
         for index in 0..step.count {
-            let chosen = self.choose(first, step, service, (None, false), (false, pass));
-            let Some(slot) = chosen else {
+            let Some(slot) = self.choose(request, pass) else {
                 break;
             };
             pass.slack[slot as usize] = None;
@@ -192,14 +213,14 @@
     }
 
     /// Returns the best worker for a task of a step, if any can take it.
-    fn choose(
-        &self,
-        first: TaskId,
-        step: &Step,
-        service: &Arc<str>,
-        (avoid, failed): (Option<u32>, bool),
-        (starved, pass): (bool, &mut Pass),
-    ) -> Option<u32> {
+    fn choose(&self, request: Request<'_>, pass: &mut Pass) -> Option<u32> {
+        let Request {
+            first,
+            step,
+            service,
+            avoid,
+            starved,
+        } = request;
         let state = self.jobs.get(&first.job)?;
         let runs = &state.times[first.time as usize][first.step as usize];
         let image = state.images[first.step as usize];
@@ -218,7 +239,7 @@
             if !self.fits(worker, step, service, starved) || avoid == Some(slot) {
                 continue;
             }
-            if failed && worker.failures > 0 || !step.fill && pass.held.contains(&slot) {
+            if avoid.is_some() && worker.failures > 0 || !step.fill && pass.held.contains(&slot) {
                 continue;
             }
             if step.spread > 0 && runs.on_worker(slot) >= step.spread {
@@ -242,7 +263,7 @@
             }
         }
         // What any worker may take, others of the same kind may as well.
-        let plain = step.label.is_none() && step.spread == 0 && avoid.is_none() && !failed;
+        let plain = step.label.is_none() && step.spread == 0 && avoid.is_none();
         if best.is_none() && plain && !starved {
             pass.misfits.push(misfit);
         }
--- a/crates/jobs/src/slack.rs
+++ b/crates/jobs/src/slack.rs
@@ -1,11 +1,7 @@
 //! What serving tasks on a worker bear besides what fills there.
 
 use crate::{
-    headroom::Headroom,
-    ids::TaskId,
-    machine::Machine,
-    pace::LEAST_HEADROOM,
-    pairs::{HARMLESS, Pairs},
+    headroom::Headroom, ids::TaskId, machine::Machine, pace::LEAST_HEADROOM, pairs::Pairs,
     sample::Image,
 };
 
@@ -53,9 +49,8 @@
     pub(crate) fn excess(&self, pairs: &Pairs, image: Image, share: f64) -> f64 {
         let mut most = f64::NEG_INFINITY;
         for &(serve, left) in &self.rows {
-            let weight = pairs.weight(image, serve);
-            let excess = weight * share - left;
-            if weight > HARMLESS {
+            let excess = pairs.weight(image, serve) * share - left;
+            if pairs.harms(image, serve) {
                 most = most.max(excess);
             } else if excess > LIGHT_MARGIN {
                 most = most.max(excess - LIGHT_MARGIN);
@@ -107,12 +102,8 @@
         let mut slack = Slack::default();
         for s in &served {
             slack.over |= s.over > 0;
-            let there = fillers.iter().map(|f| {
-                let pace = f64::from(f.pace) / 100.0;
-                self.pairs.weight(f.image, s.image) * f.share * pace
-            });
             // A load that was high a while ago comes back while the task runs.
-            let left = s.headroom.later() - LEAST_HEADROOM - there.sum::<f64>();
+            let left = s.headroom.later() - LEAST_HEADROOM - self.taken(&fillers, s.image);
             match slack.rows.iter_mut().find(|r| r.0 == s.image) {
                 Some(row) => row.1 = row.1.min(left),
                 None => slack.rows.push((s.image, left)),
@@ -127,10 +118,16 @@
             return 0.0;
         }
         let (_, fillers) = self.residents(slot);
-        let taken = fillers.iter().map(|f| {
-            let pace = f64::from(f.pace) / 100.0;
-            self.pairs.weight(f.image, serve) * f.share * pace
-        });
-        taken.sum()
+        self.taken(&fillers, serve)
+    }
+
+    /// Returns the headroom that filling runs at their paces take from a serving task.
+    fn taken(&self, fillers: &[Filler], serve: Image) -> f64 {
+        let mut taken = 0.0;
+        for filler in fillers {
+            let pace = f64::from(filler.pace) / 100.0;
+            taken += self.pairs.weight(filler.image, serve) * filler.share * pace;
+        }
+        taken
     }
 }
