--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -1,19 +1,10 @@
-//! What is to be done now: commits, starts, looks, and what has run out.
+//! What is to be done now: looks, and what has run out.
 
-use crate::{
-    action::{Action, StartOrder},
-    ids::TaskId,
-    machine::{Batch, Machine},
-    task::Stage,
-};
+use crate::{action::Action, ids::TaskId, machine::Machine, task::Stage};
 
 /// How long an idle worker's look waits, in milliseconds; the longest it takes.
 const IDLE_WAIT: u64 = 2000;
 
-/// Bytes of records that one commit carries at most; a transaction holds 1 MB,
-/// a third more when written as text.
-const BATCH_BYTES: usize = 500_000;
-
 /// Runs are gone through this often, in milliseconds: with 6,000 of them that takes
 /// half a millisecond, and hundreds of answers arrive a second.
 const CHECK_PERIOD: u64 = 20;
@@ -168,112 +159,6 @@
         self.blame(slot);
     }
 
-    /// Sends the next batch of records, if none is under way.
-    fn commit(&mut self) {
-        if self.batch.is_some() {
-            return;
-        }
-        let mut batch = Batch::default();
-        let mut records = Vec::new();
-        let mut bytes = 0;
-        while records.len() < self.settings.batch && bytes < BATCH_BYTES {
-            if records.len() == self.dirty.len() {
-                break;
-            }
-            let id = self.dirty[records.len()];
-            let workers = &self.fleet;
-            let Some(state) = self.jobs.get_mut(&id) else {
-                break;
-            };
-            state.dirty = false;
-            let record = state.record(|slot| workers.get(slot).id.clone()).encode();
-            bytes += record.len();
-            records.push((id, record));
-            for task in state.task_ids() {
-                let planned = state.task(task).filter(|t| {
-                    let run = t.run.as_ref();
-                    run.is_some_and(|r| r.stage == Stage::Planned)
-                });
-                if let Some(planned) = planned {
-                    batch.starts.push((task, planned.last));
-                }
-            }
-        }
-        self.dirty.drain(..records.len());
-        let whole = self.dirty.is_empty();
-        if whole {
-            self.collect_observed(&mut batch);
-        }
-        if !records.is_empty() {
-            self.figures.commits += 1;
-            self.batch = Some(batch);
-            self.out.push(Action::Commit(records));
-        } else if whole {
-            // Nothing is left to be made durable: ends may be dropped at once.
-            self.observe(&batch);
-        }
-    }
-
-    fn collect_observed(&self, batch: &mut Batch) {
-        for (slot, worker) in self.fleet.workers.iter().enumerate() {
-            if worker.counted > worker.observed {
-                batch.observed.push((slot as u32, worker.counted));
-            }
-        }
-    }
-
-    fn observe(&mut self, batch: &Batch) {
-        for &(slot, number) in &batch.observed {
-            let worker = self.fleet.get_mut(slot);
-            worker.observed = worker.observed.max(number);
-            worker.next_look = worker.next_look.min(self.now);
-        }
-    }
-
-    /// The batch in flight is durable: its starts may be sent, its ends dropped.
-    pub(crate) fn committed(&mut self) {
-        let Some(batch) = self.batch.take() else {
-            return;
-        };
-        self.contact = self.now;
-        self.observe(&batch);
-        for (id, run) in batch.starts {
-            self.send_start(id, run);
-        }
-    }
-
-    fn send_start(&mut self, id: TaskId, number: u32) {
-        let (now, settings) = (self.now, self.settings);
-        let Some(state) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        let spec = state.job.spec.clone();
-        let Some(task) = state.task_mut(id).filter(|t| t.last == number) else {
-            return;
-        };
-        let saved = task.saved.clone();
-        let Some(run) = task.run.as_mut().filter(|r| r.stage == Stage::Planned) else {
-            return;
-        };
-        let worker = self.fleet.get_mut(run.worker);
-        let deadline = worker.deadline(&settings);
-        let Some(deadline) = deadline.filter(|_| worker.is_open(now)) else {
-            return self.clear(id);
-        };
-        run.stage = Stage::Sent(now);
-        worker.promised = worker.promised.max(deadline);
-        self.figures.starts += 1;
-        log::info!(task = id.to_string().as_str(), run = number, worker = &*worker.id, waited_ms = now - run.since; "start: sent");
-        let order = StartOrder {
-            task: id,
-            run: number,
-            spec,
-            deadline,
-            saved,
-        };
-        self.out.push(Action::Start(run.worker, order));
-    }
-
     fn send_looks(&mut self) {
         let (now, settings) = (self.now, self.settings);
         let may_renew = now <= self.contact + settings.hold;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,6 +17,7 @@
 //!   not when a stop is sent.
 
 mod action;
+mod commit;
 mod drive;
 mod ends;
 mod event;
@@ -27,12 +28,14 @@
 mod ids;
 mod job;
 mod machine;
+mod misfit;
 mod order;
 mod pace;
 mod pairs;
 mod place;
 mod policy;
 mod record;
+mod request;
 mod room;
 mod sample;
 mod settings;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -6,6 +6,8 @@
     ids::{JobId, TaskId},
     job::JobState,
     machine::Machine,
+    misfit::Misfit,
+    request::Request,
     sample::Image,
     slack::Slack,
     spec::Step,
@@ -31,19 +33,6 @@
 /// What a headroom that is less by one takes off.
 const DISTURBED: f64 = 250.0;
 
-/// A task that asks for a worker.
-#[derive(Debug, Clone, Copy)]
-struct Request<'a> {
-    /// Its step's first task.
-    first: TaskId,
-    step: &'a Step,
-    service: &'a Arc<str>,
-    /// The worker that it failed on of late.
-    avoid: Option<u32>,
-    /// Whether its job has waited for long with nothing at work.
-    starved: bool,
-}
-
 /// Why tasks of a step can't all be placed now.
 enum Placed {
     /// All that waited are placed.
@@ -52,15 +41,6 @@
     Short,
 }
 
-/// A task that no worker can take in this pass, nor any larger one of its kind.
-#[derive(Debug, PartialEq)]
-struct Misfit {
-    image: Image,
-    fill: bool,
-    service: Arc<str>,
-    size: (u64, u64, u64),
-}
-
 /// What one pass of placement found out.
 #[derive(Debug, Default)]
 pub(crate) struct Pass {
@@ -224,12 +204,7 @@
         let state = self.jobs.get(&first.job)?;
         let runs = &state.times[first.time as usize][first.step as usize];
         let image = state.images[first.step as usize];
-        let misfit = Misfit {
-            image,
-            fill: step.fill,
-            service: service.clone(),
-            size: (step.cpu, step.memory, step.gpu),
-        };
+        let misfit = Misfit::new(&request, image);
         if !starved && pass.misfits.iter().any(|m| m.covers(&misfit)) {
             return None;
         }
@@ -292,18 +267,6 @@
     }
 }
 
-impl Misfit {
-    /// Tells whether `other` can't be placed either.
-    fn covers(&self, other: &Misfit) -> bool {
-        self.image == other.image
-            && self.fill == other.fill
-            && self.service == other.service
-            && self.size.0 <= other.size.0
-            && self.size.1 <= other.size.1
-            && self.size.2 <= other.size.2
-    }
-}
-
 fn nothing_runs(state: &JobState) -> bool {
     let mut tasks = state.times.iter().flatten().flat_map(|s| &s.tasks);
     tasks.all(|t| t.run.is_none())
--- /dev/null
+++ b/crates/jobs/src/request.rs
@@ -0,0 +1,20 @@
+//! What placement is asked for.
+
+use std::sync::Arc;
+
+use crate::{ids::TaskId, spec::Step};
+
+/// A task that asks for a worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Request<'a> {
+    /// Its step's first task.
+    pub(crate) first: TaskId,
+    /// The step.
+    pub(crate) step: &'a Step,
+    /// The service whose workers run it.
+    pub(crate) service: &'a Arc<str>,
+    /// The worker that it failed on of late.
+    pub(crate) avoid: Option<u32>,
+    /// Whether its job has waited for long with nothing at work.
+    pub(crate) starved: bool,
+}
