--- a/crates/jobs/tests/all/load.rs
+++ b/crates/jobs/tests/all/load.rs
@@ -14,8 +14,8 @@
 /// The objective of the worlds' queue for two steps: 1.5 times the chain and 250 ms.
 const AIM: u64 = 2 * LENGTH * 3 / 2 + 250;
 
-/// Tasks that fill.
-const FILLS: u32 = 600;
+/// Tasks of the jobs that take half a minute.
+const TASKS: u32 = 600;
 
 /// Time between two arrivals of the bursts.
 const EVERY: u64 = 100;
@@ -49,6 +49,15 @@
     }
 }
 
+/// Returns the milliseconds that a job of one step takes.
+fn time_to_do(world: &mut World, step: Step) -> f64 {
+    let (id, since) = (world.submit(1000, chain(vec![step])), world.now);
+    while world.outcome(id) != Outcome::Complete {
+        world.run(EVERY);
+    }
+    (world.now - since) as f64
+}
+
 /// Jobs of two steps whose tasks all take as long arrive for a minute half as fast again
 /// as the workers can do them; their callers guess the time up to eight times too short.
 #[test_case(1)]
@@ -75,7 +84,6 @@
         world.run(EVERY);
         served.count(&world, AIM);
     }
-    eprintln!("{} of {}", served.in_aim, served.all);
     assert!(
         served.in_aim * 100 >= served.all * 52,
         "{} of {}",
@@ -111,16 +119,11 @@
     let fill = Step {
         fill: true,
         image: Some("light".into()),
-        ..short(FILLS, LENGTH)
+        ..short(TASKS, LENGTH)
     };
-    let (id, since) = (world.submit(1000, chain(vec![fill])), world.now);
-    while world.outcome(id) != Outcome::Complete {
-        world.run(EVERY);
-    }
-    let took = (world.now - since) as f64;
+    let took = time_to_do(&mut world, fill);
     // Of 64 cores what serves uses 27 on average.
-    let best = (u64::from(FILLS) * LENGTH) as f64 / 37.0;
-    eprintln!("took {:.2} of best", took / best);
+    let best = (u64::from(TASKS) * LENGTH) as f64 / 37.0;
     assert!(took < 1.24 * best, "{took} of {best}");
 }
 
@@ -137,17 +140,9 @@
         worker.flaky = 10;
     }
     world.run(100);
-    let (id, since) = (
-        world.submit(1000, chain(vec![short(FILLS, LENGTH)])),
-        world.now,
-    );
-    while world.outcome(id) != Outcome::Complete {
-        world.run(EVERY);
-    }
-    let took = (world.now - since) as f64;
+    let took = time_to_do(&mut world, short(TASKS, LENGTH));
     // Each failure wastes half of a run.
-    let best = (u64::from(FILLS) * LENGTH) as f64 * 1.055 / 64.0;
-    eprintln!("took {:.2} of best", took / best);
+    let best = (u64::from(TASKS) * LENGTH) as f64 * 1.055 / 64.0;
     assert!(took < 1.2 * best, "{took} of {best}");
 }
 
