Say once how an entry of a sorted map is made, and what a misfit asks for

Cause: found in reading the change: three places looked an entry up, put a default there and looked it up again; a misfit's size was a bare triple beside the type Capacity; the order of jobs called the same function in two arms. Change: Sorted::or_default serves the three; Capacity in the misfit; one call.

--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -6,7 +6,6 @@
     machine::Machine,
     record::Outcome,
     task::{Run, Stage},
-    times::Guesses,
     worker::{Capacity, Stray, size},
 };
 
@@ -131,12 +130,7 @@
         if step.lasting || step.estimate == 0 {
             return;
         }
-        if self.guesses.get(&job.queue).is_none() {
-            self.guesses.insert(job.queue.clone(), Guesses::default());
-        }
-        if let Some(guesses) = self.guesses.get_mut(&job.queue) {
-            guesses.note(step.estimate, ran);
-        }
+        self.guesses.or_default(&job.queue).note(step.estimate, ran);
     }
 
     fn failed(&mut self, slot: u32, id: TaskId, run: u32, is_final: bool) {
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -169,12 +169,7 @@
                 continue;
             }
             let queue = &state.job.queue;
-            match counts.get_mut(queue) {
-                Some(count) => *count += 1,
-                None => {
-                    counts.insert(queue.clone(), 1);
-                }
-            }
+            *counts.or_default(queue) += 1;
         }
         counts.iter().map(|(q, n)| (q.clone(), *n)).collect()
     }
--- a/crates/jobs/src/misfit.rs
+++ b/crates/jobs/src/misfit.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{request::Request, sample::Image};
+use crate::{request::Request, sample::Image, worker::Capacity};
 
 /// A task that no worker can take in this pass, nor any larger one of its kind.
 #[derive(Debug, PartialEq)]
@@ -10,7 +10,8 @@
     image: Image,
     fill: bool,
     service: Arc<str>,
-    size: (u64, u64, u64),
+    /// What it asks for, also if it fills.
+    asked: Capacity,
 }
 
 impl Misfit {
@@ -21,7 +22,11 @@
             image,
             fill: step.fill,
             service: request.service.clone(),
-            size: (step.cpu, step.memory, step.gpu),
+            asked: Capacity {
+                cpu: step.cpu,
+                memory: step.memory,
+                gpu: step.gpu,
+            },
         }
     }
 
@@ -30,8 +35,8 @@
         self.image == other.image
             && self.fill == other.fill
             && self.service == other.service
-            && self.size.0 <= other.size.0
-            && self.size.1 <= other.size.1
-            && self.size.2 <= other.size.2
+            && self.asked.cpu <= other.asked.cpu
+            && self.asked.memory <= other.asked.memory
+            && self.asked.gpu <= other.asked.gpu
     }
 }
--- a/crates/jobs/src/pairs.rs
+++ b/crates/jobs/src/pairs.rs
@@ -73,12 +73,7 @@
         self.samples.sort_by_key(|s| s.group);
         for samples in self.samples.chunk_by(|a, b| a.group == b.group) {
             let serve = samples[0].serve;
-            if self.fits.get(&serve).is_none() {
-                self.fits.insert(serve, Fit::default());
-            }
-            let Some(fit) = self.fits.get_mut(&serve) else {
-                continue;
-            };
+            let fit = self.fits.or_default(&serve);
             let base = fit.base(samples);
             bases.push((samples[0].group, base));
             if samples.len() >= ENOUGH {
--- a/crates/jobs/src/sorted.rs
+++ b/crates/jobs/src/sorted.rs
@@ -31,6 +31,22 @@
         Some(&mut self.rows[at].1)
     }
 
+    /// Returns the entry of a key, made with its default if there is none.
+    pub fn or_default(&mut self, key: &K) -> &mut V
+    where
+        K: Clone,
+        V: Default,
+    {
+        let at = match self.find(key) {
+            Ok(at) => at,
+            Err(at) => {
+                self.rows.insert(at, (key.clone(), V::default()));
+                at
+            }
+        };
+        &mut self.rows[at].1
+    }
+
     /// Sets the entry of a key and returns the one it replaces.
     pub fn insert(&mut self, key: K, value: V) -> Option<V> {
         match self.find(&key) {
--- a/crates/jobs/src/standing.rs
+++ b/crates/jobs/src/standing.rs
@@ -66,10 +66,9 @@
                 false => Standing::Lasting,
             };
         }
-        let chain = match self.guesses.get(&state.job.queue) {
-            Some(guesses) => state.chain(guesses, self.now),
-            None => state.chain(&Guesses::default(), self.now),
-        };
+        let unknown = Guesses::default();
+        let guesses = self.guesses.get(&state.job.queue).unwrap_or(&unknown);
+        let chain = state.chain(guesses, self.now);
         let goal = (chain.whole as f64 * policy.stretch) as u64 + policy.latency;
         let left = chain.left * USUAL_TIME / 100;
         match (self.now + left > state.seen + goal, begun) {
