Take back a start that waited half a second for a connection

Change: a start that waited 500 ms is answered as not sent, and its task is placed anew. Test: owner/lines_tests.rs, a_start_that_waited_for_long_is_taken_back; it fails without.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -85,6 +85,8 @@
     Dead,
     /// Nothing was sent.
     NotSent,
+    /// It waited for a connection to the worker for too long; nothing was sent.
+    Withdrawn,
     /// No answer: it may have been started, or may be later.
     Unknown,
 }
--- a/crates/node/src/owner/lines.rs
+++ b/crates/node/src/owner/lines.rs
@@ -8,7 +8,7 @@
 };
 
 use gorsespur_http::{HttpError, Link, Response};
-use gorsespur_jobs::Answer;
+use gorsespur_jobs::{Answer, Started};
 use mio::{Registry, Token};
 
 use crate::{protocol::Order, shared::Shared};
@@ -28,6 +28,18 @@
 /// milliseconds: some twenty times what a worker takes to answer.
 const GRACE: u64 = 100;
 
+/// A start that has waited for a connection for this long is taken back, in milliseconds.
+/// What it was decided on is old by then: its worker may have said that it leaves, after
+/// which a start is allowed for two seconds on the users' smallest bound.
+const START_WAIT: u64 = 500;
+
+/// An order that waits for a connection.
+#[derive(Debug)]
+struct Waiting {
+    order: Order,
+    since: u64,
+}
+
 /// An order on its way.
 #[derive(Debug)]
 struct Call {
@@ -59,7 +71,7 @@
     addr: SocketAddr,
     id: Arc<str>,
     lines: [Line; LINES],
-    waiting: VecDeque<Order>,
+    waiting: VecDeque<Waiting>,
 }
 
 /// The connections to all workers.
@@ -103,6 +115,7 @@
         while self.posts.len() <= slot {
             self.posts.push(None);
         }
+        let now = self.shared.clock.now();
         let (addr, id) = target;
         let post = self.posts[slot].get_or_insert_with(|| Post {
             addr,
@@ -116,7 +129,7 @@
         };
         match line {
             Some(line) => self.call(registry, worker, line, order),
-            None => post.waiting.push_back(order),
+            None => post.waiting.push_back(Waiting { order, since: now }),
         }
     }
 
@@ -149,7 +162,8 @@
                 self.finish(worker, line, Err(err));
             }
         }
-        self.next(registry, worker, line);
+        let now = self.shared.clock.now();
+        self.next(registry, worker, line, now);
     }
 
     /// Gives up what got no answer by its time, once all that had arrived by `read` is
@@ -180,7 +194,7 @@
             self.close(registry, worker, line);
             self.close_idle(registry, worker);
             self.finish(worker, line, Err(HttpError::Timeout));
-            self.next(registry, worker, line);
+            self.next(registry, worker, line, read);
         }
     }
 
@@ -219,7 +233,7 @@
     }
 
     /// Asks what is queued next on a connection that became free.
-    fn next(&mut self, registry: &Registry, worker: u32, line: usize) {
+    fn next(&mut self, registry: &Registry, worker: u32, line: usize, now: u64) {
         if line == 0 {
             return;
         }
@@ -229,8 +243,16 @@
         if post.lines[line].call.is_some() {
             return;
         }
-        if let Some(order) = post.waiting.pop_front() {
-            self.call(registry, worker, line, order);
+        while let Some(Waiting { order, since }) = post.waiting.pop_front() {
+            let Order::Start(start) = &order else {
+                return self.call(registry, worker, line, order);
+            };
+            if now < since + START_WAIT {
+                return self.call(registry, worker, line, order);
+            }
+            log::info!(task = start.task.to_string().as_str(), worker = &*post.id, waited_ms = now - since; "order: taken back");
+            let taken = Answer::Started(start.task, start.run, Started::Withdrawn);
+            self.answers.push((worker, since, taken));
         }
     }
 
--- a/crates/node/src/owner/lines_tests.rs
+++ b/crates/node/src/owner/lines_tests.rs
@@ -9,7 +9,9 @@
 };
 
 use gorsespur_http::{HttpError, Method, Request, Response};
-use gorsespur_jobs::{Answer, Look, Outcome, Settings, Spec, WorkerInfo};
+use gorsespur_jobs::{
+    Answer, JobId, Look, Outcome, Settings, Spec, StartOrder, Started, TaskId, WorkerInfo,
+};
 use mio::{Events, Poll};
 
 use super::lines::Lines;
@@ -77,7 +79,10 @@
         Request::new(Method::Post, "/look", Vec::new())
     }
 
-    fn answer(&self, _: &Order, result: Result<Response, HttpError>) -> Answer {
+    fn answer(&self, order: &Order, result: Result<Response, HttpError>) -> Answer {
+        if let Order::Start(start) = order {
+            return Answer::Started(start.task, start.run, Started::Unknown);
+        }
         match result {
             Ok(_) => Answer::Looked(Look {
                 clock: 1,
@@ -147,21 +152,45 @@
     sent: u64,
 }
 
-/// Sends a look and handles what comes until the request is written.
+/// An order to start the only task of a job.
+fn start(job: u64) -> Order {
+    Order::Start(StartOrder {
+        task: TaskId {
+            job: JobId(job),
+            time: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+        spec: Arc::default(),
+        deadline: 0,
+        saved: "".into(),
+    })
+}
+
+/// Sends a look.
 fn asked(answers: bool) -> Desk {
+    let look = Order::Look {
+        observed: 0,
+        deadline: None,
+        wait: 0,
+    };
+    sent(answers, vec![look])
+}
+
+/// Sends orders to one worker.
+fn sent(answers: bool, orders: Vec<Order>) -> Desk {
     let shared = shared();
     let mut desk = Desk {
         poll: Poll::new().expect("descriptors"),
         lines: Lines::new(&shared, 1),
         sent: shared.clock.now(),
     };
-    let look = Order::Look {
-        observed: 0,
-        deadline: None,
-        wait: 0,
-    };
-    let target = (worker(answers), "w".into());
-    desk.lines.send(desk.poll.registry(), 0, target, look);
+    let addr = worker(answers);
+    for order in orders {
+        let target = (addr, "w".into());
+        desk.lines.send(desk.poll.registry(), 0, target, order);
+    }
     desk
 }
 
@@ -216,3 +245,24 @@
     assert!(desk.expire(desk.sent + 5050, false).is_empty());
     assert_eq!(desk.expire(desk.sent + 5200, true), [Answer::Silent]);
 }
+
+/// A start that waited while the connection was held up is not sent on what was known
+/// then.
+#[test]
+fn a_start_that_waited_for_long_is_taken_back() {
+    let mut desk = sent(false, (1..=3).map(start).collect());
+    let answers = desk.expire(desk.sent + 800, false);
+    let came: Vec<_> = answers
+        .iter()
+        .map(|a| match a {
+            Answer::Started(task, _, started) => (task.job.0, *started),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    let expected = [
+        (1, Started::Unknown),
+        (2, Started::Withdrawn),
+        (3, Started::Withdrawn),
+    ];
+    assert_eq!(came, expected);
+}
