Say in the lease after how long without a renewal it is free

Cause: after an owner's death, or once the store turns it away, all work is undecided for 1.8 s, a time that fits a store at a sixtieth of its speed; renewals come each 410 ms. Change: the owner writes twice its longest time between renewals of late and 200 ms more, 1.0 to 1.8 s, into the lease, and others go by that. Tests: owner/pulse_tests.rs, contest_tests.rs, a_lease_is_free_when_its_owner_says.

--- a/crates/node/src/contest.rs
+++ b/crates/node/src/contest.rs
@@ -2,11 +2,11 @@
 
 use gorsespur_jobs::{CLOCK_RATE, LEASE_MARGIN, Settings};
 
-use crate::rows::LeaseRow;
+use crate::{owner::pulse::MOST_TERM, rows::LeaseRow};
 
-/// A lease that did not change for this long has no owner, in milliseconds. The
-/// owner renews it each 400 ms; a store at a sixtieth of its speed takes 700 more.
-const STALE: u64 = 1800;
+/// A lease whose owner did not say after how long it is free is free after this long,
+/// in milliseconds.
+const STALE: u64 = MOST_TERM;
 
 /// Added to that by chance, so that not all instances claim at once, in milliseconds.
 pub(crate) const JITTER: u64 = 300;
@@ -62,7 +62,8 @@
         if lease.share * 2 < self.share && self.age < UPGRADE {
             return (UPGRADE + 1).saturating_sub(self.tenure);
         }
-        (STALE + self.jitter + small + 1).saturating_sub(self.age)
+        let stale = if lease.term > 0 { lease.term } else { STALE };
+        (stale + self.jitter + small + 1).saturating_sub(self.age)
     }
 
     /// Returns when the last lease that an earlier owner granted to a worker is over, if
--- a/crates/node/src/contest_tests.rs
+++ b/crates/node/src/contest_tests.rs
@@ -42,6 +42,17 @@
     assert_eq!(contest(&lease(500), 500, age).is_won(), won);
 }
 
+/// An owner tells by its own writes how soon a missing renewal means something.
+#[test_case(1000, false; "renewed lately")]
+#[test_case(1100, true; "not renewed")]
+fn a_lease_is_free_when_its_owner_says(age: u64, won: bool) {
+    let told = LeaseRow {
+        term: 1060,
+        ..lease(500)
+    };
+    assert_eq!(contest(&told, 500, age).is_won(), won);
+}
+
 #[test]
 fn an_owner_that_started_anew_takes_its_lease_at_once() {
     let mine = LeaseRow {
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -166,6 +166,7 @@
         share: shared.settings.share,
         largest: seen.lease.largest.max(shared.settings.share),
         pending: seen.lease.pending.clone(),
+        term: 0,
     };
     let head = HeadRow { epoch, number: 0 };
     let tx = Tx {
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -12,6 +12,7 @@
 
 use super::{
     Tenure,
+    pulse::Pulse,
     turn::{Input, Written},
 };
 use crate::{
@@ -50,6 +51,7 @@
     head: u64,
     number: u64,
     renewed: u64,
+    pulse: Pulse,
 }
 
 /// Writes until the lease is lost, given back, or the ring is closed.
@@ -63,10 +65,12 @@
             share: shared.settings.share,
             largest: tenure.largest,
             pending: tenure.pending.clone(),
+            term: 0,
         },
         head: tenure.head,
         number: 0,
         renewed: shared.clock.now(),
+        pulse: Pulse::default(),
     };
     loop {
         let due = (journal.renewed + RENEW).saturating_sub(shared.clock.now());
@@ -105,6 +109,7 @@
     /// for; nothing if the lease is lost.
     fn append(&mut self, records: Vec<(JobId, Vec<u8>)>, ring: &Receiver<Entry>) -> Option<u64> {
         self.number += 1;
+        self.lease.term = self.pulse.term();
         let tx = self.tx(records);
         let renews = tx.writes.iter().any(|w| w.table == LEASE);
         let sent = self.shared.clock.now();
@@ -139,6 +144,7 @@
         }
         if renews {
             self.renewed = sent;
+            self.pulse.renewed(self.shared.clock.now());
         }
         Some(sent)
     }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -10,6 +10,9 @@
 #[cfg(test)]
 mod lines_tests;
 mod load;
+pub(crate) mod pulse;
+#[cfg(test)]
+mod pulse_tests;
 mod turn;
 
 use std::{sync::Arc, thread};
--- /dev/null
+++ b/crates/node/src/owner/pulse_tests.rs
@@ -0,0 +1,40 @@
+//! How soon a lease is free that is not renewed.
+
+use super::pulse::Pulse;
+
+/// Renewals so many milliseconds apart.
+fn renewed(times: u64, apart: u64) -> Pulse {
+    let mut pulse = Pulse::default();
+    for at in 1..=times {
+        pulse.renewed(at * apart);
+    }
+    pulse
+}
+
+#[test]
+fn a_new_owner_is_given_the_longest_term() {
+    assert_eq!(renewed(0, 410).term(), 1800);
+    assert_eq!(renewed(1, 410).term(), 1800);
+}
+
+/// An owner that dies at the store's usual speed is replaced after a second, where 1.8 s
+/// were lost before.
+#[test]
+fn a_fast_store_means_a_short_term() {
+    assert_eq!(renewed(10, 410).term(), 1020);
+}
+
+/// At a sixtieth of the store's speed nobody takes the lease from an owner that lives.
+#[test]
+fn a_slow_store_means_the_longest_term() {
+    assert_eq!(renewed(10, 1100).term(), 1800);
+}
+
+#[test]
+fn a_peak_fades() {
+    let mut pulse = renewed(2, 1100);
+    for at in 1..=20 {
+        pulse.renewed(2200 + at * 410);
+    }
+    assert!(pulse.term() < 1060, "{} ms", pulse.term());
+}
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -79,6 +79,9 @@
     pub(crate) largest: u64,
     /// Jobs by queue none of whose tasks has begun.
     pub(crate) pending: Vec<(Arc<str>, u64)>,
+    /// Milliseconds without a renewal after which it is free; 0 if its owner did not say.
+    #[serde(default)]
+    pub(crate) term: u64,
 }
 
 /// The row of the journal's end: who wrote last, and which write it was.
