Renew and stop before placing, and bound what one pass of placement rates

Cause: leases are renewed by looks, and these waited for a pass of placement, whose cost had no bound: with thousands of jobs of different kinds waiting on thousands of workers it takes seconds. The worst load is just when leases must not lapse. Change: a turn first checks runs and sends looks, then learns, places and commits; a pass rates 100,000 workers at most, but tries 30 steps at least, the most urgent first; what it leaves is placed by the next one. Passes that were cut and ratings are counted.

--- a/crates/jobs/benches/decide.rs
+++ b/crates/jobs/benches/decide.rs
@@ -5,6 +5,7 @@
 //! be done, in `worst` twice as many, so that thousands of tasks wait. Workers and store
 //! answer at once and cost nothing: only the time in the machine counts.
 
+#[expect(dead_code, reason = "the tests use more of it")]
 mod site;
 
 use std::time::Duration;
--- a/crates/jobs/benches/site.rs
+++ b/crates/jobs/benches/site.rs
@@ -2,13 +2,13 @@
 
 use std::{
     cmp::Reverse,
-    collections::BinaryHeap,
+    collections::{BTreeMap, BinaryHeap},
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use gorsespur_jobs::{
-    Action, Answer, Capacity, End, Ending, Event, Job, JobId, Look, Machine, QueuePolicy,
+    Action, Answer, Capacity, End, Ending, Event, Figures, Job, JobId, Look, Machine, QueuePolicy,
     Running, Settings, Spec, StartOrder, Started, Step, Stopped, TaskId, WorkerInfo,
 };
 
@@ -73,6 +73,10 @@
     /// Thousandths of a job that are owed, by kind.
     owed: [u64; 2],
     spent: Duration,
+    /// What was accepted.
+    accepted: Vec<Arc<Job>>,
+    /// What was committed of jobs.
+    records: BTreeMap<JobId, Vec<u8>>,
 }
 
 impl Site {
@@ -121,6 +125,8 @@
             times,
             owed: [0; 2],
             spent: Duration::ZERO,
+            accepted: Vec::new(),
+            records: BTreeMap::new(),
         };
         // Four tasks of 6.4 cores to a worker of 32.
         for _ in 0..workers * 4 / 24 {
@@ -139,6 +145,20 @@
         site
     }
 
+    /// Hands in a job.
+    pub fn hand_in(&mut self, steps: Vec<Step>) {
+        self.submit("wide", steps);
+    }
+
+    /// What the store holds: the jobs that were accepted, and their records.
+    pub fn kept(&self) -> (&[Arc<Job>], &BTreeMap<JobId, Vec<u8>>) {
+        (&self.accepted, &self.records)
+    }
+
+    /// What the machine counted.
+    pub fn figures(&self) -> Figures {
+        self.machine.figures()
+    }
 
     /// What waits.
     pub fn backlog(&self) -> String {
@@ -210,6 +230,7 @@
                 ..Spec::default()
             }),
         });
+        self.accepted.push(job.clone());
         self.answers.push(Event::Accepted(job));
     }
 
@@ -322,7 +343,8 @@
                 self.due.push(Reverse((until, due)));
                 return;
             }
-            Action::Commit(_) => {
+            Action::Commit(records) => {
+                self.records.extend(records);
                 self.due.push(Reverse((sent + WRITE, Due::Committed)));
                 return;
             }
--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -4,6 +4,7 @@
     action::Action,
     ids::{JobId, TaskId},
     machine::Machine,
+    place::Coverage,
     task::Stage,
 };
 
@@ -26,18 +27,23 @@
 const PLACE_PERIOD: u64 = 100;
 
 impl Machine {
-    /// Does all that is due.
+    /// Does all that is due: first what keeps promises, which costs little, then what
+    /// serves jobs, which may cost much where work has piled up.
+    ///
+    /// Leases are renewed by looks and stops end harm: neither waits for a pass of
+    /// placement.
     pub(crate) fn drive(&mut self) {
-        self.fit();
         if self.now >= self.checked + CHECK_PERIOD {
             self.checked = self.now;
             self.check_runs();
         }
+        self.send_looks();
+        self.fit();
         if self.place_due() {
-            self.moved = false;
             self.placed = self.now;
             self.figures.passes += 1;
-            self.place();
+            // What a cut pass has left is placed by the next one.
+            self.moved = self.place() == Coverage::Partial;
         }
         self.commit();
         self.send_looks();
--- a/crates/jobs/src/figures.rs
+++ b/crates/jobs/src/figures.rs
@@ -23,6 +23,10 @@
     pub looks: u64,
     /// Passes of placement over the open jobs.
     pub passes: u64,
+    /// Workers that were rated for a step, in all passes.
+    pub ratings: u64,
+    /// Passes that left steps to the next one.
+    pub cut: u64,
     /// Batches that were sent to be committed.
     pub commits: u64,
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Tells whether a task has a run.
+    pub(crate) fn has_runs(&self) -> bool {
+        let mut tasks = self.times.iter().flatten().flat_map(|s| &s.tasks);
+        tasks.any(|t| t.run.is_some())
+    }
+
     /// Adds repetitions that are due at `wall`, in milliseconds since 1970.
     pub(crate) fn release(&mut self, wall: u64) {
         let spec = &self.job.spec;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     ids::{JobId, TaskId},
-    job::JobState,
     machine::Machine,
     misfit::Misfit,
     rank::Ranking,
@@ -20,6 +19,23 @@
 /// to one that others failed on, in milliseconds.
 const AVOID: u64 = 2500;
 
+/// Workers that one pass rates at most, some 10 ms of work: with 3,000 workers and 21,000
+/// waiting tasks a pass has no more than 33 steps. The most urgent steps come first, so
+/// that those left over are the ones that would wait longest anyway.
+const RATINGS: usize = 100_000;
+
+/// Steps that a pass tries at least, however many workers there are.
+const STEPS: usize = 30;
+
+/// Whether a pass of placement came to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Coverage {
+    /// Each step that waited was tried.
+    Whole,
+    /// Some are left to the next pass.
+    Partial,
+}
+
 /// Why tasks of a step can't all be placed now.
 enum Placed {
     /// All that waited are placed.
@@ -37,19 +53,32 @@
     /// tells so without a look at the worker.
     pub(crate) rooms: Vec<Room>,
     misfits: Vec<Misfit>,
+    /// Workers that were rated.
+    ratings: usize,
+    /// Workers that it may rate.
+    budget: usize,
     /// Workers that are kept free for overdue tasks.
     pub(crate) held: Vec<u32>,
 }
 
 impl Machine {
-    /// Places tasks that wait, the most urgent jobs first.
-    pub(crate) fn place(&mut self) {
+    /// Places tasks that wait, the most urgent jobs first, as far as one pass goes.
+    pub(crate) fn place(&mut self) -> Coverage {
         self.sort_open();
         let mut pass = self.begin_pass();
         for at in 0..self.open.len() {
+            if pass.ratings >= pass.budget {
+                self.figures.cut += 1;
+                break;
+            }
             let id = self.open[at];
             self.place_job(id, &mut pass);
         }
+        self.figures.ratings += pass.ratings as u64;
+        match pass.ratings < pass.budget {
+            true => Coverage::Whole,
+            false => Coverage::Partial,
+        }
     }
 
     fn begin_pass(&self) -> Pass {
@@ -60,6 +89,7 @@
                 pass.open.push(slot);
             }
         }
+        pass.budget = RATINGS.max(STEPS * pass.open.len());
         pass
     }
 
@@ -68,7 +98,7 @@
             return;
         };
         let job = state.job.clone();
-        let mut idle = self.now > state.seen + STARVED && nothing_runs(state);
+        let mut idle = self.now > state.seen + STARVED && !state.has_runs();
         let times = state.times.len();
         let Some(service) = self.policy(&job.queue).map(|p| p.service.clone()) else {
             return;
@@ -103,7 +133,7 @@
                 if matches!(placed, Placed::Short) {
                     break;
                 }
-                idle = idle && self.jobs.get(&id).is_some_and(nothing_runs);
+                idle = idle && self.jobs.get(&id).is_some_and(|j| !j.has_runs());
             }
         }
     }
@@ -203,6 +233,7 @@
         pass: &mut Pass,
     ) -> Option<u32> {
         if request.starved || request.avoid.is_some() {
+            pass.ratings += pass.open.len();
             let mut own = self.rank(request, pass);
             return self.best(&mut own, request, pass);
         }
@@ -211,6 +242,7 @@
             return None;
         }
         if ranking.is_none() {
+            pass.ratings += pass.open.len();
             *ranking = Some(self.rank(request, pass));
         }
         let best = self.best(ranking.as_mut()?, request, pass);
@@ -222,8 +254,3 @@
         best
     }
 }
-
-fn nothing_runs(state: &JobState) -> bool {
-    let mut tasks = state.times.iter().flatten().flat_map(|s| &s.tasks);
-    tasks.all(|t| t.run.is_none())
-}
--- a/crates/jobs/tests/all/behind.rs
+++ b/crates/jobs/tests/all/behind.rs
@@ -1,7 +1,10 @@
 //! An owner that falls behind keeps its promises: its turns take up to seconds, and what
 //! workers answered meanwhile waits.
 
-use crate::common::{World, WorldSettings, chain, short};
+use crate::{
+    common::{World, WorldSettings, chain, short},
+    site::Site,
+};
 use gorsespur_jobs::{Event, JobId, Outcome, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
@@ -155,3 +158,29 @@
     let granted = world.workers[0].deadline - clock;
     assert!(granted < 6000 + 6000 + 400, "{granted} ms");
 }
+
+/// Thousands of jobs wait on a thousand workers, no two of them alike, and nothing fits.
+#[test]
+fn a_pass_of_placement_is_bounded() {
+    let mut site = Site::new(1000, 0);
+    site.play(200);
+    for job in 0..5000 {
+        // Each runs something else, so that none tells of another that it does not fit.
+        site.hand_in(vec![Step {
+            count: 2,
+            cpu: 30_000,
+            memory: 1000,
+            image: Some(format!("image{job}").into()),
+            ..Step::default()
+        }]);
+    }
+    site.play(40);
+    let before = site.figures();
+    site.play(200);
+    let after = site.figures();
+    let (passes, cut) = (after.passes - before.passes, after.cut - before.cut);
+    let ratings = after.ratings - before.ratings;
+    assert!(passes > 0 && cut == passes, "{cut} of {passes} passes cut");
+    assert!(ratings <= passes * 101_000, "{ratings} in {passes} passes");
+    assert!(after.looks > before.looks + 100, "leases are not renewed");
+}
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -7,3 +7,6 @@
 mod promises;
 mod regression;
 mod sharing;
+#[path = "../../benches/site.rs"]
+#[expect(dead_code, reason = "the benchmarks use more of it")]
+mod site;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -114,6 +114,8 @@
             ("runs_lapsed", decided.lapsed),
             ("looks", decided.looks),
             ("passes", decided.passes),
+            ("ratings", decided.ratings),
+            ("cut", decided.cut),
             ("commits", decided.commits),
         ];
         for (name, count) in rows {
