--- a/crates/jobs/src/figures.rs
+++ b/crates/jobs/src/figures.rs
@@ -5,6 +5,8 @@
 pub struct Figures {
     /// Jobs that are not finished.
     pub open: u64,
+    /// Tasks that are kept in memory, of finished jobs as well.
+    pub tasks: u64,
     /// Starts that were sent.
     pub starts: u64,
     /// Runs that did their work.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -68,6 +68,12 @@
         tasks.any(|t| t.run.is_some())
     }
 
+    /// Returns the number of tasks that are kept.
+    pub(crate) fn size(&self) -> u64 {
+        let steps = self.times.iter().flatten();
+        steps.map(|s| s.tasks.len() as u64).sum()
+    }
+
     /// Adds repetitions that are due at `wall`, in milliseconds since 1970.
     pub(crate) fn release(&mut self, wall: u64) {
         let spec = &self.job.spec;
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -170,6 +170,7 @@
     pub fn figures(&self) -> Figures {
         Figures {
             open: self.open.len() as u64,
+            tasks: self.jobs.iter().map(|(_, j)| j.size()).sum(),
             ..self.figures
         }
     }
@@ -274,6 +275,7 @@
         for task in tasks {
             self.abandon(task);
         }
+        self.forget_tasks(id);
         self.mark(id);
         self.moved = true;
     }
@@ -309,6 +311,18 @@
         let step = &job.spec.steps[id.step as usize];
         self.fleet.get_mut(run.worker).release(id, step);
         self.moved = true;
+        self.forget_tasks(id.job);
+    }
+
+    /// Forgets the tasks of a job that has ended once none of them has a run: 80 tasks take
+    /// 16 KB, and a job is asked after for minutes.
+    fn forget_tasks(&mut self, id: JobId) {
+        let Some(state) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if state.outcome.is_final() && !state.has_runs() {
+            state.times = Vec::new();
+        }
     }
 
     /// Takes note that a job's record changed.
--- a/crates/jobs/tests/all/behind.rs
+++ b/crates/jobs/tests/all/behind.rs
@@ -184,3 +184,20 @@
     assert!(ratings <= passes * 101_000, "{ratings} in {passes} passes");
     assert!(after.looks > before.looks + 100, "leases are not renewed");
 }
+
+/// Jobs that have ended are asked after for minutes; their tasks take memory no more.
+#[test]
+fn the_tasks_of_a_job_that_has_ended_are_forgotten() {
+    let mut world = world(4, 1);
+    for id in 1..=JOBS {
+        world.submit(id, chain(vec![short(4, 300), short(2, 300)]));
+    }
+    let cancelled = world.submit(100, chain(vec![short(4, 60_000)]));
+    world.run(1000);
+    assert!(world.figures().tasks > 0);
+    world.cancel(cancelled);
+    assert!(world.run_until_done(30_000));
+    world.run(2000);
+    assert_eq!(world.figures().tasks, 0);
+    check(&world, 1);
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -113,6 +113,7 @@
             ("runs_stopped", decided.stopped),
             ("runs_lapsed", decided.lapsed),
             ("looks", decided.looks),
+            ("tasks", decided.tasks),
             ("passes", decided.passes),
             ("ratings", decided.ratings),
             ("cut", decided.cut),
