--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -19,10 +19,11 @@
 /// to one that others failed on, in milliseconds.
 const AVOID: u64 = 2500;
 
-/// Workers that one pass rates at most, some 10 ms of work: with 3,000 workers and 21,000
-/// waiting tasks a pass has no more than 33 steps. The most urgent steps come first, so
-/// that those left over are the ones that would wait longest anyway.
-const RATINGS: usize = 100_000;
+/// Workers that one pass rates at most, some 15 ms of work: a hundred steps of 3,000
+/// workers. With a third of that twice the usual load of 3,000 workers left twice as many
+/// jobs waiting. The most urgent steps come first, so that those left over are the ones
+/// that would wait longest anyway.
+const RATINGS: usize = 300_000;
 
 /// Steps that a pass tries at least, however many workers there are.
 const STEPS: usize = 30;
