Keep runs apart from tasks, since most tasks of waiting jobs have none

Cause: a task takes some 200 bytes, over half of them for a run that it may not have. Change: the run is boxed.

--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -24,7 +24,7 @@
         if task.last != run {
             return None;
         }
-        task.run.as_mut().filter(|r| r.worker == slot)
+        task.run.as_deref_mut().filter(|r| r.worker == slot)
     }
 
     pub(crate) fn started(&mut self, slot: u32, id: TaskId, number: u32, started: Started) {
--- a/crates/jobs/src/step.rs
+++ b/crates/jobs/src/step.rs
@@ -50,11 +50,11 @@
     pub(crate) fn set_run(&mut self, index: usize, run: Run) {
         let task = &mut self.tasks[index];
         self.idle -= u32::from(task.run.is_none() && !task.done);
-        task.run = Some(run);
+        task.run = Some(Box::new(run));
     }
 
     /// Takes a task's run away.
-    pub(crate) fn take_run(&mut self, index: usize) -> Option<Run> {
+    pub(crate) fn take_run(&mut self, index: usize) -> Option<Box<Run>> {
         let task = &mut self.tasks[index];
         let run = task.run.take();
         self.idle += u32::from(run.is_some() && !task.done);
--- a/crates/jobs/src/task.rs
+++ b/crates/jobs/src/task.rs
@@ -86,7 +86,8 @@
     /// Number of the last run; 0 before the first.
     pub(crate) last: u32,
     /// The run that may be there.
-    pub(crate) run: Option<Run>,
+    /// The run that may be there; apart, since most tasks of waiting jobs have none.
+    pub(crate) run: Option<Box<Run>>,
     /// Numbers of the runs that failed.
     pub(crate) failed: Vec<u32>,
     /// Saved progress; empty for none.
