Give the decisions rooms: model, order, place, share, runs

Cause: 40 files of crates/jobs lay flat; a newcomer could not tell where order, placement, pace or leases are decided, and place and room, pace and slack imported each other. Change: five folders, each with a page that says the load pattern that it answers and why its limits are so; what a pass knows is apart from the placing of tasks; the search for a worker to be kept free returns it; runs that are listed or not, strays, and the closing of jobs and runs have files of their own. No decision changes. Before and after: 54 tests of the crate pass unchanged. Left: the machine's own file is still imported by the files that add to it.

--- a/crates/jobs/src/action.rs
+++ b/crates/jobs/src/action.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{
+use crate::model::{
     ids::{JobId, TaskId},
     spec::Spec,
 };
--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -2,10 +2,12 @@
 
 use crate::{
     action::Action,
-    ids::{JobId, TaskId},
     machine::Machine,
-    place::Coverage,
-    task::Stage,
+    model::{
+        ids::{JobId, TaskId},
+        task::Stage,
+    },
+    place::pass::Coverage,
 };
 
 /// How long an idle worker's look waits, in milliseconds; the longest it takes.
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use crate::{
-    ids::{JobId, TaskId},
-    policy::QueuePolicy,
-    spec::Job,
-    worker::WorkerInfo,
+    model::{
+        ids::{JobId, TaskId},
+        policy::QueuePolicy,
+        spec::Job,
+    },
+    runs::worker::WorkerInfo,
 };
 
 /// How a run ended.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,56 +15,42 @@
 //!   that counts them is durable; a failed run is counted by its number.
 //! - *A worker holds what it can hold.* Room is given back when an end is listed,
 //!   not when a stop is sent.
+//!
+//! Where what is decided:
+//!
+//! - [`model`]: jobs, steps, tasks and their records, without decisions;
+//! - [`order`]: which job comes first;
+//! - [`place`]: which worker a task runs on, and what waits for room;
+//! - [`share`]: what tasks on one worker do to each other, and the paces that follow;
+//! - [`runs`]: leases of workers, starts and stops, ends, and what is made durable.
+//!
+//! [`drive`] says in which order these take their turn.
 
 mod action;
-mod commit;
 mod drive;
-mod ends;
 mod event;
 mod figures;
-mod fit;
-mod fleet;
-mod headroom;
-mod ids;
-mod job;
-mod learned;
 mod machine;
-mod misfit;
+mod model;
 mod order;
-mod pace;
-mod pairs;
 mod place;
-mod policy;
-mod rank;
-mod record;
-mod request;
-mod room;
-mod sample;
+mod runs;
 mod settings;
-mod slack;
+mod share;
 mod sorted;
-mod spare;
-mod spec;
-mod standing;
-mod step;
 mod summary;
-mod task;
-mod times;
-#[cfg(test)]
-mod times_tests;
-mod trust;
-mod watch;
-mod worker;
 
 pub use action::{Action, StartOrder};
 pub use event::{Answer, End, Ending, Event, Look, Running, Started, Stopped};
 pub use figures::Figures;
-pub use ids::{IdError, JobId, TaskId};
-pub use learned::Learned;
 pub use machine::Machine;
-pub use policy::QueuePolicy;
-pub use record::{Outcome, Record, RecordError};
+pub use model::{
+    ids::{IdError, JobId, TaskId},
+    policy::QueuePolicy,
+    record::{Outcome, Record, RecordError},
+    spec::{Job, Schedule, Spec, SpecError, Step},
+};
+pub use runs::worker::{Capacity, WorkerInfo};
 pub use settings::{CLOCK_RATE, LEASE_MARGIN, Settings};
+pub use share::learned::Learned;
 pub use sorted::Sorted;
-pub use spec::{Job, Schedule, Spec, SpecError, Step};
-pub use worker::{Capacity, WorkerInfo};
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -6,18 +6,18 @@
     action::Action,
     event::{Answer, Event},
     figures::Figures,
-    fleet::Fleet,
-    ids::{JobId, TaskId},
-    job::JobState,
-    pairs::Pairs,
-    policy::QueuePolicy,
-    record::{Outcome, Record},
-    sample::Image,
+    model::{
+        ids::{JobId, TaskId},
+        job::JobState,
+        policy::QueuePolicy,
+        record::{Outcome, Record},
+        spec::Job,
+    },
+    order::times::Guesses,
+    runs::fleet::Fleet,
     settings::Settings,
+    share::{pairs::Pairs, sample::Image},
     sorted::Sorted,
-    spec::Job,
-    task::Stage,
-    times::Guesses,
 };
 
 /// A batch of records on its way to the store.
@@ -262,80 +262,6 @@
         }
     }
 
-    /// Ends a job; its runs are stopped.
-    pub(crate) fn finish(&mut self, id: JobId, outcome: Outcome) {
-        let now = self.now;
-        let Some(state) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        log::info!(job = id.to_string().as_str(), outcome:? = outcome, after = now - state.seen; "jobs: ended");
-        state.outcome = outcome;
-        let tasks = state.task_ids();
-        self.open.retain(|&j| j != id);
-        for task in tasks {
-            self.abandon(task);
-        }
-        self.forget_tasks(id);
-        self.mark(id);
-        self.moved = true;
-    }
-
-    /// Has a task's run stopped, or forgets it if nothing was sent.
-    pub(crate) fn abandon(&mut self, id: TaskId) {
-        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
-        let Some(run) = task.and_then(|t| t.run.as_mut()) else {
-            return;
-        };
-        if run.stage == Stage::Planned {
-            self.clear(id);
-        } else if run.is_wanted() {
-            run.stage = Stage::Stopping(None);
-            self.stopping.push(id);
-        }
-    }
-
-    /// Forgets a task's run and gives back its room.
-    pub(crate) fn clear(&mut self, id: TaskId) {
-        let Some(state) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        let job = state.job.clone();
-        let now = self.now;
-        if let Some(task) = state.task_mut(id) {
-            task.cleared = now;
-        }
-        let step = state.step_mut(id.time, id.step);
-        let Some(run) = step.and_then(|s| s.take_run(id.index as usize)) else {
-            return;
-        };
-        let step = &job.spec.steps[id.step as usize];
-        self.fleet.get_mut(run.worker).release(id, step);
-        self.moved = true;
-        self.forget_tasks(id.job);
-    }
-
-    /// Forgets the tasks of a job that has ended once none of them has a run: 80 tasks take
-    /// 16 KB, and a job is asked after for minutes.
-    fn forget_tasks(&mut self, id: JobId) {
-        let Some(state) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if state.outcome.is_final() && !state.has_runs() {
-            state.times = Vec::new();
-        }
-    }
-
-    /// Takes note that a job's record changed.
-    pub(crate) fn mark(&mut self, id: JobId) {
-        let Some(state) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if !state.dirty {
-            state.dirty = true;
-            self.dirty.push(id);
-        }
-    }
-
     /// Returns the policy of a job's queue, if the configuration has that queue.
     pub(crate) fn policy(&self, queue: &str) -> Option<&QueuePolicy> {
         let at = self.queues.binary_search_by(|q| (*q.queue).cmp(queue));
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/model/job.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 
 use crate::{
-    ids::TaskId,
-    record::{Outcome, Record, TaskRecord},
-    sample::Image,
-    spec::Job,
-    step::StepState,
-    task::Task,
-    times::Guesses,
+    model::{
+        ids::TaskId,
+        record::{Outcome, Record, TaskRecord},
+        spec::Job,
+        step::StepState,
+        task::Task,
+    },
+    order::times::Guesses,
+    share::sample::Image,
 };
 
 /// The longest chain of a job's steps, in milliseconds.
@@ -210,10 +212,13 @@
             task.last = kept.run;
             task.failed = kept.failed.clone();
             task.saved = kept.saved.clone();
-            let run = kept
-                .worker
-                .as_ref()
-                .map(|w| crate::task::Run::new(slot(w), crate::task::Stage::Inherited, self.seen));
+            let run = kept.worker.as_ref().map(|w| {
+                crate::model::task::Run::new(
+                    slot(w),
+                    crate::model::task::Stage::Inherited,
+                    self.seen,
+                )
+            });
             if let Some(run) = run {
                 state.set_run(index as usize, run);
             }
--- /dev/null
+++ b/crates/jobs/src/model/mod.rs
@@ -0,0 +1,12 @@
+//! Jobs, steps, tasks and runs, and the records that are kept of them.
+//!
+//! Nothing is decided here. Limits: a job has 4,000 tasks at most, so that its record fits
+//! a row of the store.
+
+pub(crate) mod ids;
+pub(crate) mod job;
+pub(crate) mod policy;
+pub(crate) mod record;
+pub(crate) mod spec;
+pub(crate) mod step;
+pub(crate) mod task;
--- a/crates/jobs/src/spec.rs
+++ b/crates/jobs/src/model/spec.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
 
-use crate::ids::JobId;
+use crate::model::ids::JobId;
 
 /// Tasks that one job may have in all, so that its record fits a row.
 const MAX_TASKS: u64 = 4000;
--- a/crates/jobs/src/step.rs
+++ b/crates/jobs/src/model/step.rs
@@ -1,9 +1,9 @@
 //! The tasks of one step in one repetition.
 
 use crate::{
-    headroom::Headroom,
-    task::{Run, Stage, Task},
-    times::{Guesses, Seen},
+    model::task::{Run, Stage, Task},
+    order::times::{Guesses, Seen},
+    share::headroom::Headroom,
 };
 
 /// The tasks of one step in one repetition.
--- a/crates/jobs/src/standing.rs
+++ b/crates/jobs/src/order/standing.rs
@@ -1,12 +1,14 @@
 //! The order in which jobs are placed.
 
 use crate::{
-    ids::JobId,
-    job::{Chain, JobState},
     machine::Machine,
-    policy::QueuePolicy,
-    record::Outcome,
-    times::Guesses,
+    model::{
+        ids::JobId,
+        job::{Chain, JobState},
+        policy::QueuePolicy,
+        record::Outcome,
+    },
+    order::times::Guesses,
 };
 
 /// A lasting task that has waited for this long goes before all others, and a worker
--- a/crates/jobs/src/times_tests.rs
+++ b/crates/jobs/src/order/times_tests.rs
@@ -2,7 +2,7 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::times::{Guesses, Seen};
+use crate::order::times::{Guesses, Seen};
 
 /// Milliseconds that a task usually takes.
 const USUAL: f64 = 1700.0;
--- a/crates/jobs/src/misfit.rs
+++ b/crates/jobs/src/place/misfit.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{request::Request, sample::Image, worker::Capacity};
+use crate::{place::request::Request, runs::worker::Capacity, share::sample::Image};
 
 /// A task that no worker can take in this pass, nor any larger one of its kind.
 #[derive(Debug, PartialEq)]
--- /dev/null
+++ b/crates/jobs/src/place/pass.rs
@@ -0,0 +1,77 @@
+//! What one pass of placement knows and found out, and how far it goes.
+
+use crate::{
+    place::{misfit::Misfit, room::Room},
+    runs::fleet::Fleet,
+};
+
+/// Workers that one pass rates at most, some 15 ms of work: a hundred steps of 3,000
+/// workers. With a third of that twice the usual load of 3,000 workers left twice as many
+/// jobs waiting. The most urgent steps come first, so that those left over are the ones
+/// that would wait longest anyway.
+const RATINGS: usize = 300_000;
+
+/// Steps that a pass tries at least, however many workers there are.
+const STEPS: usize = 30;
+
+/// Whether a pass of placement came to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Coverage {
+    /// Each step that waited was tried.
+    Whole,
+    /// Some are left to the next pass.
+    Partial,
+}
+
+/// What one pass of placement found out.
+#[derive(Debug, Default)]
+pub(crate) struct Pass {
+    /// Workers that take new runs.
+    pub(crate) open: Vec<u32>,
+    /// What each worker has left, by slot: with work piled up most have no room, and this
+    /// tells so without a look at the worker.
+    rooms: Vec<Room>,
+    /// Tasks that no worker can take.
+    pub(crate) misfits: Vec<Misfit>,
+    /// Workers that are kept free for overdue tasks.
+    pub(crate) held: Vec<u32>,
+    /// Workers that were rated.
+    pub(crate) ratings: usize,
+    /// Workers that it may rate.
+    budget: usize,
+}
+
+impl Pass {
+    /// Begins a pass at `now`.
+    pub(crate) fn begin(fleet: &Fleet, now: u64) -> Pass {
+        let mut pass = Pass::default();
+        for (slot, worker) in (0..).zip(&fleet.workers) {
+            pass.rooms.push(Room::of(worker));
+            if worker.is_open(now) {
+                pass.open.push(slot);
+            }
+        }
+        pass.budget = RATINGS.max(STEPS * pass.open.len());
+        pass
+    }
+
+    /// Returns what a worker has left.
+    pub(crate) fn room(&self, slot: u32) -> Room {
+        self.rooms[slot as usize]
+    }
+
+    /// Takes note of what a worker has left now.
+    pub(crate) fn note_room(&mut self, slot: u32, fleet: &Fleet) {
+        self.rooms[slot as usize] = Room::of(fleet.get(slot));
+    }
+
+    /// Takes note that all workers are rated for a step.
+    pub(crate) fn note_ranking(&mut self) {
+        self.ratings += self.open.len();
+    }
+
+    /// Tells whether as many workers were rated as one pass may.
+    pub(crate) fn is_spent(&self) -> bool {
+        self.ratings >= self.budget
+    }
+}
--- a/crates/jobs/src/rank.rs
+++ b/crates/jobs/src/place/rank.rs
@@ -7,7 +7,11 @@
 use std::{cmp::Reverse, collections::BinaryHeap};
 
 use crate::{
-    machine::Machine, place::Pass, request::Request, sample::Image, spec::Step, worker::Worker,
+    machine::Machine,
+    model::spec::Step,
+    place::{pass::Pass, request::Request},
+    runs::worker::Worker,
+    share::sample::Image,
 };
 
 /// What a serving task of the same image on a worker adds to its rating, in thousandths
@@ -48,7 +52,7 @@
             takes,
         };
         for &slot in &pass.open {
-            if !pass.rooms[slot as usize].fits(request.step, request.starved) {
+            if !pass.room(slot).fits(request.step, request.starved) {
                 continue;
             }
             let rating = self.rate(slot, request, pass, &ranking.takes);
--- a/crates/jobs/src/request.rs
+++ b/crates/jobs/src/place/request.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::{ids::TaskId, sample::Image, spec::Step};
+use crate::{
+    model::{ids::TaskId, spec::Step},
+    share::sample::Image,
+};
 
 /// A task that asks for a worker.
 #[derive(Debug, Clone, Copy)]
--- a/crates/jobs/src/room.rs
+++ b/crates/jobs/src/place/room.rs
@@ -4,10 +4,9 @@
 
 use crate::{
     machine::Machine,
-    place::Pass,
-    spec::Step,
-    step::StepState,
-    worker::{Capacity, Worker, size},
+    model::{spec::Step, step::StepState},
+    place::request::Request,
+    runs::worker::{Capacity, Worker, size},
 };
 
 /// What a worker has left.
@@ -69,28 +68,25 @@
         Room::of(worker).fits(step, starved) && self.may_take(worker, step, service)
     }
 
-    /// Keeps a worker free of other tasks for one of a step that fits nowhere yet: the
-    /// one with the most room, of those that have enough once short tasks have ended.
-    pub(crate) fn hold_room(
+    /// Finds a worker to be kept free of other tasks for one of a step that fits nowhere
+    /// yet: the one with the most room, of those that have enough once short tasks have
+    /// ended and are not among `held` already.
+    pub(crate) fn find_room(
         &self,
         runs: &StepState,
-        step: &Step,
-        service: &Arc<str>,
-        pass: &mut Pass,
-    ) {
+        request: &Request<'_>,
+        held: &[u32],
+    ) -> Option<u32> {
+        let (step, service) = (request.step, request.service);
         let mut best: Option<(u64, u32)> = None;
-        for (slot, worker) in self.fleet.workers.iter().enumerate() {
-            let slot = slot as u32;
+        for (slot, worker) in (0..).zip(&self.fleet.workers) {
             let (room, size) = (worker.capacity(), size(step));
             let enough = room.cpu >= worker.serving_cpu + size.cpu
                 && room.memory >= worker.used.memory + size.memory
                 && room.gpu >= worker.used.gpu + size.gpu;
             let spread = step.spread > 0 && runs.on_worker(slot) >= step.spread;
-            if spread
-                || !enough
-                || !self.may_take(worker, step, service)
-                || pass.held.contains(&slot)
-            {
+            let kept = held.contains(&slot);
+            if spread || kept || !enough || !self.may_take(worker, step, service) {
                 continue;
             }
             let free = room.cpu.saturating_sub(worker.used.cpu);
@@ -98,6 +94,6 @@
                 best = Some((free, slot));
             }
         }
-        pass.held.extend(best.map(|(_, slot)| slot));
+        best.map(|(_, slot)| slot)
     }
 }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -1,14 +1,18 @@
-//! Which task runs where.
+//! Places the tasks that wait.
 
 use crate::{
-    ids::{JobId, TaskId},
     machine::Machine,
-    misfit::Misfit,
-    rank::Ranking,
-    request::Request,
-    room::Room,
-    spec::Step,
-    task::{Run, Stage},
+    model::{
+        ids::{JobId, TaskId},
+        spec::Step,
+        task::{Run, Stage},
+    },
+    place::{
+        misfit::Misfit,
+        pass::{Coverage, Pass},
+        rank::Ranking,
+        request::Request,
+    },
 };
 
 /// A job of which nothing runs for this long may have a task beyond the share of
@@ -19,24 +23,6 @@
 /// to one that others failed on, in milliseconds.
 const AVOID: u64 = 2500;
 
-/// Workers that one pass rates at most, some 15 ms of work: a hundred steps of 3,000
-/// workers. With a third of that twice the usual load of 3,000 workers left twice as many
-/// jobs waiting. The most urgent steps come first, so that those left over are the ones
-/// that would wait longest anyway.
-const RATINGS: usize = 300_000;
-
-/// Steps that a pass tries at least, however many workers there are.
-const STEPS: usize = 30;
-
-/// Whether a pass of placement came to its end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Coverage {
-    /// Each step that waited was tried.
-    Whole,
-    /// Some are left to the next pass.
-    Partial,
-}
-
 /// Why tasks of a step can't all be placed now.
 enum Placed {
     /// All that waited are placed.
@@ -45,30 +31,13 @@
     Short,
 }
 
-/// What one pass of placement found out.
-#[derive(Debug, Default)]
-pub(crate) struct Pass {
-    /// Workers that take new runs.
-    pub(crate) open: Vec<u32>,
-    /// What each worker has left, by slot: with work piled up most have no room, and this
-    /// tells so without a look at the worker.
-    pub(crate) rooms: Vec<Room>,
-    misfits: Vec<Misfit>,
-    /// Workers that were rated.
-    ratings: usize,
-    /// Workers that it may rate.
-    budget: usize,
-    /// Workers that are kept free for overdue tasks.
-    pub(crate) held: Vec<u32>,
-}
-
 impl Machine {
     /// Places tasks that wait, the most urgent jobs first, as far as one pass goes.
     pub(crate) fn place(&mut self) -> Coverage {
         self.sort_open();
-        let mut pass = self.begin_pass();
+        let mut pass = Pass::begin(&self.fleet, self.now);
         for at in 0..self.open.len() {
-            if pass.ratings >= pass.budget {
+            if pass.is_spent() {
                 self.figures.cut += 1;
                 break;
             }
@@ -76,22 +45,10 @@
             self.place_job(id, &mut pass);
         }
         self.figures.ratings += pass.ratings as u64;
-        match pass.ratings < pass.budget {
-            true => Coverage::Whole,
-            false => Coverage::Partial,
-        }
-    }
-
-    fn begin_pass(&self) -> Pass {
-        let mut pass = Pass::default();
-        for (slot, worker) in (0..).zip(&self.fleet.workers) {
-            pass.rooms.push(Room::of(worker));
-            if worker.is_open(self.now) {
-                pass.open.push(slot);
-            }
+        match pass.is_spent() {
+            true => Coverage::Partial,
+            false => Coverage::Whole,
         }
-        pass.budget = RATINGS.max(STEPS * pass.open.len());
-        pass
     }
 
     fn place_job(&mut self, id: JobId, pass: &mut Pass) {
@@ -160,7 +117,7 @@
             };
             request.starved = false;
             self.plan(id, slot, step, None);
-            pass.rooms[slot as usize] = Room::of(self.fleet.get(slot));
+            pass.note_room(slot, &self.fleet);
         }
         Placed::All
     }
@@ -173,7 +130,8 @@
             return;
         };
         let runs = &state.times[first.time as usize][first.step as usize];
-        self.hold_room(runs, request.step, request.service, pass);
+        let held = self.find_room(runs, request, &pass.held);
+        pass.held.extend(held);
     }
 
     /// Places all tasks of a gang, or none.
@@ -196,7 +154,7 @@
             };
             let id = TaskId { index, ..first };
             self.plan(id, slot, step, Some(run));
-            pass.rooms[slot as usize] = Room::of(self.fleet.get(slot));
+            pass.note_room(slot, &self.fleet);
             planned.push((id, slot));
         }
         if planned.len() == step.count as usize {
@@ -204,7 +162,7 @@
         }
         for (id, slot) in planned {
             self.clear(id);
-            pass.rooms[slot as usize] = Room::of(self.fleet.get(slot));
+            pass.note_room(slot, &self.fleet);
         }
         Placed::Short
     }
@@ -234,7 +192,7 @@
         pass: &mut Pass,
     ) -> Option<u32> {
         if request.starved || request.avoid.is_some() {
-            pass.ratings += pass.open.len();
+            pass.note_ranking();
             let mut own = self.rank(request, pass);
             return self.best(&mut own, request, pass);
         }
@@ -243,7 +201,7 @@
             return None;
         }
         if ranking.is_none() {
-            pass.ratings += pass.open.len();
+            pass.note_ranking();
             *ranking = Some(self.rank(request, pass));
         }
         let best = self.best(ranking.as_mut()?, request, pass);
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -3,9 +3,11 @@
 use crate::{
     action::Action,
     event::{Started, Stopped},
-    ids::TaskId,
     machine::Machine,
-    task::{Run, Stage},
+    model::{
+        ids::TaskId,
+        task::{Run, Stage},
+    },
 };
 
 /// A worker that had no room, though it should have, gets no run for this long.
--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -2,9 +2,8 @@
 
 use crate::{
     action::{Action, StartOrder},
-    ids::TaskId,
     machine::{Batch, Machine},
-    task::Stage,
+    model::{ids::TaskId, task::Stage},
 };
 
 /// Bytes of records that one commit carries at most; a transaction holds 1 MB,
--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/runs/ends.rs
@@ -1,12 +1,9 @@
 //! What the workers' lists say.
 
 use crate::{
-    event::{End, Ending, Look, Running},
-    ids::TaskId,
+    event::{End, Ending, Look},
     machine::Machine,
-    record::Outcome,
-    task::{Run, Stage},
-    worker::{Capacity, Stray, size},
+    model::{ids::TaskId, record::Outcome},
 };
 
 /// Ends that one answer holds at most; a full list may be cut.
@@ -15,9 +12,6 @@
 /// First pause of a task after a failure, in milliseconds; it doubles.
 const RETRY_PAUSE: u64 = 40;
 
-/// A lasting task that is at work for this long has done well, in milliseconds.
-const SETTLED: u64 = 1500;
-
 /// Doublings of that pause at most.
 const RETRY_DOUBLINGS: usize = 6;
 
@@ -168,139 +162,4 @@
             self.finish(id.job, Outcome::Failed);
         }
     }
-
-    /// Takes note of a run that a worker lists when its clock shows `clock`.
-    fn listed(&mut self, slot: u32, row: &Running, clock: u64) {
-        let now = self.now;
-        let id = row.task;
-        let Some(state) = self.jobs.get_mut(&id.job) else {
-            return self.stray(slot, row);
-        };
-        let pending = state.outcome == Outcome::Pending;
-        let step = state.step_mut(id.time, id.step);
-        let Some(step) = step.filter(|s| s.tasks.len() > id.index as usize) else {
-            return self.stray(slot, row);
-        };
-        let task = &mut step.tasks[id.index as usize];
-        let here = task.run.as_ref().is_some_and(|r| r.worker == slot);
-        if task.last != row.run || (task.run.is_some() && !here) || task.done && !here {
-            return self.stray(slot, row);
-        }
-        if !row.saved.is_empty() {
-            task.saved = row.saved.clone();
-        }
-        if task.run.is_none() {
-            step.set_run(id.index as usize, Run::new(slot, Stage::There(now), now));
-            self.adopt(slot, id);
-        }
-        self.progress(slot, row, clock);
-        if pending {
-            self.begun(id);
-        }
-    }
-
-    /// Takes note of how far a run is.
-    fn progress(&mut self, slot: u32, row: &Running, clock: u64) {
-        let now = self.now;
-        let Some(run) = self.run_on(slot, row.task, row.run) else {
-            return;
-        };
-        if matches!(
-            run.stage,
-            Stage::Sent(_) | Stage::Unclear(_) | Stage::Inherited
-        ) {
-            run.stage = Stage::There(now);
-        }
-        if run.percent != row.percent || run.moved.is_none() {
-            run.percent = row.percent;
-            run.moved = Some(clock);
-        }
-        let settled = now > run.since + SETTLED && row.percent == 100;
-        let since = run.since;
-        let worker = self.fleet.get(slot);
-        if settled && worker.failures > 0 && since > worker.failed {
-            self.fleet.get_mut(slot).did_well();
-        }
-    }
-
-    fn adopt(&mut self, slot: u32, id: TaskId) {
-        let Some(state) = self.jobs.get(&id.job) else {
-            return;
-        };
-        let step = &state.job.spec.steps[id.step as usize];
-        self.fleet.get_mut(slot).reserve(id, step);
-        log::info!(task = id.to_string().as_str(), worker = &*self.fleet.get(slot).id; "run: adopted");
-        if state.outcome.is_final() {
-            self.abandon(id);
-        }
-    }
-
-    /// Takes note that a task of a job has begun.
-    pub(crate) fn begun(&mut self, id: TaskId) {
-        let Some(state) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        if state.outcome == Outcome::Pending {
-            state.outcome = Outcome::Active;
-            self.mark(id.job);
-        }
-    }
-
-    fn stray(&mut self, slot: u32, row: &Running) {
-        let worker = self.fleet.get(slot);
-        let known = |s: &Stray| s.task == row.task && s.run == row.run;
-        if worker.strays.iter().any(known) {
-            return;
-        }
-        let state = self.jobs.get(&row.task.job);
-        let step = state.and_then(|j| j.job.spec.steps.get(row.task.step as usize));
-        log::info!(task = row.task.to_string().as_str(), run = row.run, worker = &*worker.id; "run: not wanted");
-        let size = step.map_or(Capacity::default(), size);
-        self.fleet.get_mut(slot).add_stray(Stray {
-            task: row.task,
-            run: row.run,
-            size,
-            sent: None,
-            halted: None,
-            pause: 0,
-        });
-    }
-
-    /// Draws conclusions from what a look that was sent at `sent` does not list.
-    fn check_absent(&mut self, slot: u32, sent: u64, look: &Look) {
-        let is_listed = |id: TaskId, run: u32| {
-            let rows = &look.running;
-            rows.iter().any(|r| r.task == id && r.run == run)
-        };
-        let worker = self.fleet.get_mut(slot);
-        worker.drop_strays(|s| s.halted.is_some_and(|at| sent > at) && !is_listed(s.task, s.run));
-        for id in worker.runs.clone() {
-            let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
-            let Some(task) = task else {
-                continue;
-            };
-            let last = task.last;
-            let Some(run) = task.run.as_mut() else {
-                continue;
-            };
-            if is_listed(id, last) {
-                continue;
-            }
-            match run.stage {
-                Stage::Unclear(at) if sent > at => {
-                    run.stage = Stage::Stopping(None);
-                    self.stopping.push(id);
-                }
-                Stage::There(at) | Stage::Halted(at) if sent > at => self.gone(id),
-                Stage::Inherited => self.gone(id),
-                _ => {}
-            }
-        }
-    }
-
-    fn gone(&mut self, id: TaskId) {
-        log::info!(task = id.to_string().as_str(); "run: not there");
-        self.clear(id);
-        self.mark(id.job);
-    }
 }
--- a/crates/jobs/src/fleet.rs
+++ b/crates/jobs/src/runs/fleet.rs
@@ -3,8 +3,8 @@
 use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 
 use crate::{
+    runs::worker::{Worker, WorkerInfo},
     sorted::Sorted,
-    worker::{Worker, WorkerInfo},
 };
 
 /// The workers by slot; a slot is never used again.
--- /dev/null
+++ b/crates/jobs/src/runs/mod.rs
@@ -0,0 +1,18 @@
+//! Leases of workers, starts and stops, ends, and what is made durable.
+//!
+//! The load pattern that this answers: answers that come late, twice or never, from
+//! workers that die, are cut off or fail all they start, to an owner that itself is late.
+//! Nothing is concluded from silence that was not asked for and read.
+//!
+//! Limits: a lease on a worker is as long as a takeover may take; a worker is closed after
+//! three failures in a row, since one run in twenty fails by its own fault.
+
+pub(crate) mod answers;
+mod close;
+pub(crate) mod commit;
+pub(crate) mod ends;
+pub(crate) mod fleet;
+mod listed;
+pub(crate) mod stray;
+pub(crate) mod trust;
+pub(crate) mod worker;
--- /dev/null
+++ b/crates/jobs/src/runs/stray.rs
@@ -0,0 +1,18 @@
+//! A run that nobody wants.
+
+use crate::{model::ids::TaskId, runs::worker::Capacity};
+
+/// A run on a worker that is not wanted there.
+#[derive(Debug, Clone)]
+pub(crate) struct Stray {
+    pub(crate) task: TaskId,
+    pub(crate) run: u32,
+    /// What it takes up.
+    pub(crate) size: Capacity,
+    /// When its stop was sent, if that is unanswered.
+    pub(crate) sent: Option<u64>,
+    /// When its stop was confirmed.
+    pub(crate) halted: Option<u64>,
+    /// No new stop before this time.
+    pub(crate) pause: u64,
+}
--- a/crates/jobs/src/trust.rs
+++ b/crates/jobs/src/runs/trust.rs
@@ -6,7 +6,7 @@
 //! more runs are tried first, not more than a worker at fault may waste; they fail within
 //! a fraction of their time.
 
-use crate::{machine::Machine, worker::Worker};
+use crate::{machine::Machine, runs::worker::Worker};
 
 /// Failures in a row after which a worker gets no work for a while: by chance one run in
 /// 8,000 is the third if one in twenty fails.
--- a/crates/jobs/src/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -3,11 +3,10 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use crate::{
-    ids::TaskId,
+    model::{ids::TaskId, spec::Step},
+    runs::stray::Stray,
     settings::{CLOCK_RATE, LEASE_MARGIN, Settings},
-    slack::Slack,
-    spare::unused,
-    spec::Step,
+    share::{slack::Slack, spare::unused},
 };
 
 /// A look without an answer tells something for this long after it was sent, in
@@ -49,21 +48,6 @@
     pub remaining: u64,
 }
 
-/// A run on a worker that is not wanted there.
-#[derive(Debug, Clone)]
-pub(crate) struct Stray {
-    pub(crate) task: TaskId,
-    pub(crate) run: u32,
-    /// What it takes up.
-    pub(crate) size: Capacity,
-    /// When its stop was sent, if that is unanswered.
-    pub(crate) sent: Option<u64>,
-    /// When its stop was confirmed.
-    pub(crate) halted: Option<u64>,
-    /// No new stop before this time.
-    pub(crate) pause: u64,
-}
-
 /// A worker in one of its lives.
 #[derive(Debug, Clone)]
 pub(crate) struct Worker {
--- a/crates/jobs/src/fit.rs
+++ b/crates/jobs/src/share/fit.rs
@@ -1,6 +1,6 @@
 //! The least squares fit of what filling images take from one serving image.
 
-use crate::{
+use crate::share::{
     learned::Pair,
     sample::{Image, Press, Sample},
 };
--- a/crates/jobs/src/headroom.rs
+++ b/crates/jobs/src/share/headroom.rs
@@ -3,6 +3,10 @@
 //! Headroom is target over tail: above one, users are served in time. It swings with
 //! the load, which all tasks of a step share.
 
+/// Target over tail is kept above this: figures are off by a tenth, and a load that
+/// falls is foreseen for most of a second only. 1.7 gave less worth (a trial).
+pub(crate) const LEAST_HEADROOM: f64 = 1.3;
+
 /// Headroom of a serving task before its first figure.
 const FIRST_HEADROOM: f64 = 2.5;
 
--- a/crates/jobs/src/learned.rs
+++ b/crates/jobs/src/share/learned.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{machine::Machine, sample::Image, times::Guesses};
+use crate::{machine::Machine, order::times::Guesses, share::sample::Image};
 
 /// Pairs that are kept at most, the best known first: with 20 bytes each they fit a row.
 const MOST_PAIRS: usize = 2000;
--- a/crates/jobs/src/pace.rs
+++ b/crates/jobs/src/share/pace.rs
@@ -9,16 +9,14 @@
 
 use crate::{
     action::Action,
-    ids::TaskId,
     machine::Machine,
-    slack::{Filler, Served},
-    task::Stage,
+    model::{ids::TaskId, task::Stage},
+    share::{
+        headroom::LEAST_HEADROOM,
+        slack::{Filler, Served},
+    },
 };
 
-/// Target over tail is kept above this: figures are off by a tenth, and a load that
-/// falls is foreseen for most of a second only. 1.7 gave less worth (a trial).
-pub(crate) const LEAST_HEADROOM: f64 = 1.3;
-
 /// Paces are changed if they differ by as many percent.
 const STEP: u32 = 15;
 
--- a/crates/jobs/src/pairs.rs
+++ b/crates/jobs/src/share/pairs.rs
@@ -17,9 +17,11 @@
 use std::sync::Arc;
 
 use crate::{
-    fit::{FIRST_WEIGHT, Fit},
-    learned::Pair,
-    sample::{Group, Image, Press, Sample},
+    share::{
+        fit::{FIRST_WEIGHT, Fit},
+        learned::Pair,
+        sample::{Group, Image, Press, Sample},
+    },
     sorted::Sorted,
 };
 
--- a/crates/jobs/src/sample.rs
+++ b/crates/jobs/src/share/sample.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::ids::JobId;
+use crate::model::ids::JobId;
 
 /// Number of an image; 0 for none.
 pub(crate) type Image = u16;
--- a/crates/jobs/src/slack.rs
+++ b/crates/jobs/src/share/slack.rs
@@ -1,8 +1,14 @@
 //! What serving tasks on a worker bear besides what fills there.
 
 use crate::{
-    fit::FIRST_WEIGHT, headroom::Headroom, ids::TaskId, machine::Machine, pace::LEAST_HEADROOM,
-    pairs::is_harmful, sample::Image,
+    machine::Machine,
+    model::ids::TaskId,
+    share::{
+        fit::FIRST_WEIGHT,
+        headroom::{Headroom, LEAST_HEADROOM},
+        pairs::is_harmful,
+        sample::Image,
+    },
 };
 
 /// What stands for the excess on a worker on which nothing is disturbed: as good as a
--- a/crates/jobs/src/spare.rs
+++ b/crates/jobs/src/share/spare.rs
@@ -6,7 +6,7 @@
 //! shares too few where it is high. A headroom falls in proportion to the load, so that
 //! what a task leaves is in proportion to its headroom against the mean.
 
-use crate::{machine::Machine, spec::Step};
+use crate::{machine::Machine, model::spec::Step};
 
 /// What serving tasks are thought to use of the processors that they ask for, in
 /// percent, on average. They use about half: what fills is slowed a little at times, but
--- a/crates/jobs/src/watch.rs
+++ b/crates/jobs/src/share/watch.rs
@@ -5,7 +5,7 @@
 use crate::{
     event::Look,
     machine::Machine,
-    sample::{Group, Press},
+    share::sample::{Group, Press},
 };
 
 /// A tail above this share of its target counts as over it: figures are rough.
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -1,6 +1,6 @@
 //! A line a second that tells how full the workers are.
 
-use crate::{machine::Machine, worker::Capacity};
+use crate::{machine::Machine, runs::worker::Capacity};
 
 /// Milliseconds from one line to the next.
 const PERIOD: u64 = 1000;
