Give the owner's messages and a worker's connections files of their own

Change: what other threads tell the deciding one is in inbox.rs, a worker's connections in post.rs, reading the accepted jobs in feed.rs. No behaviour changes.

--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -5,10 +5,10 @@
 use gorsespur_jobs::{Event, Job};
 use gorsespur_runtime::cancel::Cancel;
 
-use super::{load::all_jobs, turn::Input};
+use super::inbox::Input;
 use crate::{
     metrics::Count,
-    rows::{JOBS, JobKey, decode, job_key},
+    rows::{JOBS, JobKey, decode, job_key, job_parts},
     shared::Shared,
     store::{Row, StoreError, read_all},
 };
@@ -68,6 +68,19 @@
     }
 }
 
+/// Reads the rows of all accepted jobs, and the version before the first read.
+pub(crate) fn all_jobs(shared: &Shared) -> Result<(Vec<Row>, u64), StoreError> {
+    let store = &*shared.store;
+    let mut rows = Vec::new();
+    let mut version = None;
+    for part in job_parts() {
+        let page = read_all(store, JOBS, &part)?;
+        version.get_or_insert(page.version);
+        rows.extend(page.rows);
+    }
+    Ok((rows, version.unwrap_or(0)))
+}
+
 fn list_jobs(
     shared: &Shared,
     follow: &mut Follow,
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -12,8 +12,8 @@
 
 use super::{
     Tenure,
+    inbox::{Input, Written},
     pulse::Pulse,
-    turn::{Input, Written},
 };
 use crate::{
     metrics::Count,
--- a/crates/node/src/owner/lines.rs
+++ b/crates/node/src/owner/lines.rs
@@ -11,11 +11,9 @@
 use gorsespur_jobs::{Answer, Started};
 use mio::{Registry, Token};
 
+use super::post::{Call, LINES, Limit, Post, Waiting};
 use crate::{protocol::Order, shared::Shared};
 
-/// Connections to one worker: one for looks, and the others for orders.
-const LINES: usize = 5;
-
 /// Time for an answer beyond what the worker is asked to wait, in milliseconds.
 /// A look may wait longer, since nothing hangs on it alone.
 const LOOK_LIMIT: u64 = 900;
@@ -33,47 +31,6 @@
 /// which a start is allowed for two seconds on the users' smallest bound.
 const START_WAIT: u64 = 500;
 
-/// An order that waits for a connection.
-#[derive(Debug)]
-struct Waiting {
-    order: Order,
-    since: u64,
-}
-
-/// An order on its way.
-#[derive(Debug)]
-struct Call {
-    order: Order,
-    sent: u64,
-    until: u64,
-    /// Whether its time was prolonged after a late wake-up.
-    prolonged: bool,
-}
-
-/// When a call has to be answered. An entry of a call that was answered means nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Limit {
-    until: u64,
-    worker: u32,
-    line: usize,
-}
-
-/// One connection, and what is asked on it.
-#[derive(Debug, Default)]
-struct Line {
-    link: Option<Link>,
-    call: Option<Call>,
-}
-
-/// The connections to one worker.
-#[derive(Debug)]
-struct Post {
-    addr: SocketAddr,
-    id: Arc<str>,
-    lines: [Line; LINES],
-    waiting: VecDeque<Waiting>,
-}
-
 /// The connections to all workers.
 #[derive(Debug)]
 pub(crate) struct Lines {
@@ -125,7 +82,7 @@
         });
         let line = match order {
             Order::Look { .. } => Some(0).filter(|_| post.lines[0].call.is_none()),
-            _ => free_line(post),
+            _ => post.free_line(),
         };
         match line {
             Some(line) => self.call(registry, worker, line, order),
@@ -317,17 +274,6 @@
     }
 }
 
-/// Returns a connection for orders that is free: one that stands, else a new one.
-fn free_line(post: &Post) -> Option<usize> {
-    let free = |l: &usize| post.lines[*l].call.is_none();
-    let open = |l: &usize| post.lines[*l].link.is_some();
-    let found = (1..LINES).filter(free).find(open);
-    // A second connection is worth its price only if the first one is held up.
-    let busy = (1..LINES).filter(|l| !free(l)).count();
-    found
-        .or_else(|| (busy == 0 || post.waiting.len() >= busy * 3).then(|| (1..LINES).find(free))?)
-}
-
 fn name(order: &Order) -> &'static str {
     match order {
         Order::Look { .. } => "look",
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -10,9 +10,9 @@
     feed::{self, Follow},
 };
 use crate::{
-    rows::{JOBS, LEARNED, OWNER, OWNER_PART, RECORDS, decode},
+    rows::{LEARNED, OWNER, OWNER_PART, RECORDS, decode},
     shared::Shared,
-    store::{Row, StoreError, read_all, read_one},
+    store::{StoreError, read_all, read_one},
 };
 
 /// A machine that knows all jobs, and from where on changes are to be followed.
@@ -32,7 +32,7 @@
     }
     let mut records: Sorted<String, Record> = Sorted::default();
     // The jobs first: a record that is newer than its job's row does no harm.
-    let (rows, version) = all_jobs(shared)?;
+    let (rows, version) = feed::all_jobs(shared)?;
     for row in read_all(store, RECORDS, OWNER_PART)?.rows {
         match Record::decode(&row.value) {
             Ok(record) => {
@@ -79,16 +79,3 @@
         }
     }
 }
-
-/// Reads the rows of all accepted jobs, and the version before the first read.
-pub(crate) fn all_jobs(shared: &Shared) -> Result<(Vec<Row>, u64), StoreError> {
-    let store = &*shared.store;
-    let mut rows = Vec::new();
-    let mut version = None;
-    for part in crate::rows::job_parts() {
-        let page = read_all(store, JOBS, &part)?;
-        version.get_or_insert(page.version);
-        rows.extend(page.rows);
-    }
-    Ok((rows, version.unwrap_or(0)))
-}
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -5,11 +5,13 @@
 //! connections that never block. Each has a bounded ring to the last.
 
 mod feed;
+mod inbox;
 mod journal;
 mod lines;
 #[cfg(test)]
 mod lines_tests;
 mod load;
+mod post;
 pub(crate) mod pulse;
 #[cfg(test)]
 mod pulse_tests;
@@ -20,11 +22,7 @@
 use flume::Sender;
 use gorsespur_runtime::cancel::Cancel;
 
-use self::{
-    journal::Entry,
-    load::Loaded,
-    turn::{Inbox, Turn},
-};
+use self::{inbox::Inbox, journal::Entry, load::Loaded, turn::Turn};
 use crate::shared::Shared;
 
 /// Inputs that may wait for the thread that decides.
--- /dev/null
+++ b/crates/node/src/owner/post.rs
@@ -0,0 +1,65 @@
+//! The connections to one worker, and what is asked on them.
+
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
+
+use gorsespur_http::Link;
+
+use crate::protocol::Order;
+
+/// Connections to one worker: one for looks, and the others for orders.
+pub(super) const LINES: usize = 5;
+
+/// An order that waits for a connection.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    pub(super) order: Order,
+    pub(super) since: u64,
+}
+
+/// An order on its way.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) order: Order,
+    pub(super) sent: u64,
+    pub(super) until: u64,
+    /// Whether its time was prolonged after a late wake-up.
+    pub(super) prolonged: bool,
+}
+
+/// When a call has to be answered. An entry of a call that was answered means nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Limit {
+    pub(super) until: u64,
+    pub(super) worker: u32,
+    pub(super) line: usize,
+}
+
+/// One connection, and what is asked on it.
+#[derive(Debug, Default)]
+pub(super) struct Line {
+    pub(super) link: Option<Link>,
+    pub(super) call: Option<Call>,
+}
+
+/// The connections to one worker.
+#[derive(Debug)]
+pub(super) struct Post {
+    pub(super) addr: SocketAddr,
+    pub(super) id: Arc<str>,
+    pub(super) lines: [Line; LINES],
+    pub(super) waiting: VecDeque<Waiting>,
+}
+
+impl Post {
+    /// Returns a connection for orders that is free: one that stands, else a new one.
+    pub(super) fn free_line(&self) -> Option<usize> {
+        let free = |l: &usize| self.lines[*l].call.is_none();
+        let open = |l: &usize| self.lines[*l].link.is_some();
+        let found = (1..LINES).filter(free).find(open);
+        // A second connection is worth its price only if the first one is held up.
+        let busy = (1..LINES).filter(|l| !free(l)).count();
+        found.or_else(|| {
+            (busy == 0 || self.waiting.len() >= busy * 3).then(|| (1..LINES).find(free))?
+        })
+    }
+}
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -2,12 +2,16 @@
 
 use std::{io, sync::Arc, time::Duration};
 
-use flume::{Receiver, Sender};
+use flume::Sender;
 use gorsespur_jobs::{Action, Event, Machine};
 use gorsespur_runtime::{cancel::Cancel, clock::wall_ms};
-use mio::{Events, Poll, Token, Waker};
+use mio::Events;
 
-use super::{RING, journal::Entry, lines::Lines};
+use super::{
+    inbox::{Inbox, Told, WAKE, Written},
+    journal::Entry,
+    lines::Lines,
+};
 use crate::{config::Config, metrics::Count, protocol::Order, rows::encode, shared::Shared};
 
 /// Longest sleep: times run out within this precision.
@@ -24,9 +28,6 @@
 /// process was paused or slowed, or deciding took long. Others come each 25.
 const LATE: u64 = 250;
 
-/// Token of the waker; no connection has it.
-const WAKE: Token = Token(usize::MAX);
-
 /// What lies behind is told this often, in milliseconds.
 const TELL_PERIOD: u64 = 300;
 
@@ -34,81 +35,6 @@
 /// and a row of some 5 KB.
 const LEARNED_PERIOD: u64 = 2000;
 
-/// What other threads tell the one that decides.
-enum Told {
-    Events(Vec<Event>),
-    Durable(Written),
-    Deposed,
-}
-
-/// A write of the journal that is durable.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Written {
-    /// When it was asked for: the lease counts from then.
-    pub(crate) asked: u64,
-    /// Whether it held records.
-    pub(crate) records: bool,
-}
-
-/// The sending end of the ring to the thread that decides.
-#[derive(Clone)]
-pub(crate) struct Input {
-    ring: Sender<Told>,
-    waker: Arc<Waker>,
-}
-
-impl Input {
-    /// Passes events on.
-    pub(crate) fn events(&self, events: Vec<Event>) {
-        if !events.is_empty() {
-            self.tell(Told::Events(events));
-        }
-    }
-
-    /// A write of the journal is durable.
-    pub(crate) fn durable(&self, written: Written) {
-        self.tell(Told::Durable(written));
-    }
-
-    /// The lease is lost.
-    pub(crate) fn deposed(&self) {
-        self.tell(Told::Deposed);
-    }
-
-    fn tell(&self, told: Told) {
-        // The other end is gone only when the tenure is over.
-        let sent = self.ring.send(told).is_ok();
-        if sent && let Err(err) = self.waker.wake() {
-            log::warn!(err = err.to_string().as_str(); "owner: no wake-up");
-        }
-    }
-}
-
-/// Where the thread that decides waits: for connections and for the ring.
-pub(crate) struct Inbox {
-    poll: Poll,
-    input: Input,
-    told: Receiver<Told>,
-}
-
-impl Inbox {
-    /// Makes one.
-    ///
-    /// Errors: the system has no descriptors left.
-    pub(crate) fn new() -> io::Result<Inbox> {
-        let poll = Poll::new()?;
-        let waker = Arc::new(Waker::new(poll.registry(), WAKE)?);
-        let (ring, told) = flume::bounded(RING);
-        let input = Input { ring, waker };
-        Ok(Inbox { poll, input, told })
-    }
-
-    /// Returns the sending end of the ring.
-    pub(crate) fn input(&self) -> Input {
-        self.input.clone()
-    }
-}
-
 /// The state of the thread that decides.
 pub(crate) struct Turn {
     shared: Arc<Shared>,
