Take what ran for accepted, though the logs miss its acceptance

Cause: on a log with cut lines the explanation of a job that ran was that it had been refused 0 times. Change: a job of which a run began or ended counts as accepted from its first line on. Test: explain.rs, what_ran_was_not_refused; it fails without.

--- a/crates/ctl/src/explain/story.rs
+++ b/crates/ctl/src/explain/story.rs
@@ -54,7 +54,7 @@
     pub lines: Vec<Line>,
     /// Its runs.
     pub runs: Vec<Run>,
-    /// When it was accepted.
+    /// When it was accepted, or first heard of if the logs miss that.
     pub accepted: Option<u64>,
     /// Answers that refused it: when, and by which status.
     pub refused: Vec<Refusal>,
@@ -95,10 +95,19 @@
             story.take(line);
             story.lines.push(line.clone());
         }
+        if !story.runs.is_empty() || story.has_ends() {
+            story.accepted = story.accepted.or(Some(first));
+        }
         story.spent = story.account(last);
         story
     }
 
+    /// Tells whether a run of it ended: it was accepted then, though its start may be
+    /// missing.
+    fn has_ends(&self) -> bool {
+        self.lines.iter().any(|l| l.msg == "run: ended")
+    }
+
     fn take(&mut self, line: &Line) {
         if line.err.is_some() {
             self.err = line.err.clone();
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -102,3 +102,13 @@
     let story = Story::of(&book(ACCEPTED), "0000000000000001");
     assert_eq!(Cause::of(&story), Cause::Unknown);
 }
+
+/// Logs are cut at times: what ran was accepted, though no line says so.
+#[test]
+fn what_ran_was_not_refused() {
+    let log = format!(
+        r#"{{"ms":1000,"node":"b","msg":"run: ended","task":"{JOB}.0.0.0","run":1,"worker":"w1","how":"Done"}}
+{{"ms":4000,"node":"b","msg":"jobs: ended","job":"{JOB}","outcome":"Complete"}}"#
+    );
+    assert_eq!(cause(&log), Cause::Waited { ms: 3000 });
+}
