Take a run whose start is missing in the logs from its end

Cause: logs that are cut miss starts; the explanation counted such runs as waiting. Change: an end tells for how long its run was known. Test: explain.rs, what_ran_was_not_refused.

--- a/crates/ctl/src/explain/line.rs
+++ b/crates/ctl/src/explain/line.rs
@@ -29,6 +29,9 @@
     /// How a run ended.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub how: Option<String>,
+    /// For how long a run was known when it ended, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ran_ms: Option<u64>,
     /// Method of a request.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub method: Option<String>,
--- a/crates/ctl/src/explain/story.rs
+++ b/crates/ctl/src/explain/story.rs
@@ -116,7 +116,7 @@
             "front: answered" if line.method.as_deref() == Some("POST") => self.answered(line),
             "jobs: taken up" => self.accepted = self.accepted.or(Some(line.ms)),
             "jobs: ended" => self.outcome = line.outcome.clone(),
-            "start: sent" => self.begun(line),
+            "start: sent" => self.begin(line, line.ms),
             "run: ended" => self.ended(line, line.how.clone()),
             "run: not there" => self.ended(line, Some("Lost".to_owned())),
             "pace: changed" => self.paced(line),
@@ -136,7 +136,7 @@
         }
     }
 
-    fn begun(&mut self, line: &Line) {
+    fn begin(&mut self, line: &Line, begun: u64) {
         let (Some(task), Some(run)) = (&line.task, line.run) else {
             return;
         };
@@ -144,7 +144,7 @@
             task: task.clone(),
             run,
             worker: line.worker.clone().unwrap_or_default(),
-            begun: line.ms,
+            begun,
             ended: None,
             how: None,
             slowed: None,
@@ -165,6 +165,10 @@
 
     fn ended(&mut self, line: &Line, how: Option<String>) {
         let ms = line.ms;
+        if self.open_run(line).is_none() {
+            // The line of its start is missing; the end tells how long ago that was.
+            self.begin(line, ms.saturating_sub(line.ran_ms.unwrap_or(0)));
+        }
         if let Some(run) = self.open_run(line) {
             run.ended = Some(ms);
             run.how = how;
