Hold starts back while they are answered late

Cause: the small twin's owner has a link of 2 Mbit/s, and starts and records ask for more. What is sent beyond that waits in sockets, where nothing sorts it: lasting tasks wait as long as all else (a restart 16 s after a failure), looks behind it are given up, and workers that answer are held for silent. Change: when most of 32 starts are answered later than 300 ms, or not at all, the number of starts that may be under way is halved, down to 16; it grows by an eighth for each 32 answers that are not; from 4,096 on nothing is bounded. Passes that are held back are counted.

--- a/crates/jobs/src/figures.rs
+++ b/crates/jobs/src/figures.rs
@@ -29,6 +29,8 @@
     pub ratings: u64,
     /// Passes that left steps to the next one.
     pub cut: u64,
+    /// Passes that were held back, since starts were answered late.
+    pub held: u64,
     /// Batches that were sent to be committed.
     pub commits: u64,
 }
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -14,6 +14,7 @@
         spec::Job,
     },
     order::times::Guesses,
+    place::window::Window,
     runs::fleet::Fleet,
     settings::Settings,
     share::{pairs::Pairs, sample::Image},
@@ -44,6 +45,8 @@
     pub(crate) pacing: Vec<TaskId>,
     /// Workers of which ends were counted that are not durable yet.
     pub(crate) counted: Vec<u32>,
+    /// How many starts may be under way.
+    pub(crate) window: Window,
     /// Jobs whose records changed.
     pub(crate) dirty: Vec<JobId>,
     pub(crate) fleet: Fleet,
@@ -85,6 +88,7 @@
             stopping: Vec::new(),
             pacing: Vec::new(),
             counted: Vec::new(),
+            window: Window::default(),
             dirty: Vec::new(),
             fleet,
             queues: Vec::new(),
--- a/crates/jobs/src/place/mod.rs
+++ b/crates/jobs/src/place/mod.rs
@@ -15,3 +15,6 @@
 pub(crate) mod request;
 pub(crate) mod room;
 mod tasks;
+pub(crate) mod window;
+#[cfg(test)]
+mod window_tests;
--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -39,6 +39,8 @@
     pub(crate) ratings: usize,
     /// Workers that it may rate.
     budget: usize,
+    /// Starts that may still be placed.
+    pub(crate) starts: usize,
 }
 
 impl Pass {
@@ -52,6 +54,7 @@
             }
         }
         pass.budget = RATINGS.max(STEPS * pass.open.len());
+        pass.starts = usize::MAX;
         pass
     }
 
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -36,7 +36,14 @@
     pub(crate) fn place(&mut self) -> Coverage {
         self.sort_open();
         let mut pass = Pass::begin(&self.fleet, self.now);
+        if let Some(bound) = self.window.bound() {
+            pass.starts = bound.saturating_sub(self.starting());
+        }
         for at in 0..self.open.len() {
+            if pass.starts == 0 {
+                self.figures.held += 1;
+                break;
+            }
             if pass.is_spent() {
                 self.figures.cut += 1;
                 break;
@@ -51,6 +58,17 @@
         }
     }
 
+    /// Returns how many runs are placed and have not been answered for.
+    fn starting(&self) -> usize {
+        let runs = self.fleet.workers.iter().flat_map(|w| &w.runs);
+        let stages = runs.filter_map(|&id| {
+            let run = self.jobs.get(&id.job)?.task(id)?.run.as_ref();
+            run.map(|r| r.stage)
+        });
+        let under_way = stages.filter(|s| matches!(s, Stage::Planned | Stage::Sent(_)));
+        under_way.count()
+    }
+
     fn place_job(&mut self, id: JobId, pass: &mut Pass) {
         let Some(state) = self.jobs.get(&id) else {
             return;
@@ -105,6 +123,9 @@
         let runs = state.map(|j| &j.times[first.time as usize][first.step as usize]);
         let waiting = runs.map_or(Vec::new(), |r| r.waiting(self.now));
         for index in waiting {
+            if pass.starts == 0 {
+                return Placed::Short;
+            }
             let id = TaskId { index, ..first };
             let Some(task) = self.jobs.get(&id.job).and_then(|j| j.task(id)) else {
                 continue;
@@ -117,6 +138,7 @@
             };
             request.starved = false;
             self.plan(id, slot, step, None);
+            pass.starts -= 1;
             pass.note_room(slot, &self.fleet);
         }
         Placed::All
@@ -146,6 +168,7 @@
             return Placed::All;
         }
         let run = tasks.iter().map(|t| t.last).max().unwrap_or(0) + 1;
+        pass.starts = pass.starts.saturating_sub(step.count as usize);
         let mut ranking: Option<Ranking> = None;
         let mut planned = Vec::new();
         for index in 0..step.count {
--- /dev/null
+++ b/crates/jobs/src/place/window.rs
@@ -0,0 +1,66 @@
+//! How many starts may be under way at once.
+//!
+//! The load pattern that this answers: an owner whose link, or whose own processor, is full.
+//! More starts than it carries wait in its sockets, where no order is kept, and behind them
+//! wait the looks that renew leases: workers look silent, and what matters most waits as
+//! long as all else. So once starts are answered late their number is bounded, and what
+//! waits, waits where it is sorted.
+//!
+//! Limits: half of the answers must be late, since a zone of five that is cut off, or one
+//! worker in twenty that answers nobody, tells nothing of the owner.
+
+/// An answer to a start that takes longer is late, in milliseconds: workers answer within
+/// 5, and starts are given up after 700.
+const LATE: u64 = 300;
+
+/// Answers after which the window is set anew.
+const ROUND: u32 = 32;
+
+/// Smallest window: enough for one start to each of a few workers.
+const LEAST: usize = 16;
+
+/// A window of so many bounds nothing.
+const MOST: usize = 4096;
+
+/// It grows by one in so many each round without late answers: slowly enough that the next
+/// round's answers are late before any start is given up.
+const GROWTH: usize = 8;
+
+/// How many starts may be under way at once.
+#[derive(Debug)]
+pub(crate) struct Window {
+    size: usize,
+    answers: u32,
+    late: u32,
+}
+
+impl Default for Window {
+    fn default() -> Window {
+        Window {
+            size: MOST,
+            answers: 0,
+            late: 0,
+        }
+    }
+}
+
+impl Window {
+    /// Returns how many starts may be under way; nothing if there is no bound.
+    pub(crate) fn bound(&self) -> Option<usize> {
+        Some(self.size).filter(|&s| s < MOST)
+    }
+
+    /// Takes note that a start was answered, or given up, after so many milliseconds.
+    pub(crate) fn answered(&mut self, ms: u64) {
+        self.answers += 1;
+        self.late += u32::from(ms > LATE);
+        if self.answers < ROUND {
+            return;
+        }
+        self.size = match self.late * 2 > self.answers {
+            true => (self.size / 2).max(LEAST),
+            false => (self.size + self.size / GROWTH).min(MOST),
+        };
+        (self.answers, self.late) = (0, 0);
+    }
+}
--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -36,6 +36,10 @@
             Started::Fenced => return self.out.push(Action::Depose),
             _ => {}
         }
+        let stage = self.run_on(slot, id, number).map(|r| r.stage);
+        if let Some(Stage::Sent(at)) = stage {
+            self.window.answered(now - at);
+        }
         let Some(run) = self.run_on(slot, id, number) else {
             return;
         };
--- a/crates/jobs/tests/all/behind.rs
+++ b/crates/jobs/tests/all/behind.rs
@@ -201,3 +201,28 @@
     assert_eq!(world.figures().tasks, 0);
     check(&world, 1);
 }
+
+/// A flood of starts on a link that carries fifty a second: what waits, waits where it is
+/// sorted. Lasting tasks come first, leases are renewed, and nothing is given up.
+#[test]
+fn a_full_link_holds_starts_back() {
+    let mut world = world(24, 1);
+    world.link = 20;
+    for id in 1..=100 {
+        world.submit(id, chain(vec![short(20, 400)]));
+    }
+    // The first starts go out before any answer tells of the link.
+    world.run(12_000);
+    let before = world.figures();
+    let lasting = Step {
+        lasting: true,
+        ..short(2, 0)
+    };
+    let id = world.submit(1000, chain(vec![lasting]));
+    world.run(4000);
+    let after = world.figures();
+    assert_eq!(world.outcome(id), Outcome::Active);
+    assert_eq!(after.unclear, before.unclear, "starts are given up");
+    assert_eq!(after.lapsed, 0);
+    check(&world, 1);
+}
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -16,6 +16,9 @@
 /// Milliseconds after which an order without an answer is given up.
 const ORDER_LIMIT: u64 = 700;
 
+/// Milliseconds beyond its wait after which a look without an answer is given up.
+const LOOK_LIMIT: u64 = 900;
+
 /// Milliseconds that a write takes.
 const WRITE: u64 = 10;
 
@@ -59,6 +62,8 @@
     commit: Option<Write>,
     /// Until when it is busy with its last turn.
     busy: u64,
+    /// Until when its link is busy with what was sent.
+    link: u64,
     paused: bool,
     deposed: bool,
 }
@@ -74,6 +79,8 @@
     pub turns: u64,
     /// Share of what has arrived that a turn does not read yet, in percent.
     pub unread: u32,
+    /// Milliseconds that a start takes on an owner's link.
+    pub link: u64,
     /// Whether a new owner is given what the last one learned.
     pub remembers: bool,
     records: BTreeMap<JobId, Vec<u8>>,
@@ -96,6 +103,7 @@
             store_down: false,
             turns: 0,
             unread: 0,
+            link: 0,
             remembers: true,
             records: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -135,6 +143,7 @@
             parcels: Vec::new(),
             commit: None,
             busy: 0,
+            link: 0,
             paused: false,
             deposed: false,
         };
@@ -348,11 +357,17 @@
         };
         let late = self.workers[index].late;
         let is_look = matches!(action, Action::Look { .. });
-        let extra = if is_look { 0 } else { late };
+        let cost = if matches!(action, Action::Start(..)) {
+            self.link
+        } else {
+            0
+        };
+        owner.link = owner.link.max(now) + cost;
+        let extra = if is_look { 0 } else { late } + (owner.link - now);
         let due = now + 2 + extra;
-        if extra > 0 {
+        if extra > limit(&action) {
             let (slot, answer) = silence(&action);
-            let given_up = (now + ORDER_LIMIT, Parcel::Answer(slot, now, answer));
+            let given_up = (now + limit(&action), Parcel::Answer(slot, now, answer));
             owner.parcels.push(given_up);
         }
         owner.parcels.push((due, Parcel::Order(index, action, now)));
@@ -395,7 +410,7 @@
     fn carry_out(&mut self, at: usize, index: usize, action: Action, sent: u64) {
         let now = self.now;
         let fence = self.owners[at].epoch;
-        let late = now > sent + TICK;
+        let late = now > sent + limit(&action);
         let lost = self.rng.random_range(0..100) < self.settings.lost;
         let worker = &mut self.workers[index];
         let reached = worker.alive && !worker.cut;
@@ -465,6 +480,14 @@
     }
 }
 
+/// Milliseconds after which an order is given up.
+fn limit(action: &Action) -> u64 {
+    match action {
+        Action::Look { wait, .. } => wait + LOOK_LIMIT,
+        _ => ORDER_LIMIT,
+    }
+}
+
 /// What the owner is told of an order that gets no answer.
 fn silence(action: &Action) -> (u32, Answer) {
     match action {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -117,6 +117,7 @@
             ("passes", decided.passes),
             ("ratings", decided.ratings),
             ("cut", decided.cut),
+            ("held", decided.held),
             ("commits", decided.commits),
         ];
         for (name, count) in rows {
