Read what has arrived before a blocking call is given up

Cause: the client checked its limit before each read: a process that is paused between its request and the answer found the answer in the socket and gave the call up unread, as the owner's event loop had done. Store calls of a frozen instance then count as unclear. Change: after the limit what has arrived is read, 64 reads of a millisecond at most; a request whose limit is over is not sent. Test: http client_tests.rs, an_answer_that_has_arrived_is_read_after_the_limit; it fails without.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -20,6 +20,13 @@
 /// Bytes that one read takes at most.
 const CHUNK: usize = 16 << 10;
 
+/// Time that a read waits at least: what has arrived is read also after the limit.
+const LEAST: Duration = Duration::from_millis(1);
+
+/// Reads after the limit at most: an answer of 1 MB that had arrived, and no peer that
+/// goes on sending a little for ever.
+const LATE_READS: usize = 64;
+
 /// Calls one address over kept connections; threads share it.
 ///
 /// A connection is dropped after any failure, since an answer that was lost may
@@ -111,11 +118,27 @@
 }
 
 fn exchange(stream: &mut TcpStream, out: &[u8], end: Instant) -> Result<Response, HttpError> {
+    if Instant::now() >= end {
+        return Err(HttpError::Timeout);
+    }
     limit_io(stream, end)?;
     stream.write_all(out).map_err(lost)?;
+    read_response(stream, end)
+}
+
+/// Reads an answer that has to have arrived by `end`.
+///
+/// A process that was paused meanwhile finds it later: what has arrived is read, and only
+/// then is the call given up.
+pub(crate) fn read_response(stream: &mut TcpStream, end: Instant) -> Result<Response, HttpError> {
     let mut buf = Vec::new();
     let mut chunk = vec![0; CHUNK];
+    let mut late = 0;
     loop {
+        late += usize::from(Instant::now() >= end);
+        if late > LATE_READS {
+            return Err(HttpError::Timeout);
+        }
         limit_io(stream, end)?;
         let n = stream.read(&mut chunk).map_err(lost)?;
         if n == 0 {
@@ -129,10 +152,7 @@
 }
 
 fn limit_io(stream: &TcpStream, end: Instant) -> Result<(), HttpError> {
-    let left = end.saturating_duration_since(Instant::now());
-    if left.is_zero() {
-        return Err(HttpError::Timeout);
-    }
+    let left = end.saturating_duration_since(Instant::now()).max(LEAST);
     stream.set_read_timeout(Some(left)).map_err(lost)?;
     stream.set_write_timeout(Some(left)).map_err(lost)
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,8 @@
 //! chunked bodies are refused with an error, never passed on half.
 
 mod client;
+#[cfg(test)]
+mod client_tests;
 mod error;
 mod link;
 mod message;
