--- a/crates/jobs/benches/site.rs
+++ b/crates/jobs/benches/site.rs
@@ -95,28 +95,10 @@
         };
         let queues = vec![policy("fill", 2), policy("last", 0), policy("wide", 0)];
         machine.handle(now, now, Event::Queues(queues));
-        for at in 0..workers {
-            let info = WorkerInfo {
-                id: format!("w{at:04}").into(),
-                addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
-                service: "s".into(),
-                zone: "z".into(),
-                labels: vec!["a".into(), format!("r{}", at / 8).into()],
-                rack: format!("r{}", at / 8).into(),
-                capacity: Capacity {
-                    cpu: 32_000,
-                    memory: 128_000,
-                    gpu: 0,
-                },
-                ready: true,
-                remaining: 0,
-            };
-            machine.handle(now, now, Event::Worker(info));
-        }
         let mut site = Site {
             now,
             machine,
-            workers: (0..workers).map(|_| Worker::default()).collect(),
+            workers: Vec::new(),
             runs: Vec::new(),
             due: BinaryHeap::new(),
             answers: Vec::new(),
@@ -128,6 +110,7 @@
             accepted: Vec::new(),
             records: BTreeMap::new(),
         };
+        site.join(workers);
         // Four tasks of 6.4 cores to a worker of 32.
         for _ in 0..workers * 4 / 24 {
             let image = site.jobs % 16;
@@ -145,6 +128,44 @@
         site
     }
 
+    /// Adds so many empty workers.
+    pub fn join(&mut self, count: u64) {
+        for _ in 0..count {
+            let at = self.workers.len();
+            let info = WorkerInfo {
+                id: format!("w{at:04}").into(),
+                addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
+                service: "s".into(),
+                zone: "z".into(),
+                labels: vec!["a".into(), format!("r{}", at / 8).into()],
+                rack: format!("r{}", at / 8).into(),
+                capacity: Capacity {
+                    cpu: 32_000,
+                    memory: 128_000,
+                    gpu: 0,
+                },
+                ready: true,
+                remaining: 0,
+            };
+            self.workers.push(Worker::default());
+            self.machine.handle(self.now, self.now, Event::Worker(info));
+        }
+    }
+
+    /// Returns how many runs a worker has on average, of those from `first` on.
+    pub fn runs_from(&self, first: usize) -> f64 {
+        let workers = &self.workers[first..];
+        let runs: usize = workers.iter().map(|w| w.runs.len()).sum();
+        runs as f64 / workers.len() as f64
+    }
+
+    /// Returns how many jobs of a queue have not begun.
+    pub fn pending(&self, queue: &str) -> u64 {
+        let pending = self.machine.pending();
+        let found = pending.iter().find(|(q, _)| **q == *queue);
+        found.map_or(0, |(_, count)| *count)
+    }
+
     /// Hands in a job.
     pub fn hand_in(&mut self, steps: Vec<Step>) {
         self.submit("wide", steps);
--- a/crates/jobs/tests/all/load.rs
+++ b/crates/jobs/tests/all/load.rs
@@ -3,7 +3,10 @@
 //! Each is drawn from a seed by a stated law and gives figures; bounds are what the
 //! decisions reach, with room, and do not depend on the machine.
 
-use crate::common::{World, WorldSettings, chain, short};
+use crate::{
+    common::{World, WorldSettings, chain, short},
+    site::Site,
+};
 use gorsespur_jobs::{JobId, Outcome, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
@@ -167,3 +170,33 @@
     assert!(passes <= 55, "{passes} passes");
     assert!(starts >= 350, "{starts} starts");
 }
+
+/// A fifth more workers join empty while twice as much work arrives as can be done: half a
+/// second later each has half as many runs as a worker has on average.
+#[test_case(66)]
+#[test_case(490)]
+#[test_case(1100)]
+fn workers_that_join_take_their_share_at_once(workers: u64) {
+    let mut site = Site::new(workers, 2);
+    site.play(4000);
+    site.join(workers / 5);
+    site.play(500);
+    let (new, all) = (site.runs_from(workers as usize), site.runs_from(0));
+    assert!(new * 2.0 >= all, "{new} runs, {all} on average");
+}
+
+/// Twice as much work arrives for eight seconds as can be done: what waits is the work that
+/// fills, and hardly a short job has to wait for it.
+#[test_case(66)]
+#[test_case(490)]
+#[test_case(1100)]
+fn short_jobs_do_not_wait_behind_what_fills(workers: u64) {
+    let mut site = Site::new(workers, 2);
+    site.play(8000);
+    let (fill, wide) = (site.pending("fill"), site.pending("wide"));
+    assert!(fill >= workers / 20, "{fill} jobs that fill wait");
+    assert!(
+        wide * 20 <= fill,
+        "{wide} short jobs wait, {fill} that fill"
+    );
+}
