Add up out of logs where the time of all jobs went

Change: gorsespur-ctl losses LOG... adds up, by queue and by windows of time, for how long jobs had a run at work, had no owner and waited otherwise (these add up to all of their time), and the length of runs that failed, were stopped or slowed; jobs by the cause that their story ends in. A story's spans serve explain as well. No picture is drawn.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -78,6 +78,14 @@
         /// Logs of the instances, in any order; standard input without one.
         logs: Vec<PathBuf>,
     },
+    /// Show where the time of all jobs went, by queue and over time, out of logs.
+    Losses {
+        /// Logs of the instances, in any order; standard input without one.
+        logs: Vec<PathBuf>,
+        /// Seconds of one row over time.
+        #[arg(long, default_value_t = 2)]
+        window: u64,
+    },
     /// Show instances, shards, workers and what is held up.
     Status,
 }
--- a/crates/ctl/src/explain/book.rs
+++ b/crates/ctl/src/explain/book.rs
@@ -11,7 +11,10 @@
 
 use crate::{
     error::{CtlError, ReadSnafu},
-    explain::Line,
+    explain::{
+        Line,
+        story::{Story, TAKEN},
+    },
 };
 
 /// Lines by time, and what could not be read.
@@ -63,6 +66,38 @@
         Ok(())
     }
 
+    /// Prints how much was read, and what could not be.
+    pub(crate) fn print_size(&self) {
+        println!(
+            "from {} lines of {} instances; {} lines cut or foreign, {} dropped by instances",
+            self.lines.len(),
+            self.nodes().len(),
+            self.foreign,
+            self.dropped
+        );
+    }
+
+    /// Returns the lines that tell of a change of owner.
+    pub(crate) fn takeovers(&self) -> Vec<&Line> {
+        self.lines.iter().filter(|l| l.msg == TAKEN).collect()
+    }
+
+    /// Returns what the logs tell of each job, by its id.
+    pub fn stories(&self) -> Vec<Story> {
+        let mut about: Vec<(&str, &Line)> = Vec::new();
+        for line in &self.lines {
+            about.extend(line.about().map(|job| (job, line)));
+        }
+        about.sort_by_key(|(job, _)| *job);
+        let takeovers = self.takeovers();
+        let mut stories = Vec::new();
+        for job in about.chunk_by(|a, b| a.0 == b.0) {
+            let lines: Vec<&Line> = job.iter().map(|(_, line)| *line).collect();
+            stories.push(Story::told(&lines, &takeovers));
+        }
+        stories
+    }
+
     /// Returns the instances that wrote something, sorted.
     pub fn nodes(&self) -> Vec<Arc<str>> {
         let mut nodes: Vec<Arc<str>> = self.lines.iter().map(|l| l.node.clone()).collect();
--- a/crates/ctl/src/explain/cause.rs
+++ b/crates/ctl/src/explain/cause.rs
@@ -81,6 +81,22 @@
         }
     }
 
+    /// Returns a short name.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Cause::Unknown => "unknown",
+            Cause::Refused { .. } => "refused",
+            Cause::Failed { .. } => "failed",
+            Cause::Cancelled => "cancelled",
+            Cause::NoOwner { .. } => "no owner",
+            Cause::Waited { .. } => "waited",
+            Cause::FailedRuns { .. } => "failed runs",
+            Cause::StoppedRuns { .. } => "stopped runs",
+            Cause::Slowed { .. } => "slowed",
+            Cause::Worked { .. } => "at work",
+        }
+    }
+
     fn failed(story: &Story) -> Cause {
         let failed = |r: &&crate::explain::story::Run| r.how.as_deref() == Some("Failed");
         let count = |task: &str| {
--- a/crates/ctl/src/explain/line.rs
+++ b/crates/ctl/src/explain/line.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Digits of a job's id.
+const DIGITS: usize = 16;
+
 /// One line of a log, with the fields that tell of jobs, runs and owners.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -17,6 +20,9 @@
     /// The job.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub job: Option<String>,
+    /// The queue of a job.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub queue: Option<Arc<str>>,
     /// The task, written `job.time.step.index`.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub task: Option<String>,
@@ -66,8 +72,15 @@
 
     /// Tells whether it is about a job.
     pub fn is_about(&self, job: &str) -> bool {
-        let task = self.task.as_deref().and_then(|t| t.split('.').next());
-        let path = self.path.as_deref().and_then(|p| p.rsplit('/').next());
-        self.job.as_deref() == Some(job) || task == Some(job) || path == Some(job)
+        self.about() == Some(job)
+    }
+
+    /// Returns the job that it is about, if it is about one.
+    pub fn about(&self) -> Option<&str> {
+        let task = || self.task.as_deref()?.split('.').next();
+        let path = || self.path.as_deref()?.rsplit('/').next();
+        let id = self.job.as_deref().or_else(task).or_else(path)?;
+        let digits = id.len() == DIGITS && id.bytes().all(|b| b.is_ascii_hexdigit());
+        digits.then_some(id)
     }
 }
--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -1,4 +1,5 @@
-//! `explain`: from a job's id to why it ended as it did, out of collected logs.
+//! `explain` and `losses`: why one job ended as it did, and where the time of all went,
+//! out of collected logs.
 //!
 //! It reads what `gorsespur` instances wrote to standard output, of as many instances as
 //! were collected, in any order. Times are the instances' times of day: where clocks
@@ -7,9 +8,11 @@
 pub mod book;
 mod cause;
 mod line;
+pub mod losses;
 mod show;
 pub mod story;
 
 pub use cause::Cause;
 pub use line::Line;
+pub(crate) use losses::losses;
 pub(crate) use show::explain;
--- a/crates/ctl/src/explain/show.rs
+++ b/crates/ctl/src/explain/show.rs
@@ -61,13 +61,7 @@
         spent.slowed
     );
     println!("cause: {cause}");
-    println!(
-        "from {} lines of {} instances; {} lines cut or foreign, {} dropped by instances",
-        book.lines.len(),
-        book.nodes().len(),
-        book.foreign,
-        book.dropped
-    );
+    book.print_size();
 }
 
 /// Returns the inputs that a line tells.
--- a/crates/ctl/src/explain/story.rs
+++ b/crates/ctl/src/explain/story.rs
@@ -6,6 +6,9 @@
 
 use crate::explain::{Line, book::Book};
 
+/// An instance has become the owner.
+pub(crate) const TAKEN: &str = "lease: taken";
+
 /// A run of a task.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Run {
@@ -47,6 +50,42 @@
     pub slowed: u64,
 }
 
+impl Spent {
+    /// Adds another job's.
+    pub fn add(&mut self, other: &Spent) {
+        self.all += other.all;
+        self.at_work += other.at_work;
+        self.no_owner += other.no_owner;
+        self.waiting += other.waiting;
+        self.failed += other.failed;
+        self.stopped += other.stopped;
+        self.slowed += other.slowed;
+    }
+}
+
+/// What a job did for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Doing {
+    /// A run was at work.
+    AtWork,
+    /// Nothing ran, and another instance took the lease at the end of that.
+    NoOwner,
+    /// Nothing ran otherwise.
+    Waiting,
+}
+
+/// A while of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Span {
+    /// When it began.
+    pub from: u64,
+    /// When it was over.
+    pub to: u64,
+    /// What the job did.
+    pub doing: Doing,
+}
+
 /// What the logs tell of one job.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Story {
@@ -62,8 +101,12 @@
     pub err: Option<String>,
     /// What became of it; nothing if the logs do not say.
     pub outcome: Option<String>,
+    /// The queue it was handed in to.
+    pub queue: Option<Arc<str>>,
     /// Where its time went.
     pub spent: Spent,
+    /// The same in order; the spans add up to all of its time.
+    pub spans: Vec<Span>,
 }
 
 /// An answer that refused it.
@@ -80,25 +123,28 @@
 impl Story {
     /// Collects what the logs tell of a job.
     pub fn of(book: &Book, job: &str) -> Story {
+        let about: Vec<&Line> = book.lines.iter().filter(|l| l.is_about(job)).collect();
+        Story::told(&about, &book.takeovers())
+    }
+
+    /// Collects what lines about one job tell; `takeovers` are all changes of owner.
+    pub fn told(about: &[&Line], takeovers: &[&Line]) -> Story {
         let mut story = Story::default();
-        let about = |l: &&Line| l.is_about(job);
-        let first = book.lines.iter().find(about).map(|l| l.ms);
-        let last = book.lines.iter().rfind(about).map(|l| l.ms);
-        let (Some(first), Some(last)) = (first, last) else {
+        let (Some(first), Some(last)) = (about.first(), about.last()) else {
             return story;
         };
-        for line in &book.lines {
-            let owner = line.msg == "lease: taken" && (first..=last).contains(&line.ms);
-            if !owner && !line.is_about(job) {
-                continue;
-            }
+        let (first, last) = (first.ms, last.ms);
+        let beside = takeovers.iter().filter(|l| (first..=last).contains(&l.ms));
+        let mut lines: Vec<&Line> = about.iter().chain(beside).copied().collect();
+        lines.sort_by_key(|l| l.ms);
+        for line in lines {
             story.take(line);
             story.lines.push(line.clone());
         }
         if !story.runs.is_empty() || story.has_ends() {
             story.accepted = story.accepted.or(Some(first));
         }
-        story.spent = story.account(last);
+        story.account(last);
         story
     }
 
@@ -114,7 +160,10 @@
         }
         match line.msg.as_str() {
             "front: answered" if line.method.as_deref() == Some("POST") => self.answered(line),
-            "jobs: taken up" => self.accepted = self.accepted.or(Some(line.ms)),
+            "jobs: taken up" => {
+                self.accepted = self.accepted.or(Some(line.ms));
+                self.queue = line.queue.clone();
+            }
             "jobs: ended" => self.outcome = line.outcome.clone(),
             "start: sent" => self.begin(line, line.ms),
             "run: ended" => self.ended(line, line.how.clone()),
@@ -195,49 +244,57 @@
     }
 
     /// Adds up where the time went until `last`.
-    fn account(&self, last: u64) -> Spent {
-        let mut spent = Spent::default();
+    fn account(&mut self, last: u64) {
         let Some(accepted) = self.accepted else {
-            return spent;
+            return;
         };
-        spent.all = last.saturating_sub(accepted);
-        let mut runs: Vec<&Run> = self.runs.iter().collect();
+        let mut runs = self.runs.clone();
         runs.sort_by_key(|r| r.begun);
         let mut busy = accepted;
-        for run in runs {
+        for run in &runs {
             let end = run.ended.unwrap_or(last);
-            if run.begun > busy {
-                self.idle(busy, run.begun, &mut spent);
-                busy = run.begun;
-            }
-            if end > busy {
-                spent.at_work += end - busy;
-                busy = end;
-            }
-            let length = end.saturating_sub(run.begun);
-            match run.how.as_deref() {
-                Some("Failed") => spent.failed += length,
-                Some("Done") | None => {}
-                Some(_) => spent.stopped += length,
-            }
-            spent.slowed += run.slowed_ms + run.slowed.map_or(0, |since| end.saturating_sub(since));
+            self.idle(busy, run.begun);
+            busy = busy.max(run.begun);
+            self.span(busy, end, Doing::AtWork);
+            busy = busy.max(end);
+            self.add_run(run, end);
         }
-        if last > busy {
-            self.idle(busy, last, &mut spent);
+        self.idle(busy, last);
+        self.spent.all = last.saturating_sub(accepted);
+    }
+
+    /// Adds the length of a run to what it came to.
+    fn add_run(&mut self, run: &Run, end: u64) {
+        let length = end.saturating_sub(run.begun);
+        let slowed = run.slowed.map_or(0, |since| end.saturating_sub(since));
+        self.spent.slowed += run.slowed_ms + slowed;
+        match run.how.as_deref() {
+            Some("Failed") => self.spent.failed += length,
+            Some("Done") | None => {}
+            Some(_) => self.spent.stopped += length,
         }
-        spent
     }
 
     /// Counts a time in which nothing ran: until the last change of owner in it there was
     /// none.
-    fn idle(&self, from: u64, to: u64, spent: &mut Spent) {
-        let taken = self.lines.iter().filter(|l| l.msg == "lease: taken");
-        let taken = taken
-            .map(|l| l.ms)
-            .filter(|ms| (from..=to).contains(ms))
-            .max();
+    fn idle(&mut self, from: u64, to: u64) {
+        let taken = self.lines.iter().filter(|l| l.msg == TAKEN).map(|l| l.ms);
+        let taken = taken.filter(|ms| (from..=to).contains(ms)).max();
         let owned = taken.unwrap_or(from);
-        spent.no_owner += owned - from;
-        spent.waiting += to - owned;
+        self.span(from, owned, Doing::NoOwner);
+        self.span(owned, to, Doing::Waiting);
+    }
+
+    fn span(&mut self, from: u64, to: u64, doing: Doing) {
+        if to <= from {
+            return;
+        }
+        self.spans.push(Span { from, to, doing });
+        let sum = match doing {
+            Doing::AtWork => &mut self.spent.at_work,
+            Doing::NoOwner => &mut self.spent.no_owner,
+            Doing::Waiting => &mut self.spent.waiting,
+        };
+        *sum += to - from;
     }
 }
--- a/crates/ctl/src/program.rs
+++ b/crates/ctl/src/program.rs
@@ -15,7 +15,7 @@
     check,
     document::Document,
     error::{CtlError, NoAddressSnafu, SettingsSnafu},
-    explain::explain,
+    explain::{explain, losses},
     history::history,
     show::show,
     status::status,
@@ -46,6 +46,7 @@
         Command::Show { org } => show(&table(&args.platform, &settings)?, org.as_deref(), json),
         Command::History { org } => history(&table(&args.platform, &settings)?, org, json),
         Command::Explain { job, logs } => explain(job, logs, json),
+        Command::Losses { logs, window } => losses(logs, window * 1000, json),
         Command::Status => status(&members(&args.platform, &settings)?, json),
         Command::Apply { file, on, who, why } => {
             let document = Document::read(file)?;
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -1,6 +1,11 @@
 //! What `explain` concludes from logs.
 
-use gorsespur_ctl::explain::{Cause, book::Book, story::Story};
+use gorsespur_ctl::explain::{
+    Cause,
+    book::Book,
+    losses::{by_queue, by_time},
+    story::Story,
+};
 use test_case::test_case;
 
 const JOB: &str = "5c0e7a21d94b36f8";
@@ -114,3 +119,28 @@
     let story = Story::of(&book(&log), JOB);
     assert_eq!(story.runs[0].begun, 0, "{story:?}");
 }
+
+/// Two jobs, of which one waits for an owner: sums by queue and over time add up to the
+/// whole time of the jobs.
+#[test]
+fn losses_add_up() {
+    let other = one_run("", 1500, 2500).replace(JOB, "00000000000000aa");
+    let log = format!("{}\n{other}", one_run(TAKEN, 4000, 5000));
+    let stories = book(&log).stories();
+    assert_eq!(stories.len(), 2);
+    let queues = by_queue(&stories);
+    assert_eq!((queues.len(), queues[0].jobs), (1, 2));
+    let spent = queues[0].spent;
+    assert_eq!(spent.all, 4000 + 1500);
+    assert_eq!(
+        (spent.at_work, spent.no_owner, spent.waiting),
+        (2000, 2900, 600)
+    );
+    for window in [100, 2000, 7000] {
+        let times = by_time(&stories, window);
+        let sum = times.iter().map(|t| t.at_work + t.no_owner + t.waiting);
+        assert_eq!(sum.sum::<u64>(), spent.all, "{window} ms");
+    }
+    assert_eq!(queues[0].causes["no owner"], 1);
+    assert_eq!(queues[0].causes["at work"], 1);
+}
