--- a/crates/ctl/src/explain/cause.rs
+++ b/crates/ctl/src/explain/cause.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::explain::story::Story;
+use crate::explain::story::{Run, Story};
 
 /// Why a job ended as it did, or took as long as it did.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -98,7 +98,7 @@
     }
 
     fn failed(story: &Story) -> Cause {
-        let failed = |r: &&crate::explain::story::Run| r.how.as_deref() == Some("Failed");
+        let failed = |r: &&Run| r.how.as_deref() == Some("Failed");
         let count = |task: &str| {
             story
                 .runs
--- a/crates/ctl/src/explain/losses.rs
+++ b/crates/ctl/src/explain/losses.rs
@@ -1,6 +1,6 @@
 //! Where the time of all jobs went, by queue and over time.
 
-use std::{collections::BTreeMap, path::PathBuf, sync::Arc};
+use std::{path::PathBuf, sync::Arc};
 
 use serde::Serialize;
 use serde_json::json;
@@ -15,6 +15,15 @@
     table_text::TextTable,
 };
 
+/// Jobs whose story ends in one cause.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct CauseCount {
+    /// Short name of the cause.
+    pub cause: &'static str,
+    /// Jobs.
+    pub jobs: u64,
+}
+
 /// Jobs of one queue and what most of their time went to.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct QueueLoss {
@@ -24,8 +33,8 @@
     pub jobs: u64,
     /// Where their time went, in milliseconds, added up.
     pub spent: Spent,
-    /// Jobs by the cause that their story ends in.
-    pub causes: BTreeMap<&'static str, u64>,
+    /// Jobs by the cause that their story ends in, sorted by its name.
+    pub causes: Vec<CauseCount>,
 }
 
 /// What jobs did in one window of time, in milliseconds added up.
@@ -43,33 +52,61 @@
 
 /// Adds up where the time of jobs went, by queue.
 pub fn by_queue(stories: &[Story]) -> Vec<QueueLoss> {
-    let mut rows: BTreeMap<Arc<str>, QueueLoss> = BTreeMap::new();
+    let mut rows: Vec<QueueLoss> = Vec::new();
     for story in stories {
         let queue = story.queue.clone().unwrap_or_default();
-        let row = rows.entry(queue.clone()).or_default();
-        row.queue = queue;
-        row.jobs += 1;
-        row.spent.add(&story.spent);
-        *row.causes.entry(Cause::of(story).name()).or_default() += 1;
+        let at = match rows.binary_search_by(|r| r.queue.cmp(&queue)) {
+            Ok(at) => at,
+            Err(at) => {
+                let row = QueueLoss {
+                    queue,
+                    ..QueueLoss::default()
+                };
+                rows.insert(at, row);
+                at
+            }
+        };
+        rows[at].add(story);
     }
-    rows.into_values().collect()
+    rows
 }
 
 /// Adds up what jobs did, by windows of so many milliseconds.
 pub fn by_time(stories: &[Story], window: u64) -> Vec<WindowLoss> {
-    let mut rows: BTreeMap<u64, WindowLoss> = BTreeMap::new();
+    let mut rows: Vec<WindowLoss> = Vec::new();
     for span in stories.iter().flat_map(|s| &s.spans) {
         let mut from = span.from;
         while from < span.to {
             let start = from - from % window;
             let to = span.to.min(start + window);
-            let row = rows.entry(start).or_default();
-            row.from = start;
-            row.add(&Span { from, to, ..*span });
+            let at = match rows.binary_search_by_key(&start, |r| r.from) {
+                Ok(at) => at,
+                Err(at) => {
+                    let row = WindowLoss {
+                        from: start,
+                        ..WindowLoss::default()
+                    };
+                    rows.insert(at, row);
+                    at
+                }
+            };
+            rows[at].add(&Span { from, to, ..*span });
             from = to;
         }
     }
-    rows.into_values().collect()
+    rows
+}
+
+impl QueueLoss {
+    fn add(&mut self, story: &Story) {
+        self.jobs += 1;
+        self.spent.add(&story.spent);
+        let cause = Cause::of(story).name();
+        match self.causes.binary_search_by(|c| c.cause.cmp(cause)) {
+            Ok(at) => self.causes[at].jobs += 1,
+            Err(at) => self.causes.insert(at, CauseCount { cause, jobs: 1 }),
+        }
+    }
 }
 
 impl WindowLoss {
@@ -124,8 +161,8 @@
     let mut table = TextTable::new(&heading);
     for row in queues {
         let spent = row.spent;
-        let most = row.causes.iter().max_by_key(|(_, count)| **count);
-        let most = most.map_or(String::new(), |(cause, count)| format!("{cause} ({count})"));
+        let most = row.causes.iter().max_by_key(|c| c.jobs);
+        let most = most.map_or(String::new(), |c| format!("{} ({})", c.cause, c.jobs));
         table.row(vec![
             row.queue.to_string(),
             row.jobs.to_string(),
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -141,6 +141,6 @@
         let sum = times.iter().map(|t| t.at_work + t.no_owner + t.waiting);
         assert_eq!(sum.sum::<u64>(), spent.all, "{window} ms");
     }
-    assert_eq!(queues[0].causes["no owner"], 1);
-    assert_eq!(queues[0].causes["at work"], 1);
+    let causes: Vec<_> = queues[0].causes.iter().map(|c| (c.cause, c.jobs)).collect();
+    assert_eq!(causes, [("at work", 1), ("no owner", 1)]);
 }
