Count a job as without an owner for the time of a takeover only

Change: there is no owner from the last renewal of a lease, by its age when taken, to its taking; the rest is waiting. Test: explain.rs, a_takeover_takes_no_more_than_its_time; it fails without.

--- a/crates/ctl/src/explain/line.rs
+++ b/crates/ctl/src/explain/line.rs
@@ -38,6 +38,9 @@
     /// For how long a run was known when it ended, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub ran_ms: Option<u64>,
+    /// For how long the lease had not been renewed when it was taken, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub age_ms: Option<u64>,
     /// Method of a request.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub method: Option<String>,
--- a/crates/ctl/src/explain/story.rs
+++ b/crates/ctl/src/explain/story.rs
@@ -38,7 +38,7 @@
     pub all: u64,
     /// A run was at work.
     pub at_work: u64,
-    /// Nothing ran, and another instance took the lease at the end of that.
+    /// Nothing ran, and the lease was not renewed until another instance took it.
     pub no_owner: u64,
     /// Nothing ran otherwise.
     pub waiting: u64,
@@ -69,7 +69,7 @@
 pub enum Doing {
     /// A run was at work.
     AtWork,
-    /// Nothing ran, and another instance took the lease at the end of that.
+    /// Nothing ran, and the lease was not renewed until another instance took it.
     NoOwner,
     /// Nothing ran otherwise.
     Waiting,
@@ -275,14 +275,20 @@
         }
     }
 
-    /// Counts a time in which nothing ran: until the last change of owner in it there was
-    /// none.
+    /// Counts a time in which nothing ran: there was no owner from the last renewal of a
+    /// lease to its taking.
     fn idle(&mut self, from: u64, to: u64) {
-        let taken = self.lines.iter().filter(|l| l.msg == TAKEN).map(|l| l.ms);
-        let taken = taken.filter(|ms| (from..=to).contains(ms)).max();
-        let owned = taken.unwrap_or(from);
-        self.span(from, owned, Doing::NoOwner);
-        self.span(owned, to, Doing::Waiting);
+        let taken = self.lines.iter().filter(|l| l.msg == TAKEN);
+        let away = taken.map(|l| (l.ms.saturating_sub(l.age_ms.unwrap_or(0)), l.ms));
+        let away: Vec<(u64, u64)> = away.collect();
+        let mut at = from;
+        for (lost, found) in away {
+            let (lost, found) = (lost.clamp(at, to.max(at)), found.clamp(at, to.max(at)));
+            self.span(at, lost, Doing::Waiting);
+            self.span(lost, found, Doing::NoOwner);
+            at = found;
+        }
+        self.span(at, to, Doing::Waiting);
     }
 
     fn span(&mut self, from: u64, to: u64, doing: Doing) {
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -66,7 +66,8 @@
     )
 }
 
-const TAKEN: &str = r#"{"ms":3900,"node":"c","msg":"lease: taken","epoch":2,"from":"b"}"#;
+const TAKEN: &str =
+    r#"{"ms":3900,"node":"c","msg":"lease: taken","epoch":2,"from":"b","age_ms":2900}"#;
 
 #[test_case("", 4000, 5000, Cause::Waited { ms: 3000 }; "for room")]
 #[test_case(TAKEN, 4000, 5000, Cause::NoOwner { ms: 2900 }; "for an owner")]
@@ -144,3 +145,13 @@
     let causes: Vec<_> = queues[0].causes.iter().map(|c| (c.cause, c.jobs)).collect();
     assert_eq!(causes, [("at work", 1), ("no owner", 1)]);
 }
+
+/// A job that waits for half a minute is without an owner for the second of a takeover only.
+#[test]
+fn a_takeover_takes_no_more_than_its_time() {
+    let taken = TAKEN.replace("2900", "1000");
+    let log = one_run(&taken, 30_000, 31_000);
+    assert_eq!(cause(&log), Cause::Waited { ms: 28_000 });
+    let spent = Story::of(&book(&log), JOB).spent;
+    assert_eq!((spent.no_owner, spent.all), (1000, 30_000));
+}
