Ask a silent store again sooner

Change: a write that is sent again while no call of the instance gets an answer is given 700 ms; questions for changes do not wait then, and their answers count as the store's. A store that is slow answers others, and is sent each write once as before.

--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -54,8 +54,9 @@
         let step = match follow.version {
             None => list_jobs(shared, &mut follow, &mut events),
             Some(after) => {
-                let changes = shared.store.changes(JOBS, after, WAIT);
+                let changes = shared.store.changes(JOBS, after, wait(shared));
                 changes.map(|c| {
+                    shared.touched();
                     take_jobs(&c.rows, &mut events);
                     follow.version = Some(c.version);
                 })
@@ -116,8 +117,9 @@
         let step = match follow.version {
             None => list_workers(shared, &mut follow, &mut events),
             Some(after) => {
-                let changes = shared.store.changes(table, after, WAIT);
+                let changes = shared.store.changes(table, after, wait(shared));
                 changes.map(|c| {
+                    shared.touched();
                     take_workers(shared, &mut follow, &c.rows, &mut events);
                     follow.version = Some(c.version);
                 })
@@ -174,6 +176,15 @@
     }
 }
 
+/// Returns how long a question for changes waits: not at all while the store is lost, so
+/// that it is found to answer a second sooner.
+fn wait(shared: &Shared) -> Duration {
+    match shared.store_is_lost() {
+        true => Duration::ZERO,
+        false => WAIT,
+    }
+}
+
 fn failed(shared: &Shared, follow: &mut Follow, err: &StoreError, cancel: &Cancel) {
     shared.metrics.count(Count::StoreErrors);
     log::debug!(err = err.to_string().as_str(); "feed: failed");
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -32,6 +32,11 @@
 /// 700 ms and waits for others.
 const LIMIT: Duration = Duration::from_millis(2500);
 
+/// The same for a write that is sent again while no call to the store is answered: the
+/// store is silent then and not slow, and the sooner it is asked again the sooner it is
+/// found to answer.
+const SILENT_LIMIT: Duration = Duration::from_millis(700);
+
 /// First pause after a failure; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 
@@ -128,7 +133,11 @@
         let mut pause = FIRST_PAUSE;
         let mut failing = false;
         loop {
-            match self.shared.store.commit(&tx, LIMIT) {
+            match self
+                .shared
+                .store
+                .commit(&tx, limit(failing, self.shared.store_is_lost()))
+            {
                 Ok(Commit::Done(version)) => {
                     self.accept(version, failing);
                     break;
@@ -232,3 +241,12 @@
         }
     }
 }
+
+/// Returns the time for an answer to a write, which may be sent again while the store is
+/// lost to all of the instance's calls.
+pub(super) fn limit(again: bool, lost: bool) -> Duration {
+    match again && lost {
+        true => SILENT_LIMIT,
+        false => LIMIT,
+    }
+}
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -7,6 +7,8 @@
 mod feed;
 mod inbox;
 mod journal;
+#[cfg(test)]
+mod journal_tests;
 mod lines;
 #[cfg(test)]
 mod lines_tests;
