Say when a write was asked for as it is, and set no flag twice

Tried and reverted: rating a worker by the pass's list of rooms alone, in place of that list and the worker's own room again. Tests: those of crates/jobs and crates/node pass unchanged.

--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -71,9 +71,7 @@
     /// Adds the repetitions that are due.
     fn release_times(&mut self) {
         let mut left = std::mem::take(&mut self.scheduled);
-        let before = left.len();
         left.retain(|&id| self.release(id));
-        self.moved |= left.len() < before;
         self.scheduled = left;
     }
 
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -122,8 +122,8 @@
 }
 
 impl Journal<'_> {
-    /// Writes one batch and returns when the try that succeeded at the latest was asked
-    /// for; nothing if the lease is lost.
+    /// Writes one batch and returns when it was first asked for; nothing if the lease is
+    /// lost.
     fn append(&mut self, records: Vec<(JobId, Vec<u8>)>, ring: &Receiver<Entry>) -> Option<u64> {
         self.number += 1;
         self.lease.term = self.pulse.term();
