--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -107,7 +107,7 @@
             seen.version = changes.version;
             let row = changes.rows.into_iter().rfind(|r| r.key == OWNER);
             if let Some(row) = row {
-                let lease: LeaseRow = decode("lease", &row.value).unwrap_or_default();
+                let lease = read_lease(shared, Some(&row))?;
                 seen.row = (!row.removed).then_some(row);
                 if lease.epoch != seen.lease.epoch {
                     seen.begun = shared.clock.now();
@@ -147,16 +147,38 @@
     let page = crate::store::read_all(&*shared.store, LEASE, OWNER_PART)?;
     shared.touched();
     let row = page.rows.into_iter().find(|r| r.key == OWNER);
-    let lease = row.as_ref().and_then(|r| decode("lease", &r.value));
+    let lease = read_lease(shared, row.as_ref())?;
     Ok(Seen {
         row,
-        lease: lease.unwrap_or_default(),
+        lease,
         since: shared.clock.now(),
         begun: shared.clock.now(),
         version: page.version,
     })
 }
 
+/// Reads the lease's row; if that can't be read, what the journal's end tells of it.
+///
+/// It is not taken for no lease: epochs would begin anew, and workers refuse lower ones.
+fn read_lease(shared: &Shared, row: Option<&Row>) -> Result<LeaseRow, StoreError> {
+    let Some(row) = row.filter(|r| !r.removed) else {
+        return Ok(LeaseRow::default());
+    };
+    if let Some(lease) = decode("lease", &row.value) {
+        return Ok(lease);
+    }
+    shared.metrics.count(Count::BadRows);
+    let head = read_one(&*shared.store, JOURNAL, OWNER_PART, HEAD)?;
+    let head: Option<HeadRow> = head.and_then(|r| decode("head", &r.value));
+    let head = head.ok_or_else(|| StoreError::Malformed {
+        reason: "lease and journal's end".into(),
+    })?;
+    Ok(LeaseRow {
+        epoch: head.epoch,
+        ..LeaseRow::default()
+    })
+}
+
 /// Tries to become the owner; nothing if another was faster.
 fn claim(shared: &Arc<Shared>, seen: &Seen) -> Result<Option<Tenure>, StoreError> {
     let version = seen.row.as_ref().map_or(0, |r| r.version);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,10 +36,12 @@
     StoreErrors,
     /// Wake-ups of the owner that came late.
     LateTurns,
+    /// Rows that could not be read.
+    BadRows,
 }
 
 /// Names of the counters, in the order of [`Count`].
-const NAMES: [&str; 8] = [
+const NAMES: [&str; 9] = [
     "accepted",
     "refused",
     "unclear",
@@ -48,6 +50,7 @@
     "takeovers",
     "store_errors",
     "late_turns",
+    "bad_rows",
 ];
 
 /// Counters and histograms of one process.
--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -192,7 +192,10 @@
                 events.push(Event::Worker(info));
             }
             Err(err) => {
-                log::warn!(worker = row.key.as_str(), err = err.to_string().as_str(); "worker: can't be read")
+                shared.metrics.count(Count::BadRows);
+                log::warn!(worker = row.key.as_str(), err = err.to_string().as_str(); "worker: can't be read");
+                // Nothing begins there any more; what runs there is asked after as before.
+                events.push(Event::Unlisted(row.key.as_str().into()));
             }
         }
         if let Err(at) = at {
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -10,6 +10,7 @@
     feed::{self, Follow},
 };
 use crate::{
+    metrics::Count,
     rows::{LEARNED, OWNER, OWNER_PART, RECORDS, decode},
     shared::Shared,
     store::{StoreError, read_all, read_one},
@@ -31,18 +32,23 @@
         machine.recall(&learned);
     }
     let mut records: Sorted<String, Record> = Sorted::default();
+    let mut unknown: Vec<String> = Vec::new();
     // The jobs first: a record that is newer than its job's row does no harm.
-    let (rows, version) = feed::all_jobs(shared)?;
+    let (mut rows, version) = feed::all_jobs(shared)?;
     for row in read_all(store, RECORDS, OWNER_PART)?.rows {
         match Record::decode(&row.value) {
             Ok(record) => {
                 records.insert(row.key, record);
             }
             Err(err) => {
-                log::error!(key = row.key.as_str(), err = err.to_string().as_str(); "owner: record can't be read")
+                shared.metrics.count(Count::BadRows);
+                log::error!(key = row.key.as_str(), err = err.to_string().as_str(); "owner: record can't be read, its job is left alone");
+                unknown.push(row.key);
             }
         }
     }
+    // What has run of such a job is not known: begun anew it might run twice.
+    rows.retain(|r| !unknown.contains(&r.key));
     for row in &rows {
         let Some(record) = records.get(&row.key) else {
             continue;
