Place nothing in a zone that an operator evacuates

Change: every instance follows the rows op/evacuate/ZONE with the configuration; an owner reads them anew before it begins; workers of such a zone are closed to placement until the row is gone, what runs there goes on. A row that can't be read, or names a zone that nobody knows, is logged and harms nothing. The product's own interface does not know evacuations yet.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -141,6 +141,8 @@
         /// When they were asked for, on the own steady clock in milliseconds.
         asked: u64,
     },
+    /// The availability zones whose workers get nothing new, whole, sorted.
+    Evacuated(Arc<[Arc<str>]>),
     /// The configuration of the queues, whole, sorted by name.
     Queues(Vec<QueuePolicy>),
     /// A worker answered something that was sent at `sent`, or did not.
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -141,6 +141,10 @@
             Event::Accepted(job) => self.accepted(job),
             Event::Cancelled(job) => self.cancelled(job),
             Event::Worker(info) => self.moved |= self.fleet.announce(info, self.now),
+            Event::Evacuated(zones) => {
+                self.fleet.evacuate(zones);
+                self.moved = true;
+            }
             Event::Current { asked } => self.fleet.note_current(asked),
             Event::Unlisted(id) => self.fleet.unlist(&id),
             Event::Queues(queues) => {
--- a/crates/jobs/src/runs/fleet.rs
+++ b/crates/jobs/src/runs/fleet.rs
@@ -22,6 +22,8 @@
     services: Vec<Arc<str>>,
     /// When the announcements were asked for that are all known.
     current: u64,
+    /// Availability zones whose workers get nothing new, sorted.
+    evacuated: Arc<[Arc<str>]>,
 }
 
 impl Fleet {
@@ -35,6 +37,7 @@
             timers: BinaryHeap::new(),
             services: Vec::new(),
             current: 0,
+            evacuated: Arc::default(),
         }
     }
 
@@ -71,9 +74,24 @@
         }
         worker.listed = true;
         worker.info = Some(info);
+        let evacuated = self.is_evacuated(slot);
+        self.get_mut(slot).evacuated = evacuated;
         true
     }
 
+    /// Takes over which availability zones get nothing new.
+    pub(crate) fn evacuate(&mut self, zones: Arc<[Arc<str>]>) {
+        self.evacuated = zones;
+        for slot in 0..self.workers.len() as u32 {
+            self.workers[slot as usize].evacuated = self.is_evacuated(slot);
+        }
+    }
+
+    fn is_evacuated(&self, slot: u32) -> bool {
+        let info = self.get(slot).info.as_ref();
+        info.is_some_and(|i| self.evacuated.binary_search(&i.zone).is_ok())
+    }
+
     /// Takes note that all announcements of a time are known.
     pub(crate) fn note_current(&mut self, asked: u64) {
         self.current = self.current.max(asked);
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -57,6 +57,8 @@
     pub(crate) info: Option<WorkerInfo>,
     /// Whether its announcement is still there.
     pub(crate) listed: bool,
+    /// Whether its availability zone is evacuated: it gets nothing new.
+    pub(crate) evacuated: bool,
     /// Whether its life has ended.
     pub(crate) dead: bool,
     /// Whether it is among those that changed.
@@ -127,6 +129,7 @@
             id,
             info: None,
             listed: false,
+            evacuated: false,
             dead: false,
             touched: false,
             clock: None,
@@ -174,7 +177,7 @@
     /// Tells whether new runs may be placed here.
     pub(crate) fn is_open(&self, now: u64) -> bool {
         let ready = self.info.as_ref().is_some_and(|i| i.ready);
-        ready && self.is_live() && self.closed <= now
+        ready && !self.evacuated && self.is_live() && self.closed <= now
     }
 
     /// Tells whether it is listed and answers.
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -22,6 +22,13 @@
 /// Milliseconds that a write takes.
 const WRITE: u64 = 10;
 
+/// Availability zones, to which workers belong in turn.
+pub const ZONES: usize = 2;
+
+/// Milliseconds after the request from which on no start reaches an evacuated zone, as the
+/// users have it: an owner may be paused, and one that was sent before is on its way.
+const EVACUATED: u64 = 5000;
+
 /// Sizes of the world.
 #[derive(Debug, Clone, Copy)]
 pub struct WorldSettings {
@@ -88,6 +95,8 @@
     records: BTreeMap<JobId, Vec<u8>>,
     jobs: BTreeMap<JobId, Arc<Job>>,
     cancelled: Vec<JobId>,
+    /// Zones that are evacuated, sorted, and since when.
+    evacuated: BTreeMap<Arc<str>, u64>,
     owners: Vec<Owner>,
     epoch: u64,
     renewed: u64,
@@ -111,6 +120,7 @@
             records: BTreeMap::new(),
             jobs: BTreeMap::new(),
             cancelled: Vec::new(),
+            evacuated: BTreeMap::new(),
             owners: Vec::new(),
             epoch: 0,
             renewed: now,
@@ -166,6 +176,10 @@
                 .machine
                 .handle(self.now, self.now, Event::Accepted(job.clone()));
         }
+        let zones: Vec<Arc<str>> = self.evacuated.keys().cloned().collect();
+        owner
+            .machine
+            .handle(self.now, self.now, Event::Evacuated(zones.into()));
         for &id in &self.cancelled {
             owner
                 .machine
@@ -200,7 +214,7 @@
             id: worker.id.clone(),
             addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
             service: "s".into(),
-            zone: "z".into(),
+            zone: World::zone(at),
             labels: vec!["a".into(), format!("r{}", at / 2).into()],
             rack: format!("r{}", at / 2).into(),
             capacity: Capacity {
@@ -234,6 +248,22 @@
         id
     }
 
+    /// The zone that a worker belongs to.
+    pub fn zone(at: usize) -> Arc<str> {
+        format!("z{}", at % ZONES).into()
+    }
+
+    /// An operator asks for exactly these zones to be evacuated.
+    pub fn evacuate(&mut self, zones: &[Arc<str>]) {
+        let now = self.now;
+        self.evacuated.retain(|z, _| zones.contains(z));
+        for zone in zones {
+            self.evacuated.entry(zone.clone()).or_insert(now);
+        }
+        let zones: Vec<Arc<str>> = self.evacuated.keys().cloned().collect();
+        self.tell(Event::Evacuated(zones.into()));
+    }
+
     pub fn cancel(&mut self, id: JobId) {
         self.cancelled.push(id);
         self.tell(Event::Cancelled(id));
@@ -443,6 +473,12 @@
                     let before = worker.runs.len();
                     started = worker.start(now, fence, order);
                     if worker.runs.len() > before {
+                        let since = self.evacuated.get(&World::zone(index));
+                        if worker.late == 0 && since.is_some_and(|&at| now > at + EVACUATED) {
+                            let wrong =
+                                format!("{now}: {} begins in an evacuated zone", order.task);
+                            self.judge.wrong.push(wrong);
+                        }
                         let attempts = self.settings.attempts;
                         self.judge.begun(now, order.task, attempts, &order.spec);
                         self.judge.told(now, order.task);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -71,13 +71,18 @@
     }
 }
 
-fn refresh_at(shared: &Shared) -> Result<u64, StoreError> {
+/// Reads the configuration and the evacuated zones, whole; returns the store's version.
+pub(crate) fn refresh_at(shared: &Shared) -> Result<u64, StoreError> {
     let (table, _) = shared.protocol.config_row();
     let page = crate::store::read_all(&*shared.store, table, "")?;
     shared.touched();
     for row in &page.rows {
         take(shared, row);
     }
+    let asked = page.rows.iter().filter_map(|r| evacuation(shared, r));
+    let mut zones: Vec<Arc<str>> = asked.collect();
+    zones.sort();
+    shared.evacuate(page.version, |known| *known = zones);
     Ok(page.version)
 }
 
@@ -87,5 +92,31 @@
     for row in &changes.rows {
         take(shared, row);
     }
+    shared.evacuate(changes.version, |known| {
+        for row in &changes.rows {
+            let Some(zone) = evacuation(shared, row) else {
+                continue;
+            };
+            match (known.binary_search(&zone), row.removed) {
+                (Err(at), false) => known.insert(at, zone),
+                (Ok(at), true) => {
+                    known.remove(at);
+                }
+                _ => {}
+            }
+        }
+    });
     Ok(changes.version)
 }
+
+/// Returns the zone that a row asks to be evacuated; one that can't be read asks for nothing.
+fn evacuation(shared: &Shared, row: &Row) -> Option<Arc<str>> {
+    match shared.protocol.evacuation(row) {
+        Ok(zone) => zone,
+        Err(err) => {
+            shared.metrics.count(Count::BadRows);
+            log::warn!(key = row.key.as_str(), err = err.to_string().as_str(); "zones: evacuation can't be read");
+            None
+        }
+    }
+}
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -10,6 +10,7 @@
     feed::{self, Follow},
 };
 use crate::{
+    follow::refresh_at,
     metrics::Count,
     rows::{LEARNED, OWNER, OWNER_PART, RECORDS, decode},
     shared::Shared,
@@ -64,6 +65,9 @@
     if let Some(config) = shared.config() {
         events.push(Event::Queues(config.policies()));
     }
+    // What this instance followed so far may be old: it may have been cut off.
+    refresh_at(shared)?;
+    events.push(Event::Evacuated(shared.evacuated()));
     feed::list_workers(shared, &mut workers, &mut events)?;
     for event in events {
         machine.handle(shared.clock.now(), wall_ms(), event);
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -42,6 +42,7 @@
     lines: Lines,
     inbox: Inbox,
     config: Option<Arc<Config>>,
+    evacuated: Arc<[Arc<str>]>,
     tell_at: u64,
     /// When what was learned is kept next.
     keep_at: u64,
@@ -70,6 +71,7 @@
             lines: Lines::new(shared, epoch),
             inbox,
             config: None,
+            evacuated: shared.evacuated(),
             tell_at: 0,
             keep_at: shared.clock.now() + LEARNED_PERIOD,
             woke: shared.clock.now(),
@@ -149,6 +151,7 @@
         }
         self.take_told(now);
         self.take_config(now);
+        self.take_evacuated(now);
         // Sending may fail at once, which is an answer again.
         loop {
             for (worker, sent, answer) in self.lines.take_answers() {
@@ -220,6 +223,16 @@
         self.config = config;
     }
 
+    fn take_evacuated(&mut self, now: u64) {
+        let zones = self.shared.evacuated();
+        if zones == self.evacuated {
+            return;
+        }
+        let event = Event::Evacuated(zones.clone());
+        self.machine.handle(now, wall_ms(), event);
+        self.evacuated = zones;
+    }
+
     fn act(&mut self, action: Action, journal: &Sender<Entry>) {
         if self.over {
             return;
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -47,6 +47,10 @@
     /// Table and key of the configuration's row.
     fn config_row(&self) -> (&'static str, &'static str);
 
+    /// Returns the availability zone that a row of the configuration's table asks to be
+    /// evacuated; nothing if it is about something else. Only the key of a removed row counts.
+    fn evacuation(&self, row: &Row) -> Result<Option<Arc<str>>, ProtocolError>;
+
     /// Table in which workers announce themselves.
     fn workers_table(&self) -> &'static str;
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -36,6 +36,15 @@
     }
 }
 
+/// Which availability zones are evacuated.
+#[derive(Debug, Default)]
+struct Evacuated {
+    /// The store's version up to which changes are known.
+    version: u64,
+    /// Their names, sorted.
+    zones: Arc<[Arc<str>]>,
+}
+
 /// What the threads of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: NodeSettings,
@@ -44,6 +53,7 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     config: Mutex<Option<Arc<Config>>>,
+    evacuated: Mutex<Evacuated>,
     /// When the store last answered, in milliseconds.
     contact: AtomicU64,
     /// When a call to the store last got no answer, in milliseconds.
@@ -75,6 +85,7 @@
             clock: Clock::new(),
             metrics: Metrics::default(),
             config: Mutex::new(None),
+            evacuated: Mutex::default(),
             contact: AtomicU64::new(0),
             lost: AtomicU64::new(0),
             trying: AtomicBool::new(false),
@@ -98,6 +109,31 @@
         *config = Some(Arc::new(new));
     }
 
+    /// Returns the availability zones that are evacuated, sorted.
+    pub(crate) fn evacuated(&self) -> Arc<[Arc<str>]> {
+        let known = self.evacuated.lock();
+        known.unwrap_or_else(PoisonError::into_inner).zones.clone()
+    }
+
+    /// Takes over which zones are evacuated, as of a version of the store.
+    ///
+    /// Two threads read them: what is older than what is known changes nothing.
+    pub(crate) fn evacuate(&self, version: u64, change: impl FnOnce(&mut Vec<Arc<str>>)) {
+        let known = self.evacuated.lock();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        if version < known.version {
+            return;
+        }
+        known.version = version;
+        let mut zones = known.zones.to_vec();
+        change(&mut zones);
+        if *zones == *known.zones {
+            return;
+        }
+        log::info!(version, zones = zones.join(",").as_str(); "zones: evacuated");
+        known.zones = zones.into();
+    }
+
     /// Takes note that the store answered.
     pub(crate) fn touched(&self) {
         self.contact.store(self.clock.now(), Ordering::Relaxed);
