--- a/crates/node/src/owner/lines_tests.rs
+++ b/crates/node/src/owner/lines_tests.rs
@@ -63,6 +63,10 @@
         ("t", "k")
     }
 
+    fn evacuation(&self, _: &Row) -> Result<Option<Arc<str>>, ProtocolError> {
+        unread()
+    }
+
     fn workers_table(&self) -> &'static str {
         "w"
     }
