--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -21,7 +21,7 @@
 ///
 /// Not while the fleet is crowded: then most jobs wait for as long, and with a task of each
 /// beyond its share all are slowed (filling jobs earned 0.60 of their worth so on 350 full
-/// workers, KKK without, 15 days with trouble).
+/// workers, 0.65 without that, 15 days with trouble).
 const STARVED: u64 = 1500;
 
 /// A task does not go back to the worker that it failed on for this long, and not
