Slow nothing that is thought harmless before it is stopped

Cause: what fills beside a tail over its target was slowed to 30% after 1.2 s whatever is known of it, 0.6 s before all is stopped: a slowed run counts as one to be moved.

--- a/crates/jobs/src/share/pace.rs
+++ b/crates/jobs/src/share/pace.rs
@@ -30,15 +30,14 @@
 /// ... to this pace in percent ...
 const SLOW_PACE: u32 = 30;
 
-/// ... for this long slows all that fills, whatever is known of it ...
-const SLOW_ALL: u64 = 1200;
-
 /// ... for this long stops what disturbs it ...
 const STOP_AFTER: u64 = 1500;
 
-/// ... and for this long stops all that fills. A figure tells of the last half second
-/// and comes each second, a pace takes effect within half a second more, and the users
-/// count 4 s as harm.
+/// ... and for this long stops all that fills, whatever is known of it. A figure tells of the
+/// last half second and comes each second, a pace takes effect within half a second more, and
+/// the users count 4 s as harm. To slow it before that, after 1.2 s, gained the serving tasks
+/// nothing and cost what fills 0.02 of its worth (0.70 to 0.72, 15 days with trouble on 350 full
+/// workers).
 const STOP_ALL: u64 = 1800;
 
 /// A task that was slowed for this long moves to another worker, in milliseconds: soon, since
@@ -61,7 +60,6 @@
         };
         let others = match self.over {
             t if t > STOP_ALL => 0,
-            t if t > SLOW_ALL => SLOW_PACE,
             _ => 100,
         };
         (harmful, others)
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -228,8 +228,9 @@
 }
 
 /// Returns for how much of 30 s something fills at all beside a serving task whose tail
-/// goes through these percents of its target, one each half second.
-fn filled_beside(tails: &[u64]) -> f64 {
+/// goes through these percents of its target, one each half second, and the mean pace in
+/// percent of what is known to be harmless then.
+fn filled_beside(tails: &[u64]) -> (f64, f64) {
     let mut world = World::new(WorldSettings {
         workers: 1,
         ..WorldSettings::default()
@@ -244,7 +245,7 @@
     world.submit(1, chain(vec![serve]));
     world.workers[0].tails = tails.to_vec();
     world.run(3000);
-    let mut filled = 0;
+    let (mut filled, mut runs_seen, mut paces) = (0, 0, 0);
     for step in 0..600 {
         if step % 20 == 0 {
             let images = ["light", "thin", "small", "soft"];
@@ -254,8 +255,16 @@
         world.run(50);
         let runs = &world.workers[0].runs;
         filled += u32::from(runs.iter().any(|r| r.fill && r.pace > 0));
+        if step < 200 {
+            continue;
+        }
+        for run in runs.iter().filter(|r| r.fill) {
+            runs_seen += 1;
+            paces += run.pace;
+        }
     }
-    f64::from(filled) / 600.0
+    let pace = f64::from(paces) / f64::from(runs_seen.max(1));
+    (f64::from(filled) / 600.0, pace)
 }
 
 /// At the peak of a load a tail is at four fifths of its target, and figures are rough: what
@@ -263,10 +272,17 @@
 #[test_case(&[80, 92, 79, 81, 80, 82]; "close to the target once")]
 #[test_case(&[80, 105, 79, 81, 80, 82, 78, 80, 81, 79]; "above it once")]
 fn one_high_figure_halts_nothing(tails: &[u64]) {
-    let filled = filled_beside(tails);
+    let (filled, _) = filled_beside(tails);
     assert!(filled > 0.9, "for {filled} of the time");
 }
 
+/// A tail is over its target for two seconds now and then, whatever fills beside it.
+#[test]
+fn what_is_harmless_works_on_through_a_short_peak() {
+    let (_, pace) = filled_beside(&[80, 80, 80, 80, 105, 105, 105, 105, 105]);
+    assert!(pace > 99.0, "at {pace}%");
+}
+
 /// Three times as many tasks fill as there are processors for, of jobs that wait for long:
 /// none goes beyond its share, by which it would only slow the others.
 #[test]
