Write no name twice in a log line, so that callers' lines can be read

Change: those durations are took_ms and late_ms; a line's own field may not take the name of one that every line has; a doubled comment in task.rs is gone.

--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -109,7 +109,6 @@
     pub(crate) done: bool,
     /// Number of the last run; 0 before the first.
     pub(crate) last: u32,
-    /// The run that may be there.
     /// The run that may be there; apart, since most tasks of waiting jobs have none.
     pub(crate) run: Option<Box<Run>>,
     /// Numbers of the runs that failed.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -68,7 +68,7 @@
             Some(_) => self.route(&request, start),
             None => self.refuse(),
         };
-        log::info!(method = request.method.name(), path = request.path.as_str(), status = response.status, ms = self.shared.clock.now() - start; "front: answered");
+        log::info!(method = request.method.name(), path = request.path.as_str(), status = response.status, took_ms = self.shared.clock.now() - start; "front: answered");
         Some(response)
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,8 @@
 mod front;
 mod lease;
 pub mod logging;
+#[cfg(test)]
+mod logging_tests;
 mod metrics;
 mod owner;
 mod program;
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -53,9 +53,25 @@
 
 /// Writes a line's fields as members of a JSON object, without a tree in between: an
 /// owner writes thousands of lines a second.
-struct Fields(String);
+pub(crate) struct Fields(String);
 
 impl Fields {
+    /// Begins a line with what every line has.
+    pub(crate) fn begin(ms: u64, level: &str, node: &str, msg: &str) -> Fields {
+        let mut fields = Fields(String::with_capacity(LINE));
+        fields.plain("ms", ms);
+        fields.text("level", level);
+        fields.text("node", node);
+        fields.text("msg", msg);
+        fields
+    }
+
+    /// Returns the whole line.
+    pub(crate) fn end(mut self) -> String {
+        self.0.push('}');
+        self.0
+    }
+
     fn text(&mut self, key: &str, value: &str) {
         self.key(key);
         self.quote(value);
@@ -86,7 +102,7 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let key = key.as_str();
+        let key = own_key(key.as_str());
         if let Some(n) = value.to_u64() {
             self.plain(key, n);
         } else if let Some(b) = value.to_bool() {
@@ -100,6 +116,18 @@
     }
 }
 
+/// Returns the name of a line's own field: none of those that every line has, since an object
+/// with one name twice can't be read.
+fn own_key(key: &str) -> &str {
+    match key {
+        "ms" => "took_ms",
+        "level" => "own_level",
+        "node" => "own_node",
+        "msg" => "own_msg",
+        _ => key,
+    }
+}
+
 /// Starts logging at `level` for the instance `name`.
 ///
 /// Errors: a logger was installed before, or no thread can be started.
@@ -119,16 +147,12 @@
     let dispatch = fern::Dispatch::new()
         .level(level)
         .format(move |out, message, record| {
-            let mut fields = Fields(String::with_capacity(LINE));
-            fields.plain("ms", wall_ms());
-            fields.text("level", record.level().as_str());
-            fields.text("node", &name);
-            fields.text("msg", &message.to_string());
+            let level = record.level().as_str();
+            let mut fields = Fields::begin(wall_ms(), level, &name, &message.to_string());
             if record.key_values().visit(&mut fields).is_err() {
                 fields.text("fields", "unreadable");
             }
-            fields.0.push('}');
-            out.finish(format_args!("{}", fields.0));
+            out.finish(format_args!("{}", fields.end()));
         })
         .chain(Box::new(ring) as Box<dyn Write + Send>);
     dispatch.apply().map_err(io::Error::other)
--- a/crates/node/src/owner/lines.rs
+++ b/crates/node/src/owner/lines.rs
@@ -267,7 +267,7 @@
             return;
         };
         if let Err(err) = &result {
-            log::info!(worker = &*post.id, order = name(&call.order), err = err.to_string().as_str(), ms = self.shared.clock.now() - call.sent; "order: no answer");
+            log::info!(worker = &*post.id, order = name(&call.order), err = err.to_string().as_str(), took_ms = self.shared.clock.now() - call.sent; "order: no answer");
         }
         let answer = self.shared.protocol.answer(&call.order, result);
         self.answers.push((worker, call.sent, answer));
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -93,7 +93,7 @@
     match load::load(shared, tenure) {
         Ok(loaded) => {
             let open = loaded.machine.figures().open;
-            log::info!(epoch = tenure.epoch, open, ms = shared.clock.now() - start; "owner: begins");
+            log::info!(epoch = tenure.epoch, open, took_ms = shared.clock.now() - start; "owner: begins");
             Some(loaded)
         }
         Err(err) => {
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -134,7 +134,7 @@
         let late = since >= LATE;
         if late {
             self.shared.metrics.count(Count::LateTurns);
-            log::warn!(ms = since, told = self.inbox.told.len(); "owner: late");
+            log::warn!(late_ms = since, told = self.inbox.told.len(); "owner: late");
         }
         Wake {
             at,
