Take no job or record for ours that no instance would have written

Cause: a record that can be read but names a step that its job does not have stopped the thread that decides (index out of bounds, in a test), on every instance that took over; a job's row may name any number of tasks, or be another job's. Change: such a record's job is left alone, such a job is none; both are logged and counted. Tests: jobs_and_records_that_cannot_be_ours_stop_nobody (panics without the change); broken_rows_of_workers_are_read_or_refused (20,000 rows with bytes turned at random, seeded).

--- a/crates/jobs/src/model/record.rs
+++ b/crates/jobs/src/model/record.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use crate::model::spec::Spec;
+
 /// Why a record can't be used.
 #[derive(Debug, Snafu)]
 pub enum RecordError {
@@ -76,6 +78,18 @@
         rmp_serde::to_vec(self).unwrap_or_default()
     }
 
+    /// Tells whether it can be one of a job with this spec: somebody else may have written it.
+    pub fn fits(&self, spec: &Spec) -> bool {
+        let count = |time: u32, step: u32| {
+            let step = spec.steps.get(step as usize);
+            step.filter(|_| time < spec.repetitions()).map(|s| s.count)
+        };
+        let mut steps = self.steps.iter();
+        let mut tasks = self.tasks.iter();
+        steps.all(|&(time, step)| count(time, step).is_some())
+            && tasks.all(|t| count(t.at.0, t.at.1).is_some_and(|c| t.at.2 < c))
+    }
+
     /// Reads a record.
     pub fn decode(bytes: &[u8]) -> Result<Record, RecordError> {
         rmp_serde::from_slice(bytes).context(DecodeSnafu)
--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -58,7 +58,7 @@
                 let changes = shared.store.changes(JOBS, after, wait(shared));
                 changes.map(|c| {
                     shared.touched();
-                    take_jobs(&c.rows, &mut events);
+                    take_jobs(shared, &c.rows, &mut events);
                     follow.version = Some(c.version);
                 })
             }
@@ -89,18 +89,30 @@
     events: &mut Vec<Event>,
 ) -> Result<(), StoreError> {
     let (rows, version) = all_jobs(shared)?;
-    take_jobs(&rows, events);
+    take_jobs(shared, &rows, events);
     follow.version = Some(version);
     Ok(())
 }
 
+/// Reads the row of an accepted job. One that no instance would have written is no job:
+/// somebody else's row may name any number of tasks.
+pub(crate) fn read_job(shared: &Shared, row: &Row) -> Option<Job> {
+    let job = decode::<Job>("job", &row.value);
+    let job = job.filter(|j| j.spec.check().is_ok() && j.id.to_string() == row.key);
+    if job.is_none() {
+        shared.metrics.count(Count::BadRows);
+        log::error!(key = row.key.as_str(); "jobs: not a job's row");
+    }
+    job
+}
+
 /// Turns rows of accepted jobs into events; cancellations come last.
-pub(crate) fn take_jobs(rows: &[Row], events: &mut Vec<Event>) {
+pub(crate) fn take_jobs(shared: &Shared, rows: &[Row], events: &mut Vec<Event>) {
     let mut cancels = Vec::new();
     for row in rows.iter().filter(|r| !r.removed) {
         match job_key(&row.key) {
             Some(JobKey::Job) => {
-                let job = decode::<Job>("job", &row.value);
+                let job = read_job(shared, row);
                 events.extend(job.map(|j| Event::Accepted(Arc::new(j))));
             }
             Some(JobKey::Cancel(id)) => cancels.push(Event::Cancelled(id)),
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gorsespur_jobs::{Event, Job, Learned, Machine, Record, Sorted};
+use gorsespur_jobs::{Event, Learned, Machine, Record, Sorted};
 use gorsespur_runtime::clock::wall_ms;
 
 use super::{
@@ -50,18 +50,25 @@
     }
     // What has run of such a job is not known: begun anew it might run twice.
     rows.retain(|r| !unknown.contains(&r.key));
-    for row in &rows {
+    rows.retain(|row| {
         let Some(record) = records.get(&row.key) else {
-            continue;
+            return true;
         };
-        if let Some(job) = decode::<Job>("job", &row.value) {
-            machine.restore(Arc::new(job), record);
+        let Some(job) = feed::read_job(shared, row) else {
+            return false;
+        };
+        if !record.fits(&job.spec) {
+            shared.metrics.count(Count::BadRows);
+            log::error!(key = row.key.as_str(); "owner: record of another job, the job is left alone");
+            return false;
         }
-    }
+        machine.restore(Arc::new(job), record);
+        true
+    });
     let jobs = Follow::new(version);
     let mut workers = Follow::anew();
     let mut events = Vec::new();
-    feed::take_jobs(&rows, &mut events);
+    feed::take_jobs(shared, &rows, &mut events);
     if let Some(config) = shared.config() {
         events.push(Event::Queues(config.policies()));
     }
