--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -1,7 +1,7 @@
 //! What fills beside what serves, where loads swing and tails grow as in a queue.
 
 use crate::common::{World, WorldSettings, chain, short};
-use gorsespur_jobs::{Outcome, Step};
+use gorsespur_jobs::{JobId, Outcome, Step};
 use test_case::test_case;
 
 const WORKERS: usize = 8;
@@ -193,10 +193,9 @@
     assert!(seen.harmless > 1250.0, "{seen:?}");
 }
 
-/// A worker's tail stays over its target for long, and what fills there is halted. Filling
-/// tasks that save their progress go on elsewhere, on a worker that has room.
-#[test]
-fn what_is_halted_for_long_moves_to_another_worker() {
+/// A world in which a job of tasks that save their progress fills, and the tails of one worker
+/// that has some of it have just risen over their targets, for good.
+fn world_that_halts() -> (World, JobId) {
     let mut world = world();
     let saving = Step {
         checkpoints: true,
@@ -207,6 +206,14 @@
     let halted = world.workers.iter().position(|w| w.runs.len() > 2);
     let halted = halted.expect("a worker that has something to fill");
     world.workers[halted].tails = vec![200];
+    (world, id)
+}
+
+/// A worker's tail stays over its target for long, and what fills there is halted. Filling
+/// tasks that save their progress go on elsewhere, on a worker that has room.
+#[test]
+fn what_is_halted_for_long_moves_to_another_worker() {
+    let (mut world, id) = world_that_halts();
     world.run(12_000);
     assert_eq!(world.outcome(id), Outcome::Complete);
 }
@@ -214,15 +221,7 @@
 /// The same, soon: whoever waits for the step waits for the halted task.
 #[test]
 fn what_is_halted_moves_at_once() {
-    let mut world = world();
-    let saving = Step {
-        checkpoints: true,
-        ..filling("light", WORKERS as u32)
-    };
-    let id = world.submit(1000, chain(vec![saving]));
-    world.run(300);
-    let halted = world.workers.iter().position(|w| w.runs.len() > 2);
-    world.workers[halted.expect("a worker that has something to fill")].tails = vec![200];
+    let (mut world, id) = world_that_halts();
     world.run(4000);
     assert_eq!(world.outcome(id), Outcome::Complete);
 }
