Tell a new owner's machine of evacuations at its first turn

Cause: found by reading the change again. A new owner's machine was told which zones are evacuated while all was read; the thread that decides then took what it found at its own start for told. An evacuation, or its end, that came in between was missed until the next change, and starts went to the zone. Change: the first turn tells the machine, before anything is placed, as it does with the configuration; the event in the loader goes. Two passes over the rows there become one.

--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -48,9 +48,11 @@
             }
         }
     }
-    // What has run of such a job is not known: begun anew it might run twice.
-    rows.retain(|r| !unknown.contains(&r.key));
     rows.retain(|row| {
+        // What has run of such a job is not known: begun anew it might run twice.
+        if unknown.contains(&row.key) {
+            return false;
+        }
         let Some(record) = records.get(&row.key) else {
             return true;
         };
@@ -72,9 +74,9 @@
     if let Some(config) = shared.config() {
         events.push(Event::Queues(config.policies()));
     }
-    // What this instance followed so far may be old: it may have been cut off.
+    // What this instance followed so far may be old: it may have been cut off. The first turn
+    // tells the machine which zones are evacuated then, before anything is placed.
     refresh_at(shared)?;
-    events.push(Event::Evacuated(shared.evacuated()));
     feed::list_workers(shared, &mut workers, &mut events)?;
     for event in events {
         machine.handle(shared.clock.now(), wall_ms(), event);
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -42,7 +42,8 @@
     lines: Lines,
     inbox: Inbox,
     config: Option<Arc<Config>>,
-    evacuated: Arc<[Arc<str>]>,
+    /// The evacuated zones that the machine was told; nothing before it was told any.
+    evacuated: Option<Arc<[Arc<str>]>>,
     tell_at: u64,
     /// When what was learned is kept next.
     keep_at: u64,
@@ -71,7 +72,7 @@
             lines: Lines::new(shared, epoch),
             inbox,
             config: None,
-            evacuated: shared.evacuated(),
+            evacuated: None,
             tell_at: 0,
             keep_at: shared.clock.now() + LEARNED_PERIOD,
             woke: shared.clock.now(),
@@ -225,12 +226,12 @@
 
     fn take_evacuated(&mut self, now: u64) {
         let zones = self.shared.evacuated();
-        if zones == self.evacuated {
+        if self.evacuated.as_ref() == Some(&zones) {
             return;
         }
         let event = Event::Evacuated(zones.clone());
         self.machine.handle(now, wall_ms(), event);
-        self.evacuated = zones;
+        self.evacuated = Some(zones);
     }
 
     fn act(&mut self, action: Action, journal: &Sender<Entry>) {
