--- a/crates/load/src/fleet/plan.rs
+++ b/crates/load/src/fleet/plan.rs
@@ -1,8 +1,9 @@
 //! Which processes there are, and where.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 
 use gorsespur_core::member::Role;
+use gorsespur_services::fake::own_addr;
 use snafu::ResultExt;
 
 use crate::error::{LoadError, PortSnafu};
@@ -71,14 +72,16 @@
     pub workers: Vec<WorkerPlan>,
 }
 
-/// Hands out ports that were free; all are held until the plan is made.
+/// Hands out ports of a host that no other socket uses or is given, so that a port is
+/// still free when its process starts; all are held until the plan is made.
 struct Ports {
+    host: IpAddr,
     held: Vec<TcpListener>,
 }
 
 impl Ports {
     fn next(&mut self) -> Result<SocketAddr, LoadError> {
-        let listener = TcpListener::bind("127.0.0.1:0").context(PortSnafu)?;
+        let listener = TcpListener::bind((self.host, 0)).context(PortSnafu)?;
         let addr = listener.local_addr().context(PortSnafu)?;
         self.held.push(listener);
         Ok(addr)
@@ -87,7 +90,10 @@
 
 impl Plan {
     pub fn new(size: &FleetSize) -> Result<Plan, LoadError> {
-        let mut ports = Ports { held: Vec::new() };
+        let mut ports = Ports {
+            host: own_addr().context(PortSnafu)?.ip(),
+            held: Vec::new(),
+        };
         let zones: Vec<String> = ZONES[..size.zones]
             .iter()
             .map(|z| (*z).to_owned())
