Foresee loads that swing in a period, and learn what disturbs against that

Room to fill went by what was seen last and by the lowest of late.

Change: each step keeps 40 s of its headroom; a curve of the period that all steps share is fitted to it, with what is usual as prior. Curves are used while they foresaw headrooms of 2 s later better than what was seen last did. Paces go by the least of 1.5 s, room by the least of 2.5 s, spare processors by the mean. Disturbances are fitted against the curve, and runs that have just ended count. What is usual goes to the next owner with what is learned.

--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -17,7 +17,7 @@
     place::window::Window,
     runs::fleet::Fleet,
     settings::Settings,
-    share::{pairs::Pairs, sample::Image},
+    share::{pairs::Pairs, sample::Image, season::Season},
     sorted::Sorted,
 };
 
@@ -52,6 +52,8 @@
     pub(crate) fleet: Fleet,
     pub(crate) queues: Vec<QueuePolicy>,
     pub(crate) pairs: Pairs,
+    /// What the loads of serving steps have in common.
+    pub(crate) season: Season,
     /// What was learned of guessed times, by queue.
     pub(crate) guesses: Sorted<Arc<str>, Guesses>,
     /// Numbers of images.
@@ -93,6 +95,7 @@
             fleet,
             queues: Vec::new(),
             pairs: Pairs::default(),
+            season: Season::default(),
             guesses: Sorted::default(),
             images: Sorted::default(),
             batch: None,
--- a/crates/jobs/src/model/step.rs
+++ b/crates/jobs/src/model/step.rs
@@ -3,7 +3,7 @@
 use crate::{
     model::task::{Run, Stage, Task},
     order::times::{Guesses, Seen},
-    share::headroom::Headroom,
+    share::{forecast::History, headroom::Headroom},
 };
 
 /// The tasks of one step in one repetition.
@@ -17,6 +17,8 @@
     pub(crate) idle: u32,
     /// For tasks that serve: how far their tails are below the target.
     pub(crate) headroom: Headroom,
+    /// For tasks that serve: what that was of late.
+    pub(crate) history: History,
     /// Times of tasks that ran from their start at full pace.
     pub(crate) seen: Seen,
 }
@@ -28,6 +30,7 @@
             done: 0,
             idle: count,
             headroom: Headroom::default(),
+            history: History::default(),
             seen: Seen::default(),
         }
     }
--- a/crates/jobs/src/runs/ends.rs
+++ b/crates/jobs/src/runs/ends.rs
@@ -29,6 +29,7 @@
             log::info!(worker = &*worker.id, silent_ms = now - since; "worker: answers again");
             self.moved = true;
         }
+        let counted = worker.counted;
         self.count_ends(slot, &look);
         for row in &look.running {
             self.listed(slot, row, look.clock);
@@ -37,7 +38,8 @@
             self.check_absent(slot, sent, &look);
         }
         self.check_stalled(slot);
-        self.watch(slot, &look);
+        let ended = look.finished.iter().filter(|e| e.number > counted);
+        self.watch(slot, &look, &ended.collect::<Vec<_>>());
     }
 
     fn count_ends(&mut self, slot: u32, look: &Look) {
--- a/crates/jobs/src/share/fit.rs
+++ b/crates/jobs/src/share/fit.rs
@@ -17,6 +17,12 @@
 /// half is gone after some 15 seconds.
 const FADE: f64 = 0.977;
 
+/// Error of a figure, as a share of it.
+const NOISE: f64 = 0.1;
+
+/// Error of what fills takes, as a share of it.
+const UNSURE: f64 = 0.4;
+
 /// Rounds of the fit; each starts from the last one's result.
 const ROUNDS: usize = 3;
 
@@ -74,6 +80,14 @@
         bases[bases.len() / 2]
     }
 
+    /// Returns one over the square of the error of [`Fit::base`].
+    pub(crate) fn trust(&self, samples: &[Sample]) -> f64 {
+        let each = samples
+            .iter()
+            .map(|s| trust(s.headroom, self.pressure(&s.press)));
+        each.sum()
+    }
+
     /// Returns a headroom as far as it can be believed.
     fn believed(&self, sample: &Sample, base: f64) -> f64 {
         let expected = base - self.pressure(&sample.press);
@@ -84,6 +98,23 @@
         sample.headroom.clamp(expected - most, expected + most)
     }
 
+    /// Learns from how headrooms differ from the one that is foreseen of their step.
+    pub(crate) fn add_foreseen(&mut self, samples: &[Sample], base: f64) {
+        let all = samples.iter().flat_map(|s| s.press.iter());
+        let most = all.map(|p| p.image as usize + 1).max().unwrap_or(0);
+        self.grow(most);
+        for sample in samples {
+            let lost = base - self.believed(sample, base);
+            let trust = sample.trust();
+            for a in sample.press.iter() {
+                self.products[a.image as usize] += a.share * lost * trust;
+                for b in sample.press.iter() {
+                    self.squares[a.image as usize][b.image as usize] += a.share * b.share * trust;
+                }
+            }
+        }
+    }
+
     /// Learns from how headrooms of one step differ.
     pub(crate) fn add(&mut self, samples: &[Sample], base: f64) {
         let all = samples.iter().flat_map(|s| s.press.iter());
@@ -157,3 +188,9 @@
         }
     }
 }
+
+/// Returns one over the square of the error of a headroom to which what fills is added.
+fn trust(headroom: f64, pressure: f64) -> f64 {
+    let error = NOISE * headroom.max(1.0) + UNSURE * pressure;
+    1.0 / (error * error)
+}
--- /dev/null
+++ b/crates/jobs/src/share/forecast.rs
@@ -0,0 +1,220 @@
+//! Where the headroom of a step goes: what it was, and a curve through that.
+//!
+//! The load pattern that this answers: loads that rise and fall in a period of their own, the
+//! same for all steps and at other times for each. A filling task runs for seconds, so that
+//! what counts is the headroom while it runs, not the one when it begins.
+//!
+//! Limits: of each step the last 40 s are kept, two and more periods of the loads that were
+//! seen (10 to 20 s); a step without figures is thought to be as the others are.
+
+use std::{collections::VecDeque, f64::consts::TAU};
+
+use serde::{Deserialize, Serialize};
+
+/// Points that are kept of a step, one for each half second.
+const MOST_POINTS: usize = 80;
+
+/// Milliseconds after which a point counts half.
+const HALF_LIFE: f64 = 20_000.0;
+
+/// Error of the mean of a step's figures that more of them don't lower, in headroom: what
+/// fills is known roughly.
+const ROUGH: f64 = 0.15;
+
+/// Share of a point's deviation from the curve that counts as a lasting one.
+const DRIFT: f64 = 0.2;
+
+/// Milliseconds from one value of a curve to the next where it is searched.
+const STRIDE: u64 = 250;
+
+/// Headroom of a step in one half second.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Point {
+    /// When it was, in milliseconds.
+    pub(crate) at: u64,
+    /// Headroom without what fills.
+    pub(crate) headroom: f64,
+    /// Weight of the figures that it comes from, one over the square of their error.
+    pub(crate) trust: f64,
+}
+
+/// What the headroom of a step was of late.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct History {
+    points: VecDeque<Point>,
+}
+
+impl History {
+    /// Takes the newest point.
+    pub(crate) fn note(&mut self, point: Point) {
+        if self.points.len() == MOST_POINTS {
+            self.points.pop_front();
+        }
+        self.points.push_back(point);
+    }
+
+    /// Tells whether nothing was seen of it.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.points.is_empty()
+    }
+
+    /// Returns how many points there are.
+    pub(crate) fn len(&self) -> usize {
+        self.points.len()
+    }
+
+    /// Returns the time from the first point to the last, in milliseconds.
+    pub(crate) fn span(&self) -> u64 {
+        match (self.points.front(), self.points.back()) {
+            (Some(first), Some(last)) => last.at - first.at,
+            _ => 0,
+        }
+    }
+
+    /// Returns the curve through the points, given what is usual.
+    pub(crate) fn fit(&self, usual: &Usual, now: u64) -> Fitted {
+        let mut sums = Normal::new(usual);
+        for point in &self.points {
+            sums.add(usual, point, now);
+        }
+        let mut curve = sums.solve(usual, now);
+        let mut missed = 0.0;
+        for point in &self.points {
+            let off = point.headroom - curve.at(point.at);
+            missed += weight(point, now) * off * off;
+            curve.drift += DRIFT * (off - curve.drift);
+        }
+        Fitted { curve, missed }
+    }
+}
+
+/// What a fit gives.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Fitted {
+    /// The curve.
+    pub(crate) curve: Curve,
+    /// By how much the points miss it: the sum of squares, each by its error.
+    pub(crate) missed: f64,
+}
+
+/// Returns what a point weighs in a fit.
+fn weight(point: &Point, now: u64) -> f64 {
+    let age = now.saturating_sub(point.at) as f64;
+    let error = 1.0 / point.trust + ROUGH * ROUGH;
+    0.5_f64.powf(age / HALF_LIFE) / error
+}
+
+/// What is usual for steps: what a curve is thought to be without any point.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Usual {
+    /// Milliseconds from one peak of the load to the next.
+    pub(crate) period: f64,
+    /// Mean headroom.
+    pub(crate) mean: f64,
+    /// Variance of steps' means.
+    pub(crate) spread: f64,
+    /// Mean square of half of the swing.
+    pub(crate) swing: f64,
+}
+
+/// Sums of a least squares fit of a constant, a cosine and a sine.
+struct Normal {
+    squares: [[f64; 3]; 3],
+    products: [f64; 3],
+}
+
+impl Normal {
+    fn new(usual: &Usual) -> Normal {
+        let swing = 2.0 / usual.swing;
+        let mean = 1.0 / usual.spread;
+        Normal {
+            squares: [[mean, 0.0, 0.0], [0.0, swing, 0.0], [0.0, 0.0, swing]],
+            products: [mean * usual.mean, 0.0, 0.0],
+        }
+    }
+
+    fn add(&mut self, usual: &Usual, point: &Point, now: u64) {
+        let (sin, cos) = angle(usual.period, now, point.at).sin_cos();
+        let row = [1.0, cos, sin];
+        let weight = weight(point, now);
+        for a in 0..3 {
+            for b in 0..3 {
+                self.squares[a][b] += weight * row[a] * row[b];
+            }
+            self.products[a] += weight * row[a] * point.headroom;
+        }
+    }
+
+    /// Solves by elimination; what is usual keeps the matrix regular.
+    fn solve(mut self, usual: &Usual, now: u64) -> Curve {
+        let (m, p) = (&mut self.squares, &mut self.products);
+        for at in 0..3 {
+            for row in at + 1..3 {
+                let pivot = m[at];
+                let share = m[row][at] / pivot[at];
+                for (value, above) in m[row].iter_mut().zip(pivot).skip(at) {
+                    *value -= share * above;
+                }
+                p[row] -= share * p[at];
+            }
+        }
+        let sin = p[2] / m[2][2];
+        let cos = (p[1] - m[1][2] * sin) / m[1][1];
+        let mean = (p[0] - m[0][1] * cos - m[0][2] * sin) / m[0][0];
+        Curve {
+            period: usual.period,
+            origin: now,
+            mean,
+            cos,
+            sin,
+            drift: 0.0,
+        }
+    }
+}
+
+fn angle(period: f64, origin: u64, at: u64) -> f64 {
+    TAU * (at as f64 - origin as f64) / period
+}
+
+/// A headroom that rises and falls.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Curve {
+    period: f64,
+    origin: u64,
+    pub(crate) mean: f64,
+    cos: f64,
+    sin: f64,
+    /// By how much the last points were above it.
+    drift: f64,
+}
+
+impl Curve {
+    /// Returns the headroom at a time.
+    fn at(&self, at: u64) -> f64 {
+        let (sin, cos) = angle(self.period, self.origin, at).sin_cos();
+        self.mean + self.cos * cos + self.sin * sin
+    }
+
+    /// Returns the headroom that is expected at a time to come.
+    pub(crate) fn expected(&self, at: u64) -> f64 {
+        self.at(at) + self.drift
+    }
+
+    /// Returns the least headroom that is expected from a time on for so long.
+    pub(crate) fn least(&self, from: u64, span: u64) -> f64 {
+        let values = (0..=span / STRIDE).map(|n| self.expected(from + n * STRIDE));
+        values.fold(f64::INFINITY, f64::min)
+    }
+
+    /// Returns the mean headroom that is expected from a time on for so long.
+    pub(crate) fn average(&self, from: u64, span: u64) -> f64 {
+        let count = span / STRIDE + 1;
+        let values = (0..count).map(|n| self.expected(from + n * STRIDE));
+        values.sum::<f64>() / count as f64
+    }
+
+    /// Returns the square of half of its swing.
+    pub(crate) fn swing(&self) -> f64 {
+        self.cos * self.cos + self.sin * self.sin
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/share/foresee.rs
@@ -0,0 +1,62 @@
+//! Foresees the headrooms of all steps.
+
+use crate::{
+    machine::Machine,
+    model::{ids::JobId, job::JobState},
+    share::{forecast::History, headroom::Foreseen, sample::Group, season::Season},
+};
+
+/// Milliseconds until a pace that is chosen now is replaced and that takes effect.
+const SOON: u64 = 1500;
+
+/// Milliseconds for which a filling task runs, usually. With 4 s filling jobs earned 0.76 of
+/// their worth, with 2.5 s 0.77 (10 days with trouble on 350 full workers).
+const LATER: u64 = 2500;
+
+/// Milliseconds from now to the middle of the next figures.
+const NEXT: u64 = 250;
+
+impl Machine {
+    /// Foresees the headrooms of all steps, as far as curves do.
+    pub(crate) fn foresee(&mut self) {
+        let now = self.now;
+        self.season.fade(now);
+        if self.season.is_due(now) {
+            let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
+            let steps = jobs.flat_map(|j| j.times.iter().flatten());
+            let histories: Vec<&History> = steps.map(|s| &s.history).collect();
+            self.season.choose(&histories, now);
+        }
+        let known = self.season.is_known();
+        for &id in &self.open {
+            if let Some(state) = self.jobs.get_mut(&id) {
+                foresee_job(&mut self.season, id, state, known, now);
+            }
+        }
+    }
+}
+
+/// Foresees the headrooms of a job's steps; if curves are not `known` to do so, they are only
+/// judged.
+fn foresee_job(season: &mut Season, job: JobId, state: &mut JobState, known: bool, now: u64) {
+    for (time, steps) in (0..).zip(&mut state.times) {
+        for (at, step) in (0..).zip(steps) {
+            if step.history.is_empty() {
+                continue;
+            }
+            let group = Group {
+                job,
+                time,
+                step: at,
+            };
+            let curve = step.history.fit(&season.usual, now).curve;
+            season.claim(group, &curve, step.headroom.now(), now);
+            step.headroom.foresee(known.then(|| Foreseen {
+                now: curve.expected(now + NEXT),
+                soon: curve.least(now, SOON),
+                later: curve.least(now, LATER),
+                average: curve.average(now, LATER),
+            }));
+        }
+    }
+}
--- a/crates/jobs/src/share/headroom.rs
+++ b/crates/jobs/src/share/headroom.rs
@@ -29,6 +29,21 @@
     /// Lowest of late.
     lowest: f64,
     known: bool,
+    /// What a curve foresees, if one does.
+    foreseen: Option<Foreseen>,
+}
+
+/// What a curve foresees of a headroom.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Foreseen {
+    /// What it is in the half second that begins.
+    pub(crate) now: f64,
+    /// The least until a pace that is chosen now is replaced.
+    pub(crate) soon: f64,
+    /// The least while a new task runs.
+    pub(crate) later: f64,
+    /// The mean while a new task runs.
+    pub(crate) average: f64,
 }
 
 impl Default for Headroom {
@@ -38,6 +53,7 @@
             fall: 0.0,
             lowest: FIRST_HEADROOM,
             known: false,
+            foreseen: None,
         }
     }
 }
@@ -45,12 +61,41 @@
 impl Headroom {
     /// Returns what it will be when a pace that is chosen now is replaced.
     pub(crate) fn soon(&self) -> f64 {
-        self.now - self.fall.max(0.0) * FORESIGHT
+        match self.foreseen {
+            Some(f) => f.soon,
+            None => self.now - self.fall.max(0.0) * FORESIGHT,
+        }
     }
 
-    /// Returns what it will be on average while a new task runs.
+    /// Returns the least that it will be while a new task runs.
     pub(crate) fn later(&self) -> f64 {
-        (self.now + self.lowest) / 2.0
+        match self.foreseen {
+            Some(f) => f.later,
+            None => (self.now + self.lowest) / 2.0,
+        }
+    }
+
+    /// Returns what it will be on average while a new task runs.
+    pub(crate) fn average(&self) -> f64 {
+        match self.foreseen {
+            Some(f) => f.average,
+            None => (self.now + self.lowest) / 2.0,
+        }
+    }
+
+    /// Takes what a curve foresees; nothing if curves don't.
+    pub(crate) fn foresee(&mut self, foreseen: Option<Foreseen>) {
+        self.foreseen = foreseen;
+    }
+
+    /// Returns what was foreseen of it for the last half second, if a curve did.
+    pub(crate) fn foreseen_now(&self) -> Option<f64> {
+        self.foreseen.map(|f| f.now)
+    }
+
+    /// Returns what it is.
+    pub(crate) fn now(&self) -> f64 {
+        self.now
     }
 
     /// Returns the lowest of late.
--- a/crates/jobs/src/share/learned.rs
+++ b/crates/jobs/src/share/learned.rs
@@ -8,7 +8,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{machine::Machine, order::times::Guesses, share::sample::Image};
+use crate::{
+    machine::Machine,
+    order::times::Guesses,
+    share::{forecast::Usual, sample::Image},
+};
 
 /// Pairs that are kept at most, the best known first: with 20 bytes each they fit a row.
 const MOST_PAIRS: usize = 2000;
@@ -39,6 +43,9 @@
     images: Vec<Arc<str>>,
     pairs: Vec<Pair>,
     queues: Vec<QueueGuesses>,
+    /// What is usual of loads, if curves foresee them; an older program wrote nothing of it.
+    #[serde(default)]
+    usual: Option<Usual>,
 }
 
 impl Machine {
@@ -59,6 +66,7 @@
             images,
             pairs,
             queues: queues.collect(),
+            usual: self.season.known(),
         }
     }
 
@@ -79,6 +87,9 @@
                 ..*pair
             });
         }
+        if let Some(usual) = learned.usual {
+            self.season.recall(usual);
+        }
         for kept in &learned.queues {
             self.guesses
                 .insert(kept.queue.clone(), kept.guesses.clone());
--- a/crates/jobs/src/share/mod.rs
+++ b/crates/jobs/src/share/mod.rs
@@ -3,18 +3,23 @@
 //! The load pattern that this answers: serving tasks whose load swings by a factor of
 //! three within seconds, beside filling tasks of which one pair of four disturbs. What
 //! each pair does is fitted to the workers' figures; room for what fills follows the
-//! present load; tails close to their target slow what disturbs them and, when that does
+//! load that is foreseen, where loads swing in a period, and the present one else; tails close to their target slow what disturbs them and, when that does
 //! not help in time, stop it.
 //!
 //! Limits: figures come once a second and are off by a tenth; the users count four seconds
 //! over a target as harm, so that all is stopped before half of that.
 
 pub(crate) mod fit;
+pub(crate) mod forecast;
+pub(crate) mod foresee;
 pub(crate) mod headroom;
 pub(crate) mod learned;
 pub(crate) mod pace;
 pub(crate) mod pairs;
 pub(crate) mod sample;
+pub(crate) mod season;
+#[cfg(test)]
+mod season_tests;
 pub(crate) mod slack;
 pub(crate) mod spare;
 pub(crate) mod watch;
--- a/crates/jobs/src/share/pairs.rs
+++ b/crates/jobs/src/share/pairs.rs
@@ -37,6 +37,15 @@
 /// so many fits: the load has moved by then.
 const TOO_OLD: u8 = 4;
 
+/// Headroom of a step without what fills.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Base {
+    pub(crate) group: Group,
+    pub(crate) headroom: f64,
+    /// One over the square of its error.
+    pub(crate) trust: f64,
+}
+
 /// What filling images take from serving ones, by pair.
 #[derive(Debug, Default)]
 pub(crate) struct Pairs {
@@ -102,7 +111,7 @@
 
     /// Fits to what was noted, once each half second, and returns the newest headrooms
     /// of the steps.
-    pub(crate) fn fit(&mut self) -> Vec<(Group, f64)> {
+    pub(crate) fn fit(&mut self, foreseen: impl Fn(Group) -> Option<f64>) -> Vec<Base> {
         let mut bases = Vec::new();
         let mut kept = Vec::new();
         self.samples.sort_by_key(|s| s.group);
@@ -110,7 +119,15 @@
             let serve = samples[0].serve;
             let fit = self.fits.or_default(&serve);
             let base = fit.base(samples);
-            bases.push((samples[0].group, base));
+            bases.push(Base {
+                group: samples[0].group,
+                headroom: base,
+                trust: fit.trust(samples),
+            });
+            if let Some(expected) = foreseen(samples[0].group) {
+                fit.add_foreseen(samples, expected);
+                continue;
+            }
             if samples.len() >= ENOUGH {
                 fit.add(samples, base);
                 continue;
--- /dev/null
+++ b/crates/jobs/src/share/season.rs
@@ -0,0 +1,214 @@
+//! What the loads of steps have in common: their period, and whether curves foresee them.
+//!
+//! The load pattern that this answers: loads swing in periods of 10 to 20 s on one deployment
+//! and of others on the next, or not at all. The period is the one by which the histories of
+//! some steps are missed least; and curves are used only while they foresaw headrooms better
+//! than what was seen last did.
+
+use std::cmp::Reverse;
+
+use crate::share::{
+    forecast::{Curve, History, Usual},
+    sample::Group,
+};
+
+/// Shortest and longest period that is tried, in milliseconds, and the factor from one to the
+/// next: within a history the phase is off by a tenth of a period at most.
+const SHORTEST: f64 = 4_000.0;
+const LONGEST: f64 = 60_000.0;
+const FACTOR: f64 = 1.05;
+
+/// Milliseconds from one choice of the period to the next.
+const PERIOD: u64 = 3_000;
+
+/// Steps whose histories are looked at for it at most, so that it costs the same with 70 and
+/// with 10,000 of them.
+const STEPS: usize = 16;
+
+/// Points that a history needs for that.
+const ENOUGH: usize = 12;
+
+/// Milliseconds from a forecast to the time when it is judged: as long as a task runs.
+const AHEAD: u64 = 2_000;
+
+/// What older errors keep of their weight at each judgement, one a half second.
+const FADE: f64 = 0.96;
+
+/// Curves are used while their errors are at most this share of those of what was seen last.
+const BETTER: f64 = 0.7;
+
+/// Forecasts that were judged at least before curves are used.
+const JUDGED: f64 = 30.0;
+
+/// A forecast that is to be judged.
+#[derive(Debug, Clone, Copy)]
+struct Claim {
+    due: u64,
+    group: Group,
+    /// By the curve.
+    curve: f64,
+    /// As it was when the forecast was made.
+    still: f64,
+}
+
+/// What is known of the loads of all steps.
+#[derive(Debug)]
+pub(crate) struct Season {
+    /// What is usual for steps.
+    pub(crate) usual: Usual,
+    chosen: u64,
+    claims: Vec<Claim>,
+    errors: Errors,
+    /// How many forecasts were judged, faded as errors are.
+    judged: f64,
+}
+
+/// Sums of squares of forecasts' errors, faded.
+#[derive(Debug, Clone, Copy, Default)]
+struct Errors {
+    /// Of curves.
+    curve: f64,
+    /// Of what was seen last.
+    still: f64,
+}
+
+impl Default for Season {
+    fn default() -> Season {
+        Season {
+            usual: Usual {
+                period: 15_000.0,
+                mean: 2.5,
+                spread: 1.0,
+                swing: 2.0,
+            },
+            chosen: 0,
+            claims: Vec::new(),
+            errors: Errors::default(),
+            judged: 0.0,
+        }
+    }
+}
+
+impl Season {
+    /// Tells whether curves foresee headrooms.
+    pub(crate) fn is_known(&self) -> bool {
+        self.judged >= JUDGED && self.errors.curve < BETTER * self.errors.still
+    }
+
+    /// Returns what is usual, if curves foresee headrooms.
+    pub(crate) fn known(&self) -> Option<Usual> {
+        Some(self.usual).filter(|_| self.is_known())
+    }
+
+    /// Takes over what an earlier owner found usual.
+    pub(crate) fn recall(&mut self, usual: Usual) {
+        self.usual = usual;
+        self.judged = 2.0 * JUDGED;
+        self.errors = Errors {
+            curve: 0.0,
+            still: self.judged * BETTER,
+        };
+    }
+
+    /// Takes note of what is expected of a step.
+    pub(crate) fn claim(&mut self, group: Group, curve: &Curve, still: f64, now: u64) {
+        let due = now + AHEAD;
+        self.claims.push(Claim {
+            due,
+            group,
+            curve: curve.expected(due),
+            still,
+        });
+    }
+
+    /// Judges the forecasts for a step by what came.
+    pub(crate) fn judge(&mut self, group: Group, headroom: f64, now: u64) {
+        let due = self
+            .claims
+            .iter()
+            .position(|c| c.group == group && c.due <= now);
+        let Some(at) = due else {
+            return;
+        };
+        let claim = self.claims.swap_remove(at);
+        self.errors.curve += bounded_square(claim.curve - headroom);
+        self.errors.still += bounded_square(claim.still - headroom);
+        self.judged += 1.0;
+    }
+
+    /// Forgets forecasts that nothing came of, and lets errors fade.
+    pub(crate) fn fade(&mut self, now: u64) {
+        self.claims.retain(|c| c.due + AHEAD > now);
+        self.errors.curve *= FADE;
+        self.errors.still *= FADE;
+        self.judged *= FADE;
+    }
+
+    /// Tells whether it is time to choose the period anew.
+    pub(crate) fn is_due(&self, now: u64) -> bool {
+        now >= self.chosen + PERIOD
+    }
+
+    /// Chooses the period, and what is usual, by the longest of these histories.
+    pub(crate) fn choose(&mut self, histories: &[&History], now: u64) {
+        self.chosen = now;
+        let mut known = histories.to_vec();
+        known.retain(|h| h.len() >= ENOUGH);
+        known.sort_by_key(|h| Reverse(h.span()));
+        known.truncate(STEPS);
+        if known.is_empty() {
+            return;
+        }
+        self.usual.period = self.best_period(&known, now);
+        self.note_usual(&known, now);
+        self.log_choice(known.len());
+    }
+
+    /// Returns the period by which histories are missed least.
+    fn best_period(&self, known: &[&History], now: u64) -> f64 {
+        let mut best = (f64::INFINITY, self.usual.period);
+        let mut period = SHORTEST;
+        while period <= LONGEST {
+            let usual = Usual {
+                period,
+                ..self.usual
+            };
+            let missed = known.iter().map(|h| h.fit(&usual, now).missed);
+            let missed: f64 = missed.sum();
+            if missed < best.0 {
+                best = (missed, period);
+            }
+            period *= FACTOR;
+        }
+        best.1
+    }
+
+    fn log_choice(&self, steps: usize) {
+        let count = self.judged.max(1.0);
+        let curve = (self.errors.curve / count).sqrt();
+        let still = (self.errors.still / count).sqrt();
+        let (period, used) = (self.usual.period as u64, self.is_known());
+        log::info!(period_ms = period, steps, curve_error = curve, still_error = still, used; "season: chosen");
+    }
+
+    /// Takes over means and swings of steps that were seen for most of a period.
+    fn note_usual(&mut self, known: &[&History], now: u64) {
+        let most = self.usual.period * 0.7;
+        let long = known.iter().filter(|h| h.span() as f64 >= most);
+        let curves: Vec<Curve> = long.map(|h| h.fit(&self.usual, now).curve).collect();
+        if curves.len() < 3 {
+            return;
+        }
+        let count = curves.len() as f64;
+        let mean = curves.iter().map(|c| c.mean).sum::<f64>() / count;
+        let squares = curves.iter().map(|c| (c.mean - mean).powi(2)).sum::<f64>();
+        self.usual.mean = mean;
+        self.usual.spread = (squares / count).max(0.02);
+        self.usual.swing = (curves.iter().map(Curve::swing).sum::<f64>() / count).max(0.05);
+    }
+}
+
+/// Returns a square, as far as it tells of a forecast: a worker that hangs is not foreseen.
+fn bounded_square(error: f64) -> f64 {
+    (error * error).min(1.0)
+}
--- a/crates/jobs/src/share/spare.rs
+++ b/crates/jobs/src/share/spare.rs
@@ -58,7 +58,7 @@
             }
             let runs = &state.times[task.time as usize][task.step as usize];
             asked.cpu += step.cpu as f64;
-            asked.weighed += step.cpu as f64 * runs.headroom.later().max(0.0);
+            asked.weighed += step.cpu as f64 * runs.headroom.average().max(0.0);
         }
         asked
     }
--- a/crates/jobs/src/share/watch.rs
+++ b/crates/jobs/src/share/watch.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 
 use crate::{
-    event::Look,
+    event::{End, Look},
     machine::Machine,
-    share::sample::{Group, Press},
+    share::{
+        forecast::Point,
+        sample::{Group, Press},
+    },
 };
 
 /// Figures are of half a second: a worker's are used this often, in milliseconds.
@@ -15,15 +18,16 @@
 const FIT_PERIOD: u64 = 500;
 
 impl Machine {
-    /// Takes note of the figures that a worker lists, and chooses paces.
-    pub(crate) fn watch(&mut self, slot: u32, look: &Look) {
+    /// Takes note of the figures that a worker lists, and chooses paces; `ended` are the ends
+    /// that it lists for the first time.
+    pub(crate) fn watch(&mut self, slot: u32, look: &Look, ended: &[&End]) {
         let now = self.now;
         let worker = self.fleet.get_mut(slot);
         if worker.serving == 0 || now < worker.figured + PERIOD {
             return;
         }
         worker.figured = now;
-        let press: Arc<[Press]> = self.press(slot, look).into();
+        let press: Arc<[Press]> = self.press(slot, look, ended).into();
         let mut over = false;
         for row in &look.running {
             let Some(ms) = row.figure.filter(|f| *f > 0) else {
@@ -69,13 +73,28 @@
             return;
         }
         self.fitted = self.now;
-        for (group, newest) in self.pairs.fit() {
+        let jobs = &self.jobs;
+        let foreseen = |group: Group| {
+            let state = jobs.get(&group.job)?;
+            let steps = state.times.get(group.time as usize)?;
+            steps.get(group.step as usize)?.headroom.foreseen_now()
+        };
+        for base in self.pairs.fit(foreseen) {
+            let group = base.group;
             let state = self.jobs.get_mut(&group.job);
             let step = state.and_then(|j| j.step_mut(group.time, group.step));
-            if let Some(step) = step {
-                step.headroom.update(newest);
-            }
+            let Some(step) = step else {
+                continue;
+            };
+            step.headroom.update(base.headroom);
+            step.history.note(Point {
+                at: self.now,
+                headroom: base.headroom,
+                trust: base.trust,
+            });
+            self.season.judge(group, base.headroom, self.now);
         }
+        self.foresee();
         self.note_spare();
         for slot in 0..self.fleet.workers.len() as u32 {
             self.fleet.workers[slot as usize].slack = None;
@@ -85,22 +104,27 @@
         }
     }
 
-    /// Returns what fills on a worker, with its share of the processors.
-    fn press(&self, slot: u32, look: &Look) -> Vec<Press> {
-        let worker = self.fleet.get(slot);
+    /// Returns what filled on a worker for the last half second, with its share of the
+    /// processors.
+    ///
+    /// A look is answered as soon as a run ends, so that one that has just ended filled for
+    /// all of that time.
+    fn press(&self, slot: u32, look: &Look, ended: &[&End]) -> Vec<Press> {
+        let running = look.running.iter().map(|r| (r.task, r.figure));
+        let ended = ended.iter().map(|e| (e.task, None));
         let mut out: Vec<Press> = Vec::new();
-        for row in &look.running {
-            let Some(state) = self.jobs.get(&row.task.job) else {
+        for (task, figure) in running.chain(ended) {
+            let Some(state) = self.jobs.get(&task.job) else {
                 continue;
             };
-            let Some(step) = state.job.spec.steps.get(row.task.step as usize) else {
+            let Some(step) = state.job.spec.steps.get(task.step as usize) else {
                 continue;
             };
             if !step.fill {
                 continue;
             }
-            let image = state.images[row.task.step as usize];
-            let share = worker.share(row.figure.unwrap_or(step.cpu));
+            let image = state.images[task.step as usize];
+            let share = self.fleet.get(slot).share(figure.unwrap_or(step.cpu));
             match out.iter_mut().find(|p| p.image == image) {
                 Some(p) => p.share += share,
                 None => out.push(Press { image, share }),
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -172,8 +172,9 @@
     }
 }
 
-#[test]
-fn what_hardly_disturbs_does_not_pile_up_at_the_peak_of_a_load() {
+/// Fills workers with harmless images that disturb a little each, so that many of them disturb
+/// at the peak of a load; what the first 10 s teach does not count.
+fn pile_up() -> Seen {
     let mut world = world();
     for worker in &mut world.workers {
         worker.light = 0.28;
@@ -189,10 +190,25 @@
             count(&world, &mut seen);
         }
     }
+    seen
+}
+
+#[test]
+fn what_hardly_disturbs_does_not_pile_up_at_the_peak_of_a_load() {
+    let seen = pile_up();
     assert!(seen.over < 0.3 * seen.served, "{seen:?}");
     assert!(seen.harmless > 1250.0, "{seen:?}");
 }
 
+/// Loads that swing in a period are foreseen: little fills beside a peak that comes, and as
+/// much as before in the time between.
+#[test]
+fn what_fills_gives_way_to_a_peak_that_is_foreseen() {
+    let seen = pile_up();
+    assert!(seen.over < 0.1 * seen.served, "{seen:?}");
+    assert!(seen.harmless > 1250.0, "{seen:?}");
+}
+
 /// A world in which a job of tasks that save their progress fills, and the tails of one worker
 /// that has some of it have just risen over their targets, for good.
 fn world_that_halts() -> (World, JobId) {
