Weigh each point of a history once a fit, and say twice-said things once

Found on rereading the change.

Same operations in the same order, so that no value differs.

Tests of crates/jobs: 98 passed.

--- a/crates/jobs/src/share/fit.rs
+++ b/crates/jobs/src/share/fit.rs
@@ -67,7 +67,7 @@
     }
 
     /// Returns the headroom that what fills takes.
-    fn pressure(&self, press: &[Press]) -> f64 {
+    pub(crate) fn pressure(&self, press: &[Press]) -> f64 {
         let each = press.iter().map(|p| self.weight(p.image) * p.share);
         each.sum()
     }
@@ -82,9 +82,10 @@
 
     /// Returns one over the square of the error of [`Fit::base`].
     pub(crate) fn trust(&self, samples: &[Sample]) -> f64 {
-        let each = samples
-            .iter()
-            .map(|s| trust(s.headroom, self.pressure(&s.press)));
+        let each = samples.iter().map(|s| {
+            let error = NOISE * s.headroom.max(1.0) + UNSURE * self.pressure(&s.press);
+            1.0 / (error * error)
+        });
         each.sum()
     }
 
@@ -192,9 +193,3 @@
     let all = samples.iter().flat_map(|s| s.press.iter());
     all.map(|p| p.image as usize + 1).max().unwrap_or(0)
 }
-
-/// Returns one over the square of the error of a headroom to which what fills is added.
-fn trust(headroom: f64, pressure: f64) -> f64 {
-    let error = NOISE * headroom.max(1.0) + UNSURE * pressure;
-    1.0 / (error * error)
-}
--- a/crates/jobs/src/share/forecast.rs
+++ b/crates/jobs/src/share/forecast.rs
@@ -73,15 +73,17 @@
 
     /// Returns the curve through the points, given what is usual.
     pub(crate) fn fit(&self, usual: &Usual, now: u64) -> Fitted {
+        let points = self.points.iter().map(|p| Weighed::new(p, usual, now));
+        let points: Vec<Weighed> = points.collect();
         let mut sums = Normal::new(usual);
-        for point in &self.points {
-            sums.add(usual, point, now);
+        for point in &points {
+            sums.add(point);
         }
         let mut curve = sums.solve(usual, now);
         let mut missed = 0.0;
-        for point in &self.points {
-            let off = point.headroom - curve.at(point.at);
-            missed += weight(point, now) * off * off;
+        for point in &points {
+            let off = point.headroom - curve.value(point.sin, point.cos);
+            missed += point.weight * off * off;
             curve.drift += DRIFT * (off - curve.drift);
         }
         Fitted { curve, missed }
@@ -97,11 +99,26 @@
     pub(crate) missed: f64,
 }
 
-/// Returns what a point weighs in a fit.
-fn weight(point: &Point, now: u64) -> f64 {
-    let age = now.saturating_sub(point.at) as f64;
-    let error = 1.0 / point.trust + ROUGH * ROUGH;
-    0.5_f64.powf(age / HALF_LIFE) / error
+/// A point as one fit uses it, twice: for the sums, and for what the curve misses.
+struct Weighed {
+    headroom: f64,
+    weight: f64,
+    sin: f64,
+    cos: f64,
+}
+
+impl Weighed {
+    fn new(point: &Point, usual: &Usual, now: u64) -> Weighed {
+        let age = now.saturating_sub(point.at) as f64;
+        let error = 1.0 / point.trust + ROUGH * ROUGH;
+        let (sin, cos) = angle(usual.period, now, point.at).sin_cos();
+        Weighed {
+            headroom: point.headroom,
+            weight: 0.5_f64.powf(age / HALF_LIFE) / error,
+            sin,
+            cos,
+        }
+    }
 }
 
 /// What is usual for steps: what a curve is thought to be without any point.
@@ -133,15 +150,13 @@
         }
     }
 
-    fn add(&mut self, usual: &Usual, point: &Point, now: u64) {
-        let (sin, cos) = angle(usual.period, now, point.at).sin_cos();
-        let row = [1.0, cos, sin];
-        let weight = weight(point, now);
+    fn add(&mut self, point: &Weighed) {
+        let row = [1.0, point.cos, point.sin];
         for a in 0..3 {
             for b in 0..3 {
-                self.squares[a][b] += weight * row[a] * row[b];
+                self.squares[a][b] += point.weight * row[a] * row[b];
             }
-            self.products[a] += weight * row[a] * point.headroom;
+            self.products[a] += point.weight * row[a] * point.headroom;
         }
     }
 
@@ -192,6 +207,10 @@
     /// Returns the headroom at a time.
     fn at(&self, at: u64) -> f64 {
         let (sin, cos) = angle(self.period, self.origin, at).sin_cos();
+        self.value(sin, cos)
+    }
+
+    fn value(&self, sin: f64, cos: f64) -> f64 {
         self.mean + self.cos * cos + self.sin * sin
     }
 
--- a/crates/jobs/src/share/headroom.rs
+++ b/crates/jobs/src/share/headroom.rs
@@ -10,7 +10,7 @@
 pub(crate) const LEAST_HEADROOM: f64 = 1.3;
 
 /// Headroom of a serving task before its first figure.
-const FIRST_HEADROOM: f64 = 2.5;
+pub(crate) const FIRST_HEADROOM: f64 = 2.5;
 
 /// Share of the newest figures in a headroom that is tracked.
 const NEWEST: f64 = 0.8;
@@ -73,7 +73,7 @@
     pub(crate) fn later(&self) -> f64 {
         match self.foreseen {
             Some(f) => f.later,
-            None => (self.now + self.lowest) / 2.0,
+            None => self.between(),
         }
     }
 
@@ -81,10 +81,15 @@
     pub(crate) fn average(&self) -> f64 {
         match self.foreseen {
             Some(f) => f.average,
-            None => (self.now + self.lowest) / 2.0,
+            None => self.between(),
         }
     }
 
+    /// Returns the middle of what it is and the lowest of late: a load comes back.
+    fn between(&self) -> f64 {
+        (self.now + self.lowest) / 2.0
+    }
+
     /// Takes what a curve foresees; nothing if curves don't.
     pub(crate) fn foresee(&mut self, foreseen: Option<Foreseen>) {
         self.foreseen = foreseen;
--- a/crates/jobs/src/share/pairs.rs
+++ b/crates/jobs/src/share/pairs.rs
@@ -12,9 +12,9 @@
 //! the one that is foreseen of their step; where none is, to how those of one step differ from
 //! their mean and how what fills beside them differs from its mean. Older differences fade.
 //! Weights are too low by a third in the second way (fitted to the 51,000 figures of a day):
-//! what fills is known roughly, and alike beside the tasks of a step. Differences of logarithms from one half second
-//! to the next were used first: the swing of the load drowned them, and harmless
-//! pairs were taken for harmful ones.
+//! what fills is known roughly, and alike beside the tasks of a step. Differences of logarithms
+//! from one half second to the next were used first: the swing of the load drowned them, and
+//! harmless pairs were taken for harmful ones.
 
 use std::sync::Arc;
 
@@ -93,8 +93,10 @@
 
     /// Returns the headroom that what fills takes from a serving image.
     pub(crate) fn taken(&self, serve: Image, press: &[Press]) -> f64 {
-        let each = press.iter().map(|p| self.weight(p.image, serve) * p.share);
-        each.sum()
+        match self.fits.get(&serve) {
+            Some(fit) => fit.pressure(press),
+            None => Fit::default().pressure(press),
+        }
     }
 
     /// Tells whether a filling image disturbs a serving one.
--- a/crates/jobs/src/share/season.rs
+++ b/crates/jobs/src/share/season.rs
@@ -9,15 +9,35 @@
 
 use crate::share::{
     forecast::{Curve, History, Usual},
+    headroom::FIRST_HEADROOM,
     sample::Group,
 };
 
-/// Shortest and longest period that is tried, in milliseconds, and the factor from one to the
-/// next: within a history the phase is off by a tenth of a period at most.
+/// Shortest period that is tried, in milliseconds: eight points of a step.
 const SHORTEST: f64 = 4_000.0;
+
+/// Longest period that is tried, in milliseconds: a history holds two thirds of it.
 const LONGEST: f64 = 60_000.0;
+
+/// Factor from one period to the next: over two of them the phase is off by a twentieth of one
+/// at most.
 const FACTOR: f64 = 1.05;
 
+/// Period before one was chosen, in milliseconds: of 10 to 20 s that were seen.
+const FIRST_PERIOD: f64 = 15_000.0;
+
+/// Share of a period for which a step has to be seen to tell its mean and its swing.
+const MOST_OF_IT: f64 = 0.7;
+
+/// Steps of which that has to be known before it is usual.
+const FEW: usize = 3;
+
+/// Least variance of steps' means that is thought usual: none is known better than that.
+const LEAST_SPREAD: f64 = 0.02;
+
+/// Least mean square of half of the swing that is thought usual.
+const LEAST_SWING: f64 = 0.05;
+
 /// Milliseconds from one choice of the period to the next.
 const PERIOD: u64 = 3_000;
 
@@ -80,8 +100,8 @@
     fn default() -> Season {
         Season {
             usual: Usual {
-                period: 15_000.0,
-                mean: 2.5,
+                period: FIRST_PERIOD,
+                mean: FIRST_HEADROOM,
                 spread: 1.0,
                 swing: 2.0,
             },
@@ -198,18 +218,18 @@
 
     /// Takes over means and swings of steps that were seen for most of a period.
     fn note_usual(&mut self, known: &[&History], now: u64) {
-        let most = self.usual.period * 0.7;
+        let most = self.usual.period * MOST_OF_IT;
         let long = known.iter().filter(|h| h.span() as f64 >= most);
         let curves: Vec<Curve> = long.map(|h| h.fit(&self.usual, now).curve).collect();
-        if curves.len() < 3 {
+        if curves.len() < FEW {
             return;
         }
         let count = curves.len() as f64;
         let mean = curves.iter().map(|c| c.mean).sum::<f64>() / count;
         let squares = curves.iter().map(|c| (c.mean - mean).powi(2)).sum::<f64>();
         self.usual.mean = mean;
-        self.usual.spread = (squares / count).max(0.02);
-        self.usual.swing = (curves.iter().map(Curve::swing).sum::<f64>() / count).max(0.05);
+        self.usual.spread = (squares / count).max(LEAST_SPREAD);
+        self.usual.swing = (curves.iter().map(Curve::swing).sum::<f64>() / count).max(LEAST_SWING);
     }
 }
 
