Take addresses of one's own where tests held a socket of their own

Assertions stay. socket2 is no longer needed by the adapter's tests. Ruled out: two programs whose process numbers have the same last 16 bits share hosts, not ports, as before in crates/peer and crates/entry.

--- a/crates/http/tests/contract.rs
+++ b/crates/http/tests/contract.rs
@@ -15,21 +15,11 @@
     Client, Handler, HttpError, Limits, Method, Request, Response, Server, ServerSettings,
     parse_request, parse_response,
 };
-use socket2::{Domain, Socket, Type};
+use gorsespur_services::fake::own_addr;
 use test_case::test_case;
 
 const LIMIT: Duration = Duration::from_secs(20);
 
-/// Returns a socket that doesn't listen, and its address, which nobody else is given
-/// while it is held.
-fn deaf() -> (Socket, SocketAddr) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
-    socket.bind(&any.into()).expect("bind");
-    let addr = socket.local_addr().expect("address");
-    (socket, addr.as_socket().expect("an IP address"))
-}
-
 /// A peer that reads a head and writes these bytes, on each connection in turn.
 fn peer(answers: Vec<&'static [u8]>) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
@@ -83,7 +73,7 @@
 
 #[test]
 fn nobody_there_means_not_sent() {
-    let (_held, addr) = deaf();
+    let addr = own_addr().expect("an address");
     assert!(get(&Client::new(addr)).expect_err("nobody").not_sent());
 }
 
--- a/crates/runtime/tests/http.rs
+++ b/crates/runtime/tests/http.rs
@@ -12,19 +12,9 @@
     client::{Answer, Call, CallError, field},
     server::{Limits, Reply, Serving, serve},
 };
-use socket2::{Domain, Socket, Type};
+use gorsespur_services::fake::own_addr;
 use test_case::test_case;
 
-/// Returns a socket that doesn't listen, and its address, which nobody else is given
-/// while it is held.
-fn deaf() -> (Socket, SocketAddr) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
-    socket.bind(&any.into()).expect("bind");
-    let addr = socket.local_addr().expect("address");
-    (socket, addr.as_socket().expect("an IP address"))
-}
-
 /// Serves one connection with raw bytes and returns the address.
 fn raw_peer(answer: &'static [u8]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -79,7 +69,7 @@
 
 #[test]
 fn a_refused_connection_proves_that_nothing_was_sent() {
-    let (_held, addr) = deaf();
+    let addr = own_addr().expect("an address");
     assert!(matches!(call(addr), Err(CallError::NotSent)));
 }
 
