Share what tests of several rooms say of serving steps and of broken promises

Found on rereading the change: the step of serving tasks stood in regression.rs, promises.rs, load.rs and twice in sharing.rs, the assertion that no promise was broken for a seed in behind.rs, promises.rs and evacuation.rs. Both are in common/ now; all assertions and messages stay as they were.

--- a/crates/jobs/tests/all/behind.rs
+++ b/crates/jobs/tests/all/behind.rs
@@ -2,7 +2,7 @@
 //! workers answered meanwhile waits.
 
 use crate::{
-    common::{World, WorldSettings, chain, short},
+    common::{World, WorldSettings, chain, check_seed, short},
     site::Site,
 };
 use gorsespur_jobs::{Event, JobId, Outcome, Step};
@@ -24,11 +24,6 @@
     world
 }
 
-fn check(world: &World, seed: u64) {
-    let wrong = &world.judge.wrong;
-    assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
-}
-
 /// Turns of up to 0.2, 1 and 5 s, with jobs that come all the time.
 #[test_case(200; "a fifth of a second")]
 #[test_case(1000; "a second")]
@@ -45,7 +40,7 @@
             world.run(rng.random_range(0..300));
         }
         world.run_until_done(60_000 + 40 * turns);
-        check(&world, seed);
+        check_seed(&world, seed);
         for id in 1..=JOBS {
             assert_eq!(world.outcome(JobId(id)), Outcome::Complete, "seed {seed}");
         }
@@ -69,7 +64,7 @@
         world.unread = 50;
         world.take_over(over);
         assert!(world.run_until_done(60_000), "seed {seed}");
-        check(&world, seed);
+        check_seed(&world, seed);
     }
 }
 
@@ -89,7 +84,7 @@
         world.unread = 50;
         world.take_over(over);
         assert!(world.run_until_done(60_000), "seed {seed}");
-        check(&world, seed);
+        check_seed(&world, seed);
     }
 }
 
@@ -112,7 +107,7 @@
     world.run(6000);
     world.pause(false);
     assert!(world.run_until_done(20_000));
-    check(&world, 1);
+    check_seed(&world, 1);
     assert_eq!(world.figures().starts, 3);
 }
 
@@ -199,7 +194,7 @@
     assert!(world.run_until_done(30_000));
     world.run(2000);
     assert_eq!(world.figures().tasks, 0);
-    check(&world, 1);
+    check_seed(&world, 1);
 }
 
 /// A flood of starts on a link that carries fifty a second: what waits, waits where it is
@@ -224,7 +219,7 @@
     assert_eq!(world.outcome(id), Outcome::Active);
     assert_eq!(after.unclear, before.unclear, "starts are given up");
     assert_eq!(after.lapsed, 0);
-    check(&world, 1);
+    check_seed(&world, 1);
 }
 
 /// 3,000 workers wrote faster than they were read, and one that had said 5 s before that it
--- a/crates/jobs/tests/all/common/mod.rs
+++ b/crates/jobs/tests/all/common/mod.rs
@@ -21,6 +21,22 @@
     }
 }
 
+/// A step of tasks that last and serve under a target.
+pub fn serving(count: u32) -> Step {
+    Step {
+        lasting: true,
+        target: 100,
+        image: Some("serve".into()),
+        ..short(count, 0)
+    }
+}
+
+/// Asserts that no promise was broken in the world of a seed.
+pub fn check_seed(world: &World, seed: u64) {
+    let wrong = &world.judge.wrong;
+    assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+}
+
 /// A job of these steps, each after the one before.
 pub fn chain(mut steps: Vec<Step>) -> Spec {
     for (at, step) in steps.iter_mut().enumerate().skip(1) {
--- a/crates/jobs/tests/all/evacuation.rs
+++ b/crates/jobs/tests/all/evacuation.rs
@@ -1,6 +1,6 @@
 //! Availability zones that an operator evacuates: nothing begins there, what runs goes on.
 
-use crate::common::{World, WorldSettings, chain, short};
+use crate::common::{World, WorldSettings, chain, check_seed, short};
 use gorsespur_jobs::{JobId, Outcome, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -129,11 +129,7 @@
             world.announce(at, true);
         }
         let done = world.run_until_done(120_000);
-        assert!(
-            world.judge.wrong.is_empty(),
-            "seed {seed}: {:#?}",
-            world.judge.wrong
-        );
+        check_seed(&world, seed);
         assert!(done, "seed {seed}: jobs are left");
         assert_eq!(world.outcome(JobId(0)), Outcome::Complete);
     }
--- a/crates/jobs/tests/all/load.rs
+++ b/crates/jobs/tests/all/load.rs
@@ -4,7 +4,7 @@
 //! decisions reach, with room, and do not depend on the machine.
 
 use crate::{
-    common::{World, WorldSettings, chain, short},
+    common::{World, WorldSettings, chain, serving, short},
     site::Site,
 };
 use gorsespur_jobs::{JobId, Outcome, Step};
@@ -110,11 +110,8 @@
     world.run(100);
     for id in 1..9 {
         let serve = Step {
-            lasting: true,
-            target: 100,
             cpu: 7000,
-            image: Some("serve".into()),
-            ..short(1, 0)
+            ..serving(1)
         };
         world.submit(id, chain(vec![serve]));
     }
--- a/crates/jobs/tests/all/promises.rs
+++ b/crates/jobs/tests/all/promises.rs
@@ -1,6 +1,6 @@
 //! Promises under every fault, and under random series of them.
 
-use crate::common::{Mode, World, WorldSettings, chain, short};
+use crate::common::{Mode, World, WorldSettings, chain, check_seed, serving, short};
 use gorsespur_jobs::{Event, Outcome, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
@@ -156,11 +156,7 @@
             mend(&mut world, at);
         }
         let done = world.run_until_done(120_000);
-        assert!(
-            world.judge.wrong.is_empty(),
-            "seed {seed}: {:#?}",
-            world.judge.wrong
-        );
+        check_seed(&world, seed);
         assert!(done, "seed {seed}: jobs are left");
     }
 }
@@ -247,13 +243,7 @@
     });
     world.workers[0].press = 0.5;
     world.run(100);
-    let serve = Step {
-        lasting: true,
-        target: 100,
-        image: Some("serve".into()),
-        ..short(1, 0)
-    };
-    world.submit(1, chain(vec![serve]));
+    world.submit(1, chain(vec![serving(1)]));
     world.run(1500);
     let fill = Step {
         fill: true,
--- a/crates/jobs/tests/all/regression.rs
+++ b/crates/jobs/tests/all/regression.rs
@@ -1,17 +1,8 @@
 //! Bugs that were found, each with its cause and the day that showed it.
 
-use crate::common::{Mode, World, WorldSettings, chain, short};
+use crate::common::{Mode, World, WorldSettings, chain, serving, short};
 use gorsespur_jobs::{Outcome, Step};
 
-fn serving(count: u32) -> Step {
-    Step {
-        lasting: true,
-        target: 100,
-        image: Some("serve".into()),
-        ..short(count, 0)
-    }
-}
-
 fn filling(count: u32, estimate: u64) -> Step {
     Step {
         fill: true,
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -1,6 +1,6 @@
 //! What fills beside what serves, where loads swing and tails grow as in a queue.
 
-use crate::common::{World, WorldSettings, chain, short};
+use crate::common::{World, WorldSettings, chain, serving, short};
 use gorsespur_jobs::{JobId, Outcome, Step};
 use test_case::test_case;
 
@@ -155,11 +155,8 @@
     world.submit(11, chain(vec![long("light")]));
     world.run(8000);
     let serve = Step {
-        lasting: true,
-        target: 100,
         spread: 1,
-        image: Some("serve".into()),
-        ..short(4, 0)
+        ..serving(4)
     };
     let before: Vec<usize> = world.workers.iter().map(|w| w.runs.len()).collect();
     world.submit(12, chain(vec![serve]));
@@ -251,13 +248,7 @@
         ..WorldSettings::default()
     });
     world.run(100);
-    let serve = Step {
-        lasting: true,
-        target: 100,
-        image: Some("serve".into()),
-        ..short(1, 0)
-    };
-    world.submit(1, chain(vec![serve]));
+    world.submit(1, chain(vec![serving(1)]));
     world.workers[0].tails = tails.to_vec();
     world.run(3000);
     let (mut filled, mut runs_seen, mut paces) = (0, 0, 0);
