Tell which tasks wait for workers that a new owner can't ask

Cause: after a takeover nothing told a task that waits for the leases of earlier owners from one that waits for room: the only line came when the wait was over. Change: `worker: not listed, its runs wait` with the time at the takeover, `leases_ms` beside `lease: taken`, and the gauge `runs_unheard`. Decisions are as before. Measured: runs_on_a_worker_that_has_vanished_are_counted: 4 runs unheard at the takeover, 1 (that of the vanished worker) after 0.5 s, 0 once the leases are over.

--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -181,6 +181,7 @@
             open: self.open.len() as u64,
             tasks: self.jobs.iter().map(|(_, j)| j.size()).sum(),
             age: self.fleet.age(self.now),
+            unheard: self.unheard(),
             ..self.figures
         }
     }
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -15,4 +15,5 @@
 mod listed;
 pub(crate) mod stray;
 pub(crate) mod trust;
+mod unheard;
 pub(crate) mod worker;
--- /dev/null
+++ b/crates/jobs/src/runs/unheard.rs
@@ -0,0 +1,37 @@
+//! Runs of earlier owners on workers that this owner has not heard yet.
+//!
+//! Such a run holds its task until its worker answers, or until every lease that an earlier
+//! owner may have granted is over. A worker whose announcement was gone at the takeover
+//! can't even be asked.
+
+use crate::{machine::Machine, runs::worker::Worker};
+
+impl Worker {
+    /// Returns how many runs on it wait for its first word to this owner.
+    fn unheard(&self) -> usize {
+        if self.clock.is_none() && !self.dead {
+            self.runs.len()
+        } else {
+            0
+        }
+    }
+}
+
+impl Machine {
+    /// Returns how many runs of earlier owners are on workers that were not heard yet.
+    pub(crate) fn unheard(&self) -> u64 {
+        let workers = self.fleet.workers.iter();
+        workers.map(|w| w.unheard() as u64).sum()
+    }
+
+    /// Logs the workers that can't be asked after their runs, and for how long these wait.
+    pub fn tell_unheard(&self) {
+        for worker in &self.fleet.workers {
+            if worker.info.is_some() || worker.runs.is_empty() {
+                continue;
+            }
+            let wait = worker.lapse().saturating_sub(self.now);
+            log::warn!(worker = &*worker.id, runs = worker.runs.len(), wait_ms = wait; "worker: not listed, its runs wait");
+        }
+    }
+}
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -11,3 +11,4 @@
 #[path = "../../benches/site.rs"]
 #[expect(dead_code, reason = "the benchmarks use more of it")]
 mod site;
+mod takeovers;
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -226,7 +226,7 @@
     };
     let contest = seen.contest(shared, 0);
     let inherited = contest.inherited(asked, &shared.settings.jobs);
-    log::info!(epoch, from = seen.lease.owner.as_str(), released = seen.lease.released, age_ms = asked - seen.since; "lease: taken");
+    log::info!(epoch, from = seen.lease.owner.as_str(), released = seen.lease.released, age_ms = asked - seen.since, leases_ms = inherited.saturating_sub(asked); "lease: taken");
     Ok(Some(Tenure {
         epoch,
         largest: lease.largest,
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -82,6 +82,7 @@
     for event in events {
         machine.handle(shared.clock.now(), wall_ms(), event);
     }
+    machine.tell_unheard();
     Ok(Loaded {
         machine,
         jobs,
