Count an owner's contact from the asking of its claim, not from its answer

Cause: the same as of the incident's wait, elsewhere: what an owner grants has to be over when its successor, which counts from when the lease's row changed, takes it for over. A claim that was answered late, at the limit 2.5 s late, moved the owner's grants by as much beyond that. Measured: a_claim_that_is_answered_late_prolongs_nothing fails with the contact taken from the answer and passes so; tests of the two crates pass.

--- a/crates/jobs/benches/site.rs
+++ b/crates/jobs/benches/site.rs
@@ -9,7 +9,7 @@
 
 use gorsespur_jobs::{
     Action, Answer, Capacity, End, Ending, Event, Figures, Job, JobId, Look, Machine, QueuePolicy,
-    Running, Settings, Spec, StartOrder, Started, Step, Stopped, TaskId, WorkerInfo,
+    Running, Settings, Spec, StartOrder, Started, Step, Stopped, Takeover, TaskId, WorkerInfo,
 };
 
 /// Milliseconds between two wake-ups of the owner.
@@ -84,7 +84,14 @@
     /// usual rate.
     pub fn new(workers: u64, times: u64) -> Site {
         let now = 3_600_000;
-        let mut machine = Machine::new(Settings::default(), now, 0);
+        let mut machine = Machine::new(
+            Settings::default(),
+            now,
+            Takeover {
+                asked: now,
+                inherited: 0,
+            },
+        );
         let policy = |queue: &str, priority| QueuePolicy {
             queue: queue.into(),
             service: "s".into(),
--- a/crates/jobs/benches/takeover.rs
+++ b/crates/jobs/benches/takeover.rs
@@ -7,7 +7,7 @@
 
 use cap::Cap;
 use criterion::{BenchmarkId, Criterion};
-use gorsespur_jobs::{Event, Job, Machine, Record, Settings, Step};
+use gorsespur_jobs::{Event, Job, Machine, Record, Settings, Step, Takeover};
 
 #[expect(dead_code, reason = "the other benchmark uses more of it")]
 mod site;
@@ -58,7 +58,14 @@
 /// Does what an owner does with the rows that it has read.
 fn take_over(rows: &[Rows]) -> Machine {
     let now = 3_600_000;
-    let mut machine = Machine::new(Settings::default(), now, now);
+    let mut machine = Machine::new(
+        Settings::default(),
+        now,
+        Takeover {
+            asked: now,
+            inherited: now,
+        },
+    );
     for row in rows {
         let job: Job = rmp_serde::from_slice(&row.job).expect("own row");
         let job = Arc::new(job);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -39,6 +39,7 @@
 mod share;
 mod sorted;
 mod summary;
+mod takeover;
 
 pub use action::{Action, StartOrder};
 pub use event::{Answer, End, Ending, Event, Look, Running, Started, Stopped};
@@ -54,3 +55,4 @@
 pub use settings::{CLOCK_RATE, LEASE_MARGIN, Settings};
 pub use share::learned::Learned;
 pub use sorted::Sorted;
+pub use takeover::Takeover;
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -19,6 +19,7 @@
     settings::Settings,
     share::{pairs::Pairs, sample::Image, season::Season},
     sorted::Sorted,
+    takeover::Takeover,
 };
 
 /// A batch of records on its way to the store.
@@ -78,10 +79,9 @@
 }
 
 impl Machine {
-    /// Makes a machine at `now`; an earlier owner may have granted leases that
-    /// are over at `inherited`, both on the own steady clock in milliseconds.
-    pub fn new(settings: Settings, now: u64, inherited: u64) -> Machine {
-        let fleet = Fleet::new(inherited);
+    /// Makes a machine at `now` on the own steady clock, in milliseconds.
+    pub fn new(settings: Settings, now: u64, takeover: Takeover) -> Machine {
+        let fleet = Fleet::new(takeover.inherited);
         Machine {
             settings,
             jobs: Sorted::default(),
@@ -99,7 +99,7 @@
             guesses: Sorted::default(),
             images: Sorted::default(),
             batch: None,
-            contact: now,
+            contact: takeover.asked,
             moved: true,
             placed: 0,
             checked: 0,
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -4,7 +4,7 @@
 
 use gorsespur_jobs::{
     Action, Answer, Capacity, Event, Figures, Job, JobId, Machine, Outcome, QueuePolicy, Record,
-    Settings, Spec, Started, Stopped, WorkerInfo,
+    Settings, Spec, Started, Stopped, Takeover, WorkerInfo,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -90,6 +90,8 @@
     pub unread: u32,
     /// Milliseconds that a start takes on an owner's link.
     pub link: u64,
+    /// Milliseconds from when a new owner asked for the lease until it reads the answer.
+    pub claim: u64,
     /// Whether a new owner is given what the last one learned.
     pub remembers: bool,
     records: BTreeMap<JobId, Vec<u8>>,
@@ -116,6 +118,7 @@
             turns: 0,
             unread: 0,
             link: 0,
+            claim: 0,
             remembers: true,
             records: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -141,7 +144,9 @@
     pub fn take_over(&mut self, inherited: u64) {
         self.epoch += 1;
         let learned = self.owners.last().map(|o| o.machine.learned());
-        let mut machine = Machine::new(Settings::default(), self.now, inherited);
+        let asked = self.now - self.claim;
+        let takeover = Takeover { asked, inherited };
+        let mut machine = Machine::new(Settings::default(), self.now, takeover);
         if let Some(learned) = learned.filter(|_| self.remembers) {
             machine.recall(&learned);
         }
--- a/crates/jobs/tests/all/takeovers.rs
+++ b/crates/jobs/tests/all/takeovers.rs
@@ -77,3 +77,20 @@
     assert_eq!(running, 4, "{ALLOWED} ms after the last contact");
     check_seed(&world, 0);
 }
+
+/// An owner whose claim was answered late grants nothing beyond what its successor waits for,
+/// which counts from when the claim was done.
+#[test]
+fn a_claim_that_is_answered_late_prolongs_nothing() {
+    let mut world = world();
+    let over = world.lease_end();
+    world.store_down = true;
+    world.pause(true);
+    world.run(2500);
+    world.claim = 2500;
+    world.take_over(over);
+    world.run(15_000);
+    for worker in &world.workers {
+        assert!(worker.deadline <= worker.clock(over), "{}", worker.id);
+    }
+}
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use gorsespur_jobs::Takeover;
 use gorsespur_runtime::cancel::Cancel;
 use rand::Rng;
 
@@ -232,7 +233,7 @@
         largest: lease.largest,
         pending: lease.pending,
         head: version,
-        inherited,
+        takeover: Takeover { asked, inherited },
     }))
 }
 
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -81,7 +81,7 @@
         },
         head: tenure.head,
         number: 0,
-        renewed: shared.clock.now(),
+        renewed: tenure.takeover.asked,
         pulse: Pulse::default(),
         learned: None,
     };
@@ -127,9 +127,11 @@
     fn append(&mut self, records: Vec<(JobId, Vec<u8>)>, ring: &Receiver<Entry>) -> Option<u64> {
         self.number += 1;
         self.lease.term = self.pulse.term();
-        let tx = self.tx(records);
-        let renews = tx.writes.iter().any(|w| w.table == LEASE);
+        // Before it is settled whether the write renews the lease: a pause between the two
+        // would let the owner's contact be newer than its renewals by more than is allowed for.
         let sent = self.shared.clock.now();
+        let tx = self.tx(records, sent);
+        let renews = tx.writes.iter().any(|w| w.table == LEASE);
         let mut pause = FIRST_PAUSE;
         let mut failing = false;
         loop {
@@ -199,7 +201,7 @@
         }
     }
 
-    fn tx(&mut self, records: Vec<(JobId, Vec<u8>)>) -> Tx {
+    fn tx(&mut self, records: Vec<(JobId, Vec<u8>)>, now: u64) -> Tx {
         let head = HeadRow {
             epoch: self.lease.epoch,
             number: self.number,
@@ -209,7 +211,7 @@
             key: HEAD.into(),
             value: encode(&head),
         }];
-        let due = self.shared.clock.now() >= self.renewed + RENEW;
+        let due = now >= self.renewed + RENEW;
         if due || records.is_empty() || self.lease.released {
             writes.push(Write {
                 table: LEASE,
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -28,7 +28,7 @@
 pub(crate) fn load(shared: &Arc<Shared>, tenure: &Tenure) -> Result<Loaded, StoreError> {
     let store = &*shared.store;
     let now = shared.clock.now();
-    let mut machine = Machine::new(shared.settings.jobs, now, tenure.inherited);
+    let mut machine = Machine::new(shared.settings.jobs, now, tenure.takeover);
     if let Some(learned) = learned(shared) {
         machine.recall(&learned);
     }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -24,6 +24,7 @@
 use std::{sync::Arc, thread};
 
 use flume::Sender;
+use gorsespur_jobs::Takeover;
 use gorsespur_runtime::cancel::Cancel;
 
 use self::{inbox::Inbox, journal::Entry, load::Loaded, turn::Turn};
@@ -46,8 +47,8 @@
     pub(crate) pending: Vec<(Arc<str>, u64)>,
     /// Version of the journal's end.
     pub(crate) head: u64,
-    /// When leases of an earlier owner are over.
-    pub(crate) inherited: u64,
+    /// What is known of the time before.
+    pub(crate) takeover: Takeover,
 }
 
 /// Decides until the lease is lost or `cancel` is cancelled; then gives it back.
