Wait for leases of all earlier owners, not of the last one only

A lease that was given back, or taken by an instance that started anew, was followed by a wait of 6.2 s for the last owner's leases. One before it may live on in a zone that is cut off and renew what runs there for longer, and the new owner would start it a second time. The age of the row was also taken after the claim's answer and subtracted from a time before it, which made each wait shorter by the time of that answer. Change: the lease's row says for how long earlier leases may last (`earlier`); a claim takes the age and the time of its asking together.

--- a/crates/node/src/contest.rs
+++ b/crates/node/src/contest.rs
@@ -84,19 +84,22 @@
         }
     }
 
-    /// Returns when the last lease that an earlier owner granted to a worker is over, if
+    /// Returns when the last lease that any earlier owner granted to a worker is over, if
     /// this instance takes over at `now`; both by its own clock, in milliseconds.
     pub(crate) fn inherited(&self, now: u64, jobs: &Settings) -> u64 {
+        let Some(lease) = self.lease else {
+            return 0;
+        };
         let on_slow_clock = |ms: u64| ms * 100 / CLOCK_RATE + LEASE_MARGIN;
-        match self.lease {
-            None => 0,
+        let last = if lease.released || lease.owner == self.name {
             // One process runs under a name: the one that held the lease has ended.
-            Some(lease) if lease.released || lease.owner == self.name => {
-                now + on_slow_clock(jobs.lease)
-            }
+            now + on_slow_clock(jobs.lease)
+        } else {
             // Whatever it still grants reaches no further from its last contact, so that the
             // wait does not add up the times of renewing and of a lease: 9.2 s in place of 12.7.
-            Some(_) => (now + RENEWAL + on_slow_clock(jobs.reach)).saturating_sub(self.age),
-        }
+            (now + RENEWAL + on_slow_clock(jobs.reach)).saturating_sub(self.age)
+        };
+        // One before it may live on in a zone that is cut off, and renew what runs there.
+        last.max((now + lease.earlier).saturating_sub(self.age))
     }
 }
--- a/crates/node/src/contest_tests.rs
+++ b/crates/node/src/contest_tests.rs
@@ -165,3 +165,21 @@
         "{after} ms after the last renewal"
     );
 }
+
+/// An owner in a zone that is cut off grants leases for as long as it may, also while others
+/// follow one another quickly: the last one gave the lease back, or started anew, and its own
+/// leases are over before those of the one that is cut off.
+#[test_case("other", true, 0, 60_000 + 8_000; "given back just now")]
+#[test_case("other", true, 3000, 60_000 + 6_182; "given back a while ago")]
+#[test_case("me", false, 0, 60_000 + 8_000; "started anew")]
+#[test_case("other", false, 0, 60_000 + 9_233; "may live on")]
+fn leases_of_owners_before_the_last_one_count(owner: &str, released: bool, age: u64, over: u64) {
+    let lease = LeaseRow {
+        owner: owner.into(),
+        released,
+        earlier: 8_000,
+        ..lease(500)
+    };
+    let inherited = contest(&lease, 500, age).inherited(60_000, &Settings::default());
+    assert_eq!(inherited, over);
+}
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -45,8 +45,7 @@
 }
 
 impl Seen {
-    fn contest<'a>(&'a self, shared: &'a Shared, jitter: u64) -> Contest<'a> {
-        let now = shared.clock.now();
+    fn contest<'a>(&'a self, shared: &'a Shared, now: u64, jitter: u64) -> Contest<'a> {
         Contest {
             lease: self.row.as_ref().map(|_| &self.lease),
             name: &shared.settings.name,
@@ -73,7 +72,7 @@
                 continue;
             }
         };
-        let contest = now.contest(shared, jitter);
+        let contest = now.contest(shared, shared.clock.now(), jitter);
         if shared.is_leaving() || !contest.is_won() {
             cancel.wait(Duration::from_millis(contest.pause()));
             seen = Some(now);
@@ -98,7 +97,8 @@
     let Some(mut seen) = seen else {
         return read(shared);
     };
-    let remaining = seen.contest(shared, jitter).remaining();
+    let contest = seen.contest(shared, shared.clock.now(), jitter);
+    let remaining = contest.remaining();
     let wait = Duration::from_millis(remaining.clamp(LEAST_WAIT, WAIT));
     match shared.store.changes(LEASE, seen.version, wait) {
         Err(StoreError::Forgotten) => return read_again(shared, seen),
@@ -184,6 +184,9 @@
 fn claim(shared: &Arc<Shared>, seen: &Seen) -> Result<Option<Tenure>, StoreError> {
     let version = seen.row.as_ref().map_or(0, |r| r.version);
     let epoch = seen.lease.epoch + 1;
+    let asked = shared.clock.now();
+    let contest = seen.contest(shared, asked, 0);
+    let inherited = contest.inherited(asked, &shared.settings.jobs);
     let lease = LeaseRow {
         owner: shared.settings.name.to_string(),
         epoch,
@@ -192,6 +195,7 @@
         largest: seen.lease.largest.max(shared.settings.share),
         pending: seen.lease.pending.clone(),
         term: 0,
+        earlier: inherited.saturating_sub(asked),
     };
     let head = HeadRow { epoch, number: 0 };
     let tx = Tx {
@@ -214,7 +218,6 @@
             },
         ],
     };
-    let asked = shared.clock.now();
     let done = match shared.store.commit(&tx, LIMIT) {
         Ok(Commit::Done(version)) => Some(version),
         Ok(Commit::Conflict(_)) => None,
@@ -225,8 +228,6 @@
         log::info!(epoch; "lease: another instance was faster");
         return Ok(None);
     };
-    let contest = seen.contest(shared, 0);
-    let inherited = contest.inherited(asked, &shared.settings.jobs);
     log::info!(epoch, from = seen.lease.owner.as_str(), released = seen.lease.released, age_ms = asked - seen.since, leases_ms = inherited.saturating_sub(asked); "lease: taken");
     Ok(Some(Tenure {
         epoch,
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -58,6 +58,8 @@
 struct Journal<'a> {
     shared: &'a Arc<Shared>,
     lease: LeaseRow,
+    /// When leases of earlier owners are over.
+    inherited: u64,
     head: u64,
     number: u64,
     renewed: u64,
@@ -78,7 +80,9 @@
             largest: tenure.largest,
             pending: tenure.pending.clone(),
             term: 0,
+            earlier: 0,
         },
+        inherited: tenure.takeover.inherited,
         head: tenure.head,
         number: 0,
         renewed: tenure.takeover.asked,
@@ -127,6 +131,7 @@
     fn append(&mut self, records: Vec<(JobId, Vec<u8>)>, ring: &Receiver<Entry>) -> Option<u64> {
         self.number += 1;
         self.lease.term = self.pulse.term();
+        self.lease.earlier = self.inherited.saturating_sub(self.shared.clock.now());
         // Before it is settled whether the write renews the lease: a pause between the two
         // would let the owner's contact be newer than its renewals by more than is allowed for.
         let sent = self.shared.clock.now();
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -85,6 +85,10 @@
     /// Milliseconds without a renewal after which it is free; 0 if its owner did not say.
     #[serde(default)]
     pub(crate) term: u64,
+    /// Milliseconds from this renewal on until leases of workers are over that owners before
+    /// this one may have granted.
+    #[serde(default)]
+    pub(crate) earlier: u64,
 }
 
 /// The row of the journal's end: who wrote last, and which write it was.
