Let what is seen of the lease outlast failures of the store and of claims

Cause: an instance forgot the lease when two calls in a row failed, or when its claim did. Change: Watch keeps what was seen until something newer is; a failed claim is followed by a pause of a second, as long as it took before to see the lease as old again, so that a slow store gets no more claims.

--- /dev/null
+++ b/crates/node/src/fakes_tests.rs
@@ -0,0 +1,203 @@
+//! Stand-ins for tests: stores, and a protocol without content.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use gorsespur_http::{HttpError, Method, Request, Response};
+use gorsespur_jobs::{Answer, Look, Outcome, Settings, Spec, Started, WorkerInfo};
+
+use crate::{
+    config::Config,
+    protocol::{Order, Protocol, ProtocolError},
+    rows::{LEASE, LeaseRow, OWNER, OWNER_PART, decode, encode},
+    settings::NodeSettings,
+    shared::Shared,
+    store::{Changes, Commit, Page, Range, Row, Store, StoreError, Tx},
+};
+
+/// A store that is away.
+#[derive(Debug)]
+pub(crate) struct NoStore;
+
+fn away<T>() -> Result<T, StoreError> {
+    Err(StoreError::Unavailable {
+        reason: "away".into(),
+    })
+}
+
+impl Store for NoStore {
+    fn read(&self, _: Range<'_>) -> Result<Page, StoreError> {
+        away()
+    }
+
+    fn changes(&self, _: &str, _: u64, _: Duration) -> Result<Changes, StoreError> {
+        away()
+    }
+
+    fn commit(&self, _: &Tx, _: Duration) -> Result<Commit, StoreError> {
+        away()
+    }
+}
+
+/// Looks and their answers without content.
+#[derive(Debug)]
+pub(crate) struct Bare;
+
+fn unread<T>() -> Result<T, ProtocolError> {
+    Err(ProtocolError::Malformed {
+        what: "anything",
+        reason: "not read here".into(),
+    })
+}
+
+impl Protocol for Bare {
+    fn config_row(&self) -> (&'static str, &'static str) {
+        ("t", "k")
+    }
+
+    fn evacuation(&self, _: &Row) -> Result<Option<Arc<str>>, ProtocolError> {
+        unread()
+    }
+
+    fn workers_table(&self) -> &'static str {
+        "w"
+    }
+
+    fn config(&self, _: &Row) -> Result<Config, ProtocolError> {
+        unread()
+    }
+
+    fn worker(&self, _: &Row) -> Result<WorkerInfo, ProtocolError> {
+        unread()
+    }
+
+    fn order(&self, _: &Order, _: u64, _: &Arc<str>) -> Request {
+        Request::new(Method::Post, "/look", Vec::new())
+    }
+
+    fn answer(&self, order: &Order, result: Result<Response, HttpError>) -> Answer {
+        if let Order::Start(start) = order {
+            return Answer::Started(start.task, start.run, Started::Unknown);
+        }
+        match result {
+            Ok(_) => Answer::Looked(Look {
+                clock: 1,
+                running: Vec::new(),
+                finished: Vec::new(),
+            }),
+            Err(_) => Answer::Silent,
+        }
+    }
+
+    fn submission(&self, _: &[u8]) -> Result<Spec, ProtocolError> {
+        unread()
+    }
+
+    fn outcome(&self, _: Outcome) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn pending(&self, _: u64) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn patience(&self, _: &Request) -> Option<u64> {
+        None
+    }
+}
+
+/// What the threads of a node called "n" share, with this store.
+pub(crate) fn shared(store: impl Store) -> Arc<Shared> {
+    let settings = NodeSettings {
+        name: "n".into(),
+        front: None,
+        ready: None,
+        metrics: None,
+        linger: Duration::ZERO,
+        connections: 1,
+        jobs: Settings::default(),
+        share: 500,
+    };
+    Arc::new(Shared::new(settings, Box::new(store), Box::new(Bare)))
+}
+
+/// A store with a row of the lease, which may be away, and which takes each write.
+#[derive(Debug, Default)]
+pub(crate) struct LeaseStore {
+    /// Whether no call is answered.
+    pub(crate) away: AtomicBool,
+    /// The lease as it was written, the newest one last.
+    pub(crate) leases: Mutex<Vec<LeaseRow>>,
+}
+
+impl LeaseStore {
+    pub(crate) fn new(lease: LeaseRow) -> Arc<LeaseStore> {
+        Arc::new(LeaseStore {
+            away: AtomicBool::new(false),
+            leases: Mutex::new(vec![lease]),
+        })
+    }
+
+    /// Returns the newest lease.
+    pub(crate) fn newest(&self) -> LeaseRow {
+        let leases = self.leases.lock().expect("not poisoned");
+        leases.last().expect("written").clone()
+    }
+
+    /// Returns its version.
+    fn version(&self) -> u64 {
+        self.leases.lock().expect("not poisoned").len() as u64
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        match self.away.load(Ordering::SeqCst) {
+            true => away(),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Store for Arc<LeaseStore> {
+    fn read(&self, range: Range<'_>) -> Result<Page, StoreError> {
+        self.check()?;
+        let row = Row {
+            part: OWNER_PART.into(),
+            key: OWNER.into(),
+            value: encode(&self.newest()),
+            version: self.version(),
+            removed: false,
+        };
+        let rows = if range.table == LEASE {
+            vec![row]
+        } else {
+            Vec::new()
+        };
+        Ok(Page {
+            rows,
+            more: false,
+            version: self.version(),
+        })
+    }
+
+    fn changes(&self, _: &str, after: u64, _: Duration) -> Result<Changes, StoreError> {
+        self.check()?;
+        Ok(Changes {
+            rows: Vec::new(),
+            version: after,
+            whole: true,
+        })
+    }
+
+    fn commit(&self, tx: &Tx, _: Duration) -> Result<Commit, StoreError> {
+        self.check()?;
+        let row = tx.writes.iter().find(|w| w.table == LEASE);
+        let lease = row.and_then(|w| decode("lease", &w.value));
+        self.leases.lock().expect("not poisoned").extend(lease);
+        Ok(Commit::Done(self.version()))
+    }
+}
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -32,12 +32,17 @@
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// Pause after a claim that failed: a slow store refuses claims while more than a second of
+/// writes waits, and each one more makes the others wait longer.
+const CLAIM_PAUSE: Duration = Duration::from_millis(1000);
+
 /// The lease as it was last seen.
-struct Seen {
+#[derive(Debug, Clone)]
+pub(crate) struct Seen {
     row: Option<Row>,
     lease: LeaseRow,
     /// When this version was first seen.
-    since: u64,
+    pub(crate) since: u64,
     /// When its epoch was first seen.
     begun: u64,
     /// The store's version up to which changes are known.
@@ -59,27 +64,25 @@
 
 /// Watches until cancelled; while this instance owns the lease, it decides.
 pub(crate) fn watch(shared: &Arc<Shared>, cancel: &Cancel) {
-    let mut seen: Option<Seen> = None;
+    let mut watch = Watch::default();
     let mut rng = rand::rng();
     let mut jitter = rng.random_range(0..JITTER);
     while !cancel.is_cancelled() {
-        let step = look(shared, seen.take(), jitter);
-        let now = match step {
-            Ok(now) => now,
+        let seen = match watch.look(shared, jitter) {
+            Ok(seen) => seen,
             Err(err) => {
                 log::debug!(err = err.to_string().as_str(); "lease: not seen");
                 cancel.wait(PAUSE);
                 continue;
             }
         };
-        let contest = now.contest(shared, shared.clock.now(), jitter);
+        let contest = seen.contest(shared, shared.clock.now(), jitter);
         if shared.is_leaving() || !contest.is_won() {
             cancel.wait(Duration::from_millis(contest.pause()));
-            seen = Some(now);
             continue;
         }
         jitter = rng.random_range(0..JITTER);
-        match claim(shared, &now) {
+        match claim(shared, seen) {
             Ok(Some(tenure)) => {
                 shared.metrics.count(Count::Takeovers);
                 owner::run(shared, tenure, cancel);
@@ -87,53 +90,71 @@
             Ok(None) => {}
             Err(err) => {
                 log::warn!(err = err.to_string().as_str(); "lease: claim failed");
-                cancel.wait(PAUSE);
+                cancel.wait(CLAIM_PAUSE);
             }
         }
     }
 }
 
-fn look(shared: &Shared, seen: Option<Seen>, jitter: u64) -> Result<Seen, StoreError> {
-    let Some(mut seen) = seen else {
-        return read(shared);
-    };
-    let contest = seen.contest(shared, shared.clock.now(), jitter);
+/// What an instance that watches the lease remembers.
+#[derive(Default)]
+pub(crate) struct Watch {
+    /// The lease as it was last seen. It outlasts failures of the store and of claims: seen
+    /// anew, its age would begin anew, and with it the wait for its owner's leases.
+    seen: Option<Seen>,
+}
+
+impl Watch {
+    /// Asks for changes of the lease, and returns it as it is now.
+    pub(crate) fn look(&mut self, shared: &Shared, jitter: u64) -> Result<&Seen, StoreError> {
+        let seen = match &self.seen {
+            None => read(shared)?,
+            Some(old) => look_again(shared, old, jitter)?,
+        };
+        Ok(self.seen.insert(seen))
+    }
+}
+
+fn look_again(shared: &Shared, old: &Seen, jitter: u64) -> Result<Seen, StoreError> {
+    let contest = old.contest(shared, shared.clock.now(), jitter);
     let remaining = contest.remaining();
     let wait = Duration::from_millis(remaining.clamp(LEAST_WAIT, WAIT));
-    match shared.store.changes(LEASE, seen.version, wait) {
-        Err(StoreError::Forgotten) => return read_again(shared, seen),
-        Err(err) => return keep(seen, err, shared),
-        Ok(changes) => {
-            shared.touched();
-            seen.version = changes.version;
-            let row = changes.rows.into_iter().rfind(|r| r.key == OWNER);
-            if let Some(row) = row {
-                let lease = read_lease(shared, Some(&row))?;
-                seen.row = (!row.removed).then_some(row);
-                if lease.epoch != seen.lease.epoch {
-                    seen.begun = shared.clock.now();
-                }
-                seen.lease = lease;
-                seen.since = shared.clock.now();
-            }
+    let changes = match shared.store.changes(LEASE, old.version, wait) {
+        Err(StoreError::Forgotten) => return read_again(shared, old),
+        Err(err) => return keep(shared, old, &err),
+        Ok(changes) => changes,
+    };
+    shared.touched();
+    let mut seen = Seen {
+        version: changes.version,
+        ..old.clone()
+    };
+    let row = changes.rows.into_iter().rfind(|r| r.key == OWNER);
+    if let Some(row) = row {
+        let lease = read_lease(shared, Some(&row))?;
+        seen.row = (!row.removed).then_some(row);
+        if lease.epoch != seen.lease.epoch {
+            seen.begun = shared.clock.now();
         }
+        seen.lease = lease;
+        seen.since = shared.clock.now();
     }
     Ok(seen)
 }
 
 /// After a failure what was seen is still true, and its age goes on counting,
 /// but only the store's answer lets it be claimed.
-fn keep(seen: Seen, err: StoreError, shared: &Shared) -> Result<Seen, StoreError> {
+fn keep(shared: &Shared, old: &Seen, err: &StoreError) -> Result<Seen, StoreError> {
     log::debug!(err = err.to_string().as_str(); "lease: changes not seen");
     shared.untouched();
     std::thread::sleep(PAUSE);
-    read_again(shared, seen)
+    read_again(shared, old)
 }
 
-fn read_again(shared: &Shared, old: Seen) -> Result<Seen, StoreError> {
+fn read_again(shared: &Shared, old: &Seen) -> Result<Seen, StoreError> {
     let new = read(shared)?;
     let version = |s: &Seen| s.row.as_ref().map(|r| r.version);
-    let same = version(&new) == version(&old);
+    let same = version(&new) == version(old);
     Ok(Seen {
         since: if same { old.since } else { new.since },
         begun: match new.lease.epoch == old.lease.epoch {
@@ -181,7 +202,7 @@
 }
 
 /// Tries to become the owner; nothing if another was faster.
-fn claim(shared: &Arc<Shared>, seen: &Seen) -> Result<Option<Tenure>, StoreError> {
+pub(crate) fn claim(shared: &Arc<Shared>, seen: &Seen) -> Result<Option<Tenure>, StoreError> {
     let version = seen.row.as_ref().map_or(0, |r| r.version);
     let epoch = seen.lease.epoch + 1;
     let asked = shared.clock.now();
--- /dev/null
+++ b/crates/node/src/lease_tests.rs
@@ -0,0 +1,54 @@
+//! What an instance remembers of the lease, and what a claim tells of earlier owners.
+
+use std::sync::atomic::Ordering;
+
+use crate::{
+    fakes_tests::{LeaseStore, shared},
+    lease::{Watch, claim},
+    rows::LeaseRow,
+};
+
+/// The lease of an owner that is gone.
+fn lease() -> LeaseRow {
+    LeaseRow {
+        owner: "gone".into(),
+        epoch: 3,
+        share: 500,
+        largest: 500,
+        earlier: u64::from(u32::MAX),
+        ..LeaseRow::default()
+    }
+}
+
+/// The store was away for longer than two calls, and after that the lease counted as renewed
+/// just now: the next owner waited for leases from then on, 14.4 s in place of 9.2 s after the
+/// last renewal.
+#[test]
+fn the_age_of_a_lease_outlasts_failures_of_the_store() {
+    let store = LeaseStore::new(lease());
+    let shared = shared(store.clone());
+    let mut watch = Watch::default();
+    let since = watch.look(&shared, 0).expect("an answer").since;
+    store.away.store(true, Ordering::SeqCst);
+    for _ in 0..3 {
+        assert!(watch.look(&shared, 0).is_err());
+    }
+    store.away.store(false, Ordering::SeqCst);
+    let again = watch.look(&shared, 0).expect("an answer").since;
+    assert_eq!(again, since);
+}
+
+/// Leases of owners before the last one: the claim waits for them and says so.
+#[test]
+fn a_claim_tells_for_how_long_earlier_leases_may_last() {
+    let store = LeaseStore::new(lease());
+    let shared = shared(store.clone());
+    let mut watch = Watch::default();
+    let seen = watch.look(&shared, 0).expect("an answer");
+    let tenure = claim(&shared, seen).expect("an answer").expect("not taken");
+    let takeover = tenure.takeover;
+    // The claim is asked for at once, but not within the same millisecond by all means.
+    assert_eq!(takeover.inherited, seen.since + u64::from(u32::MAX));
+    assert_eq!(store.newest().earlier, takeover.inherited - takeover.asked);
+    assert_eq!(store.newest().epoch, 4);
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,9 +23,13 @@
 #[cfg(test)]
 mod contest_tests;
 mod error;
+#[cfg(test)]
+mod fakes_tests;
 mod follow;
 mod front;
 mod lease;
+#[cfg(test)]
+mod lease_tests;
 pub mod logging;
 #[cfg(test)]
 mod logging_tests;
--- a/crates/node/src/owner/lines_tests.rs
+++ b/crates/node/src/owner/lines_tests.rs
@@ -5,129 +5,17 @@
     net::{SocketAddr, TcpListener},
     sync::Arc,
     thread,
-    time::Duration,
 };
 
-use gorsespur_http::{HttpError, Method, Request, Response};
-use gorsespur_jobs::{
-    Answer, JobId, Look, Outcome, Settings, Spec, StartOrder, Started, TaskId, WorkerInfo,
-};
+use gorsespur_jobs::{Answer, JobId, StartOrder, Started, TaskId};
 use mio::{Events, Poll};
 
 use super::lines::Lines;
 use crate::{
-    config::Config,
-    protocol::{Order, Protocol, ProtocolError},
-    settings::NodeSettings,
-    shared::Shared,
-    store::{Changes, Commit, Page, Range, Row, Store, StoreError, Tx},
+    fakes_tests::{NoStore, shared},
+    protocol::Order,
 };
 
-/// A store that is away.
-#[derive(Debug)]
-struct NoStore;
-
-fn away<T>() -> Result<T, StoreError> {
-    Err(StoreError::Unavailable {
-        reason: "away".into(),
-    })
-}
-
-impl Store for NoStore {
-    fn read(&self, _: Range<'_>) -> Result<Page, StoreError> {
-        away()
-    }
-
-    fn changes(&self, _: &str, _: u64, _: Duration) -> Result<Changes, StoreError> {
-        away()
-    }
-
-    fn commit(&self, _: &Tx, _: Duration) -> Result<Commit, StoreError> {
-        away()
-    }
-}
-
-/// Looks and their answers without content.
-#[derive(Debug)]
-struct Bare;
-
-fn unread<T>() -> Result<T, ProtocolError> {
-    Err(ProtocolError::Malformed {
-        what: "anything",
-        reason: "not read here".into(),
-    })
-}
-
-impl Protocol for Bare {
-    fn config_row(&self) -> (&'static str, &'static str) {
-        ("t", "k")
-    }
-
-    fn evacuation(&self, _: &Row) -> Result<Option<Arc<str>>, ProtocolError> {
-        unread()
-    }
-
-    fn workers_table(&self) -> &'static str {
-        "w"
-    }
-
-    fn config(&self, _: &Row) -> Result<Config, ProtocolError> {
-        unread()
-    }
-
-    fn worker(&self, _: &Row) -> Result<WorkerInfo, ProtocolError> {
-        unread()
-    }
-
-    fn order(&self, _: &Order, _: u64, _: &Arc<str>) -> Request {
-        Request::new(Method::Post, "/look", Vec::new())
-    }
-
-    fn answer(&self, order: &Order, result: Result<Response, HttpError>) -> Answer {
-        if let Order::Start(start) = order {
-            return Answer::Started(start.task, start.run, Started::Unknown);
-        }
-        match result {
-            Ok(_) => Answer::Looked(Look {
-                clock: 1,
-                running: Vec::new(),
-                finished: Vec::new(),
-            }),
-            Err(_) => Answer::Silent,
-        }
-    }
-
-    fn submission(&self, _: &[u8]) -> Result<Spec, ProtocolError> {
-        unread()
-    }
-
-    fn outcome(&self, _: Outcome) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn pending(&self, _: u64) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn patience(&self, _: &Request) -> Option<u64> {
-        None
-    }
-}
-
-fn shared() -> Arc<Shared> {
-    let settings = NodeSettings {
-        name: "n".into(),
-        front: None,
-        ready: None,
-        metrics: None,
-        linger: Duration::ZERO,
-        connections: 1,
-        jobs: Settings::default(),
-        share: 500,
-    };
-    Arc::new(Shared::new(settings, Box::new(NoStore), Box::new(Bare)))
-}
-
 /// A worker that answers each request, or none; it ends with the test.
 fn worker(answers: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -184,7 +72,7 @@
 
 /// Sends orders to one worker.
 fn sent(answers: bool, orders: Vec<Order>) -> Desk {
-    let shared = shared();
+    let shared = shared(NoStore);
     let mut desk = Desk {
         poll: Poll::new().expect("descriptors"),
         lines: Lines::new(&shared, 1),
