Count contacts as new as they are, and earlier leases after a first answer

A worker that had answered a new owner once was judged by what that owner promised alone, which `reach` may cut to nothing: it was taken for free while a lease of the owner before went on. A write that succeeded at a later try counted as old as its first. A start whose record was confirmed 6 to 8.5 s late got a lease too short to be renewed, and lapsed. RENEW and RENEWAL were tied by a comment only; the tests' world left RENEWAL out of its bound. Change: each worker keeps when earlier leases are over, at most one lease after its first answer; a write that is done and renews is a contact from that try; no start with less than 3 s of lease; RENEWAL follows from RENEW.

--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -10,6 +10,10 @@
 /// a third more when written as text.
 const BATCH_BYTES: usize = 500_000;
 
+/// A start with a shorter lease is not sent, in milliseconds: an idle worker's look waits for
+/// two seconds, and the run would lapse before it is renewed.
+const LEAST_LEASE: u64 = 3000;
+
 impl Machine {
     /// Sends the next batch of records, if none is under way.
     pub(crate) fn commit(&mut self) {
@@ -105,7 +109,9 @@
             return;
         };
         let worker = self.fleet.get_mut(run.worker);
+        let reading = worker.clock.map_or(0, |(reading, _)| reading);
         let deadline = worker.deadline(&settings, self.contact);
+        let deadline = deadline.filter(|&d| d >= reading + LEAST_LEASE);
         let Some(deadline) = deadline.filter(|_| worker.is_open(now)) else {
             return self.clear(id);
         };
--- a/crates/jobs/src/runs/ends.rs
+++ b/crates/jobs/src/runs/ends.rs
@@ -18,13 +18,13 @@
 impl Machine {
     /// Takes a worker's answer to a look that was sent at `sent`.
     pub(crate) fn looked(&mut self, slot: u32, sent: u64, look: Look) {
-        let now = self.now;
+        let (now, settings) = (self.now, self.settings);
         let worker = self.fleet.get_mut(slot);
         if worker.dead {
             return;
         }
         worker.looking = false;
-        worker.clock = Some((look.clock, now));
+        worker.heard(look.clock, now, &settings);
         if let Some(since) = worker.silent.take() {
             log::info!(worker = &*worker.id, silent_ms = now - since; "worker: answers again");
             self.moved = true;
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -67,7 +67,7 @@
     pub(crate) clock: Option<(u64, u64)>,
     /// The latest end of a lease that was sent, on its clock.
     pub(crate) promised: u64,
-    /// Before its first answer: when leases of an earlier owner are over.
+    /// When leases of earlier owners are over on it.
     pub(crate) inherited: u64,
     /// Highest end that was counted.
     pub(crate) counted: u64,
@@ -201,13 +201,27 @@
         (left > 0).then_some(reading + settings.lease.min(left))
     }
 
-    /// Returns when every lease that was granted here is over, on our clock.
+    /// Returns when every lease that any owner granted here is over, on our clock.
     pub(crate) fn lapse(&self) -> u64 {
         let Some((reading, at)) = self.clock else {
             return self.inherited;
         };
         let left = self.promised.saturating_sub(reading);
-        at + left * 100 / CLOCK_RATE + LEASE_MARGIN
+        let own = at + left * 100 / CLOCK_RATE + LEASE_MARGIN;
+        own.max(self.inherited)
+    }
+
+    /// Takes note of an answer that showed `reading` on its clock.
+    ///
+    /// From the first one on it refuses earlier owners; what they granted before is a lease
+    /// from then on at the most. An owner whose last contact with the store is long past
+    /// promises less than that.
+    pub(crate) fn heard(&mut self, reading: u64, now: u64, settings: &Settings) {
+        if self.clock.is_none() {
+            let lease = settings.lease * 100 / CLOCK_RATE + LEASE_MARGIN;
+            self.inherited = self.inherited.min(now + lease);
+        }
+        self.clock = Some((reading, now));
     }
 
     /// Tells whether its runs are over without its word: its leases are, and it was
--- a/crates/jobs/tests/all/takeovers.rs
+++ b/crates/jobs/tests/all/takeovers.rs
@@ -94,3 +94,23 @@
         assert!(worker.deadline <= worker.clock(over), "{}", worker.id);
     }
 }
+
+/// An owner whose claim was long ago promises a worker nothing, hears it once, and loses it:
+/// what runs there goes on under the lease of the owner before.
+#[test]
+fn a_worker_that_was_heard_once_keeps_its_earlier_lease() {
+    let mut world = world();
+    world.store_down = true;
+    world.pause(true);
+    world.claim = 9000;
+    world.take_over(world.lease_end());
+    world.run(100);
+    assert_eq!(world.figures().unheard, 0);
+    world.workers[0].cut = true;
+    world.run(2500);
+    world.store_down = false;
+    world.run(10_000);
+    check_seed(&world, 0);
+    let running: usize = world.workers.iter().map(|w| w.runs.len()).sum();
+    assert_eq!(running, 4);
+}
--- a/crates/node/src/contest.rs
+++ b/crates/node/src/contest.rs
@@ -2,7 +2,10 @@
 
 use gorsespur_jobs::{CLOCK_RATE, LEASE_MARGIN, Settings};
 
-use crate::{owner::pulse::MOST_TERM, rows::LeaseRow};
+use crate::{
+    owner::{journal::RENEWAL, pulse::MOST_TERM},
+    rows::LeaseRow,
+};
 
 /// A lease whose owner did not say after how long it is free is free after this long,
 /// in milliseconds.
@@ -20,10 +23,6 @@
 /// instance after this long, in milliseconds.
 const UPGRADE: u64 = 1500;
 
-/// An owner renews at least this often after its last contact, in milliseconds;
-/// see `journal`.
-const RENEWAL: u64 = 500;
-
 /// What an instance knows when it asks whether to take the lease.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Contest<'a> {
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -28,6 +28,10 @@
 /// The lease is renewed this often, in milliseconds.
 const RENEW: u64 = 400;
 
+/// The owner's last contact with the store is newer than the last renewal that others see by
+/// no more than this, in milliseconds: writes between two renewals, and a late timer.
+pub(crate) const RENEWAL: u64 = RENEW + 100;
+
 /// Time for an answer to a write. At a sixtieth of the store's speed a write takes
 /// 700 ms and waits for others.
 const LIMIT: Duration = Duration::from_millis(2500);
@@ -126,8 +130,8 @@
 }
 
 impl Journal<'_> {
-    /// Writes one batch and returns when it was first asked for; nothing if the lease is
-    /// lost.
+    /// Writes one batch and returns the contact with the store that this was; nothing if the
+    /// lease is lost.
     fn append(&mut self, records: Vec<(JobId, Vec<u8>)>, ring: &Receiver<Entry>) -> Option<u64> {
         self.number += 1;
         self.lease.term = self.pulse.term();
@@ -139,7 +143,8 @@
         let renews = tx.writes.iter().any(|w| w.table == LEASE);
         let mut pause = FIRST_PAUSE;
         let mut failing = false;
-        loop {
+        let asked = loop {
+            let tried = self.shared.clock.now();
             match self
                 .shared
                 .store
@@ -147,13 +152,13 @@
             {
                 Ok(Commit::Done(version)) => {
                     self.accept(version, failing);
-                    break;
+                    break contact(true, renews, sent, tried);
                 }
                 Ok(Commit::Conflict(rows)) => {
                     if !self.conflict(&rows, failing) {
                         return None;
                     }
-                    break;
+                    break contact(false, renews, sent, tried);
                 }
                 Err(err) => {
                     if !failing {
@@ -169,12 +174,12 @@
             let jitter = rand::rng().random_range(50..100);
             thread::sleep(pause * jitter / 100);
             pause = (pause * 2).min(LAST_PAUSE);
-        }
+        };
         if renews {
-            self.renewed = sent;
+            self.renewed = asked;
             self.pulse.renewed(self.shared.clock.now());
         }
-        Some(sent)
+        Some(asked)
     }
 
     fn accept(&mut self, version: u64, failing: bool) {
@@ -249,6 +254,19 @@
     }
 }
 
+/// Returns the contact with the store that a write was whose first try was asked for at
+/// `first` and whose last one at `last`; `done` if the last one took effect.
+///
+/// That one, if it renewed the lease, is a contact from its own asking: others see the renewal
+/// no earlier. Of a write that an earlier try did, or that others don't see, no more is known
+/// than that it was done after the first asking.
+pub(super) fn contact(done: bool, renews: bool, first: u64, last: u64) -> u64 {
+    match done && renews {
+        true => last,
+        false => first,
+    }
+}
+
 /// Returns the time for an answer to a write, which may be sent again while the store is
 /// lost to all of the instance's calls.
 pub(super) fn limit(again: bool, lost: bool) -> Duration {
--- a/crates/node/src/owner/journal_tests.rs
+++ b/crates/node/src/owner/journal_tests.rs
@@ -1,10 +1,19 @@
-//! How long the journal waits for an answer.
+//! How long the journal waits for an answer, and what it tells other instances.
 
 use std::time::Duration;
 
+use gorsespur_jobs::Takeover;
 use test_case::test_case;
 
-use super::journal::limit;
+use super::{
+    Tenure,
+    inbox::Inbox,
+    journal::{Entry, contact, limit, write},
+};
+use crate::{
+    fakes_tests::{LeaseStore, shared},
+    rows::LeaseRow,
+};
 
 /// A slow store answers others; one that answers nobody is asked again soon, but for the
 /// first try, which may have met either.
@@ -15,3 +24,39 @@
 fn a_silent_store_is_asked_again_soon(again: bool, lost: bool, ms: u64) {
     assert_eq!(limit(again, lost), Duration::from_millis(ms));
 }
+
+/// A lease that is given back still tells of leases of owners before its own.
+#[test]
+fn a_lease_that_is_given_back_tells_of_earlier_leases() {
+    let store = LeaseStore::new(LeaseRow::default());
+    let shared = shared(store.clone());
+    // So far ahead that it does not matter how long the test takes.
+    let inherited = u64::MAX / 2;
+    let tenure = Tenure {
+        epoch: 1,
+        largest: 500,
+        pending: Vec::new(),
+        head: 1,
+        takeover: Takeover {
+            asked: 0,
+            inherited,
+        },
+    };
+    let (ring, entries) = flume::bounded(1);
+    ring.send(Entry::Release).expect("room");
+    let inbox = Inbox::new().expect("an event loop");
+    write(&shared, &tenure, &entries, &inbox.input());
+    let newest = store.newest();
+    assert!(newest.released);
+    assert!(newest.earlier > inherited / 2, "{}", newest.earlier);
+}
+
+/// Counted from its first try, the first write that is done after a silence would be a contact
+/// as old as the silence, and renew no worker's lease.
+#[test_case(true, true, 6000; "done, and others see it")]
+#[test_case(true, false, 0; "done, and others do not see it")]
+#[test_case(false, true, 0; "done by an earlier try")]
+#[test_case(false, false, 0; "done by an earlier try, and others do not see it")]
+fn a_write_is_a_contact_from_the_try_that_others_see(done: bool, renews: bool, at: u64) {
+    assert_eq!(contact(done, renews, 0, 6000), at);
+}
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod feed_tests;
 mod inbox;
-mod journal;
+pub(crate) mod journal;
 #[cfg(test)]
 mod journal_tests;
 mod lines;
