--- a/crates/jobs/tests/all/regression.rs
+++ b/crates/jobs/tests/all/regression.rs
@@ -1,7 +1,7 @@
 //! Bugs that were found, each with its cause and the day that showed it.
 
 use crate::common::{Mode, World, WorldSettings, chain, serving, short};
-use gorsespur_jobs::{Outcome, Step};
+use gorsespur_jobs::{Event, Outcome, Step};
 
 fn filling(count: u32, estimate: u64) -> Step {
     Step {
@@ -212,3 +212,43 @@
     let runs = world.workers.iter().flat_map(|w| &w.runs);
     assert_eq!(runs.filter(|r| r.lasting).count(), 2);
 }
+
+/// A lasting task waited beside five free cores, since these were kept for a larger one that
+/// never gets room there: three cores are taken by a lasting task without a target, which
+/// placement takes for one that will end. Found while another wait was traced, in no day.
+#[test]
+fn room_is_not_kept_beside_what_lasts() {
+    let mut world = World::new(WorldSettings {
+        workers: 3,
+        ..WorldSettings::default()
+    });
+    world.run(100);
+    let lasting = |label: &str, cpu: u64, target: u64| Step {
+        cpu,
+        target,
+        label: Some(label.into()),
+        ..serving(1)
+    };
+    // The rack r0 has the first two workers: three cores of one are taken, all of the other.
+    world.submit(51, chain(vec![lasting("r0", 3000, 0)]));
+    world.run(100);
+    world.submit(50, chain(vec![lasting("r0", 8000, 100)]));
+    world.submit(53, chain(vec![lasting("r1", 7000, 100)]));
+    world.run(500);
+    let small = world.submit(1, chain(vec![lasting("a", 1000, 100)]));
+    world.run(500);
+    world.submit(2, chain(vec![lasting("r0", 6000, 100)]));
+    world.run(3000);
+    let at = |world: &World| {
+        let has = |w: &crate::common::SimWorker| w.runs.iter().any(|r| r.task.job == small);
+        world.workers.iter().position(has)
+    };
+    assert_eq!(at(&world), Some(2), "beside the one of seven cores");
+    world.announce(2, false);
+    world.run(1500);
+    world.workers[2].alive = false;
+    world.workers[2].runs.clear();
+    world.tell(Event::Unlisted("w2".into()));
+    world.run(10_000);
+    assert!(at(&world).is_some(), "it does not run");
+}
