--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -4,15 +4,16 @@
     action::{Action, StartOrder},
     machine::{Batch, Machine},
     model::{ids::TaskId, task::Stage},
+    runs::look::IDLE_WAIT,
 };
 
 /// Bytes of records that one commit carries at most; a transaction holds 1 MB,
 /// a third more when written as text.
 const BATCH_BYTES: usize = 500_000;
 
-/// A start with a shorter lease is not sent, in milliseconds: an idle worker's look waits for
-/// two seconds, and the run would lapse before it is renewed.
-const LEAST_LEASE: u64 = 3000;
+/// A start with a shorter lease is not sent, in milliseconds: the look at an idle worker goes
+/// on waiting, and the run would lapse before its lease is renewed.
+const LEAST_LEASE: u64 = IDLE_WAIT + 1000;
 
 impl Machine {
     /// Sends the next batch of records, if none is under way.
@@ -65,10 +66,7 @@
         let mut left = std::mem::take(&mut self.counted);
         left.sort_unstable();
         left.dedup();
-        left.retain(|&slot| {
-            let worker = self.fleet.get(slot);
-            worker.counted > worker.observed
-        });
+        left.retain(|&slot| self.fleet.get(slot).is_behind());
         let rows = left
             .iter()
             .map(|&slot| (slot, self.fleet.get(slot).counted));
@@ -111,8 +109,8 @@
         let worker = self.fleet.get_mut(run.worker);
         let reading = worker.clock.map_or(0, |(reading, _)| reading);
         let deadline = worker.deadline(&settings, self.contact);
-        let deadline = deadline.filter(|&d| d >= reading + LEAST_LEASE);
-        let Some(deadline) = deadline.filter(|_| worker.is_open(now)) else {
+        let lasts = |d: &u64| *d >= reading + LEAST_LEASE;
+        let Some(deadline) = deadline.filter(lasts).filter(|_| worker.is_open(now)) else {
             return self.clear(id);
         };
         run.stage = Stage::Sent(now);
--- a/crates/jobs/src/runs/look.rs
+++ b/crates/jobs/src/runs/look.rs
@@ -3,7 +3,7 @@
 use crate::{runs::worker::Worker, settings::Settings};
 
 /// How long an idle worker's look waits, in milliseconds; the longest it takes.
-const IDLE_WAIT: u64 = 2000;
+pub(crate) const IDLE_WAIT: u64 = 2000;
 
 /// An answer to a look that took longer lay unread, in milliseconds, and the worker's clock
 /// has gone on: leases that count from its reading are short. So the next look does not wait
@@ -18,7 +18,7 @@
 
 impl Worker {
     /// Tells whether ends that it listed are not durable yet, so that it lists them again.
-    fn is_behind(&self) -> bool {
+    pub(crate) fn is_behind(&self) -> bool {
         self.counted > self.observed
     }
 
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) mod ends;
 pub(crate) mod fleet;
 mod listed;
-mod look;
+pub(crate) mod look;
 pub(crate) mod stray;
 pub(crate) mod trust;
 mod unheard;
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -2,7 +2,7 @@
 
 /// What a new owner knows of the time before its own; both on its steady clock, in
 /// milliseconds.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Takeover {
     /// When it asked for the lease on the jobs that it was given: its first contact with the
     /// store. A successor counts from when that was done, however late the answer was read.
--- a/crates/node/src/fakes_tests.rs
+++ b/crates/node/src/fakes_tests.rs
@@ -127,7 +127,7 @@
 }
 
 /// A store with a row of the lease, which may be away, and which takes each write.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct LeaseStore {
     /// Whether no call is answered.
     pub(crate) away: AtomicBool,
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -97,7 +97,7 @@
 }
 
 /// What an instance that watches the lease remembers.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Watch {
     /// The lease as it was last seen. It outlasts failures of the store and of claims: seen
     /// anew, its age would begin anew, and with it the wait for its owner's leases.
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -134,11 +134,11 @@
     /// lease is lost.
     fn append(&mut self, records: Vec<(JobId, Vec<u8>)>, ring: &Receiver<Entry>) -> Option<u64> {
         self.number += 1;
-        self.lease.term = self.pulse.term();
-        self.lease.earlier = self.inherited.saturating_sub(self.shared.clock.now());
         // Before it is settled whether the write renews the lease: a pause between the two
         // would let the owner's contact be newer than its renewals by more than is allowed for.
         let sent = self.shared.clock.now();
+        self.lease.term = self.pulse.term();
+        self.lease.earlier = self.inherited.saturating_sub(sent);
         let tx = self.tx(records, sent);
         let renews = tx.writes.iter().any(|w| w.table == LEASE);
         let mut pause = FIRST_PAUSE;
