Tell what was lost with a worker, for how long it ran, and whether its process ended

Cause: the logs could not tell the hypotheses of the incident apart: which runs were on a lost worker and for how long, and whether its process had ended (its machine refuses connections) or nothing was heard of its machine (power, a cut). Change: HttpError::Refused, Answer::Absent and Worker::absent; a line 'run: lost with its worker' with the run's age, fields silent_ms and absent beside the end of a worker, the counter runs_lost; gorsespur-ctl explain reads the line. What happens with a lost worker stands in one module. No decision changed.

--- a/crates/ctl/src/explain/story.rs
+++ b/crates/ctl/src/explain/story.rs
@@ -167,7 +167,9 @@
             "jobs: ended" => self.outcome = line.outcome.clone(),
             "start: sent" => self.begin(line, line.ms),
             "run: ended" => self.ended(line, line.how.clone()),
-            "run: not there" => self.ended(line, Some("Lost".to_owned())),
+            "run: not there" | "run: lost with its worker" => {
+                self.ended(line, Some("Lost".to_owned()))
+            }
             "pace: changed" => self.paced(line),
             _ => {}
         }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    error::{ConnectSnafu, HttpError, LostSnafu},
+    error::{HttpError, LostSnafu, not_connected},
     message::{Request, Response},
     parse::{Limits, parse_response},
     socket,
@@ -89,12 +89,8 @@
     }
 
     fn connect(&self, limit: Duration) -> Result<TcpStream, HttpError> {
-        let stream = TcpStream::connect_timeout(&self.addr, limit).map_err(|err| {
-            ConnectSnafu {
-                message: err.to_string(),
-            }
-            .build()
-        })?;
+        let stream = TcpStream::connect_timeout(&self.addr, limit);
+        let stream = stream.map_err(|err| not_connected(&err))?;
         socket::tune(&stream);
         Ok(stream)
     }
--- a/crates/http/src/client_tests.rs
+++ b/crates/http/src/client_tests.rs
@@ -1,4 +1,4 @@
-//! Answers that a paused process finds late.
+//! Answers that a paused process finds late, and peers that are not there.
 
 use std::{
     io::Write,
@@ -6,7 +6,11 @@
     time::{Duration, Instant},
 };
 
-use crate::{client::read_response, error::HttpError};
+use crate::{
+    client::{Client, read_response},
+    error::HttpError,
+    message::{Method, Request},
+};
 
 /// Connects to a peer that has sent these bytes.
 fn connected(sent: &[u8]) -> (TcpStream, TcpStream) {
@@ -40,3 +44,14 @@
     let (mut stream, _peer) = connected(b"HTTP/1.1 200 OK\r\n");
     assert_eq!(read_response(&mut stream, over()), Err(HttpError::Timeout));
 }
+
+#[test]
+fn a_port_on_which_nobody_listens_refuses() {
+    // No other test listens on this address.
+    let listener = TcpListener::bind("127.0.71.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    drop(listener);
+    let request = Request::new(Method::Get, "/", Vec::new());
+    let result = Client::new(addr).call(&request, Duration::from_secs(5));
+    assert_eq!(result.map(|r| r.status), Err(HttpError::Refused));
+}
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -1,5 +1,7 @@
 //! Why a call failed, and whether it may have had an effect.
 
+use std::io;
+
 use snafu::Snafu;
 
 /// Why a call failed.
@@ -12,6 +14,9 @@
         /// The system's answer.
         message: String,
     },
+    /// The peer's machine refused the connection: nobody listens there; nothing was sent.
+    #[snafu(display("connection refused"))]
+    Refused,
     /// The answer did not come in time; the call may have had an effect.
     #[snafu(display("no answer in time"))]
     Timeout,
@@ -38,6 +43,17 @@
 impl HttpError {
     /// Tells whether the call certainly had no effect.
     pub fn not_sent(&self) -> bool {
-        matches!(self, HttpError::Connect { .. })
+        matches!(self, HttpError::Connect { .. } | HttpError::Refused)
+    }
+}
+
+/// Returns why a connection could not be opened.
+pub(crate) fn not_connected(err: &io::Error) -> HttpError {
+    if err.kind() == io::ErrorKind::ConnectionRefused {
+        return HttpError::Refused;
+    }
+    ConnectSnafu {
+        message: err.to_string(),
     }
+    .build()
 }
--- a/crates/http/src/link.rs
+++ b/crates/http/src/link.rs
@@ -8,7 +8,7 @@
 use mio::{Interest, Registry, Token, net::TcpStream};
 
 use crate::{
-    error::{ConnectSnafu, HttpError, LostSnafu},
+    error::{HttpError, LostSnafu, not_connected},
     message::{Request, Response},
     parse::{Limits, parse_response},
     socket,
@@ -33,12 +33,12 @@
 impl Link {
     /// Starts connecting to `addr` and registers the connection under `token`.
     pub fn connect(addr: SocketAddr, registry: &Registry, token: Token) -> Result<Link, HttpError> {
-        let mut stream = TcpStream::connect(addr).map_err(refused)?;
+        let mut stream = TcpStream::connect(addr).map_err(|err| not_connected(&err))?;
         socket::tune(&stream);
         let interest = Interest::READABLE | Interest::WRITABLE;
         registry
             .register(&mut stream, token, interest)
-            .map_err(refused)?;
+            .map_err(|err| not_connected(&err))?;
         Ok(Link {
             stream,
             host: addr.to_string(),
@@ -61,7 +61,7 @@
     pub fn writable(&mut self) -> Result<(), HttpError> {
         if !self.ready {
             if let Ok(Some(err)) = self.stream.take_error() {
-                return Err(refused(err));
+                return Err(not_connected(&err));
             }
             if self.stream.peer_addr().is_err() {
                 return Ok(());
@@ -117,17 +117,10 @@
     /// Before the connection stands nothing can have been sent.
     fn failed(&self, err: std::io::Error) -> HttpError {
         if !self.ready {
-            return refused(err);
+            return not_connected(&err);
         }
         HttpError::Lost {
             message: err.to_string(),
         }
     }
 }
-
-fn refused(err: std::io::Error) -> HttpError {
-    ConnectSnafu {
-        message: err.to_string(),
-    }
-    .build()
-}
--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -86,21 +86,6 @@
         (state.times.len() as u32) < state.job.spec.repetitions()
     }
 
-    /// Gives up the runs of silent workers whose leases are over.
-    fn lapse(&mut self) {
-        for slot in 0..self.fleet.workers.len() as u32 {
-            let worker = self.fleet.get(slot);
-            let idle = worker.runs.is_empty() && worker.strays.is_empty();
-            if idle || worker.dead || !worker.is_given_up(self.now) {
-                continue;
-            }
-            let count = worker.runs.len();
-            log::warn!(worker = &*worker.id, runs = count; "worker: its leases are over");
-            self.figures.lapsed += count as u64;
-            self.forget_runs(slot);
-        }
-    }
-
     /// Stops on leaving workers what would die with them.
     fn check_leaving(&mut self) {
         for slot in 0..self.fleet.workers.len() as u32 {
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -113,6 +113,9 @@
     Looked(Look),
     /// No answer to a look.
     Silent,
+    /// No answer to a look: the worker's machine refused the connection, since no process
+    /// listens there.
+    Absent,
     /// The worker has seen a higher epoch.
     Fenced,
     /// The worker's life has ended.
--- a/crates/jobs/src/figures.rs
+++ b/crates/jobs/src/figures.rs
@@ -21,6 +21,8 @@
     pub unclear: u64,
     /// Runs given up since their leases were over.
     pub lapsed: u64,
+    /// Runs lost with their workers, for whatever cause; those whose leases were over as well.
+    pub lost: u64,
     /// Runs of earlier owners on workers that were not heard yet; they hold their tasks.
     pub unheard: u64,
     /// Looks that were sent.
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -265,6 +265,10 @@
         match answer {
             Answer::Looked(look) => self.looked(worker, sent, look),
             Answer::Silent => self.silent(worker, sent),
+            Answer::Absent => {
+                self.silent(worker, sent);
+                self.fleet.get_mut(worker).absent = true;
+            }
             Answer::Fenced => self.out.push(Action::Depose),
             Answer::Dead => self.worker_dead(worker),
             Answer::Started(task, run, started) => self.started(worker, task, run, started),
--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -37,6 +37,8 @@
     pub(crate) stage: Stage,
     /// When its place was chosen.
     pub(crate) since: u64,
+    /// When its start was sent; nothing before, and of one that an earlier owner sent.
+    pub(crate) sent: Option<u64>,
     /// Progress in percent, as last listed.
     pub(crate) percent: u32,
     /// When the progress last changed, on the worker's clock; nothing before it was listed.
@@ -64,6 +66,7 @@
             worker,
             stage,
             since: now,
+            sent: None,
             percent: 0,
             moved: None,
             pace: 100,
--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -117,28 +117,6 @@
         }
     }
 
-    /// A worker's life has ended, and with it all that ran there.
-    pub(crate) fn worker_dead(&mut self, slot: u32) {
-        let worker = self.fleet.get_mut(slot);
-        if worker.dead {
-            return;
-        }
-        log::warn!(worker = &*worker.id, runs = worker.runs.len(); "worker: its life has ended");
-        worker.dead = true;
-        worker.looking = false;
-        self.forget_runs(slot);
-    }
-
-    /// Gives up all runs on a worker; none of them can be there any more.
-    pub(crate) fn forget_runs(&mut self, slot: u32) {
-        let worker = self.fleet.get_mut(slot);
-        worker.drop_strays(|_| true);
-        for id in worker.runs.clone() {
-            self.clear(id);
-            self.mark(id.job);
-        }
-    }
-
     /// Sends the stops that are wanted.
     pub(crate) fn send_stops(&mut self) {
         for slot in 0..self.fleet.workers.len() as u32 {
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -114,6 +114,7 @@
             return self.clear(id);
         };
         run.stage = Stage::Sent(now);
+        run.sent = Some(now);
         run.partial = !saved.is_empty();
         worker.promised = worker.promised.max(deadline);
         self.figures.starts += 1;
--- a/crates/jobs/src/runs/ends.rs
+++ b/crates/jobs/src/runs/ends.rs
@@ -25,6 +25,7 @@
         }
         worker.looking = false;
         worker.heard(look.clock, now, &settings);
+        worker.absent = false;
         if let Some(since) = worker.silent.take() {
             log::info!(worker = &*worker.id, silent_ms = now - since; "worker: answers again");
             self.moved = true;
--- /dev/null
+++ b/crates/jobs/src/runs/lost.rs
@@ -0,0 +1,65 @@
+//! What is lost with a worker.
+//!
+//! A worker is lost if another life answers at its address, or if all leases on it are over
+//! and it gave no answer. Its machine may have lost its power, it may be cut off, or its
+//! process may have ended; only of the last one does its address refuse connections.
+
+use crate::machine::Machine;
+
+impl Machine {
+    /// A worker's life has ended, and with it all that ran there.
+    pub(crate) fn worker_dead(&mut self, slot: u32) {
+        let worker = self.fleet.get(slot);
+        if worker.dead {
+            return;
+        }
+        let silent = worker.silent.map_or(0, |at| self.now - at);
+        log::warn!(worker = &*worker.id, runs = worker.runs.len(), silent_ms = silent, absent = worker.absent; "worker: its life has ended");
+        let worker = self.fleet.get_mut(slot);
+        worker.dead = true;
+        worker.looking = false;
+        self.forget_runs(slot);
+    }
+
+    /// Gives up the runs of silent workers whose leases are over.
+    pub(crate) fn lapse(&mut self) {
+        for slot in 0..self.fleet.workers.len() as u32 {
+            let worker = self.fleet.get(slot);
+            let idle = worker.runs.is_empty() && worker.strays.is_empty();
+            if idle || worker.dead || !worker.is_given_up(self.now) {
+                continue;
+            }
+            let count = worker.runs.len();
+            log::warn!(worker = &*worker.id, runs = count, absent = worker.absent; "worker: its leases are over");
+            self.figures.lapsed += count as u64;
+            self.forget_runs(slot);
+        }
+    }
+
+    /// Gives up all runs on a worker; none of them can be there any more.
+    fn forget_runs(&mut self, slot: u32) {
+        self.tell_lost(slot);
+        let worker = self.fleet.get_mut(slot);
+        worker.drop_strays(|_| true);
+        for id in worker.runs.clone() {
+            self.clear(id);
+            self.mark(id.job);
+        }
+    }
+
+    /// Logs the runs that are lost with a worker, and for how long each was there when the
+    /// worker was last heard.
+    fn tell_lost(&mut self, slot: u32) {
+        let worker = self.fleet.get(slot);
+        self.figures.lost += worker.runs.len() as u64;
+        let end = worker.silent.unwrap_or(self.now);
+        for &id in &worker.runs {
+            let Some(task) = self.jobs.get(&id.job).and_then(|j| j.task(id)) else {
+                continue;
+            };
+            let sent = task.run.as_ref().and_then(|r| r.sent);
+            let age = sent.map(|at| end.saturating_sub(at));
+            log::info!(task = id.to_string().as_str(), run = task.last, worker = &*worker.id, age_ms:? = age; "run: lost with its worker");
+        }
+    }
+}
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod fleet;
 mod listed;
 pub(crate) mod look;
+mod lost;
 pub(crate) mod stray;
 pub(crate) mod trust;
 mod unheard;
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -85,6 +85,8 @@
     pub(crate) reminded: u64,
     /// Since when it has not answered.
     pub(crate) silent: Option<u64>,
+    /// Whether its machine has refused a connection since: its process has ended.
+    pub(crate) absent: bool,
     /// When the last look was sent that got no answer.
     pub(crate) missed: Option<u64>,
     /// When it began to leave.
@@ -143,6 +145,7 @@
             suspect: None,
             reminded: 0,
             silent: None,
+            absent: false,
             missed: None,
             leaving: None,
             runs: Vec::new(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -115,6 +115,7 @@
             ("runs_failed", decided.failed),
             ("runs_stopped", decided.stopped),
             ("runs_lapsed", decided.lapsed),
+            ("runs_lost", decided.lost),
             ("runs_unheard", decided.unheard),
             ("looks", decided.looks),
             ("tasks", decided.tasks),
