Give up a task that crashes its workers, and run suspects apart from others

What callers saw: a job with such a task stayed active for ever, and each of its starts took 5 to 14 runs of others with a worker. Cause: the end of a worker charged nobody. Its runs were forgotten and their tasks waited again; only failures that a worker lists count as attempts, and a crashed worker lists none. Change: a task keeps the workers that crashed under it, each once, in its record, so that later owners know them. How much a crash tells depends on what else was on the worker: nothing if it was leaving or may have been cut off, little if the task had been there for a while, if the machine gave no sign that its process had ended, or if many workers were lost at once; most if nothing else had just begun there. A suspect runs apart: on an empty worker, or after 1.5 s on one with little to lose, where nothing else begins until the run has outlived the time in which workers crashed. After three crashes, two of them its own, its job has failed. Members of gangs, lasting and filling tasks alike. Why it holds: apart, the first crash after the first suspicion is the task's own, so that it is given up after three or four, and the users allow five; power, cuts and spot losses give no evidence of its own. Gangs of the tests' world wait for all their members now.

--- a/crates/jobs/src/figures.rs
+++ b/crates/jobs/src/figures.rs
@@ -23,6 +23,8 @@
     pub lapsed: u64,
     /// Runs lost with their workers, for whatever cause; those whose leases were over as well.
     pub lost: u64,
+    /// Jobs given up since a task of theirs crashed its workers.
+    pub given_up: u64,
     /// Runs of earlier owners on workers that were not heard yet; they hold their tasks.
     pub unheard: u64,
     /// Looks that were sent.
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -40,6 +40,8 @@
     pub(crate) open: Vec<JobId>,
     /// Jobs of which repetitions are still to fall due.
     pub(crate) scheduled: Vec<JobId>,
+    /// Tasks that may crash their workers, sorted.
+    pub(crate) suspects: Vec<TaskId>,
     /// Tasks whose run is to be stopped, until it halts.
     pub(crate) stopping: Vec<TaskId>,
     /// Tasks whose run may have another pace than is wanted.
@@ -87,6 +89,7 @@
             jobs: Sorted::default(),
             open: Vec::new(),
             scheduled: Vec::new(),
+            suspects: Vec::new(),
             stopping: Vec::new(),
             pacing: Vec::new(),
             counted: Vec::new(),
@@ -124,15 +127,29 @@
             self.scheduled.push(id);
         }
         state.outcome = record.outcome;
-        for task in state.task_ids() {
-            let run = state.task(task).and_then(|t| t.run.as_ref());
-            let Some(run) = run else {
+        let mut suspects = Vec::new();
+        for id in state.task_ids() {
+            let Some(task) = state.task(id) else {
                 continue;
             };
-            let step = &state.job.spec.steps[task.step as usize];
-            self.fleet.get_mut(run.worker).reserve(task, step);
+            let suspect = task.crashes.is_suspect();
+            if suspect {
+                suspects.push(id);
+            }
+            let Some(run) = &task.run else {
+                continue;
+            };
+            let step = &state.job.spec.steps[id.step as usize];
+            let worker = self.fleet.get_mut(run.worker);
+            worker.reserve(id, step);
+            if suspect {
+                worker.guest = Some(id);
+            }
         }
         self.jobs.insert(id, state);
+        for id in suspects {
+            self.suspect(id);
+        }
     }
 
     /// Takes an event at `now` on the own steady clock, and `wall` since 1970,
--- /dev/null
+++ b/crates/jobs/src/model/crash.rs
@@ -0,0 +1,95 @@
+//! What workers that crashed tell of a task that ran on them.
+//!
+//! A crashed worker does not say which of its tasks brought that about, and most of them did
+//! not. So a crash counts by what else was on the worker, and a task is given up only on
+//! crashes that no other task can explain.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Workers that must have crashed under a task before it is given up ...
+const CRASHES: usize = 3;
+
+/// ... so many of them with nothing else to blame: one may be chance.
+const OWN_CRASHES: usize = 2;
+
+/// A run whose task is a suspect is kept apart for this long after it was first listed, in
+/// milliseconds; it doubles with each crash, so that what crashes later is found as well.
+const PROBATION: u64 = 1500;
+
+/// How much a worker's crash tells of a task that ran there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Blame {
+    /// Little: it had been there for a while, or the cause is more likely another one.
+    Shared,
+    /// It had just begun, as others there had.
+    Close,
+    /// Nothing else there had just begun, or nothing else was there.
+    Own,
+}
+
+/// A worker that crashed while a task was on it. Written as an array, to save bytes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Crash {
+    /// Name of the worker's life.
+    worker: Arc<str>,
+    blame: Blame,
+}
+
+/// The workers that crashed under a task.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub(crate) struct Crashes {
+    /// Sorted by worker.
+    list: Vec<Crash>,
+}
+
+impl Crashes {
+    /// Tells whether there are none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Returns how many there are.
+    pub(crate) fn count(&self) -> usize {
+        self.list.len()
+    }
+
+    /// Takes note of a crash; a worker's life counts once.
+    pub(crate) fn note(&mut self, worker: &Arc<str>, blame: Blame) {
+        let Err(at) = self.list.binary_search_by(|c| c.worker.cmp(worker)) else {
+            return;
+        };
+        let worker = worker.clone();
+        self.list.insert(at, Crash { worker, blame });
+    }
+
+    /// Forgets all: the task has been at work for long.
+    pub(crate) fn clear(&mut self) {
+        self.list.clear();
+    }
+
+    /// Tells whether the task may be the cause, so that it has to run apart from others.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.is_likely() || self.list.len() > 1
+    }
+
+    /// Tells whether more than chance speaks for it.
+    pub(crate) fn is_likely(&self) -> bool {
+        let mut list = self.list.iter();
+        self.list.len() >= CRASHES || list.any(|c| c.blame != Blame::Shared)
+    }
+
+    /// Tells whether the task is the cause, as far as that can be known.
+    pub(crate) fn is_proven(&self) -> bool {
+        let own = self.list.iter().filter(|c| c.blame == Blame::Own);
+        self.list.len() >= CRASHES && own.count() >= OWN_CRASHES
+    }
+
+    /// Returns for how long a run is kept apart after it was first listed, in milliseconds.
+    pub(crate) fn probation(&self) -> u64 {
+        let doublings = self.list.len().clamp(1, CRASHES * 2) - 1;
+        PROBATION << doublings
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/model/crash_tests.rs
@@ -0,0 +1,87 @@
+//! What crashes tell of a task, and what is kept of them.
+
+use std::sync::Arc;
+
+use super::{
+    crash::{Blame, Crashes},
+    record::{Outcome, Record, TaskRecord},
+};
+
+fn crashes(blames: &[Blame]) -> Crashes {
+    let mut out = Crashes::default();
+    for (at, &blame) in blames.iter().enumerate() {
+        out.note(&format!("w{at}").into(), blame);
+    }
+    out
+}
+
+#[test]
+fn a_life_of_a_worker_counts_once() {
+    let mut some = crashes(&[Blame::Own, Blame::Own]);
+    some.note(&"w0".into(), Blame::Own);
+    assert_eq!(some.count(), 2);
+    assert!(!some.is_proven());
+    some.note(&"w9".into(), Blame::Shared);
+    assert!(some.is_proven());
+}
+
+#[test]
+fn what_others_may_have_caused_proves_nothing() {
+    assert!(!crashes(&[Blame::Shared; 9]).is_proven());
+    assert!(!crashes(&[Blame::Close; 9]).is_proven());
+    let mut once = [Blame::Shared; 9];
+    once[4] = Blame::Own;
+    assert!(!crashes(&once).is_proven());
+}
+
+#[test]
+fn one_crash_makes_a_suspect_only_of_what_had_just_begun() {
+    assert!(!crashes(&[Blame::Shared]).is_suspect());
+    assert!(crashes(&[Blame::Shared, Blame::Shared]).is_suspect());
+    assert!(!crashes(&[Blame::Shared, Blame::Shared]).is_likely());
+    assert!(crashes(&[Blame::Close]).is_likely());
+    assert!(crashes(&[Blame::Own]).is_likely());
+}
+
+fn record(crashes: Crashes) -> Record {
+    Record {
+        outcome: Outcome::Active,
+        steps: Vec::new(),
+        tasks: vec![TaskRecord {
+            at: (0, 0, 1),
+            done: false,
+            run: 2,
+            worker: Some("w1".into()),
+            failed: vec![1],
+            saved: "".into(),
+            crashes,
+        }],
+    }
+}
+
+#[test]
+fn a_record_holds_them() {
+    let kept = record(crashes(&[Blame::Close, Blame::Own]));
+    let read = Record::decode(&kept.encode()).expect("own record");
+    assert_eq!(read, kept);
+}
+
+/// Records of tasks under which no worker crashed are written as before there were any.
+#[test]
+fn a_record_without_them_is_read() {
+    type Old = (Outcome, Vec<(u32, u32)>, Vec<OldTask>);
+    type OldTask = (
+        (u32, u32, u32),
+        bool,
+        u32,
+        Option<Arc<str>>,
+        Vec<u32>,
+        Arc<str>,
+    );
+    let task: OldTask = ((0, 0, 1), false, 2, Some("w1".into()), vec![1], "".into());
+    let old: Old = (Outcome::Active, Vec::new(), vec![task]);
+    let bytes = rmp_serde::to_vec(&old).expect("plain data");
+    let kept = record(Crashes::default());
+    assert_eq!(kept.encode(), bytes);
+    assert_eq!(Record::decode(&bytes).expect("an old record"), kept);
+}
--- a/crates/jobs/src/model/job.rs
+++ b/crates/jobs/src/model/job.rs
@@ -218,6 +218,7 @@
             task.last = kept.run;
             task.failed = kept.failed.clone();
             task.saved = kept.saved.clone();
+            task.crashes = kept.crashes.clone();
             let run = kept.worker.as_ref().map(|w| {
                 crate::model::task::Run::new(
                     slot(w),
@@ -249,6 +250,7 @@
             worker: task.run.as_ref().map(|r| name(r.worker)),
             failed: task.failed.clone(),
             saved: task.saved.clone(),
+            crashes: task.crashes.clone(),
         });
     }
 }
--- a/crates/jobs/src/model/record.rs
+++ b/crates/jobs/src/model/record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use crate::model::spec::Spec;
+use crate::model::{crash::Crashes, spec::Spec};
 
 /// Why a record can't be used.
 #[derive(Debug, Snafu)]
@@ -27,7 +27,7 @@
     Active,
     /// Every task is done.
     Complete,
-    /// A task has failed too often.
+    /// A task has failed too often, or has crashed its workers.
     Failed,
     /// Its caller cancelled it.
     Cancelled,
@@ -58,6 +58,9 @@
     pub(crate) failed: Vec<u32>,
     /// Saved progress.
     pub(crate) saved: Arc<str>,
+    /// Workers that crashed under its runs.
+    #[serde(default, skip_serializing_if = "Crashes::is_empty")]
+    pub(crate) crashes: Crashes,
 }
 
 /// What is kept of a job.
--- a/crates/jobs/src/model/step.rs
+++ b/crates/jobs/src/model/step.rs
@@ -64,13 +64,13 @@
         run
     }
 
-    /// Returns the indices of the tasks that need a run now.
+    /// Returns the indices of the tasks that need a run now, beside others.
     pub(crate) fn waiting(&self, now: u64) -> Vec<u32> {
         if self.idle == 0 {
             return Vec::new();
         }
         let tasks = (0..).zip(&self.tasks);
-        let waiting = tasks.filter(|(_, t)| t.is_waiting(now));
+        let waiting = tasks.filter(|(_, t)| t.is_waiting(now) && !t.is_apart(now));
         waiting.map(|(index, _)| index).collect()
     }
 
--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use crate::model::crash::Crashes;
+
 /// A figure below this share of its target is below it, whatever it is off by.
 const FAR_UNDER: f64 = 0.6;
 
@@ -41,6 +43,8 @@
     pub(crate) sent: Option<u64>,
     /// Progress in percent, as last listed.
     pub(crate) percent: u32,
+    /// When it was first listed, on the worker's clock.
+    pub(crate) listed: Option<u64>,
     /// When the progress last changed, on the worker's clock; nothing before it was listed.
     pub(crate) moved: Option<u64>,
     /// Share of its pace that its worker was told, in percent.
@@ -68,6 +72,7 @@
             since: now,
             sent: None,
             percent: 0,
+            listed: None,
             moved: None,
             pace: 100,
             wanted: 100,
@@ -126,6 +131,8 @@
     pub(crate) run: Option<Box<Run>>,
     /// Numbers of the runs that failed.
     pub(crate) failed: Vec<u32>,
+    /// Workers that crashed under its runs.
+    pub(crate) crashes: Crashes,
     /// Saved progress; empty for none.
     pub(crate) saved: Arc<str>,
     /// No new run before this time, after a failure.
--- /dev/null
+++ b/crates/jobs/src/place/apart.rs
@@ -0,0 +1,192 @@
+//! Where tasks run that may crash their workers.
+//!
+//! The load pattern that this answers: a task that crashes each worker that starts it, beside
+//! many others that did nothing. What may be the cause runs apart until it has outlived the
+//! time in which workers crashed: nothing else begins beside it, so that it takes no others
+//! with it, and a crash that follows is its own.
+//!
+//! Limits: an empty worker is best; where there is none for a while, one with little to lose
+//! does. A part of the workers is kept free of suspects, and of those that only chance speaks
+//! against, some run beside others.
+
+use std::cmp::Reverse;
+
+use crate::{
+    machine::Machine,
+    model::{
+        ids::TaskId,
+        spec::Step,
+        task::{Stage, Task},
+    },
+    place::{pass::Pass, rank::rating, request::Request, tasks::Placed},
+    runs::worker::Worker,
+};
+
+/// A suspect waits for an empty worker for this long, in milliseconds: short tasks end within,
+/// and crashed workers are back.
+const PATIENCE: u64 = 1500;
+
+/// One in so many workers may run a likely suspect ...
+const LIKELY_SHARE: usize = 2;
+
+/// ... and one in so many a suspect that chance alone may speak against.
+const UNLIKELY_SHARE: usize = 8;
+
+impl Task {
+    /// Tells whether its next run has to be apart from others.
+    ///
+    /// What only chance speaks against waits no longer than [`PATIENCE`]: after a loss of
+    /// power that struck twice there are many of them.
+    pub(crate) fn is_apart(&self, now: u64) -> bool {
+        let waits = now <= self.cleared + PATIENCE;
+        self.crashes.is_likely() || self.crashes.is_suspect() && waits
+    }
+}
+
+impl Machine {
+    /// Takes note that a task may crash its workers.
+    pub(crate) fn suspect(&mut self, id: TaskId) {
+        if let Err(at) = self.suspects.binary_search(&id) {
+            self.suspects.insert(at, id);
+        }
+    }
+
+    /// Places the suspects that wait, before others take the empty workers.
+    pub(super) fn place_suspects(&mut self, pass: &mut Pass) {
+        let mut left = std::mem::take(&mut self.suspects);
+        left.retain(|&id| self.is_open_suspect(id));
+        for &id in &left {
+            if pass.starts == 0 {
+                break;
+            }
+            self.place_suspect(id, pass);
+        }
+        self.suspects = left;
+    }
+
+    /// Tells whether a task is a suspect and not done.
+    fn is_open_suspect(&self, id: TaskId) -> bool {
+        let state = self.jobs.get(&id.job).filter(|j| !j.outcome.is_final());
+        let task = state.and_then(|j| j.task(id));
+        task.is_some_and(|t| !t.done && t.crashes.is_suspect())
+    }
+
+    fn place_suspect(&mut self, id: TaskId, pass: &mut Pass) {
+        let Some(state) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let job = state.job.clone();
+        let step = &job.spec.steps[id.step as usize];
+        let task = state.task(id).filter(|t| t.is_waiting(self.now));
+        let Some(task) = task.filter(|t| t.is_apart(self.now)) else {
+            return;
+        };
+        let likely = task.crashes.is_likely();
+        let Some(service) = self.policy(&job.queue).map(|p| p.service.clone()) else {
+            return;
+        };
+        let service = self.fleet.service(&service);
+        let request = Request {
+            first: TaskId { index: 0, ..id },
+            step,
+            image: state.images[id.step as usize],
+            service: &service,
+            avoid: None,
+            starved: true,
+        };
+        let placed = match step.gang {
+            true => matches!(self.place_gang(request, pass), Placed::All),
+            false => self.place_apart(id, &request, pass),
+        };
+        if !placed && likely {
+            self.clear_way(&request, pass);
+        }
+    }
+
+    /// Places a suspect; true if there is a worker for it.
+    fn place_apart(&mut self, id: TaskId, request: &Request<'_>, pass: &mut Pass) -> bool {
+        let Some(slot) = self.find_apart(id, request, pass) else {
+            return false;
+        };
+        self.plan(id, slot, request.step, None);
+        self.keep_apart(id, slot, pass);
+        pass.starts -= 1;
+        true
+    }
+
+    /// Keeps others away from a worker while a suspect runs there.
+    pub(super) fn keep_apart(&mut self, id: TaskId, slot: u32, pass: &mut Pass) {
+        self.fleet.get_mut(slot).guest = Some(id);
+        pass.note_room(slot, &self.fleet);
+        pass.open.retain(|&s| s != slot);
+    }
+
+    /// Finds a worker for a suspect: an empty one, or after [`PATIENCE`] one with little to
+    /// lose.
+    pub(super) fn find_apart(&self, id: TaskId, request: &Request<'_>, pass: &Pass) -> Option<u32> {
+        let task = self.jobs.get(&id.job)?.task(id)?;
+        let share = match task.crashes.is_likely() {
+            true => LIKELY_SHARE,
+            false => UNLIKELY_SHARE,
+        };
+        let hosts = self.fleet.workers.iter().filter(|w| w.is_hosting()).count();
+        if hosts > (hosts + pass.open.len()) / share {
+            return None;
+        }
+        let empty = self.best_apart(request, pass, |w| w.runs.is_empty() && w.strays.is_empty());
+        if empty.is_some() || self.now <= task.cleared + PATIENCE {
+            return empty;
+        }
+        self.best_apart(request, pass, |w| !self.has_beginner(w))
+    }
+
+    /// Keeps new tasks from the worker that a suspect will soon run on beside others, so that
+    /// fewer are there then.
+    fn clear_way(&self, request: &Request<'_>, pass: &mut Pass) {
+        if let Some(slot) = self.best_apart(request, pass, |_| true) {
+            pass.open.retain(|&s| s != slot);
+        }
+    }
+
+    /// Returns the worker with the least to lose that can take a request and suits.
+    fn best_apart(
+        &self,
+        request: &Request<'_>,
+        pass: &Pass,
+        suits: impl Fn(&Worker) -> bool,
+    ) -> Option<u32> {
+        let workers = pass.open.iter().map(|&slot| (slot, self.fleet.get(slot)));
+        let fitting = workers.filter(|&(slot, w)| {
+            let fits = self.fits(w, request.step, request.service, request.starved);
+            fits && suits(w) && !self.is_spread(slot, request)
+        });
+        let best = fitting.min_by_key(|&(slot, w)| {
+            let stake = (self.lasting_on(w), w.runs.len());
+            (stake, Reverse(rating(w, request.step)), slot)
+        });
+        best.map(|(slot, _)| slot)
+    }
+
+    /// Returns how many lasting tasks a worker has.
+    fn lasting_on(&self, worker: &Worker) -> usize {
+        let steps = worker.runs.iter().filter_map(|id| self.step_of(*id));
+        steps.filter(|s| s.lasting).count()
+    }
+
+    fn step_of(&self, id: TaskId) -> Option<&Step> {
+        let state = self.jobs.get(&id.job)?;
+        state.job.spec.steps.get(id.step as usize)
+    }
+
+    /// Tells whether something has just begun on a worker, or is about to.
+    fn has_beginner(&self, worker: &Worker) -> bool {
+        worker.runs.iter().any(|id| {
+            let task = self.jobs.get(&id.job).and_then(|j| j.task(*id));
+            let run = task.and_then(|t| t.run.as_ref());
+            run.is_some_and(|r| {
+                let waits = matches!(r.stage, Stage::Planned | Stage::Sent(_));
+                waits || r.is_young(self.now)
+            })
+        })
+    }
+}
--- a/crates/jobs/src/place/mod.rs
+++ b/crates/jobs/src/place/mod.rs
@@ -9,6 +9,7 @@
 //! Limits: a pass rates a bounded number of workers, the most urgent steps first, so that
 //! no pass holds up renewals; passes are paced by the number of open jobs.
 
+mod apart;
 pub(crate) mod misfit;
 pub(crate) mod pass;
 pub(crate) mod rank;
--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -53,7 +53,7 @@
         for (slot, worker) in (0..).zip(&fleet.workers) {
             let room = Room::of(worker);
             pass.rooms.push(room);
-            if worker.is_open(now) {
+            if worker.is_open(now) && worker.guest.is_none() {
                 pass.open.push(slot);
                 left += room.fill();
                 filling += worker.filling;
--- a/crates/jobs/src/place/rank.rs
+++ b/crates/jobs/src/place/rank.rs
@@ -118,7 +118,7 @@
     }
 
     /// Tells whether a worker has as many tasks of a step as it may have.
-    fn is_spread(&self, slot: u32, request: &Request<'_>) -> bool {
+    pub(super) fn is_spread(&self, slot: u32, request: &Request<'_>) -> bool {
         let (first, spread) = (request.first, request.step.spread);
         if spread == 0 {
             return false;
@@ -151,7 +151,7 @@
 }
 
 /// Returns how well a worker suits a task of a step by its room, place and speed.
-fn rating(worker: &Worker, step: &Step) -> i64 {
+pub(super) fn rating(worker: &Worker, step: &Step) -> i64 {
     let room = worker.capacity();
     let free = (room.cpu + worker.spare) as i64 - (worker.used.cpu + worker.filling) as i64;
     let mut points = free * 1000 / (room.cpu as i64).max(1);
--- a/crates/jobs/src/place/room.rs
+++ b/crates/jobs/src/place/room.rs
@@ -57,6 +57,7 @@
         };
         let label = step.label.as_ref();
         worker.is_open(self.now)
+            && worker.guest.is_none()
             && Arc::ptr_eq(&info.service, service)
             && !worker.is_on_trial(self.now)
             && label.is_none_or(|l| info.labels.contains(l))
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -29,7 +29,7 @@
 const AVOID: u64 = 2500;
 
 /// Why tasks of a step can't all be placed now.
-enum Placed {
+pub(super) enum Placed {
     /// All that waited are placed.
     All,
     /// Some are not.
@@ -50,6 +50,7 @@
         if let Some(bound) = self.window.bound() {
             pass.starts = bound.saturating_sub(self.starting());
         }
+        self.place_suspects(&mut pass);
         for at in 0..self.open.len() {
             if pass.starts == 0 {
                 self.figures.held += 1;
@@ -169,7 +170,7 @@
     }
 
     /// Places all tasks of a gang, or none.
-    fn place_gang(&mut self, mut request: Request<'_>, pass: &mut Pass) -> Placed {
+    pub(super) fn place_gang(&mut self, mut request: Request<'_>, pass: &mut Pass) -> Placed {
         let (step, first) = (request.step, request.first);
         request.starved = false;
         let Some(state) = self.jobs.get(&first.job) else {
@@ -180,15 +181,28 @@
             return Placed::All;
         }
         let run = tasks.iter().map(|t| t.last).max().unwrap_or(0) + 1;
+        // Suspects come first, while there are empty workers.
+        let mut members: Vec<(bool, u32)> = (0..)
+            .zip(tasks)
+            .map(|(at, t)| (!t.is_apart(self.now), at))
+            .collect();
+        members.sort_unstable();
         pass.starts = pass.starts.saturating_sub(step.count as usize);
         let mut ranking: Option<Ranking> = None;
         let mut planned = Vec::new();
-        for index in 0..step.count {
-            let Some(slot) = self.choose(&request, &mut ranking, pass) else {
+        for (beside, index) in members {
+            let id = TaskId { index, ..first };
+            let slot = match beside {
+                true => self.choose(&request, &mut ranking, pass),
+                false => self.find_apart(id, &request, pass),
+            };
+            let Some(slot) = slot else {
                 break;
             };
-            let id = TaskId { index, ..first };
             self.plan(id, slot, step, Some(run));
+            if !beside {
+                self.keep_apart(id, slot, pass);
+            }
             pass.note_room(slot, &self.fleet);
             planned.push((id, slot));
         }
@@ -202,7 +216,7 @@
         Placed::Short
     }
 
-    fn plan(&mut self, id: TaskId, slot: u32, step: &Step, number: Option<u32>) {
+    pub(super) fn plan(&mut self, id: TaskId, slot: u32, step: &Step, number: Option<u32>) {
         let now = self.now;
         let state = self.jobs.get_mut(&id.job);
         let Some(runs) = state.and_then(|j| j.step_mut(id.time, id.step)) else {
--- a/crates/jobs/src/runs/close.rs
+++ b/crates/jobs/src/runs/close.rs
@@ -57,7 +57,12 @@
             return;
         };
         let step = &job.spec.steps[id.step as usize];
-        self.fleet.get_mut(run.worker).release(id, step);
+        let worker = self.fleet.get_mut(run.worker);
+        worker.release(id, step);
+        // One that is lost keeps it: what was lost there is explained by it.
+        if !worker.dead && !worker.absent {
+            worker.guest = worker.guest.filter(|&g| g != id);
+        }
         self.moved = true;
         self.forget_tasks(id.job);
     }
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -117,8 +117,9 @@
         run.sent = Some(now);
         run.partial = !saved.is_empty();
         worker.promised = worker.promised.max(deadline);
+        let apart = worker.guest == Some(id);
         self.figures.starts += 1;
-        log::info!(task = id.to_string().as_str(), run = number, worker = &*worker.id, waited_ms = now - run.since; "start: sent");
+        log::info!(task = id.to_string().as_str(), run = number, worker = &*worker.id, waited_ms = now - run.since, apart; "start: sent");
         let order = StartOrder {
             task: id,
             run: number,
--- a/crates/jobs/src/runs/ends.rs
+++ b/crates/jobs/src/runs/ends.rs
@@ -26,6 +26,9 @@
         worker.looking = false;
         worker.heard(look.clock, now, &settings);
         worker.absent = false;
+        worker.guest = worker
+            .guest
+            .filter(|g| worker.runs.binary_search(g).is_ok());
         if let Some(since) = worker.silent.take() {
             log::info!(worker = &*worker.id, silent_ms = now - since; "worker: answers again");
             self.moved = true;
--- a/crates/jobs/src/runs/listed.rs
+++ b/crates/jobs/src/runs/listed.rs
@@ -66,6 +66,8 @@
         }
         let settled = now > run.since + SETTLED && row.percent == 100;
         let since = run.since;
+        let at_work = clock.saturating_sub(*run.listed.get_or_insert(clock));
+        self.note_survival(slot, row.task, at_work);
         let worker = self.fleet.get(slot);
         if settled && worker.failures > 0 && since > worker.failed {
             self.fleet.get_mut(slot).did_well();
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -93,6 +93,8 @@
     pub(crate) leaving: Option<u64>,
     /// Runs on it, sorted.
     pub(crate) runs: Vec<TaskId>,
+    /// The suspect that runs on it apart: nothing else begins there meanwhile.
+    pub(crate) guest: Option<TaskId>,
     /// Runs on it that nobody wants.
     pub(crate) strays: Vec<Stray>,
     /// Room that is taken; `cpu` without tasks that fill.
@@ -149,6 +151,7 @@
             missed: None,
             leaving: None,
             runs: Vec::new(),
+            guest: None,
             strays: Vec::new(),
             used: Capacity::default(),
             filling: 0,
@@ -188,6 +191,11 @@
         self.listed && !self.dead && self.silent.is_none() && self.clock.is_some()
     }
 
+    /// Tells whether a suspect runs on it apart.
+    pub(crate) fn is_hosting(&self) -> bool {
+        self.guest.is_some() && self.is_live()
+    }
+
     /// Tells whether it may be sent orders: it has been heard, and its life has not ended.
     pub(crate) fn takes_orders(&self) -> bool {
         !self.dead && self.info.is_some() && self.clock.is_some()
--- a/crates/jobs/tests/all/common/crash.rs
+++ b/crates/jobs/tests/all/common/crash.rs
@@ -30,8 +30,9 @@
                 let crasher = self.crashers.iter().find(|c| c.task == r.task);
                 crasher.is_some_and(|c| now >= r.begun + c.after)
             });
+            let others = runs.len().saturating_sub(1);
             if let Some(task) = culprit.map(|r| r.task) {
-                self.judge.crashes(task);
+                self.judge.crashes(task, others);
                 self.crash(at);
             }
             if self.workers[at].returns.is_some_and(|t| t <= now) {
--- a/crates/jobs/tests/all/common/judge.rs
+++ b/crates/jobs/tests/all/common/judge.rs
@@ -17,6 +17,8 @@
     pub noted_failed: BTreeMap<TaskId, u32>,
     /// Workers that a task crashed, and starts of it since three had crashed.
     pub crashed: BTreeMap<TaskId, (u32, u32)>,
+    /// For each such crash, how many other runs it took with it.
+    pub taken: Vec<usize>,
     /// Whether nothing is wrong with workers, so that an end that one lists counts as
     /// noted soon after, read or not.
     pub calm: bool,
@@ -80,8 +82,9 @@
         }
     }
 
-    /// A worker crashed since this task began there.
-    pub fn crashes(&mut self, task: TaskId) {
+    /// A worker crashed since this task began there, and with it so many other runs.
+    pub fn crashes(&mut self, task: TaskId, others: usize) {
+        self.taken.push(others);
         self.crashed.entry(task).or_insert((0, 0)).0 += 1;
     }
 
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -7,6 +7,9 @@
 /// Ends that one answer holds at most.
 const FULL_LIST: usize = 500;
 
+/// A member of a gang waits for the others for this long, in milliseconds.
+const GANG_WAIT: u64 = 3000;
+
 /// What is wrong with a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -32,6 +35,10 @@
     /// Ten-thousandths of a millisecond beyond that.
     pub rest: u64,
     pub lasting: bool,
+    /// Members that its gang has; none if it belongs to none.
+    pub gang: Option<u32>,
+    /// Whether members of its gang are missing: it does no work meanwhile.
+    pub waits: bool,
     pub fill: bool,
     pub image: Option<Arc<str>>,
     pub target: u64,
@@ -156,6 +163,7 @@
             let run = &mut self.runs[at];
             run.done += match mode {
                 Mode::Hangs => 0,
+                _ if run.waits => 0,
                 Mode::Slow(times) => ms / times,
                 _ if run.fill => {
                     let gained = ms * u64::from(run.pace) * speed + run.rest;
@@ -166,6 +174,7 @@
             };
             let ending = match () {
                 () if lapsed => Some(Ending::Lapsed),
+                () if run.waits && now > run.begun + GANG_WAIT => Some(Ending::Alone),
                 () if run.stops.is_some_and(|t| t <= now) => Some(Ending::Stopped),
                 () if mode == Mode::FailsAll && run.done * 10 >= run.work => Some(Ending::Failed),
                 () if run.done * 2 >= run.work && fails(run, self.flaky) => Some(Ending::Failed),
@@ -292,6 +301,8 @@
             done: 0,
             rest: 0,
             lasting: step.lasting,
+            gang: step.gang.then_some(step.count),
+            waits: false,
             fill: step.fill,
             image: step.image.clone(),
             target: step.target,
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -8,7 +8,7 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use super::{Judge, SimWorker, crash::Crasher};
+use super::{Judge, SimWorker, crash::Crasher, sim::SimRun};
 
 /// Milliseconds of one step of the world.
 pub const TICK: u64 = 5;
@@ -200,6 +200,11 @@
                 .handle(self.now, self.now, Event::Cancelled(id));
         }
         self.owners.push(owner);
+        for (_, id) in self.unlisted.clone() {
+            let at = self.workers.iter().position(|w| w.id == id);
+            let at = at.unwrap_or_else(|| self.lives[&id]);
+            self.list(at, id, true);
+        }
         for at in 0..self.workers.len() {
             self.announce(at, true);
         }
@@ -225,8 +230,14 @@
         if worker.cut || !worker.alive {
             return;
         }
+        self.list(at, worker.id.clone(), ready);
+    }
+
+    /// Tells the newest owner what a life of a worker announced.
+    fn list(&mut self, at: usize, id: Arc<str>, ready: bool) {
+        let worker = &self.workers[at];
         let info = WorkerInfo {
-            id: worker.id.clone(),
+            id,
             addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
             service: "s".into(),
             zone: World::zone(at),
@@ -327,6 +338,7 @@
 
     fn step(&mut self) {
         self.now += TICK;
+        self.hold_gangs();
         for worker in self.workers.iter_mut().filter(|w| w.alive) {
             worker.advance(self.now, TICK);
         }
@@ -339,6 +351,21 @@
         self.judge.check(self.now, &self.workers);
     }
 
+    /// Members of a gang work only while all of them are there.
+    fn hold_gangs(&mut self) {
+        let mut there: BTreeMap<(JobId, u32, u32), u32> = BTreeMap::new();
+        let key = |r: &SimRun| (r.task.job, r.task.step, r.run);
+        for worker in self.workers.iter().filter(|w| w.alive) {
+            for run in worker.runs.iter().filter(|r| r.gang.is_some()) {
+                *there.entry(key(run)).or_insert(0) += 1;
+            }
+        }
+        for run in self.workers.iter_mut().flat_map(|w| &mut w.runs) {
+            let members = there.get(&key(run)).copied().unwrap_or(0);
+            run.waits = run.gang.is_some_and(|count| members < count);
+        }
+    }
+
     fn write(&mut self, at: usize) {
         let (now, epoch, down) = (self.now, self.epoch, self.store_down);
         let owner = &mut self.owners[at];
--- a/crates/jobs/tests/all/crashing.rs
+++ b/crates/jobs/tests/all/crashing.rs
@@ -140,6 +140,64 @@
     }
 }
 
+/// A task that crashes its worker only after a while is found as well.
+#[test_case(400)]
+#[test_case(1200)]
+#[test_case(2500)]
+fn a_task_that_crashes_its_worker_later_is_given_up(after: u64) {
+    let mut world = world(2);
+    submit_culprit(&mut world, chain(vec![short(3, 6000)]), after);
+    run_busy(&mut world, 60_000);
+    let name = format!("after {after} ms");
+    assert_eq!(world.outcome(CULPRIT), Outcome::Failed, "{name}");
+    check_outcomes(&mut world, &name);
+}
+
+/// Tasks of several jobs crash workers at the same time. None hides behind the others.
+#[test]
+fn several_tasks_that_crash_workers_are_given_up() {
+    let mut world = world(3);
+    for id in 0..5 {
+        let id = JobId(CULPRIT.0 + id);
+        world.submit(id.0, chain(vec![short(3, 800)]));
+        let task = TaskId {
+            job: id,
+            ..culprit()
+        };
+        world.crashers.push(Crasher { task, after: 10 });
+    }
+    run_busy(&mut world, 60_000);
+    check_seed(&world, 3);
+    for id in 0..5 {
+        let id = JobId(CULPRIT.0 + id);
+        assert_eq!(world.outcome(id), Outcome::Failed, "{id}");
+    }
+    world.run(8000);
+    let lasting = world.workers.iter().flat_map(|w| &w.runs);
+    let lasting = lasting.filter(|r| r.task.job == JobId(1)).count();
+    assert_eq!(lasting, WORKERS);
+}
+
+/// Only the first crash comes beside others, as long as some worker is empty.
+#[test]
+fn a_suspect_takes_no_others_down_with_it() {
+    for (name, step) in shapes() {
+        let mut world = World::new(WorldSettings {
+            workers: WORKERS,
+            ..WorldSettings::default()
+        });
+        world.run(100);
+        world.submit(1, chain(vec![serving(WORKERS as u32 / 2)]));
+        world.run(1000);
+        submit_culprit(&mut world, chain(vec![step]), 10);
+        run_busy(&mut world, 30_000);
+        assert_eq!(world.outcome(CULPRIT), Outcome::Failed, "{name}");
+        let taken = &world.judge.taken;
+        assert!(taken.len() <= 4, "{name}: {taken:?}");
+        assert!(taken[1..].iter().all(|&t| t == 0), "{name}: {taken:?}");
+    }
+}
+
 /// How workers are lost by no task's fault.
 #[derive(Debug, Clone, Copy)]
 enum Loss {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -116,6 +116,7 @@
             ("runs_stopped", decided.stopped),
             ("runs_lapsed", decided.lapsed),
             ("runs_lost", decided.lost),
+            ("jobs_given_up", decided.given_up),
             ("runs_unheard", decided.unheard),
             ("looks", decided.looks),
             ("tasks", decided.tasks),
