--- a/crates/jobs/tests/all/common/judge.rs
+++ b/crates/jobs/tests/all/common/judge.rs
@@ -29,6 +29,9 @@
 /// Time in which an owner has to read an end before it starts the task again.
 const NOTED: u64 = 100;
 
+/// Room that has shrunk counts for this long, in milliseconds: time to hear of it.
+const SHRUNK: u64 = 4500;
+
 /// A task is not started this often any more ...
 const STARTS: u32 = 3;
 
@@ -73,6 +76,15 @@
         }
     }
 
+    /// A run began on a worker, which may not be over its room by that.
+    pub fn fitted(&mut self, now: u64, worker: &SimWorker) {
+        if worker.is_over(now, SHRUNK) {
+            let id = &worker.id;
+            self.wrong
+                .push(format!("{now}: {id} holds more than it may"));
+        }
+    }
+
     /// A run began: where all is calm, not of a task that a worker lists as done.
     pub fn told(&mut self, now: u64, task: TaskId) {
         let listed = self.listed.get(&task);
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -68,6 +68,10 @@
     pub rate: u64,
     pub begun: u64,
     pub room: (u64, u64),
+    /// What it could hold before its room changed, and when that was.
+    pub roomier: Option<((u64, u64), u64)>,
+    /// Whether it refuses what goes beyond its room.
+    pub guards: bool,
     pub runs: Vec<SimRun>,
     pub ends: Vec<End>,
     /// Runs at or below these never begin any more.
@@ -108,6 +112,8 @@
             rate,
             begun: now,
             room: (8000, 16000),
+            roomier: None,
+            guards: true,
             runs: Vec::new(),
             ends: Vec::new(),
             barred: Vec::new(),
@@ -286,11 +292,9 @@
         }
         let step = &order.spec.steps[order.task.step as usize];
         let size = (if step.fill { 0 } else { step.cpu }, step.memory);
-        let used = self.runs.iter().fold((0, 0), |u, r| {
-            let cpu = if r.fill { 0 } else { r.size.0 };
-            (u.0 + cpu, u.1 + r.size.1)
-        });
-        if used.0 + size.0 > self.room.0 || used.1 + size.1 > self.room.1 {
+        let used = self.used();
+        let over = used.0 + size.0 > self.room.0 || used.1 + size.1 > self.room.1;
+        if over && self.guards {
             return Started::NoRoom;
         }
         self.runs.push(SimRun {
@@ -313,6 +317,30 @@
         Started::Done
     }
 
+    /// What its runs take up, also those that are being stopped.
+    pub fn used(&self) -> (u64, u64) {
+        self.runs.iter().fold((0, 0), |u, r| {
+            let cpu = if r.fill { 0 } else { r.size.0 };
+            (u.0 + cpu, u.1 + r.size.1)
+        })
+    }
+
+    /// Has it hold another amount from now on.
+    pub fn resize(&mut self, room: (u64, u64), now: u64) {
+        self.roomier = Some((self.room, now));
+        self.room = room;
+    }
+
+    /// Tells whether it holds more than it may: room that has shrunk counts for `grace`
+    /// milliseconds more.
+    pub fn is_over(&self, now: u64, grace: u64) -> bool {
+        let (mut room, used) = (self.room, self.used());
+        if let Some((before, _)) = self.roomier.filter(|(_, at)| now <= at + grace) {
+            room = (room.0.max(before.0), room.1.max(before.1));
+        }
+        used.0 > room.0 || used.1 > room.1
+    }
+
     pub fn stop(&mut self, now: u64, fence: u64, task: TaskId, run: u32) -> Stopped {
         if fence < self.fence {
             return Stopped::Fenced;
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -542,6 +542,7 @@
                         let attempts = self.settings.attempts;
                         self.judge.begun(now, order.task, attempts, &order.spec);
                         self.judge.told(now, order.task);
+                        self.judge.fitted(now, worker);
                     }
                 }
                 Answer::Started(order.task, order.run, started)
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod promises;
 mod regression;
+mod resizing;
 mod sharing;
 #[path = "../../benches/site.rs"]
 #[expect(dead_code, reason = "the benchmarks use more of it")]
