--- a/crates/jobs/tests/all/behind.rs
+++ b/crates/jobs/tests/all/behind.rs
@@ -153,6 +153,27 @@
     assert!(world.workers[0].deadline <= world.workers[0].clock(over));
 }
 
+/// The same for an owner whose machine was suspended: to it no time may seem to have passed since
+/// its last contact. By a clock that stood still it renewed a lease until 3.9 s after the moment
+/// from which on a successor takes all leases for over.
+#[test]
+fn a_suspended_owner_prolongs_nothing() {
+    let mut world = world(1, 1);
+    let lasting = Step {
+        lasting: true,
+        ..short(1, 0)
+    };
+    world.submit(1, chain(vec![lasting]));
+    world.run(1000);
+    world.store_down = true;
+    let over = world.lease_end();
+    world.suspend(5000);
+    world.run(9000);
+    let worker = &world.workers[0];
+    let late = worker.deadline.saturating_sub(worker.clock(over));
+    assert_eq!(late, 0, "ms beyond the end of all leases");
+}
+
 /// The same for a start whose record is confirmed late: its lease is over when a successor
 /// takes it for over.
 #[test_case(1000; "a second")]
--- a/crates/jobs/tests/all/common/mod.rs
+++ b/crates/jobs/tests/all/common/mod.rs
@@ -1,5 +1,6 @@
 //! A world for the machine: workers, a store and owners in virtual time.
 
+mod clock;
 mod crash;
 mod judge;
 mod sim;
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -8,7 +8,7 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use super::{Judge, SimWorker, crash::Crasher, sim::SimRun};
+use super::{Judge, SimWorker, clock::OwnerClock, crash::Crasher, sim::SimRun};
 
 /// Milliseconds of one step of the world.
 pub const TICK: u64 = 5;
@@ -73,6 +73,7 @@
     link: u64,
     paused: bool,
     deposed: bool,
+    clock: OwnerClock,
 }
 
 /// The world.
@@ -173,6 +174,7 @@
             link: 0,
             paused: false,
             deposed: false,
+            clock: OwnerClock::new(self.now),
         };
         let policy = QueuePolicy {
             queue: "q".into(),
@@ -254,10 +256,21 @@
         self.tell(Event::Worker(info));
     }
 
+    /// The newest owner's machine is suspended for so many milliseconds.
+    pub fn suspend(&mut self, ms: u64) {
+        self.pause(true);
+        self.run(ms);
+        self.pause(false);
+        if let Some(owner) = self.owners.last_mut() {
+            owner.clock.suspended += ms;
+        }
+    }
+
     pub fn tell(&mut self, event: Event) {
         let now = self.now;
         if let Some(owner) = self.owners.last_mut() {
-            owner.machine.handle(now, now, event);
+            let at = owner.clock.read(now);
+            owner.machine.handle(at, now, event);
         }
     }
 
@@ -377,17 +390,18 @@
             owner.deposed = true;
             return;
         }
+        let at_owner = owner.clock.read(now);
         if now.is_multiple_of(400) {
             owner
                 .machine
-                .handle(now, now, Event::Renewed { asked: now });
+                .handle(at_owner, now, Event::Renewed { asked: at_owner });
             self.renewed = now;
         }
         let owner = &mut self.owners[at];
         if !self.unheard {
             owner
                 .machine
-                .handle(now, now, Event::Current { asked: now });
+                .handle(at_owner, now, Event::Current { asked: at_owner });
         }
         let Some((due, records)) = owner.commit.take_if(|(due, _)| *due <= now) else {
             return;
@@ -397,7 +411,9 @@
         }
         self.renewed = now;
         let asked = due - WRITE;
-        owner.machine.handle(now, now, Event::Committed { asked });
+        owner
+            .machine
+            .handle(at_owner, now, Event::Committed { asked });
     }
 
     fn settle(&mut self, at: usize) {
@@ -409,7 +425,7 @@
         if self.turns > 0 {
             owner.busy = now + self.rng.random_range(0..self.turns);
         }
-        let actions = owner.machine.settle(now, now);
+        let actions = owner.machine.settle(owner.clock.read(now), now);
         for action in actions {
             self.act(at, action);
         }
@@ -486,7 +502,7 @@
                             sent,
                             answer,
                         };
-                        owner.machine.handle(now, now, event);
+                        owner.machine.handle(owner.clock.read(now), now, event);
                     }
                 }
                 Parcel::Order(index, action, sent) => self.carry_out(at, index, action, sent),
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -49,6 +49,8 @@
     keep_at: u64,
     /// When the last wake-up came.
     woke: u64,
+    /// For how long the machine had been suspended by then, in milliseconds.
+    suspended: u64,
     over: bool,
 }
 
@@ -76,6 +78,7 @@
             tell_at: 0,
             keep_at: shared.clock.now() + LEARNED_PERIOD,
             woke: shared.clock.now(),
+            suspended: shared.clock.suspended(),
             over: false,
         }
     }
@@ -134,8 +137,11 @@
         self.woke = at;
         let late = since >= LATE;
         if late {
+            let suspended = self.shared.clock.suspended();
+            let slept = suspended - self.suspended.min(suspended);
+            self.suspended = suspended;
             self.shared.metrics.count(Count::LateTurns);
-            log::warn!(late_ms = since, told = self.inbox.told.len(); "owner: late");
+            log::warn!(late_ms = since, suspended_ms = slept, told = self.inbox.told.len(); "owner: late");
         }
         Wake {
             at,
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -1,33 +1,82 @@
 //! The process's monotonic clock.
+//!
+//! A machine may be suspended for seconds. The system's steady clock stands still meanwhile, the
+//! clock that counts from the machine's start goes on, as do all other machines.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, Timespec, clock_gettime};
+
+/// Readings of two clocks of a system; both never go back.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// Time since some moment, without times of suspension.
+    pub steady: fn() -> Duration,
+    /// Time since the machine started, with times of suspension.
+    pub boot: fn() -> Duration,
+}
+
+impl Times {
+    /// The system's clocks.
+    pub const SYSTEM: Times = Times {
+        steady: || reading(ClockId::Monotonic),
+        boot: || reading(ClockId::Boottime),
+    };
+}
+
+fn reading(clock: ClockId) -> Duration {
+    let Timespec { tv_sec, tv_nsec } = clock_gettime(clock);
+    // Neither clock is ever negative, and a fraction is below a second.
+    Duration::new(tv_sec as u64, tv_nsec as u32)
+}
 
 /// Milliseconds since the clock was made; never goes back.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    times: Times,
+    /// Readings from which it counts.
+    steady: Duration,
+    boot: Duration,
 }
 
+/// A new clock shows an hour, so that subtracting a time limit from an early reading does not
+/// reach zero.
+const FIRST: Duration = Duration::from_secs(3600);
+
 impl Clock {
-    /// Starts a clock at one hour, so that subtracting a time limit from an
-    /// early reading does not reach zero.
+    /// Starts a clock.
     pub fn new() -> Clock {
-        let start = Instant::now();
+        Clock::over(Times::SYSTEM)
+    }
+
+    /// Starts a clock over these readings.
+    pub fn over(times: Times) -> Clock {
         Clock {
-            start: start
-                .checked_sub(Duration::from_secs(3600))
-                .unwrap_or(start),
+            times,
+            steady: (times.steady)(),
+            boot: (times.boot)(),
         }
     }
 
     /// Returns the reading in milliseconds.
     pub fn now(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
+        self.elapsed().as_millis() as u64
     }
 
     /// Returns the reading in microseconds.
     pub fn micros(&self) -> u64 {
-        self.start.elapsed().as_micros() as u64
+        self.elapsed().as_micros() as u64
+    }
+
+    /// Returns for how long the machine was suspended since the clock was made, in milliseconds.
+    pub fn suspended(&self) -> u64 {
+        let steady = (self.times.steady)().saturating_sub(self.steady);
+        let boot = (self.times.boot)().saturating_sub(self.boot);
+        boot.saturating_sub(steady).as_millis() as u64
+    }
+
+    fn elapsed(&self) -> Duration {
+        FIRST + (self.times.steady)().saturating_sub(self.steady)
     }
 }
 
