Count the time for which the machine is suspended

What callers saw: nothing yet; a task could run twice at once after an owner's machine was suspended (see the tests). Cause: Instant is the system's steady clock, which stands still meanwhile. All that the owner holds for new was old: its last contact, from which leases reach 8.5 s, the workers' announcements, below 2 s of age, and calls' time limits. Change: Clock counts by CLOCK_BOOTTIME. A wake-up after a suspension is late, so that what had arrived is read before calls are given up. Why it holds: it is then as after a pause of the process, which is covered; an instance that does not own the lease asks the store before it takes it. Time limits inside the blocking HTTP client and server still count by the steady clock: they only prolong calls, which count from their asking.

--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -76,7 +76,8 @@
     }
 
     fn elapsed(&self) -> Duration {
-        FIRST + (self.times.steady)().saturating_sub(self.steady)
+        // Others go on while this machine is suspended, and what they granted runs out.
+        FIRST + (self.times.boot)().saturating_sub(self.boot)
     }
 }
 
