Ask for more evidence where others may have caused the first crashes

Cause: three crashes of any kind, two of them its own, were enough, and nothing less was when a sixth start came near. Change: two of its own and a third just after it had begun; at five of any kind, one of its own and one more just after it had begun. Users allow a task to be given up under which two workers have crashed.

--- a/crates/jobs/src/model/crash_tests.rs
+++ b/crates/jobs/src/model/crash_tests.rs
@@ -22,6 +22,8 @@
     assert_eq!(some.count(), 2);
     assert!(!some.is_proven());
     some.note(&"w9".into(), Blame::Shared);
+    assert!(!some.is_proven());
+    some.note(&"w8".into(), Blame::Close);
     assert!(some.is_proven());
 }
 
@@ -34,6 +36,25 @@
     assert!(!crashes(&once).is_proven());
 }
 
+/// What was there twice when others crashed a worker may be unlucky twice more.
+#[test]
+fn more_is_needed_where_others_may_have_caused_the_first() {
+    let mut blames = vec![Blame::Shared, Blame::Shared, Blame::Own, Blame::Own];
+    assert!(!crashes(&blames).is_proven());
+    blames.push(Blame::Shared);
+    assert!(crashes(&blames).is_proven());
+}
+
+/// A sixth start is not allowed, whatever became of what is known.
+#[test]
+fn five_crashes_need_less() {
+    let mut blames = vec![Blame::Shared, Blame::Close, Blame::Shared, Blame::Own];
+    assert!(!crashes(&blames).is_proven());
+    blames.push(Blame::Shared);
+    assert!(crashes(&blames).is_proven());
+    assert!(!crashes(&[Blame::Close; 5]).is_proven());
+}
+
 #[test]
 fn one_crash_makes_a_suspect_only_of_what_had_just_begun() {
     assert!(!crashes(&[Blame::Shared]).is_suspect());
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -54,6 +54,8 @@
     pub alive: bool,
     /// Whether its process has ended on a machine that is up: it refuses connections.
     pub absent: bool,
+    /// Whether it refuses connections though it runs on.
+    pub deaf: bool,
     /// When its next life begins.
     pub returns: Option<u64>,
     /// Nobody reaches it, and it reaches nobody.
@@ -103,6 +105,7 @@
             id: id.into(),
             alive: true,
             absent: false,
+            deaf: false,
             returns: None,
             cut: false,
             late: 0,
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -8,7 +8,12 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use super::{Judge, SimWorker, clock::OwnerClock, crash::Crasher, sim::SimRun};
+use super::{
+    Judge, SimWorker,
+    clock::OwnerClock,
+    crash::{Crasher, RETURNS},
+    sim::SimRun,
+};
 
 /// Milliseconds of one step of the world.
 pub const TICK: u64 = 5;
@@ -87,6 +92,8 @@
     pub crashers: Vec<Crasher>,
     /// Names of workers' earlier lives, each with its worker.
     pub lives: BTreeMap<Arc<str>, usize>,
+    /// Milliseconds until a crashed worker's next life begins.
+    pub away: u64,
     /// Announcements that are gone at a time.
     pub unlisted: Vec<(u64, Arc<str>)>,
     /// Whether owners no longer hear what workers announce.
@@ -123,6 +130,7 @@
             store_down: false,
             crashers: Vec::new(),
             lives: BTreeMap::new(),
+            away: RETURNS,
             unlisted: Vec::new(),
             unheard: false,
             turns: 0,
--- a/crates/jobs/tests/all/resizing.rs
+++ b/crates/jobs/tests/all/resizing.rs
@@ -5,7 +5,7 @@
 //! on a worker that does not guard itself it began beyond the room that was left by then.
 
 use crate::common::{World, WorldSettings, chain, check_seed, serving, short};
-use gorsespur_jobs::JobId;
+use gorsespur_jobs::{JobId, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 /// Cores and memory of a worker in full.
@@ -62,6 +62,42 @@
     check_seed(&world, 0);
 }
 
+/// The same if the owner has heard of it meanwhile.
+#[test]
+fn nothing_begins_in_room_that_is_known_to_be_gone() {
+    let mut world = world(1, 0);
+    world.submit(1, chain(vec![short(6, 2000)]));
+    world.run(5);
+    world.store_down = true;
+    let now = world.now;
+    world.workers[0].resize((1000, 2000), now);
+    world.announce(0, true);
+    world.run(5000);
+    world.store_down = false;
+    world.run(2000);
+    check_seed(&world, 0);
+    resize(&mut world, 0, FULL);
+    assert!(world.run_until_done(30_000));
+}
+
+/// Nothing begins on a worker that has too much of one thing, though it asks for none of that.
+#[test]
+fn what_fills_does_not_begin_where_there_is_too_much() {
+    let mut world = world(1, 0);
+    world.submit(1, chain(vec![serving(6)]));
+    world.run(1500);
+    resize(&mut world, 0, (4000, 16000));
+    let fill = Step {
+        fill: true,
+        image: Some("fill".into()),
+        ..short(1, 500)
+    };
+    world.submit(2, chain(vec![fill]));
+    world.run(7000);
+    assert_eq!(world.workers[0].runs.len(), 6);
+    check_seed(&world, 0);
+}
+
 /// What runs on a worker when its room shrinks goes on, and nothing more begins there until
 /// enough of it has ended; what is being stopped still counts.
 #[test]
