Explain jobs that were given up since a task crashed its workers

Cause: gorsespur-ctl explain told such a job's end as a task that failed zero times. Change: the cause names the task and the workers that were lost under it.

--- a/crates/ctl/src/explain/cause.rs
+++ b/crates/ctl/src/explain/cause.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::explain::story::{Run, Story};
+use crate::explain::story::{LOST, Run, Story};
 
 /// Why a job ended as it did, or took as long as it did.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -28,6 +28,13 @@
         /// Workers on which it failed.
         workers: usize,
     },
+    /// A task crashed the workers that started it.
+    Crashed {
+        /// The task.
+        task: String,
+        /// Workers that were lost under it.
+        workers: usize,
+    },
     /// Its caller cancelled it.
     Cancelled,
     /// Most of its time nothing ran since no instance owned the lease.
@@ -87,6 +94,7 @@
             Cause::Unknown => "unknown",
             Cause::Refused { .. } => "refused",
             Cause::Failed { .. } => "failed",
+            Cause::Crashed { .. } => "crashed workers",
             Cause::Cancelled => "cancelled",
             Cause::NoOwner { .. } => "no owner",
             Cause::Waited { .. } => "waited",
@@ -98,6 +106,12 @@
     }
 
     fn failed(story: &Story) -> Cause {
+        if let Some(task) = &story.crashed {
+            return Cause::Crashed {
+                task: task.clone(),
+                workers: workers(story, task, LOST),
+            };
+        }
         let failed = |r: &&Run| r.how.as_deref() == Some("Failed");
         let count = |task: &str| {
             story
@@ -109,14 +123,10 @@
         };
         let tasks = story.runs.iter().filter(failed).map(|r| r.task.as_str());
         let task = tasks.max_by_key(|t| count(t)).unwrap_or_default();
-        let runs = story.runs.iter().filter(failed).filter(|r| r.task == task);
-        let mut workers: Vec<&str> = runs.map(|r| &*r.worker).collect();
-        workers.sort_unstable();
-        workers.dedup();
         Cause::Failed {
             task: task.to_owned(),
             failures: count(task),
-            workers: workers.len(),
+            workers: workers(story, task, "Failed"),
         }
     }
 
@@ -139,6 +149,16 @@
     }
 }
 
+/// Returns the number of workers on which runs of a task ended so.
+fn workers(story: &Story, task: &str, how: &str) -> usize {
+    let runs = story.runs.iter().filter(|r| r.task == task);
+    let ended = runs.filter(|r| r.how.as_deref() == Some(how));
+    let mut workers: Vec<&str> = ended.map(|r| &*r.worker).collect();
+    workers.sort_unstable();
+    workers.dedup();
+    workers.len()
+}
+
 impl fmt::Display for Cause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -155,6 +175,9 @@
                 f,
                 "task {task} failed {failures} times, on {workers} workers"
             ),
+            Cause::Crashed { task, workers } => {
+                write!(f, "task {task} crashed {workers} workers that started it")
+            }
             Cause::Cancelled => write!(f, "its caller cancelled it"),
             Cause::NoOwner { ms } => write!(f, "no instance owned the lease for {ms} ms"),
             Cause::Waited { ms } => write!(f, "it waited for room or its turn for {ms} ms"),
--- a/crates/ctl/src/explain/story.rs
+++ b/crates/ctl/src/explain/story.rs
@@ -63,6 +63,9 @@
     }
 }
 
+/// How a run ended that its worker no longer has.
+pub(crate) const LOST: &str = "Lost";
+
 /// What a job did for a while.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -99,6 +102,8 @@
     pub refused: Vec<Refusal>,
     /// The last error that a line about it tells.
     pub err: Option<String>,
+    /// The task for which it was given up, since it crashed its workers.
+    pub crashed: Option<String>,
     /// What became of it; nothing if the logs do not say.
     pub outcome: Option<String>,
     /// The queue it was handed in to.
@@ -164,11 +169,12 @@
                 self.accepted = self.accepted.or(Some(line.ms));
                 self.queue = line.queue.clone();
             }
+            "job: a task crashes its workers" => self.crashed = line.task.clone(),
             "jobs: ended" => self.outcome = line.outcome.clone(),
             "start: sent" => self.begin(line, line.ms),
             "run: ended" => self.ended(line, line.how.clone()),
             "run: not there" | "run: lost with its worker" => {
-                self.ended(line, Some("Lost".to_owned()))
+                self.ended(line, Some(LOST.to_owned()))
             }
             "pace: changed" => self.paced(line),
             _ => {}
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -44,6 +44,24 @@
     assert_eq!(cause(&log), expected);
 }
 
+#[test]
+fn a_task_that_crashed_its_workers_is_named() {
+    let log = format!(
+        r#"{ACCEPTED}
+{{"ms":1020,"node":"b","msg":"start: sent","task":"{JOB}.0.0.1","run":1,"worker":"w1"}}
+{{"ms":4220,"node":"b","msg":"run: lost with its worker","task":"{JOB}.0.0.1","run":1,"worker":"w1"}}
+{{"ms":4300,"node":"b","msg":"start: sent","task":"{JOB}.0.0.1","run":2,"worker":"w2","apart":true}}
+{{"ms":7500,"node":"b","msg":"job: a task crashes its workers","task":"{JOB}.0.0.1","crashes":3}}
+{{"ms":7500,"node":"b","msg":"jobs: ended","job":"{JOB}","outcome":"Failed"}}
+{{"ms":8500,"node":"b","msg":"run: lost with its worker","task":"{JOB}.0.0.1","run":2,"worker":"w2"}}"#
+    );
+    let expected = Cause::Crashed {
+        task: format!("{JOB}.0.0.1"),
+        workers: 2,
+    };
+    assert_eq!(cause(&log), expected);
+}
+
 #[test]
 fn a_refused_job_tells_the_reason() {
     let log = format!(
