Test guards that no test missed when they were taken away

Cause: with three guards taken away no test failed: that a crash is taken back when the same life answers, that it is noted when it shows, and that nothing is tried where there is too much; nor with one crash of its own as enough. Change: a test or an assertion for each.

--- a/crates/jobs/src/model/crash_tests.rs
+++ b/crates/jobs/src/model/crash_tests.rs
@@ -31,6 +31,7 @@
 fn what_others_may_have_caused_proves_nothing() {
     assert!(!crashes(&[Blame::Shared; 9]).is_proven());
     assert!(!crashes(&[Blame::Close; 9]).is_proven());
+    assert!(!crashes(&[Blame::Close, Blame::Close, Blame::Own]).is_proven());
     let mut once = [Blame::Shared; 9];
     once[4] = Blame::Own;
     assert!(!crashes(&once).is_proven());
--- a/crates/jobs/tests/all/crashing.rs
+++ b/crates/jobs/tests/all/crashing.rs
@@ -174,6 +174,31 @@
     check_outcomes(&mut world, &name);
 }
 
+/// The next owner finds the next life of a worker and sees nothing of the crash: the one before
+/// has written it down.
+#[test]
+fn a_crash_that_a_later_owner_did_not_see_counts() {
+    let mut world = world(5);
+    submit_culprit(&mut world, chain(vec![short(3, 800)]), 10);
+    for crash in 1..=5 {
+        for _ in 0..400 {
+            if world.judge.taken.len() >= crash {
+                break;
+            }
+            run_busy(&mut world, 20);
+        }
+        run_busy(&mut world, 1500);
+        world.pause(true);
+        run_busy(&mut world, 1700);
+        world.take_over(world.lease_end());
+    }
+    run_busy(&mut world, 5000);
+    assert_eq!(world.outcome(CULPRIT), Outcome::Failed);
+    let taken = &world.judge.taken;
+    assert!(taken.len() <= 3, "{taken:?}");
+    check_outcomes(&mut world, "unseen");
+}
+
 /// A worker that refuses connections for a while and then answers has not crashed.
 #[test]
 fn a_worker_that_answers_again_has_not_crashed() {
@@ -186,7 +211,7 @@
             ..short(1, 0)
         }]),
     );
-    for _ in 0..4 {
+    for _ in 0..3 {
         world.run(700);
         let at = world.workers.iter().position(|w| !w.runs.is_empty());
         let at = at.expect("it runs");
@@ -194,10 +219,9 @@
         world.run(2000);
         world.workers[at].deaf = false;
         world.run(1500);
-        // It moves to another worker.
+        // It moves to another worker, each time one that it was not on.
         world.announce(at, false);
         world.run(1500);
-        world.announce(at, true);
     }
     assert_eq!(world.outcome(id), Outcome::Active);
     check_seed(&world, 0);
--- a/crates/jobs/tests/all/resizing.rs
+++ b/crates/jobs/tests/all/resizing.rs
@@ -95,6 +95,8 @@
     world.submit(2, chain(vec![fill]));
     world.run(7000);
     assert_eq!(world.workers[0].runs.len(), 6);
+    // It is not even tried: a place that is chosen and dropped costs a write each time.
+    assert!(world.figures().commits < 10, "{:?}", world.figures());
     check_seed(&world, 0);
 }
 
