Part losses from what they tell, and keep count of what lasts on a worker

Cause: read once more, one module gave runs up and weighed crashes, and finding a worker for a suspect looked at each run of each worker: with hundreds of workers and some suspects waiting a pass would cost tens of milliseconds (reckoned, not measured). Change: runs/lost.rs and runs/crashes.rs; Worker::lasting; whether something has just begun on a worker is told by when something was last placed there. Conclusion: which worker a suspect gets beside others may differ after a takeover; nothing else.

--- a/crates/jobs/src/place/apart.rs
+++ b/crates/jobs/src/place/apart.rs
@@ -13,13 +13,9 @@
 
 use crate::{
     machine::Machine,
-    model::{
-        ids::TaskId,
-        spec::Step,
-        task::{Stage, Task},
-    },
+    model::{ids::TaskId, task::Task},
     place::{pass::Pass, rank::rating, request::Request, tasks::Placed},
-    runs::worker::Worker,
+    runs::{crashes::YOUNG, worker::Worker},
 };
 
 /// A suspect waits for an empty worker for this long, in milliseconds: short tasks end within,
@@ -137,7 +133,8 @@
         if empty.is_some() || self.now <= task.cleared + PATIENCE {
             return empty;
         }
-        self.best_apart(request, pass, |w| !self.has_beginner(w))
+        // Whatever else had just begun there might be blamed as well.
+        self.best_apart(request, pass, |w| self.now > w.probed + YOUNG)
     }
 
     /// Keeps new tasks from the worker that a suspect will soon run on beside others, so that
@@ -157,36 +154,13 @@
     ) -> Option<u32> {
         let workers = pass.open.iter().map(|&slot| (slot, self.fleet.get(slot)));
         let fitting = workers.filter(|&(slot, w)| {
-            let fits = self.fits(w, request.step, request.service, request.starved);
-            fits && suits(w) && !self.is_spread(slot, request)
+            let fits = |w| self.fits(w, request.step, request.service, request.starved);
+            suits(w) && fits(w) && !self.is_spread(slot, request)
         });
         let best = fitting.min_by_key(|&(slot, w)| {
-            let stake = (self.lasting_on(w), w.runs.len());
+            let stake = (w.lasting, w.runs.len());
             (stake, Reverse(rating(w, request.step)), slot)
         });
         best.map(|(slot, _)| slot)
     }
-
-    /// Returns how many lasting tasks a worker has.
-    fn lasting_on(&self, worker: &Worker) -> usize {
-        let steps = worker.runs.iter().filter_map(|id| self.step_of(*id));
-        steps.filter(|s| s.lasting).count()
-    }
-
-    fn step_of(&self, id: TaskId) -> Option<&Step> {
-        let state = self.jobs.get(&id.job)?;
-        state.job.spec.steps.get(id.step as usize)
-    }
-
-    /// Tells whether something has just begun on a worker, or is about to.
-    fn has_beginner(&self, worker: &Worker) -> bool {
-        worker.runs.iter().any(|id| {
-            let task = self.jobs.get(&id.job).and_then(|j| j.task(*id));
-            let run = task.and_then(|t| t.run.as_ref());
-            run.is_some_and(|r| {
-                let waits = matches!(r.stage, Stage::Planned | Stage::Sent(_));
-                waits || r.is_young(self.now)
-            })
-        })
-    }
 }
--- a/crates/jobs/src/runs/lost.rs
+++ b/crates/jobs/src/runs/lost.rs
@@ -1,41 +1,10 @@
-//! What is lost with a worker, and what that tells of the tasks that ran there.
+//! What is lost with a worker.
 //!
 //! A worker is lost if another life answers at its address, or if all leases on it are over
 //! and it gave no answer. Its machine may have lost its power, it may be cut off, or its
-//! process may have ended; only of the last one does its address refuse connections. A task
-//! may be the cause of that, and would take one worker after the other with it.
-//!
-//! Limits: a run counts as the likely cause if it had begun within a second; a task is given
-//! up on evidence that is its own (see [`crate::model::crash`]), and where many workers are
-//! lost at once, none of them is.
-
-use std::sync::Arc;
-
-use crate::{
-    machine::Machine,
-    model::{
-        crash::Blame,
-        ids::TaskId,
-        record::Outcome,
-        task::{Run, Stage},
-    },
-};
-
-/// A run that was started less than this before its worker was last heard had just begun, in
-/// milliseconds: longer than looks are apart, which tell when that was.
-const YOUNG: u64 = 800;
-
-/// Workers that are lost within this time of each other are lost at once, in milliseconds.
-const AT_ONCE: u64 = 1000;
-
-/// If so many others are lost at once, no task of one of them is the cause ...
-const MANY: usize = 3;
-
-/// ... or, in a large fleet, one in so many.
-const MANY_SHARE: usize = 12;
+//! process may have ended; only of the last one does its address refuse connections.
 
-/// A task whose run has been at work for this long crashes no workers, in milliseconds.
-const CLEARED: u64 = 30_000;
+use crate::{machine::Machine, model::crash::Blame};
 
 /// How a worker was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,13 +15,6 @@
     Lapsed,
 }
 
-impl Run {
-    /// Tells whether it had just begun at `now`.
-    pub(crate) fn is_young(&self, now: u64) -> bool {
-        self.sent.is_some_and(|at| now.saturating_sub(at) <= YOUNG)
-    }
-}
-
 impl Machine {
     /// A worker's life has ended, and with it all that ran there.
     pub(crate) fn worker_dead(&mut self, slot: u32) {
@@ -83,50 +45,6 @@
         }
     }
 
-    /// Takes note of what the crashes of a while ago tell.
-    ///
-    /// Not when the runs are given up: a later owner may find the next life there and never learn
-    /// how this one ended. Nor at once: what else is lost at the same time shows a little later.
-    pub(crate) fn note_crashes(&mut self) {
-        for slot in 0..self.fleet.workers.len() as u32 {
-            let worker = self.fleet.get(slot);
-            let due = worker.silent.is_some_and(|at| self.now > at + AT_ONCE);
-            if due && worker.absent && !worker.charged {
-                self.note_crash(slot);
-            }
-        }
-    }
-
-    /// Takes note of what the crash of a worker tells, once.
-    fn note_crash(&mut self, slot: u32) {
-        let worker = self.fleet.get_mut(slot);
-        if std::mem::replace(&mut worker.charged, true) || worker.leaving.is_some() {
-            return;
-        }
-        let most = match self.many_lost(slot) {
-            true => Blame::Shared,
-            false => Blame::Own,
-        };
-        self.charge(slot, most);
-    }
-
-    /// A worker answers though its machine refused connections: it has not crashed.
-    pub(crate) fn note_present(&mut self, slot: u32) {
-        let worker = self.fleet.get_mut(slot);
-        worker.absent = false;
-        worker.charged = false;
-        let (id, runs) = (worker.id.clone(), worker.runs.clone());
-        worker.guest = worker.guest.filter(|g| runs.binary_search(g).is_ok());
-        for task in runs {
-            let state = self.jobs.get_mut(&task.job);
-            let Some(state) = state.and_then(|j| j.task_mut(task)) else {
-                continue;
-            };
-            state.crashes.forget(&id);
-            self.mark(task.job);
-        }
-    }
-
     /// Gives up all runs on a worker; none of them can be there any more.
     fn forget_runs(&mut self, slot: u32, loss: Loss) {
         let worker = self.fleet.get(slot);
@@ -162,101 +80,4 @@
             log::info!(task = id.to_string().as_str(), run = task.last, worker = &*worker.id, age_ms = age, crashes = task.crashes.count(); "run: lost with its worker");
         }
     }
-
-    /// Takes note of what the crash of a worker tells of the tasks there, `most` at most.
-    fn charge(&mut self, slot: u32, most: Blame) {
-        let worker = self.fleet.get(slot);
-        let (id, runs) = (worker.id.clone(), worker.runs.clone());
-        let end = worker.silent.unwrap_or(self.now);
-        let young: Vec<TaskId> = runs
-            .iter()
-            .copied()
-            .filter(|&t| self.is_young(t, end))
-            .collect();
-        for &task in &runs {
-            let blame = match young.contains(&task) {
-                true if young.len() == 1 => Blame::Own,
-                true => Blame::Close,
-                false if runs.len() == 1 => Blame::Own,
-                false => Blame::Shared,
-            };
-            self.charge_task(task, &id, blame.min(most));
-        }
-    }
-
-    /// Takes note of a worker's crash for a task that ran there.
-    fn charge_task(&mut self, id: TaskId, worker: &Arc<str>, blame: Blame) {
-        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
-        let Some(task) = task else {
-            return;
-        };
-        if task.run.as_ref().is_none_or(|r| r.stage == Stage::Planned) {
-            return;
-        }
-        task.crashes.note(worker, blame);
-        let (run, crashes) = (task.last, task.crashes.count());
-        log::info!(task = id.to_string().as_str(), run, worker = &**worker, blame:?, crashes; "task: a worker crashed under it");
-        if task.crashes.is_suspect() {
-            self.suspect(id);
-        }
-        self.mark(id.job);
-        self.give_up(id);
-    }
-
-    /// Tells whether so many other workers crashed at the same time that the cause is none
-    /// of their tasks. Those that ran a suspect apart don't count: it may be the cause there.
-    fn many_lost(&self, slot: u32) -> bool {
-        let at = self.fleet.get(slot).silent;
-        let Some(at) = at else {
-            return false;
-        };
-        let workers = (0..).zip(&self.fleet.workers);
-        let others = workers.filter(|&(other, w)| other != slot && w.guest.is_none());
-        let others = others.filter(|(_, w)| w.absent && w.leaving.is_none());
-        let lost = others.filter(|(_, w)| w.silent.is_some_and(|s| s.abs_diff(at) <= AT_ONCE));
-        let listed = self.fleet.workers.iter().filter(|w| w.listed).count();
-        lost.count() >= MANY.max(listed / MANY_SHARE)
-    }
-
-    /// Tells whether a run had just begun at `end`, or was kept apart since its task may be
-    /// the cause.
-    fn is_young(&self, id: TaskId, end: u64) -> bool {
-        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
-        let Some(run) = task.and_then(|t| t.run.as_ref()) else {
-            return false;
-        };
-        run.is_young(end) || self.fleet.get(run.worker).guest == Some(id)
-    }
-
-    /// Ends a job one task of which crashes the workers that start it.
-    fn give_up(&mut self, id: TaskId) {
-        let Some(state) = self.jobs.get(&id.job) else {
-            return;
-        };
-        let task = state.task(id).filter(|t| t.crashes.is_proven());
-        let Some(task) = task.filter(|_| !state.outcome.is_final()) else {
-            return;
-        };
-        log::warn!(task = id.to_string().as_str(), crashes = task.crashes.count(); "job: a task crashes its workers");
-        self.figures.given_up += 1;
-        self.finish(id.job, Outcome::Failed);
-    }
-
-    /// Takes note of how long a run has been at work, `ms` by its worker's clock: at last it
-    /// need not be kept apart, and its task is no suspect.
-    pub(crate) fn note_survival(&mut self, slot: u32, id: TaskId, ms: u64) {
-        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
-        let Some(task) = task.filter(|t| !t.crashes.is_empty()) else {
-            return;
-        };
-        if ms > task.crashes.probation() && self.fleet.get(slot).guest == Some(id) {
-            log::info!(task = id.to_string().as_str(), worker = &*self.fleet.get(slot).id, after_ms = ms; "run: no longer apart");
-            self.fleet.get_mut(slot).guest = None;
-            self.moved = true;
-        }
-        if ms > CLEARED {
-            task.crashes.clear();
-            self.mark(id.job);
-        }
-    }
 }
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod answers;
 mod close;
 pub(crate) mod commit;
+pub(crate) mod crashes;
 pub(crate) mod ends;
 pub(crate) mod fleet;
 mod listed;
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -105,6 +105,8 @@
     pub(crate) filling: u64,
     /// Tasks on it that serve under a target.
     pub(crate) serving: u32,
+    /// Tasks on it that last.
+    pub(crate) lasting: u32,
     /// Runs that failed or hung on it since one did well.
     pub(crate) failures: u32,
     /// When the last of them did.
@@ -159,6 +161,7 @@
             used: Capacity::default(),
             filling: 0,
             serving: 0,
+            lasting: 0,
             failures: 0,
             failed: 0,
             probes: 0,
@@ -266,6 +269,7 @@
         self.take(size(step));
         self.filling += filling(step);
         self.serving += u32::from(step.target > 0);
+        self.lasting += u32::from(step.lasting);
         self.serving_cpu += serving(step);
         self.spare += unused(step);
     }
@@ -280,6 +284,7 @@
         self.free(size(step));
         self.filling -= filling(step).min(self.filling);
         self.serving -= u32::from(step.target > 0).min(self.serving);
+        self.lasting -= u32::from(step.lasting).min(self.lasting);
         self.serving_cpu -= serving(step).min(self.serving_cpu);
         self.spare -= unused(step).min(self.spare);
     }
