Keep no room where a lasting task without a target takes it for good

Cause: a worker is kept free for an overdue lasting task if it has enough room once short tasks have ended, and every task without a latency target counted as one that ends, lasting ones among them. So a worker was kept for a task that never gets room there, and smaller ones passed it by. Change: what lasts on a worker counts as taken, with a target or without. Why it holds: only tasks that do end are now counted as about to. Measured: all tests of the crate pass.

--- a/crates/jobs/src/place/room.rs
+++ b/crates/jobs/src/place/room.rs
@@ -91,7 +91,7 @@
         let mut best: Option<(u64, u32)> = None;
         for (slot, worker) in (0..).zip(&self.fleet.workers) {
             let (room, size) = (worker.capacity(), size(step));
-            let enough = room.cpu >= worker.serving_cpu + size.cpu
+            let enough = room.cpu >= worker.lasting_cpu + size.cpu
                 && room.memory >= worker.used.memory + size.memory
                 && room.gpu >= worker.used.gpu + size.gpu;
             let spread = step.spread > 0 && runs.on_worker(slot) >= step.spread;
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -107,6 +107,8 @@
     pub(crate) serving: u32,
     /// Tasks on it that last.
     pub(crate) lasting: u32,
+    /// Thousandths of a core that these take up.
+    pub(crate) lasting_cpu: u64,
     /// Runs that failed or hung on it since one did well.
     pub(crate) failures: u32,
     /// When the last of them did.
@@ -162,6 +164,7 @@
             filling: 0,
             serving: 0,
             lasting: 0,
+            lasting_cpu: 0,
             failures: 0,
             failed: 0,
             probes: 0,
@@ -270,6 +273,7 @@
         self.filling += filling(step);
         self.serving += u32::from(step.target > 0);
         self.lasting += u32::from(step.lasting);
+        self.lasting_cpu += lasting(step);
         self.serving_cpu += serving(step);
         self.spare += unused(step);
     }
@@ -285,6 +289,7 @@
         self.filling -= filling(step).min(self.filling);
         self.serving -= u32::from(step.target > 0).min(self.serving);
         self.lasting -= u32::from(step.lasting).min(self.lasting);
+        self.lasting_cpu -= lasting(step).min(self.lasting_cpu);
         self.serving_cpu -= serving(step).min(self.serving_cpu);
         self.spare -= unused(step).min(self.spare);
     }
@@ -334,6 +339,10 @@
     if step.target > 0 { step.cpu } else { 0 }
 }
 
+fn lasting(step: &Step) -> u64 {
+    if step.lasting { size(step).cpu } else { 0 }
+}
+
 fn filling(step: &Step) -> u64 {
     if step.fill { step.cpu } else { 0 }
 }
