Part the tests' world from the orders that travel in it

Change: orders on their way, and what came of them, stand in orders.rs; nothing else. Measured: all tests of the crate pass.

--- a/crates/jobs/tests/all/common/mod.rs
+++ b/crates/jobs/tests/all/common/mod.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod crash;
 mod judge;
+mod orders;
 mod sim;
 mod world;
 
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use gorsespur_jobs::{
-    Action, Answer, Capacity, Event, Figures, Job, JobId, Machine, Outcome, QueuePolicy, Record,
-    Settings, Spec, Started, Stopped, Takeover, WorkerInfo,
+    Capacity, Event, Figures, Job, JobId, Machine, Outcome, QueuePolicy, Record, Settings, Spec,
+    Takeover, WorkerInfo,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -12,28 +12,19 @@
     Judge, SimWorker,
     clock::OwnerClock,
     crash::{Crasher, RETURNS},
+    orders::Parcel,
     sim::SimRun,
 };
 
 /// Milliseconds of one step of the world.
 pub const TICK: u64 = 5;
 
-/// Milliseconds after which an order without an answer is given up.
-const ORDER_LIMIT: u64 = 700;
-
-/// Milliseconds beyond its wait after which a look without an answer is given up.
-const LOOK_LIMIT: u64 = 900;
-
 /// Milliseconds that a write takes.
-const WRITE: u64 = 10;
+pub(super) const WRITE: u64 = 10;
 
 /// Availability zones, to which workers belong in turn.
 pub const ZONES: usize = 2;
 
-/// Milliseconds after the request from which on no start reaches an evacuated zone, as the
-/// users have it: an owner may be paused, and one that was sent before is on its way.
-const EVACUATED: u64 = 5000;
-
 /// Sizes of the world.
 #[derive(Debug, Clone, Copy)]
 pub struct WorldSettings {
@@ -55,30 +46,23 @@
     }
 }
 
-/// Something on its way.
-#[derive(Debug, Clone)]
-enum Parcel {
-    Order(usize, Action, u64),
-    Answer(u32, u64, Answer),
-}
-
 /// Records on their way to the store, and when they are there.
-type Write = (u64, Vec<(JobId, Vec<u8>)>);
+pub(super) type Write = (u64, Vec<(JobId, Vec<u8>)>);
 
 /// One owner's machine and what is on its way to and from it.
-struct Owner {
-    machine: Machine,
-    epoch: u64,
-    slots: BTreeMap<u32, usize>,
-    parcels: Vec<(u64, Parcel)>,
-    commit: Option<Write>,
+pub(super) struct Owner {
+    pub(super) machine: Machine,
+    pub(super) epoch: u64,
+    pub(super) slots: BTreeMap<u32, usize>,
+    pub(super) parcels: Vec<(u64, Parcel)>,
+    pub(super) commit: Option<Write>,
     /// Until when it is busy with its last turn.
-    busy: u64,
+    pub(super) busy: u64,
     /// Until when its link is busy with what was sent.
-    link: u64,
-    paused: bool,
-    deposed: bool,
-    clock: OwnerClock,
+    pub(super) link: u64,
+    pub(super) paused: bool,
+    pub(super) deposed: bool,
+    pub(super) clock: OwnerClock,
 }
 
 /// The world.
@@ -108,15 +92,15 @@
     pub claim: u64,
     /// Whether a new owner is given what the last one learned.
     pub remembers: bool,
-    records: BTreeMap<JobId, Vec<u8>>,
-    jobs: BTreeMap<JobId, Arc<Job>>,
-    cancelled: Vec<JobId>,
+    pub(super) records: BTreeMap<JobId, Vec<u8>>,
+    pub(super) jobs: BTreeMap<JobId, Arc<Job>>,
+    pub(super) cancelled: Vec<JobId>,
     /// Zones that are evacuated, sorted, and since when.
-    evacuated: BTreeMap<Arc<str>, u64>,
-    owners: Vec<Owner>,
-    epoch: u64,
-    renewed: u64,
-    rng: SmallRng,
+    pub(super) evacuated: BTreeMap<Arc<str>, u64>,
+    pub(super) owners: Vec<Owner>,
+    pub(super) epoch: u64,
+    pub(super) renewed: u64,
+    pub(super) rng: SmallRng,
 }
 
 impl World {
@@ -438,204 +422,4 @@
             self.act(at, action);
         }
     }
-
-    fn act(&mut self, at: usize, action: Action) {
-        let now = self.now;
-        let worker = match &action {
-            Action::Commit(records) => {
-                self.owners[at].commit = Some((now + WRITE, records.clone()));
-                return;
-            }
-            Action::Depose => {
-                self.owners[at].deposed = true;
-                return;
-            }
-            Action::Look { worker, .. }
-            | Action::Stop { worker, .. }
-            | Action::Pace { worker, .. } => *worker,
-            Action::Start(worker, _) => *worker,
-        };
-        let owner = &mut self.owners[at];
-        let (_, id) = owner.machine.worker(worker).expect("announced");
-        let index = match owner.slots.get(&worker) {
-            Some(&index) => index,
-            None => {
-                let index = self.workers.iter().position(|w| w.id == id);
-                let index = index.unwrap_or_else(|| self.lives[&id]);
-                owner.slots.insert(worker, index);
-                index
-            }
-        };
-        let late = self.workers[index].late;
-        let is_look = matches!(action, Action::Look { .. });
-        let cost = if matches!(action, Action::Start(..)) {
-            self.link
-        } else {
-            0
-        };
-        owner.link = owner.link.max(now) + cost;
-        let extra = if is_look { 0 } else { late } + (owner.link - now);
-        let due = now + 2 + extra;
-        if extra > limit(&action) {
-            let (slot, answer) = silence(&action);
-            let given_up = (now + limit(&action), Parcel::Answer(slot, now, answer));
-            owner.parcels.push(given_up);
-        }
-        owner.parcels.push((due, Parcel::Order(index, action, now)));
-    }
-
-    fn deliver(&mut self, at: usize) {
-        let now = self.now;
-        let paused = self.owners[at].paused || self.owners[at].busy > now;
-        let (unread, rng) = (self.unread, &mut self.rng);
-        let parcels = &mut self.owners[at].parcels;
-        let mut due = Vec::new();
-        parcels.retain(|(t, parcel)| {
-            // Answers wait for a paused process, and for one that is busy.
-            let answer = matches!(parcel, Parcel::Answer(..));
-            let held = paused || unread > 0 && rng.random_range(0..100) < unread;
-            let waits = *t > now || answer && held;
-            if !waits {
-                due.push(parcel.clone());
-            }
-            waits
-        });
-        for parcel in due {
-            match parcel {
-                Parcel::Answer(worker, sent, answer) => {
-                    let owner = &mut self.owners[at];
-                    if !owner.deposed {
-                        let event = Event::Answer {
-                            worker,
-                            sent,
-                            answer,
-                        };
-                        owner.machine.handle(owner.clock.read(now), now, event);
-                    }
-                }
-                Parcel::Order(index, action, sent) => self.carry_out(at, index, action, sent),
-            }
-        }
-    }
-
-    /// The name of the worker that an owner's order is meant for.
-    fn meant(&self, at: usize, action: &Action) -> Arc<str> {
-        let worker = self.owners[at].machine.worker(slot_of(action));
-        worker.expect("announced").1
-    }
-
-    fn carry_out(&mut self, at: usize, index: usize, action: Action, sent: u64) {
-        let now = self.now;
-        let fence = self.owners[at].epoch;
-        if let Some(answer) = self.refusal(index, &action, self.meant(at, &action)) {
-            let parcel = (now + 2, Parcel::Answer(slot_of(&action), sent, answer));
-            self.owners[at].parcels.push(parcel);
-            return;
-        }
-        let late = now > sent + limit(&action);
-        let lost = self.rng.random_range(0..100) < self.settings.lost;
-        let worker = &mut self.workers[index];
-        let reached = worker.alive && !worker.cut;
-        let (slot, silence) = silence(&action);
-        let answer = match &action {
-            Action::Look {
-                observed, deadline, ..
-            } => {
-                let look = reached
-                    .then(|| {
-                        if fence >= worker.fence {
-                            self.judge.observed(now, worker, *observed);
-                        }
-                        worker.look(now, fence, *observed, *deadline)
-                    })
-                    .flatten();
-                look.map_or(Answer::Fenced, Answer::Looked)
-            }
-            Action::Start(_, order) => {
-                let mut started = Started::Unknown;
-                if reached {
-                    let before = worker.runs.len();
-                    started = worker.start(now, fence, order);
-                    if worker.runs.len() > before {
-                        let since = self.evacuated.get(&World::zone(index));
-                        if worker.late == 0 && since.is_some_and(|&at| now > at + EVACUATED) {
-                            let wrong =
-                                format!("{now}: {} begins in an evacuated zone", order.task);
-                            self.judge.wrong.push(wrong);
-                        }
-                        let attempts = self.settings.attempts;
-                        self.judge.begun(now, order.task, attempts, &order.spec);
-                        self.judge.told(now, order.task);
-                        self.judge.fitted(now, worker);
-                    }
-                }
-                Answer::Started(order.task, order.run, started)
-            }
-            Action::Stop { task, run, .. } => {
-                let mut stopped = Stopped::Unknown;
-                if reached {
-                    stopped = worker.stop(now, fence, *task, *run);
-                }
-                Answer::Stopped(*task, *run, stopped)
-            }
-            Action::Pace {
-                task, run, percent, ..
-            } => {
-                let done = reached && worker.pace(*task, *run, *percent);
-                Answer::Paced(*task, *run, done)
-            }
-            Action::Commit(_) | Action::Depose => return,
-        };
-        let waits = matches!(&action, Action::Look { wait, .. } if *wait > 0);
-        let idle = match &answer {
-            Answer::Looked(look) => look.finished.is_empty(),
-            _ => false,
-        };
-        let owner = &mut self.owners[at];
-        if late {
-            // Its sender has given it up already.
-            return;
-        }
-        let parcel = match reached && !lost {
-            // A waiting worker answers at an end; here it is asked again soon.
-            true if waits && idle => (now + 100, Parcel::Answer(slot, sent, answer)),
-            true => (now + 2, Parcel::Answer(slot, sent, answer)),
-            false => {
-                let due = (sent + ORDER_LIMIT).max(now);
-                (due, Parcel::Answer(slot, sent, silence))
-            }
-        };
-        owner.parcels.push(parcel);
-    }
-}
-
-/// The slot of the worker that an order is for.
-fn slot_of(action: &Action) -> u32 {
-    silence(action).0
-}
-
-/// Milliseconds after which an order is given up.
-fn limit(action: &Action) -> u64 {
-    match action {
-        Action::Look { wait, .. } => wait + LOOK_LIMIT,
-        _ => ORDER_LIMIT,
-    }
-}
-
-/// What the owner is told of an order that gets no answer.
-fn silence(action: &Action) -> (u32, Answer) {
-    match action {
-        Action::Look { worker, .. } => (*worker, Answer::Silent),
-        Action::Start(worker, order) => {
-            let answer = Answer::Started(order.task, order.run, Started::Unknown);
-            (*worker, answer)
-        }
-        Action::Stop { worker, task, run } => {
-            (*worker, Answer::Stopped(*task, *run, Stopped::Unknown))
-        }
-        Action::Pace {
-            worker, task, run, ..
-        } => (*worker, Answer::Paced(*task, *run, false)),
-        Action::Commit(_) | Action::Depose => unreachable!("not an order"),
-    }
 }
