Look for crashes only of tasks that had some, and say once what lasts in tests

Found on rereading the whole change. Change: the listing, which has the task at hand, asks whether any worker crashed under it before it looks further; lasting() and without_store() in the tests, whose assertions stand as they were. Decisions stand as they were. What the second look cost was not measured.

--- a/crates/jobs/src/runs/crashes.rs
+++ b/crates/jobs/src/runs/crashes.rs
@@ -166,13 +166,15 @@
         self.finish(id.job, Outcome::Failed);
     }
 
-    /// Takes note of how long a run has been at work, `ms` by its worker's clock: at last it
-    /// need not be kept apart, and its task is no suspect.
-    pub(crate) fn note_survival(&mut self, slot: u32, id: TaskId, ms: u64) {
+    /// Takes note of how long a run under whose task workers crashed has been at work when its
+    /// worker's clock shows `clock`: at last it need not be kept apart, and its task is no suspect.
+    pub(crate) fn note_survival(&mut self, slot: u32, id: TaskId, clock: u64) {
         let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
-        let Some(task) = task.filter(|t| !t.crashes.is_empty()) else {
+        let Some(task) = task else {
             return;
         };
+        let listed = task.run.as_ref().and_then(|r| r.listed);
+        let ms = listed.map_or(0, |at| clock.saturating_sub(at));
         if ms > task.crashes.probation() && self.fleet.get(slot).guest == Some(id) {
             log::info!(task = id.to_string().as_str(), worker = &*self.fleet.get(slot).id, after_ms = ms; "run: no longer apart");
             self.fleet.get_mut(slot).guest = None;
--- a/crates/jobs/src/runs/listed.rs
+++ b/crates/jobs/src/runs/listed.rs
@@ -38,11 +38,15 @@
         if !row.saved.is_empty() {
             task.saved = row.saved.clone();
         }
+        let crashed = !task.crashes.is_empty();
         if task.run.is_none() {
             step.set_run(id.index as usize, Run::new(slot, Stage::There(now), now));
             self.adopt(slot, id);
         }
         self.progress(slot, row, clock);
+        if crashed {
+            self.note_survival(slot, id, clock);
+        }
         if pending {
             self.begun(id);
         }
@@ -66,8 +70,7 @@
         }
         let settled = now > run.since + SETTLED && row.percent == 100;
         let since = run.since;
-        let at_work = clock.saturating_sub(*run.listed.get_or_insert(clock));
-        self.note_survival(slot, row.task, at_work);
+        run.listed.get_or_insert(clock);
         let worker = self.fleet.get(slot);
         if settled && worker.failures > 0 && since > worker.failed {
             self.fleet.get_mut(slot).did_well();
--- a/crates/jobs/tests/all/behind.rs
+++ b/crates/jobs/tests/all/behind.rs
@@ -2,7 +2,7 @@
 //! workers answered meanwhile waits.
 
 use crate::{
-    common::{World, WorldSettings, chain, check_seed, short},
+    common::{World, WorldSettings, chain, check_seed, lasting, short},
     site::Site,
 };
 use gorsespur_jobs::{Event, JobId, Outcome, Settings, Step};
@@ -132,18 +132,20 @@
     }
 }
 
+/// A lasting task at work, and a store that has just gone away.
+fn without_store() -> World {
+    let mut world = world(1, 1);
+    world.submit(1, chain(vec![lasting(1)]));
+    world.run(1000);
+    world.store_down = true;
+    world
+}
+
 /// The lease of the jobs counts from when its renewal was asked for: an owner that reads
 /// the answer seconds late renews nothing at workers beyond what its successor waits for.
 #[test]
 fn a_late_answer_of_the_store_prolongs_nothing() {
-    let mut world = world(1, 1);
-    let lasting = Step {
-        lasting: true,
-        ..short(1, 0)
-    };
-    world.submit(1, chain(vec![lasting]));
-    world.run(1000);
-    world.store_down = true;
+    let mut world = without_store();
     let asked = world.now;
     let over = world.lease_end();
     world.run(5000);
@@ -158,14 +160,7 @@
 /// from which on a successor takes all leases for over.
 #[test]
 fn a_suspended_owner_prolongs_nothing() {
-    let mut world = world(1, 1);
-    let lasting = Step {
-        lasting: true,
-        ..short(1, 0)
-    };
-    world.submit(1, chain(vec![lasting]));
-    world.run(1000);
-    world.store_down = true;
+    let mut world = without_store();
     let over = world.lease_end();
     world.suspend(5000);
     world.run(9000);
@@ -216,11 +211,7 @@
 #[test_case(900; "ends wait to be durable")]
 fn an_owner_that_stood_still_renews_leases_at_once(estimate: u64) {
     let mut world = world(1, 1);
-    let lasting = Step {
-        lasting: true,
-        ..short(1, 0)
-    };
-    world.submit(1, chain(vec![lasting]));
+    world.submit(1, chain(vec![lasting(1)]));
     world.submit(2, chain(vec![short(2, estimate)]));
     world.run(600);
     world.store_down = true;
@@ -290,11 +281,7 @@
     // The first starts go out before any answer tells of the link.
     world.run(12_000);
     let before = world.figures();
-    let lasting = Step {
-        lasting: true,
-        ..short(2, 0)
-    };
-    let id = world.submit(1000, chain(vec![lasting]));
+    let id = world.submit(1000, chain(vec![lasting(2)]));
     world.run(4000);
     let after = world.figures();
     assert_eq!(world.outcome(id), Outcome::Active);
--- a/crates/jobs/tests/all/common/mod.rs
+++ b/crates/jobs/tests/all/common/mod.rs
@@ -25,13 +25,20 @@
     }
 }
 
+/// A step of tasks that last.
+pub fn lasting(count: u32) -> Step {
+    Step {
+        lasting: true,
+        ..short(count, 0)
+    }
+}
+
 /// A step of tasks that last and serve under a target.
 pub fn serving(count: u32) -> Step {
     Step {
-        lasting: true,
         target: 100,
         image: Some("serve".into()),
-        ..short(count, 0)
+        ..lasting(count)
     }
 }
 
--- a/crates/jobs/tests/all/crashing.rs
+++ b/crates/jobs/tests/all/crashing.rs
@@ -13,7 +13,7 @@
 //! 29.890 start: sent  run 7, worker i-b1f8f34693, beside 9 others; silent at 29.903
 //! ```
 
-use crate::common::{Crasher, World, WorldSettings, chain, check_seed, serving, short};
+use crate::common::{Crasher, World, WorldSettings, chain, check_seed, lasting, serving, short};
 use gorsespur_jobs::{JobId, Outcome, Spec, Step, TaskId};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
@@ -88,10 +88,6 @@
 /// The shapes of steps that tasks which crash workers belong to.
 fn shapes() -> [(&'static str, Step); 4] {
     let plain = short(3, 800);
-    let lasting = Step {
-        lasting: true,
-        ..short(3, 0)
-    };
     let fill = Step {
         fill: true,
         image: Some("fill".into()),
@@ -103,7 +99,7 @@
     };
     [
         ("plain", plain),
-        ("lasting", lasting),
+        ("lasting", lasting(3)),
         ("filling", fill),
         ("gang", gang),
     ]
@@ -159,11 +155,7 @@
 fn a_task_that_crashes_workers_beside_others_is_given_up(after: u64) {
     let mut world = world(4);
     world.away = 20_000;
-    let lasting = Step {
-        lasting: true,
-        ..short(3 * WORKERS as u32, 0)
-    };
-    world.submit(2, chain(vec![lasting]));
+    world.submit(2, chain(vec![lasting(3 * WORKERS as u32)]));
     world.run(1500);
     submit_culprit(&mut world, chain(vec![short(3, 6000)]), after);
     run_busy(&mut world, 60_000);
@@ -204,13 +196,7 @@
 fn a_worker_that_answers_again_has_not_crashed() {
     let mut world = World::new(WorldSettings::default());
     world.run(100);
-    let id = world.submit(
-        1,
-        chain(vec![Step {
-            lasting: true,
-            ..short(1, 0)
-        }]),
-    );
+    let id = world.submit(1, chain(vec![lasting(1)]));
     for _ in 0..3 {
         world.run(700);
         let at = world.workers.iter().position(|w| !w.runs.is_empty());
@@ -389,9 +375,8 @@
 fn a_new_owner_starts_work_beside_what_lost_its_power(times: u32) {
     let mut world = world(6);
     let lasting = Step {
-        lasting: true,
         spread: 1,
-        ..short(WORKERS as u32, 0)
+        ..lasting(WORKERS as u32)
     };
     world.submit(2, chain(vec![lasting]));
     world.run(1500);
--- a/crates/jobs/tests/all/promises.rs
+++ b/crates/jobs/tests/all/promises.rs
@@ -1,6 +1,6 @@
 //! Promises under every fault, and under random series of them.
 
-use crate::common::{Mode, World, WorldSettings, chain, check_seed, serving, short};
+use crate::common::{Mode, World, WorldSettings, chain, check_seed, lasting, serving, short};
 use gorsespur_jobs::{Event, Outcome, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
@@ -84,11 +84,7 @@
         let steps = vec![short(3, 600), short(2, 900), short(1, 300)];
         world.submit(id, chain(steps));
     }
-    let lasting = Step {
-        lasting: true,
-        ..short(2, 0)
-    };
-    world.submit(100, chain(vec![lasting]));
+    world.submit(100, chain(vec![lasting(2)]));
 }
 
 fn check(world: &World) {
@@ -165,11 +161,7 @@
 fn a_cancelled_job_stops_everywhere() {
     let mut world = World::new(WorldSettings::default());
     world.run(100);
-    let lasting = Step {
-        lasting: true,
-        ..short(6, 0)
-    };
-    let id = world.submit(1, chain(vec![lasting]));
+    let id = world.submit(1, chain(vec![lasting(6)]));
     world.run(1500);
     assert_eq!(world.outcome(id), Outcome::Active);
     world.cancel(id);
