Tell which checkpoint a start brings, and which run on which worker made it

No log line named a checkpoint, so that a text of another task, an old one and a changed one could not be told apart. The start's line now has its text, the run and worker that listed it and for how long it was known; the end's line has the text that the run left behind, and an adopted run its number. Starts without a checkpoint have no field more, and no line is added, so that the volume stays bounded. What is kept of a task's checkpoint knows its origin for that; records are as they were.

--- a/crates/jobs/src/model/job.rs
+++ b/crates/jobs/src/model/job.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     model::{
+        checkpoint::Checkpoint,
         ids::TaskId,
         record::{Outcome, Record, TaskRecord},
         spec::Job,
@@ -217,7 +218,7 @@
             let task = &mut state.tasks[index as usize];
             task.last = kept.run;
             task.failed = kept.failed.clone();
-            task.saved = kept.saved.clone();
+            task.saved = Checkpoint::kept(&kept.saved);
             task.crashes = kept.crashes.clone();
             let run = kept.worker.as_ref().map(|w| {
                 crate::model::task::Run::new(
@@ -249,7 +250,7 @@
             run: task.last,
             worker: task.run.as_ref().map(|r| name(r.worker)),
             failed: task.failed.clone(),
-            saved: task.saved.clone(),
+            saved: task.saved_text(),
             crashes: task.crashes.clone(),
         });
     }
--- a/crates/jobs/src/model/mod.rs
+++ b/crates/jobs/src/model/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing is decided here. Limits: a job has 4,000 tasks at most, so that its record fits
 //! a row of the store.
 
+pub(crate) mod checkpoint;
 pub(crate) mod crash;
 #[cfg(test)]
 mod crash_tests;
--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::model::crash::Crashes;
+use crate::model::{
+    checkpoint::{Checkpoint, Origin},
+    crash::Crashes,
+};
 
 /// A figure below this share of its target is below it, whatever it is off by.
 const FAR_UNDER: f64 = 0.6;
@@ -133,8 +136,8 @@
     pub(crate) failed: Vec<u32>,
     /// Workers that crashed under its runs.
     pub(crate) crashes: Crashes,
-    /// Saved progress; empty for none.
-    pub(crate) saved: Arc<str>,
+    /// What its next run goes on from; apart, since most tasks have none.
+    pub(crate) saved: Option<Box<Checkpoint>>,
     /// No new run before this time, after a failure.
     pub(crate) pause: u64,
     /// Worker on which the last run failed.
@@ -148,4 +151,22 @@
     pub(crate) fn is_waiting(&self, now: u64) -> bool {
         !self.done && self.run.is_none() && self.pause <= now
     }
+
+    /// Returns the text that its next run goes on from; empty for none.
+    pub(crate) fn saved_text(&self) -> Arc<str> {
+        let text = self.saved.as_ref().map(|c| c.text.clone());
+        text.unwrap_or_default()
+    }
+
+    /// Takes over a checkpoint that a run of it listed; an empty text is none.
+    pub(crate) fn save(&mut self, text: &Arc<str>, origin: Origin) {
+        let known = self.saved.as_ref().is_some_and(|c| c.text == *text);
+        if text.is_empty() || known {
+            return;
+        }
+        self.saved = Some(Box::new(Checkpoint {
+            text: text.clone(),
+            origin: Some(origin),
+        }));
+    }
 }
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -3,7 +3,7 @@
 use crate::{
     action::{Action, StartOrder},
     machine::{Batch, Machine},
-    model::{ids::TaskId, task::Stage},
+    model::{checkpoint::shown, ids::TaskId, task::Stage},
     runs::look::IDLE_WAIT,
 };
 
@@ -102,7 +102,7 @@
         let Some(task) = state.task_mut(id).filter(|t| t.last == number) else {
             return;
         };
-        let saved = task.saved.clone();
+        let saved = task.saved_text();
         let Some(run) = task.run.as_mut().filter(|r| r.stage == Stage::Planned) else {
             return;
         };
@@ -121,9 +121,8 @@
         run.sent = Some(now);
         run.partial = !saved.is_empty();
         worker.promised = worker.promised.max(deadline);
-        let apart = worker.guest == Some(id);
+        let (slot, waited) = (run.worker, now - run.since);
         self.figures.starts += 1;
-        log::info!(task = id.to_string().as_str(), run = number, worker = &*worker.id, waited_ms = now - run.since, apart; "start: sent");
         let order = StartOrder {
             task: id,
             run: number,
@@ -131,6 +130,25 @@
             deadline,
             saved,
         };
-        self.out.push(Action::Start(run.worker, order));
+        self.tell_start(slot, &order, waited);
+        self.out.push(Action::Start(slot, order));
+    }
+
+    /// Logs a start that waited so many milliseconds for its place to become durable, and where
+    /// the checkpoint was made that it brings.
+    fn tell_start(&self, slot: u32, order: &StartOrder, waited: u64) {
+        let (id, run) = (order.task, order.run);
+        let worker = self.fleet.get(slot);
+        let apart = worker.guest == Some(id);
+        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
+        let Some(checkpoint) = task.and_then(|t| t.saved.as_deref()) else {
+            log::info!(task = id.to_string().as_str(), run, worker = &*worker.id, waited_ms = waited, apart; "start: sent");
+            return;
+        };
+        let origin = checkpoint.origin;
+        let saved_on = origin.map_or("record", |o| &*self.fleet.get(o.worker).id);
+        let saved_run = origin.map_or(0, |o| o.run);
+        let saved_ms = origin.map_or(0, |o| self.now - o.listed);
+        log::info!(task = id.to_string().as_str(), run, worker = &*worker.id, waited_ms = waited, apart, saved = shown(&checkpoint.text), saved_run, saved_on, saved_ms; "start: sent");
     }
 }
--- a/crates/jobs/src/runs/ends.rs
+++ b/crates/jobs/src/runs/ends.rs
@@ -3,7 +3,11 @@
 use crate::{
     event::{End, Ending, Look},
     machine::Machine,
-    model::{ids::TaskId, record::Outcome},
+    model::{
+        checkpoint::{Origin, shown},
+        ids::TaskId,
+        record::Outcome,
+    },
 };
 
 /// Ends that one answer holds at most; a full list may be cut.
@@ -71,10 +75,15 @@
         let current = run.is_some_and(|r| r.worker == slot) && task.last == end.run;
         let ran = run.map_or(0, |r| self.now.saturating_sub(r.since));
         let partial = run.is_none_or(|r| r.partial);
-        if current && !end.saved.is_empty() {
-            task.saved = end.saved.clone();
-        }
-        log::info!(task = id.to_string().as_str(), run = end.run, worker = &*self.fleet.get(slot).id, how:? = end.ending, current, ran_ms = ran; "run: ended");
+        if current {
+            let origin = Origin {
+                run: end.run,
+                worker: slot,
+                listed: self.now,
+            };
+            task.save(&end.saved, origin);
+        }
+        log::info!(task = id.to_string().as_str(), run = end.run, worker = &*self.fleet.get(slot).id, how:? = end.ending, current, ran_ms = ran, saved = shown(&end.saved); "run: ended");
         if current {
             self.clear(id);
         }
--- a/crates/jobs/src/runs/listed.rs
+++ b/crates/jobs/src/runs/listed.rs
@@ -4,6 +4,7 @@
     event::{Look, Running},
     machine::Machine,
     model::{
+        checkpoint::Origin,
         ids::TaskId,
         record::Outcome,
         task::{Run, Stage},
@@ -35,13 +36,16 @@
         if task.last != row.run || (task.run.is_some() && !here) || task.done && !here {
             return self.stray(slot, row);
         }
-        if !row.saved.is_empty() {
-            task.saved = row.saved.clone();
-        }
+        let origin = Origin {
+            run: row.run,
+            worker: slot,
+            listed: now,
+        };
+        task.save(&row.saved, origin);
         let crashed = !task.crashes.is_empty();
         if task.run.is_none() {
             step.set_run(id.index as usize, Run::new(slot, Stage::There(now), now));
-            self.adopt(slot, id);
+            self.adopt(slot, id, row.run);
         }
         self.progress(slot, row, clock);
         if crashed {
@@ -77,13 +81,13 @@
         }
     }
 
-    fn adopt(&mut self, slot: u32, id: TaskId) {
+    fn adopt(&mut self, slot: u32, id: TaskId, run: u32) {
         let Some(state) = self.jobs.get(&id.job) else {
             return;
         };
         let step = &state.job.spec.steps[id.step as usize];
         self.fleet.get_mut(slot).reserve(id, step);
-        log::info!(task = id.to_string().as_str(), worker = &*self.fleet.get(slot).id; "run: adopted");
+        log::info!(task = id.to_string().as_str(), run, worker = &*self.fleet.get(slot).id; "run: adopted");
         if state.outcome.is_final() {
             self.abandon(id);
         }
