Have the tests' workers write checkpoints, and judge what starts bring

Seen: no test followed a checkpoint from a list to a start: workers of the tests' world listed an empty text in both lists. Cause: they wrote none, and the judge did not look at what a start brings. Change: runs of steps with checkpoints write one after each 500 ms of work and when they are stopped, a text that tells nothing and is unique for task, run, life and progress; a start that brings one goes on from there after 250 ms. The judge holds each run that begins against what was listed for its task (for a gang: for any member, and all that begin under one number bring the same), and counts how much work is done again.

--- /dev/null
+++ b/crates/jobs/tests/all/common/checkpoints.rs
@@ -0,0 +1,145 @@
+//! Checkpoints that workers write and list, and what starts bring of them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+};
+
+use gorsespur_jobs::{Look, StartOrder, TaskId};
+
+/// A checkpoint that a worker wrote.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Checkpoint {
+    pub task: TaskId,
+    pub run: u32,
+    /// The worker's life.
+    pub life: Arc<str>,
+    /// Work that was done, in milliseconds.
+    pub progress: u64,
+}
+
+impl Checkpoint {
+    /// The text that workers list for it: nothing but a name to whoever reads it.
+    pub fn text(&self) -> Arc<str> {
+        let mut hasher = DefaultHasher::new();
+        let task = self.task.to_string();
+        (task, self.run, &*self.life, self.progress).hash(&mut hasher);
+        format!("{:08}{:016x}", self.progress, hasher.finish()).into()
+    }
+}
+
+/// What starts brought, for tasks of which a checkpoint was listed before.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Brought {
+    /// Starts of such tasks.
+    pub starts: u64,
+    /// Those that bring none.
+    pub none: u64,
+    /// Those that bring less progress than was listed, or none.
+    pub behind: u64,
+    /// Work that these do again, in milliseconds, in all and at the most.
+    pub again: u64,
+    pub worst: u64,
+    /// Those that bring a checkpoint of a run that failed.
+    pub failed: u64,
+}
+
+/// All checkpoints, and the tasks that they were listed for.
+#[derive(Debug, Default)]
+pub struct Checkpoints {
+    written: BTreeMap<Arc<str>, Checkpoint>,
+    /// For a gang under its first member.
+    listed: BTreeMap<TaskId, BTreeSet<Arc<str>>>,
+    /// What the first member of a gang brought that began under a number.
+    gangs: BTreeMap<(TaskId, u32), Arc<str>>,
+    /// Runs that failed.
+    failed: BTreeSet<(TaskId, u32)>,
+    pub brought: Brought,
+}
+
+impl Checkpoints {
+    /// A worker wrote this.
+    pub fn write(&mut self, checkpoint: Checkpoint) {
+        match self.written.entry(checkpoint.text()) {
+            Entry::Vacant(entry) => {
+                entry.insert(checkpoint);
+            }
+            Entry::Occupied(entry) => assert_eq!(*entry.get(), checkpoint, "texts are unique"),
+        }
+    }
+
+    /// The work that had been done at a checkpoint, in milliseconds.
+    pub fn progress(&self, text: &str) -> u64 {
+        self.written.get(text).map_or(0, |c| c.progress)
+    }
+
+    /// A run ended failed.
+    pub fn failed(&mut self, task: TaskId, run: u32) {
+        self.failed.insert((task, run));
+    }
+
+    /// A worker sent this answer; `gang` tells whether a task belongs to one.
+    pub fn listed(&mut self, look: &Look, gang: impl Fn(TaskId) -> bool) {
+        let running = look.running.iter().map(|r| (r.task, &r.saved));
+        let finished = look.finished.iter().map(|e| (e.task, &e.saved));
+        for (task, text) in running.chain(finished) {
+            if text.is_empty() {
+                continue;
+            }
+            let holder = holder(task, gang(task));
+            self.listed.entry(holder).or_default().insert(text.clone());
+        }
+    }
+
+    /// A worker began what this order says; returns what is wrong with what it brings.
+    pub fn begun(&mut self, order: &StartOrder) -> Option<String> {
+        let (task, run, saved) = (order.task, order.run, &order.saved);
+        let gang = order.spec.steps[task.step as usize].gang;
+        let holder = holder(task, gang);
+        let listed = self.listed.get(&holder);
+        let texts = || listed.into_iter().flatten();
+        if !saved.is_empty() && !texts().any(|t| t == saved) {
+            let made = self.written.get(saved);
+            return Some(format!(
+                "{task} run {run} begins with {saved}, which was never listed for it ({made:?})"
+            ));
+        }
+        let most = texts().map(|t| self.progress(t)).max();
+        if let Some(most) = most {
+            self.note_brought(saved, most);
+        }
+        if gang {
+            let first = self.gangs.entry((holder, run));
+            let first = first.or_insert_with(|| saved.clone());
+            if first != saved {
+                return Some(format!(
+                    "{task} run {run} begins with {saved:?}, another member with {first:?}"
+                ));
+            }
+        }
+        None
+    }
+
+    /// A task begins of which checkpoints were listed, with this much progress at the most.
+    fn note_brought(&mut self, saved: &str, most: u64) {
+        let again = most.saturating_sub(self.progress(saved));
+        let made = self.written.get(saved);
+        let failed = made.is_some_and(|c| self.failed.contains(&(c.task, c.run)));
+        let brought = &mut self.brought;
+        brought.starts += 1;
+        brought.none += u64::from(saved.is_empty());
+        brought.behind += u64::from(again > 0);
+        brought.again += again;
+        brought.worst = brought.worst.max(again);
+        brought.failed += u64::from(failed);
+    }
+}
+
+/// The task that stands for all whose checkpoints are as good: the first member of its gang.
+fn holder(task: TaskId, gang: bool) -> TaskId {
+    match gang {
+        true => TaskId { index: 0, ..task },
+        false => task,
+    }
+}
--- a/crates/jobs/tests/all/common/judge.rs
+++ b/crates/jobs/tests/all/common/judge.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use gorsespur_jobs::{Ending, Spec, TaskId};
+use gorsespur_jobs::{Ending, Spec, StartOrder, TaskId};
 
-use super::SimWorker;
+use super::{SimWorker, checkpoints::Checkpoints};
 
 /// Watches starts and ends, and remembers what was wrong.
 #[derive(Debug, Default)]
@@ -22,6 +22,7 @@
     /// Whether nothing is wrong with workers, so that an end that one lists counts as
     /// noted soon after, read or not.
     pub calm: bool,
+    pub checkpoints: Checkpoints,
     /// When the end of a task was first listed, for those that ended done.
     listed: BTreeMap<TaskId, u64>,
 }
@@ -76,6 +77,13 @@
         }
     }
 
+    /// A run began on a worker with a checkpoint of its task, or without any.
+    pub fn brought(&mut self, now: u64, order: &StartOrder) {
+        if let Some(wrong) = self.checkpoints.begun(order) {
+            self.wrong.push(format!("{now}: {wrong}"));
+        }
+    }
+
     /// A run began on a worker, which may not be over its room by that.
     pub fn fitted(&mut self, now: u64, worker: &SimWorker) {
         if worker.is_over(now, SHRUNK) {
@@ -117,9 +125,13 @@
     pub fn check(&mut self, now: u64, workers: &[SimWorker]) {
         let mut seen: BTreeMap<TaskId, &str> = BTreeMap::new();
         for end in workers.iter().flat_map(|w| &w.ends) {
-            if end.ending == Ending::Done {
-                self.done.insert(end.task);
-                self.listed.entry(end.task).or_insert(now);
+            match end.ending {
+                Ending::Done => {
+                    self.done.insert(end.task);
+                    self.listed.entry(end.task).or_insert(now);
+                }
+                Ending::Failed => self.checkpoints.failed(end.task, end.run),
+                _ => {}
             }
         }
         for worker in workers.iter().filter(|w| w.alive) {
--- a/crates/jobs/tests/all/common/mod.rs
+++ b/crates/jobs/tests/all/common/mod.rs
@@ -1,5 +1,6 @@
 //! A world for the machine: workers, a store and owners in virtual time.
 
+mod checkpoints;
 mod clock;
 mod crash;
 mod judge;
@@ -42,6 +43,14 @@
     }
 }
 
+/// The same step, whose tasks save their progress.
+pub fn saving(step: Step) -> Step {
+    Step {
+        checkpoints: true,
+        ..step
+    }
+}
+
 /// Asserts that no promise was broken in the world of a seed.
 pub fn check_seed(world: &World, seed: u64) {
     let wrong = &world.judge.wrong;
--- a/crates/jobs/tests/all/common/orders.rs
+++ b/crates/jobs/tests/all/common/orders.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gorsespur_jobs::{Action, Answer, Event, Started, Stopped};
+use gorsespur_jobs::{Action, Answer, Event, Started, Stopped, TaskId};
 use rand::Rng;
 
 use super::{World, world::WRITE};
@@ -132,7 +132,14 @@
                         if fence >= worker.fence {
                             self.judge.observed(now, worker, *observed);
                         }
-                        worker.look(now, fence, *observed, *deadline)
+                        let look = worker.look(now, fence, *observed, *deadline)?;
+                        if !late {
+                            let jobs = &self.jobs;
+                            let step = |id: TaskId| &jobs[&id.job].spec.steps[id.step as usize];
+                            let checkpoints = &mut self.judge.checkpoints;
+                            checkpoints.listed(&look, |id| step(id).gang);
+                        }
+                        Some(look)
                     })
                     .flatten();
                 look.map_or(Answer::Fenced, Answer::Looked)
@@ -141,7 +148,8 @@
                 let mut started = Started::Unknown;
                 if reached {
                     let before = worker.runs.len();
-                    started = worker.start(now, fence, order);
+                    let progress = self.judge.checkpoints.progress(&order.saved);
+                    started = worker.start(now, fence, order, progress);
                     if worker.runs.len() > before {
                         let since = self.evacuated.get(&World::zone(index));
                         if worker.late == 0 && since.is_some_and(|&at| now > at + EVACUATED) {
@@ -151,6 +159,7 @@
                         }
                         let attempts = self.settings.attempts;
                         self.judge.begun(now, order.task, attempts, &order.spec);
+                        self.judge.brought(now, order);
                         self.judge.told(now, order.task);
                         self.judge.fitted(now, worker);
                     }
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::checkpoints::Checkpoint;
 use gorsespur_jobs::{End, Ending, Look, Running, StartOrder, Started, Stopped, TaskId};
 
 /// Ends that one answer holds at most.
@@ -10,6 +11,12 @@
 /// A member of a gang waits for the others for this long, in milliseconds.
 const GANG_WAIT: u64 = 3000;
 
+/// Work after which a run that saves its progress writes a checkpoint, in milliseconds.
+const CHECKPOINT: u64 = 500;
+
+/// Milliseconds that a run takes to go on from a checkpoint.
+const RESTORE: u64 = 250;
+
 /// What is wrong with a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -34,6 +41,13 @@
     pub done: u64,
     /// Ten-thousandths of a millisecond beyond that.
     pub rest: u64,
+    /// What had been done when it began.
+    pub first: u64,
+    /// When it works: it goes on from a checkpoint before.
+    pub ready: u64,
+    pub saves: bool,
+    /// The last checkpoint and what had been done by then; empty for none.
+    pub saved: (Arc<str>, u64),
     pub lasting: bool,
     /// Members that its gang has; none if it belongs to none.
     pub gang: Option<u32>,
@@ -76,6 +90,8 @@
     pub guards: bool,
     pub runs: Vec<SimRun>,
     pub ends: Vec<End>,
+    /// Checkpoints that it wrote of late.
+    pub written: Vec<Checkpoint>,
     /// Runs at or below these never begin any more.
     pub barred: Vec<(TaskId, u32)>,
     next: u64,
@@ -119,6 +135,7 @@
             guards: true,
             runs: Vec::new(),
             ends: Vec::new(),
+            written: Vec::new(),
             barred: Vec::new(),
             next: 1,
             tails: Vec::new(),
@@ -149,7 +166,23 @@
         self.deadline = self.deadline.max(deadline.unwrap_or(0));
     }
 
+    /// Writes a checkpoint of a run.
+    fn save(&mut self, at: usize) {
+        let run = &mut self.runs[at];
+        let checkpoint = Checkpoint {
+            task: run.task,
+            run: run.run,
+            life: self.id.clone(),
+            progress: run.done,
+        };
+        run.saved = (checkpoint.text(), run.done);
+        self.written.push(checkpoint);
+    }
+
     fn end(&mut self, at: usize, ending: Ending) {
+        if ending == Ending::Stopped && self.runs[at].saves && self.runs[at].done > 0 {
+            self.save(at);
+        }
         let run = self.runs.remove(at);
         self.barred.push((run.task, run.run));
         self.ends.push(End {
@@ -157,7 +190,7 @@
             task: run.task,
             run: run.run,
             ending,
-            saved: "".into(),
+            saved: run.saved.0,
         });
         self.next += 1;
     }
@@ -172,7 +205,7 @@
             let run = &mut self.runs[at];
             run.done += match mode {
                 Mode::Hangs => 0,
-                _ if run.waits => 0,
+                _ if run.waits || now <= run.ready => 0,
                 Mode::Slow(times) => ms / times,
                 _ if run.fill => {
                     let gained = ms * u64::from(run.pace) * speed + run.rest;
@@ -181,11 +214,17 @@
                 }
                 _ => ms * u64::from(run.pace) / 100,
             };
+            if run.saves && run.done >= run.saved.1 + CHECKPOINT {
+                self.save(at);
+            }
+            let run = &self.runs[at];
             let ending = match () {
                 () if lapsed => Some(Ending::Lapsed),
                 () if run.waits && now > run.begun + GANG_WAIT => Some(Ending::Alone),
                 () if run.stops.is_some_and(|t| t <= now) => Some(Ending::Stopped),
-                () if mode == Mode::FailsAll && run.done * 10 >= run.work => Some(Ending::Failed),
+                () if mode == Mode::FailsAll && (run.done - run.first) * 10 >= run.work => {
+                    Some(Ending::Failed)
+                }
                 () if run.done * 2 >= run.work && fails(run, self.flaky) => Some(Ending::Failed),
                 () if !run.lasting && run.done >= run.work => Some(Ending::Done),
                 () => None,
@@ -213,7 +252,7 @@
         let running = self.runs.iter().map(|r| Running {
             task: r.task,
             run: r.run,
-            saved: "".into(),
+            saved: r.saved.0.clone(),
             percent: match r.lasting {
                 true => 100,
                 false => (r.done * 100 / r.work.max(1)).min(99) as u32,
@@ -276,7 +315,8 @@
         headroom.max(0.1)
     }
 
-    pub fn start(&mut self, now: u64, fence: u64, order: &StartOrder) -> Started {
+    /// Begins what an order says; `progress` is the work at the checkpoint that it brings.
+    pub fn start(&mut self, now: u64, fence: u64, order: &StartOrder, progress: u64) -> Started {
         if fence < self.fence {
             return Started::Fenced;
         }
@@ -300,13 +340,18 @@
         if over && self.guards {
             return Started::NoRoom;
         }
+        let restores = !order.saved.is_empty();
         self.runs.push(SimRun {
             task: order.task,
             run: order.run,
             begun: now,
             work: self.length.unwrap_or(step.estimate).max(1),
-            done: 0,
+            done: progress,
             rest: 0,
+            first: progress,
+            ready: if restores { now + RESTORE } else { now },
+            saves: step.checkpoints,
+            saved: (order.saved.clone(), progress),
             lasting: step.lasting,
             gang: step.gang.then_some(step.count),
             waits: false,
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -346,6 +346,9 @@
         self.hold_gangs();
         for worker in self.workers.iter_mut().filter(|w| w.alive) {
             worker.advance(self.now, TICK);
+            for checkpoint in worker.written.drain(..) {
+                self.judge.checkpoints.write(checkpoint);
+            }
         }
         self.crash_workers();
         for at in 0..self.owners.len() {
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions about jobs, in virtual time.
 
 mod behind;
+mod checkpoints;
 mod common;
 mod crashing;
 mod evacuation;
