--- a/crates/jobs/tests/all/checkpoints.rs
+++ b/crates/jobs/tests/all/checkpoints.rs
@@ -30,3 +30,18 @@
     let brought = world.judge.checkpoints.brought;
     assert_eq!((brought.starts, brought.none), (2, 0), "{brought:?}");
 }
+
+/// A worker of a gang crashed. The gang began again, each member with the checkpoint that it
+/// had written itself, though a gang goes on from one that all of them bring.
+#[test]
+fn all_members_of_a_gang_bring_the_same_checkpoint() {
+    let gang = Step {
+        gang: true,
+        ..short(3, 3000)
+    };
+    let (mut world, id) = world(saving(gang));
+    world.crash(0);
+    assert!(world.run_until_done(15_000));
+    assert_eq!(world.outcome(id), Outcome::Complete);
+    check_seed(&world, 0);
+}
