Have all members of a gang go on from the same checkpoint

Callers' gangs that were interrupted began again with as many checkpoints as members, each a member's own, though one stands for the whole gang: what began from another one is not the gang's work, and a worker may refuse it. Cause: a start took the text of its own task, and nothing looked at the other members. Now a gang that is placed shares the newest checkpoint of any member, by the run that made it and by when it was listed, before its place is recorded. The members of one run number are always placed together, and the text of a placed task can't change before its start is sent, since only its current run's lists are taken; so all bring the same, also under the next owner, which reads it from the record.

--- a/crates/jobs/src/model/checkpoint.rs
+++ b/crates/jobs/src/model/checkpoint.rs
@@ -36,6 +36,12 @@
         };
         (!text.is_empty()).then(|| Box::new(checkpoint))
     }
+
+    /// Returns the number of the run that made it and when it was listed, by which checkpoints
+    /// of one gang are ordered; those of records come first.
+    pub(crate) fn version(&self) -> Option<(u32, u64)> {
+        self.origin.map(|o| (o.run, o.listed))
+    }
 }
 
 /// Returns what log lines show of a checkpoint's text.
--- a/crates/jobs/src/model/step.rs
+++ b/crates/jobs/src/model/step.rs
@@ -49,6 +49,18 @@
         }
     }
 
+    /// Gives all tasks the newest checkpoint of any of them: the members of a gang work jointly,
+    /// and workers take what began from different checkpoints for different work.
+    pub(crate) fn share_checkpoint(&mut self) {
+        let saved = self.tasks.iter().filter_map(|t| t.saved.as_ref());
+        let Some(newest) = saved.max_by_key(|c| c.version()).cloned() else {
+            return;
+        };
+        for task in &mut self.tasks {
+            task.saved = Some(newest.clone());
+        }
+    }
+
     /// Gives a task a run.
     pub(crate) fn set_run(&mut self, index: usize, run: Run) {
         let task = &mut self.tasks[index];
--- a/crates/jobs/tests/all/checkpoints.rs
+++ b/crates/jobs/tests/all/checkpoints.rs
@@ -32,7 +32,9 @@
 }
 
 /// A worker of a gang crashed. The gang began again, each member with the checkpoint that it
-/// had written itself, though a gang goes on from one that all of them bring.
+/// had written itself, though a gang goes on from one that all of them bring. What a start
+/// brought was each task's own last text, and nothing compared the members: run 2 of the three
+/// tasks began with three different texts. Now they share the newest one when they are placed.
 #[test]
 fn all_members_of_a_gang_bring_the_same_checkpoint() {
     let gang = Step {
