--- /dev/null
+++ b/crates/http/tests/links.rs
@@ -0,0 +1,321 @@
+//! A connection of an event loop: each answer is that of its call, and each request is whole.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::mpsc::{Receiver, Sender, channel},
+    thread,
+    time::Duration,
+};
+
+use gorsespur_http::{HttpError, Limits, Link, Method, Request, Response, parse_request};
+use mio::{Events, Poll, Token};
+use test_case::test_case;
+
+/// An answer whose body is "own".
+const OWN: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown";
+
+/// An answer whose body is "surplus".
+const SURPLUS: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\nsurplus";
+
+/// Bytes of a request that no socket takes at once.
+const LARGE: usize = 8 << 20;
+
+/// A peer to which nothing comes for this long has nothing to wait for.
+const QUIET: Duration = Duration::from_millis(1000);
+
+/// What a request may have at most.
+const LIMITS: Limits = Limits {
+    head: 16 << 10,
+    body: 2 * LARGE,
+};
+
+/// A user of a link: it drops the link after a failure, and if it is not to be kept.
+struct Caller {
+    poll: Poll,
+    addr: SocketAddr,
+    link: Option<Link>,
+}
+
+impl Caller {
+    fn new(addr: SocketAddr) -> Caller {
+        Caller {
+            poll: Poll::new().expect("descriptors"),
+            addr,
+            link: None,
+        }
+    }
+
+    fn send(&mut self, request: &Request) -> Result<(), HttpError> {
+        if self.link.is_none() {
+            let link = Link::connect(self.addr, self.poll.registry(), Token(0));
+            self.link = Some(link?);
+        }
+        self.link.as_mut().expect("connected").send(request)
+    }
+
+    /// Reads until an answer is there or the link has failed.
+    fn answer(&mut self) -> Result<Response, HttpError> {
+        let mut events = Events::with_capacity(16);
+        loop {
+            self.poll.poll(&mut events, None).expect("an event loop");
+            for event in &events {
+                let link = self.link.as_mut().expect("connected");
+                let mut result = Ok(None);
+                if event.is_writable() {
+                    result = link.writable().map(|()| None);
+                }
+                if event.is_readable() && result.is_ok() {
+                    result = link.readable();
+                }
+                let Some(result) = result.transpose() else {
+                    continue;
+                };
+                if !result.as_ref().is_ok_and(|r| r.keep) {
+                    self.drop_link();
+                }
+                return result;
+            }
+        }
+    }
+
+    fn drop_link(&mut self) {
+        if let Some(link) = self.link.take() {
+            link.close(self.poll.registry());
+        }
+    }
+
+    fn call(&mut self, request: &Request) -> Result<Response, HttpError> {
+        self.send(request)?;
+        self.answer()
+    }
+}
+
+fn request(body: &[u8]) -> Request {
+    Request::new(Method::Post, "/", body.to_vec())
+}
+
+/// Reads one request, whole; nothing at the end of the connection.
+fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<Request> {
+    let mut chunk = vec![0; 64 << 10];
+    loop {
+        if let Some((request, size)) = parse_request(buf, LIMITS).expect("a request") {
+            buf.drain(..size);
+            return Some(request);
+        }
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return None,
+            Ok(n) => buf.extend_from_slice(&chunk[..n]),
+        }
+    }
+}
+
+/// A peer that answers the first request with these bytes, each piece in its own packet, and
+/// all others with an answer of their own.
+fn peer(first: Vec<Vec<u8>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        let mut first = Some(first);
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            stream.set_nodelay(true).expect("an option");
+            let mut buf = Vec::new();
+            while read_request(&mut stream, &mut buf).is_some() {
+                for piece in first.take().unwrap_or_else(|| vec![OWN.to_vec()]) {
+                    if stream.write_all(&piece).is_err() {
+                        break;
+                    }
+                    thread::sleep(Duration::from_millis(2));
+                }
+            }
+        }
+    });
+    addr
+}
+
+/// The bytes one by one.
+fn cut(bytes: &[u8]) -> Vec<Vec<u8>> {
+    bytes.iter().map(|&b| vec![b]).collect()
+}
+
+/// An answer that is not its call's own is told as a failure at most: a look that got the
+/// answer to the one before would show runs that have ended, and hide those that have begun.
+#[test_case(vec![OWN.to_vec()]; "whole")]
+#[test_case(cut(OWN); "in pieces")]
+#[test_case(vec![[OWN, SURPLUS].concat()]; "two at once")]
+#[test_case(vec![[OWN, &SURPLUS[..SURPLUS.len() - 3]].concat()]; "one and a half at once")]
+#[test_case(vec![[OWN, b"surplus"].concat()]; "a body longer than its length")]
+#[test_case(vec![[OWN, b"\r\n"].concat()]; "an empty line behind it")]
+#[test_case(vec![[b"HTTP/1.1 100 Continue\r\n\r\n", OWN].concat()]; "an interim answer before it")]
+#[test_case(vec![[b"HTTP/1.1 102 Processing\r\ncontent-length: 0\r\n\r\n", OWN].concat()]; "an interim answer with a length before it")]
+#[test_case(vec![b"HTTP/1.1 204 No Content\r\n\r\n".to_vec()]; "no body")]
+#[test_case(vec![[b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 3\r\n\r\nown", SURPLUS].concat()]; "the last one on its connection")]
+#[test_case(vec![b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n".to_vec()]; "chunked")]
+fn each_answer_is_that_of_its_call(first: Vec<Vec<u8>>) {
+    let mut caller = Caller::new(peer(first));
+    for at in 0..3 {
+        let Ok(response) = caller.call(&request(b"")) else {
+            continue;
+        };
+        let own = response.body == b"own" || response.status == 204;
+        assert!(own && response.status >= 200, "call {at}: {response:?}");
+    }
+    assert_eq!(caller.call(&request(b"")).expect("own").body, b"own");
+}
+
+/// What arrives while nothing is asked answers nothing.
+#[test_case(SURPLUS; "a whole answer")]
+#[test_case(&SURPLUS[..SURPLUS.len() - 3]; "half an answer")]
+fn what_comes_between_two_calls_answers_neither(between: &'static [u8]) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut caller = Caller::new(listener.local_addr().expect("bound"));
+    let peer = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buf = Vec::new();
+        read_request(&mut stream, &mut buf).expect("a request");
+        stream.write_all(OWN).expect("sent");
+        stream
+    });
+    assert_eq!(caller.call(&request(b"")).expect("an answer").body, b"own");
+    let mut stream = peer.join().expect("a peer");
+    stream.write_all(between).expect("sent");
+    // The event loop tells of it before the next call.
+    let mut events = Events::with_capacity(16);
+    while !events.iter().any(|e| e.is_readable()) {
+        caller.poll.poll(&mut events, None).expect("an event loop");
+    }
+    let link = caller.link.as_mut().expect("connected");
+    let read = link.readable();
+    if !matches!(&read, Ok(found) if found.as_ref().is_none_or(|r| r.keep)) {
+        return;
+    }
+    caller.send(&request(b"")).expect("sent");
+    stream.write_all(OWN).expect("sent");
+    if let Ok(response) = caller.answer() {
+        assert_eq!(response.body, b"own");
+    }
+}
+
+/// A peer that does as it is told: it reads only when asked to.
+struct Peer {
+    stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl Peer {
+    fn request(&mut self) -> Option<Request> {
+        read_request(&mut self.stream, &mut self.buf)
+    }
+}
+
+/// Accepts connections, and hands each over.
+fn accept(listener: TcpListener, to: Sender<Peer>) {
+    for stream in listener.incoming() {
+        let stream = stream.expect("a connection");
+        let buf = Vec::new();
+        if to.send(Peer { stream, buf }).is_err() {
+            return;
+        }
+    }
+}
+
+fn accepting() -> (SocketAddr, Receiver<Peer>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let (to, peers) = channel();
+    thread::spawn(move || accept(listener, to));
+    (addr, peers)
+}
+
+/// Sends until the socket takes no more.
+fn fill(caller: &mut Caller) {
+    let mut events = Events::with_capacity(16);
+    let wait = Some(Duration::from_millis(200));
+    loop {
+        caller.poll.poll(&mut events, wait).expect("an event loop");
+        if events.is_empty() {
+            return;
+        }
+        let link = caller.link.as_mut().expect("connected");
+        link.writable().expect("sent");
+    }
+}
+
+/// A request that the socket takes in parts arrives whole, and so does the next one.
+#[test]
+fn a_request_that_is_sent_in_parts_is_whole() {
+    let (addr, peers) = accepting();
+    let mut caller = Caller::new(addr);
+    let bodies = [vec![b'a'; LARGE], b"next".to_vec()];
+    let reader = thread::spawn(move || {
+        let mut peer = peers.recv().expect("a connection");
+        // Meanwhile the socket becomes full.
+        thread::sleep(Duration::from_millis(300));
+        let mut read = Vec::new();
+        for _ in 0..2 {
+            read.push(peer.request().expect("a request").body);
+            peer.stream.write_all(OWN).expect("sent");
+        }
+        read
+    });
+    for body in &bodies {
+        assert_eq!(caller.call(&request(body)).expect("own").body, b"own");
+    }
+    assert!(reader.join().expect("a peer") == bodies);
+}
+
+/// A call is given up while its request is sent in part only: the next one goes out on
+/// another connection, whole, and the first one never becomes whole.
+#[test]
+fn a_request_that_was_given_up_is_not_continued() {
+    let (addr, peers) = accepting();
+    let mut caller = Caller::new(addr);
+    caller.send(&request(&vec![b'a'; LARGE])).expect("sent");
+    fill(&mut caller);
+    caller.drop_link();
+    let mut first = peers.recv().expect("a connection");
+    assert!(first.request().is_none());
+    caller.send(&request(b"next")).expect("sent");
+    fill(&mut caller);
+    let mut second = peers.recv().expect("a connection");
+    assert_eq!(second.request().expect("a request").body, b"next");
+}
+
+/// A peer that refuses a request before it has read all of it: the rest is still to be sent,
+/// and the next request must not stand in its place.
+#[test]
+fn a_request_that_was_answered_early_is_not_continued_with_the_next() {
+    let (addr, peers) = accepting();
+    let mut caller = Caller::new(addr);
+    let large = vec![b'a'; LARGE];
+    caller.send(&request(&large)).expect("sent");
+    fill(&mut caller);
+    let mut peer = peers.recv().expect("a connection");
+    peer.stream
+        .write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")
+        .expect("sent");
+    assert_eq!(caller.answer().expect("an answer").status, 503);
+    caller.send(&request(b"next")).expect("sent");
+    // What the first connection brings, then the next one, if there is one.
+    let reader = thread::spawn(move || {
+        let mut bodies = Vec::new();
+        let mut next = Some(peer);
+        while let Some(mut peer) = next {
+            peer.stream
+                .set_read_timeout(Some(QUIET))
+                .expect("an option");
+            while let Some(request) = peer.request() {
+                bodies.push(request.body);
+                peer.stream.write_all(OWN).expect("sent");
+            }
+            next = peers.recv_timeout(QUIET).ok();
+        }
+        bodies
+    });
+    let answer = caller.answer();
+    caller.drop_link();
+    let bodies = reader.join().expect("a peer");
+    assert!(bodies.iter().all(|b| *b == large || b == b"next"));
+    assert_eq!(answer.expect("own").body, b"own");
+}
