Take an interim answer with a length for no answer

A 1xx that announced a length, as some proxies send it, counted as the answer to its request, and the real answer as that of the next one on the connection. Cause: any message with a length was an answer, and one without was malformed, so that the connection was dropped. Now answers of class 1xx have no body, whatever their head says, and are passed over until the final one, in both clients.

--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -64,8 +64,26 @@
     Ok(Some((request, size + body.len())))
 }
 
-/// Parses an answer at the start of `buf`, like [`parse_request`].
+/// Parses an answer at the start of `buf`, like [`parse_request`]; interim ones before it count
+/// to its length.
 pub fn parse_response(buf: &[u8], limits: Limits) -> Result<Option<(Response, usize)>, HttpError> {
+    let mut start = 0;
+    while let Some((response, size)) = parse_any(&buf[start..], limits)? {
+        start += size;
+        if !is_interim(response.status) {
+            return Ok(Some((response, start)));
+        }
+    }
+    Ok(None)
+}
+
+/// Tells whether an answer of this status is followed by another one to the same request.
+fn is_interim(status: u16) -> bool {
+    (100..200).contains(&status)
+}
+
+/// Parses an answer, be it an interim one.
+fn parse_any(buf: &[u8], limits: Limits) -> Result<Option<(Response, usize)>, HttpError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut head = httparse::Response::new(&mut fields);
     let size = match head.parse(buf) {
@@ -81,6 +99,8 @@
     let framing = framing(head.headers)?;
     let status = head.code.unwrap_or_default();
     let length = match (framing.length, status) {
+        // Whatever its head says, it has no body.
+        (_, status) if is_interim(status) => 0,
         (Some(length), _) => length,
         (None, 204 | 304) => 0,
         (None, _) => {
