Take nothing that lies on a kept connection for the answer to the next request

Bytes behind an answer, or bytes that came while nothing was asked, stayed with their connection: a look then got the answer to an earlier one, and so did each look after it, and would show runs that have ended, with the checkpoints of then. A request that was answered before all of it was sent was followed by the next one in place of its rest. Cause: the connection of the event loop kept what it had read beyond an answer, did not know whether anything was asked, and began each request anew. Now such a connection is not kept; bytes that nobody asked for are a failure; the blocking client, which threw away what it had read beyond an answer but kept the connection with the rest of it, does the same.

Holds since a connection goes on only from a state in which both directions are empty; bytes that arrive after the next request was sent can't be told from its answer.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -141,7 +141,9 @@
             return LostSnafu { message: "closed" }.fail();
         }
         buf.extend_from_slice(&chunk[..n]);
-        if let Some((response, _)) = parse_response(&buf, Limits::default())? {
+        if let Some((mut response, size)) = parse_response(&buf, Limits::default())? {
+            // What lies behind it would be taken for the answer to the next request.
+            response.keep &= size == buf.len();
             return Ok(response);
         }
     }
--- a/crates/http/src/link.rs
+++ b/crates/http/src/link.rs
@@ -28,6 +28,8 @@
     sent: usize,
     input: Vec<u8>,
     ready: bool,
+    /// Whether a request is under way.
+    asked: bool,
 }
 
 impl Link {
@@ -46,6 +48,7 @@
             sent: 0,
             input: Vec::new(),
             ready: false,
+            asked: false,
         })
     }
 
@@ -53,6 +56,7 @@
     pub fn send(&mut self, request: &Request) -> Result<(), HttpError> {
         self.out.clear();
         self.sent = 0;
+        self.asked = true;
         request.encode(&self.host, &mut self.out);
         self.flush()
     }
@@ -72,6 +76,10 @@
     }
 
     /// Reads after the socket became readable; returns the answer once it is whole.
+    ///
+    /// What comes without having been asked for is a failure, and an answer with more behind it,
+    /// or to a request that is not sent whole, is the last one: on a kept connection the rest
+    /// would be taken for the answer to the next request.
     pub fn readable(&mut self) -> Result<Option<Response>, HttpError> {
         let mut chunk = [0; CHUNK];
         loop {
@@ -88,10 +96,18 @@
                 Err(err) => return Err(self.failed(err)),
             }
         }
-        let Some((response, size)) = parse_response(&self.input, Limits::default())? else {
+        if !self.asked && !self.input.is_empty() {
+            return LostSnafu {
+                message: "bytes that nobody asked for",
+            }
+            .fail();
+        }
+        let Some((mut response, size)) = parse_response(&self.input, Limits::default())? else {
             return Ok(None);
         };
-        self.input.drain(..size);
+        response.keep &= size == self.input.len() && self.sent == self.out.len();
+        self.input.clear();
+        self.asked = false;
         Ok(Some(response))
     }
 
