--- a/crates/jobs/tests/all/checkpoints.rs
+++ b/crates/jobs/tests/all/checkpoints.rs
@@ -4,8 +4,12 @@
 //! will do, and all members bring the same. The tests' workers write checkpoints whose texts
 //! tell nothing, and the judge knows where each was written.
 
-use crate::common::{World, WorldSettings, chain, check_seed, saving, short};
-use gorsespur_jobs::{JobId, Outcome, Step};
+use crate::common::{
+    Brought, Mode, World, WorldSettings, chain, check_seed, saving, serving, short,
+};
+use gorsespur_jobs::{JobId, Outcome, Schedule, Step};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use test_case::test_case;
 
 /// A world in which a job runs, one task on a worker.
 fn world(step: Step) -> (World, JobId) {
@@ -45,3 +49,146 @@
     assert_eq!(world.outcome(id), Outcome::Complete);
     check_seed(&world, 0);
 }
+
+/// Workers of a random play.
+const WORKERS: usize = 6;
+
+/// What random jobs are of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Shape {
+    /// Tasks that go on by themselves.
+    Single,
+    /// Gangs, and others.
+    Gang,
+}
+
+/// Hands in a job, most of whose tasks save their progress.
+fn hand_in(world: &mut World, rng: &mut SmallRng, id: u64, shape: Shape) {
+    let plain = short(rng.random_range(1..5), rng.random_range(300..4000));
+    let step = match rng.random_range(0..4) {
+        0 | 1 => Step {
+            fill: true,
+            image: Some("fill".into()),
+            ..plain
+        },
+        2 if shape == Shape::Gang => Step {
+            gang: true,
+            fill: rng.random_bool(0.3),
+            ..plain
+        },
+        _ => plain,
+    };
+    let mut spec = chain(vec![short(1, 300), saving(step)]);
+    if rng.random_bool(0.2) {
+        spec.schedule = Schedule {
+            times: 3,
+            first: world.now + 200,
+            interval: rng.random_range(100..1500),
+        };
+    }
+    world.submit(id, spec);
+}
+
+/// Something happens to a worker, an owner, the store or a job.
+fn disturb(world: &mut World, rng: &mut SmallRng, last: u64) {
+    let at = rng.random_range(0..WORKERS);
+    let ms = rng.random_range(0..3500);
+    let job = rng.random_range(1..=last);
+    match rng.random_range(0..22) {
+        0 => world.crash(at),
+        1 => world.lose_power(at),
+        2 => world.workers[at].cut = true,
+        3 => world.workers[at].late = ms,
+        4 => world.workers[at].mode = Mode::FailsAll,
+        5 => world.workers[at].mode = Mode::Hangs,
+        6 => world.workers[at].mode = Mode::Slow(6),
+        7 => world.announce(at, false),
+        8 => world.workers[at].deaf = true,
+        9 | 10 => world.workers[at].tails = vec![200],
+        11 => world.store_down = true,
+        12 => {
+            world.pause(true);
+            world.run(ms);
+            world.take_over(world.lease_end());
+        }
+        13 => world.take_over(world.lease_end()),
+        14 => {
+            world.pause(true);
+            world.take_over(world.lease_end());
+            world.run(ms);
+            world.wake_earlier();
+        }
+        15 => world.suspend(ms),
+        16 => {
+            world.pause(true);
+            world.run(ms);
+            world.pause(false);
+        }
+        17 => (world.turns, world.unread) = (ms / 4, 40),
+        18 => {
+            let spec = world.spec(JobId(job));
+            world.cancel(JobId(job));
+            world.run(ms / 2);
+            world.submit(job, spec);
+        }
+        19 => world.wake_earlier(),
+        _ => mend(world),
+    }
+}
+
+/// All is well again.
+fn mend(world: &mut World) {
+    world.store_down = false;
+    (world.turns, world.unread) = (0, 0);
+    world.wake_earlier();
+    world.pause(false);
+    for at in 0..WORKERS {
+        let worker = &mut world.workers[at];
+        (worker.cut, worker.deaf, worker.late) = (false, false, 0);
+        worker.mode = Mode::Well;
+        worker.tails.clear();
+        world.announce(at, true);
+    }
+}
+
+/// Plays the world of a seed and returns it when all jobs have ended.
+fn play(seed: u64, shape: Shape) -> World {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = World::new(WorldSettings {
+        workers: WORKERS,
+        attempts: 100,
+        seed,
+        lost: rng.random_range(0..10),
+    });
+    world.unaware = rng.random_range(1..3000);
+    for worker in &mut world.workers {
+        worker.flaky = 5;
+    }
+    world.run(100);
+    world.submit(1000, chain(vec![serving(WORKERS as u32)]));
+    world.run(1000);
+    for id in 1..=rng.random_range(10..40) {
+        hand_in(&mut world, &mut rng, id, shape);
+        if rng.random_bool(0.6) {
+            disturb(&mut world, &mut rng, id);
+        }
+        world.run(rng.random_range(20..800));
+    }
+    mend(&mut world);
+    assert!(world.run_until_done(120_000), "seed {seed}: jobs are left");
+    world
+}
+
+/// Whatever comes together, a start brings what was listed for its task or gang.
+#[test_case(Shape::Single; "of single tasks")]
+#[test_case(Shape::Gang; "of gangs")]
+fn random_series_of_faults_mix_up_no_checkpoints(shape: Shape) {
+    let mut all = Brought::default();
+    for seed in 0..60 {
+        let world = play(seed, shape);
+        check_seed(&world, seed);
+        all += world.judge.checkpoints.brought;
+    }
+    // Else the plays tell nothing.
+    assert!(all.starts > 200 && all.starts > 2 * all.none, "{all:?}");
+}
--- a/crates/jobs/tests/all/common/checkpoints.rs
+++ b/crates/jobs/tests/all/common/checkpoints.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, btree_map::Entry},
     hash::{DefaultHasher, Hash, Hasher},
+    ops::AddAssign,
     sync::Arc,
 };
 
@@ -45,6 +46,17 @@
     pub failed: u64,
 }
 
+impl AddAssign for Brought {
+    fn add_assign(&mut self, other: Brought) {
+        self.starts += other.starts;
+        self.none += other.none;
+        self.behind += other.behind;
+        self.again += other.again;
+        self.worst = self.worst.max(other.worst);
+        self.failed += other.failed;
+    }
+}
+
 /// All checkpoints, and the tasks that they were listed for.
 #[derive(Debug, Default)]
 pub struct Checkpoints {
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -61,6 +61,10 @@
     /// Until when its link is busy with what was sent.
     pub(super) link: u64,
     pub(super) paused: bool,
+    /// When it last woke up.
+    pub(super) woke: u64,
+    /// When its write was done, if it has not read the answer.
+    pub(super) landed: Option<u64>,
     pub(super) deposed: bool,
     pub(super) clock: OwnerClock,
 }
@@ -90,6 +94,9 @@
     pub link: u64,
     /// Milliseconds from when a new owner asked for the lease until it reads the answer.
     pub claim: u64,
+    /// Milliseconds for which an owner that lost the lease acts on until it learns of that; a
+    /// write that was under way when it was paused is done meanwhile.
+    pub unaware: u64,
     /// Whether a new owner is given what the last one learned.
     pub remembers: bool,
     pub(super) records: BTreeMap<JobId, Vec<u8>>,
@@ -121,6 +128,7 @@
             unread: 0,
             link: 0,
             claim: 0,
+            unaware: 0,
             remembers: true,
             records: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -165,6 +173,8 @@
             busy: 0,
             link: 0,
             paused: false,
+            woke: self.now,
+            landed: None,
             deposed: false,
             clock: OwnerClock::new(self.now),
         };
@@ -211,6 +221,18 @@
         }
     }
 
+    /// All earlier owners wake up that were stopped.
+    pub fn wake_earlier(&mut self) {
+        let now = self.now;
+        let earlier = self.owners.len() - 1;
+        for owner in &mut self.owners[..earlier] {
+            if owner.paused {
+                owner.paused = false;
+                owner.woke = now;
+            }
+        }
+    }
+
     /// The end of all leases that the newest owner may have granted, as a new one has it: a
     /// contact may be newer by half a second than the renewal that this one saw.
     pub fn lease_end(&self) -> u64 {
@@ -279,6 +301,11 @@
         id
     }
 
+    /// What a job's caller handed in.
+    pub fn spec(&self, id: JobId) -> Spec {
+        (*self.jobs[&id].spec).clone()
+    }
+
     /// The zone that a worker belongs to.
     pub fn zone(at: usize) -> Arc<str> {
         format!("z{}", at % ZONES).into()
@@ -377,15 +404,29 @@
     fn write(&mut self, at: usize) {
         let (now, epoch, down) = (self.now, self.epoch, self.store_down);
         let owner = &mut self.owners[at];
+        if owner.paused && self.unaware > 0 && !down && owner.epoch == epoch {
+            let due = owner.commit.take_if(|(due, _)| *due <= now);
+            if let Some((due, records)) = due {
+                owner.landed = Some(due);
+                self.records.extend(records);
+                self.renewed = now;
+            }
+        }
         if owner.paused || owner.deposed || down || owner.busy > now {
             return;
         }
+        let at_owner = owner.clock.read(now);
+        if let Some(due) = owner.landed.take() {
+            let asked = due - WRITE;
+            owner
+                .machine
+                .handle(at_owner, now, Event::Committed { asked });
+        }
         if owner.epoch < epoch {
             // The journal's end has moved: its next write fails.
-            owner.deposed = true;
+            owner.deposed = now >= owner.woke + self.unaware;
             return;
         }
-        let at_owner = owner.clock.read(now);
         if now.is_multiple_of(400) {
             owner
                 .machine
