Test that what was halted goes on; two tests fail

Seen: in two of 20,000 random series of faults (trials) jobs never ended. Filling tasks had been halted beside serving ones that failed just then (in one 20 ms later), and stayed so for the 120 s that were played. Cause, by reading: paces are chosen when a look tells the tail of a serving task; a worker on which none is left is passed over. And an owner takes the runs of an earlier one for runs at full pace, and sends no order for the pace that it wants.

--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -239,6 +239,52 @@
     assert_eq!(world.outcome(id), Outcome::Complete);
 }
 
+/// A world of one worker, whose two filling tasks are halted beside a serving one.
+fn world_of_halted() -> (World, JobId) {
+    let mut world = World::new(WorldSettings {
+        workers: 1,
+        ..WorldSettings::default()
+    });
+    world.run(100);
+    world.submit(1, chain(vec![serving(1)]));
+    world.run(1500);
+    let id = world.submit(2, chain(vec![filling("fill", 2)]));
+    world.run(300);
+    world.workers[0].tails = vec![200];
+    world.run(3000);
+    assert_eq!(paces(&world), [0, 0], "halted");
+    (world, id)
+}
+
+/// The paces of what fills on the first worker, in percent.
+fn paces(world: &World) -> Vec<u32> {
+    let fills = world.workers[0].runs.iter().filter(|r| r.fill);
+    fills.map(|r| r.pace).collect()
+}
+
+/// What was halted beside a serving task goes on when that one has gone. Paces are chosen when
+/// the tail of a serving task is told: where none is left, nobody chose them again, and the
+/// tasks stayed halted for good.
+#[test]
+fn what_is_halted_goes_on_when_nothing_serves_beside_it() {
+    let (mut world, id) = world_of_halted();
+    world.cancel(JobId(1));
+    world.run(8000);
+    assert_eq!(world.outcome(id), Outcome::Complete, "{:?}", paces(&world));
+}
+
+/// The same where another owner takes over and tails are well by then. It takes what an earlier
+/// owner started for runs at full pace, so that it tells them nothing.
+#[test]
+fn what_an_earlier_owner_halted_goes_on() {
+    let (mut world, _) = world_of_halted();
+    world.pause(true);
+    world.workers[0].tails = vec![40];
+    world.take_over(world.lease_end());
+    world.run(3000);
+    assert_eq!(paces(&world), [100, 100]);
+}
+
 /// Returns for how much of 30 s something fills at all beside a serving task whose tail
 /// goes through these percents of its target, one each half second, and the mean pace in
 /// percent of what is known to be harmless then.
