Let gangs of the tests' world that save their progress end as one

Seen: members of a gang whose worker was lost ended alone after 3 s, and each was done by itself; repetitions of one gang were counted as one. Cause: only the wait for the others was played. Members are counted for each repetition.

--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -53,6 +53,10 @@
     pub gang: Option<u32>,
     /// Whether members of its gang are missing: it does no work meanwhile.
     pub waits: bool,
+    /// Whether all members of its gang have been there.
+    pub joined: bool,
+    /// Whether a member of its gang is done, which stands for all.
+    pub joint: bool,
     pub fill: bool,
     pub image: Option<Arc<str>>,
     pub target: u64,
@@ -220,6 +224,8 @@
             let run = &self.runs[at];
             let ending = match () {
                 () if lapsed => Some(Ending::Lapsed),
+                () if run.joint => Some(Ending::Done),
+                () if run.waits && run.joined => Some(Ending::Broken),
                 () if run.waits && now > run.begun + GANG_WAIT => Some(Ending::Alone),
                 () if run.stops.is_some_and(|t| t <= now) => Some(Ending::Stopped),
                 () if mode == Mode::FailsAll && (run.done - run.first) * 10 >= run.work => {
@@ -355,6 +361,8 @@
             lasting: step.lasting,
             gang: step.gang.then_some(step.count),
             waits: false,
+            joined: false,
+            joint: false,
             fill: step.fill,
             image: step.image.clone(),
             target: step.target,
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -4,7 +4,7 @@
 
 use gorsespur_jobs::{
     Capacity, Event, Figures, Job, JobId, Machine, Outcome, QueuePolicy, Record, Settings, Spec,
-    Takeover, WorkerInfo,
+    Takeover, TaskId, WorkerInfo,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -386,10 +386,10 @@
         self.judge.check(self.now, &self.workers);
     }
 
-    /// Members of a gang work only while all of them are there.
+    /// Members of a gang work only while all of them are there, and end jointly.
     fn hold_gangs(&mut self) {
-        let mut there: BTreeMap<(JobId, u32, u32), u32> = BTreeMap::new();
-        let key = |r: &SimRun| (r.task.job, r.task.step, r.run);
+        let mut there: BTreeMap<(JobId, u32, u32, u32), u32> = BTreeMap::new();
+        let key = |r: &SimRun| (r.task.job, r.task.time, r.task.step, r.run);
         for worker in self.workers.iter().filter(|w| w.alive) {
             for run in worker.runs.iter().filter(|r| r.gang.is_some()) {
                 *there.entry(key(run)).or_insert(0) += 1;
@@ -398,6 +398,13 @@
         for run in self.workers.iter_mut().flat_map(|w| &mut w.runs) {
             let members = there.get(&key(run)).copied().unwrap_or(0);
             run.waits = run.gang.is_some_and(|count| members < count);
+            // Of the others only the ends that they wait for are played.
+            let Some(count) = run.gang.filter(|_| run.saves) else {
+                continue;
+            };
+            run.joined |= !run.waits;
+            let mut gang = (0..count).map(|index| TaskId { index, ..run.task });
+            run.joint = gang.any(|t| self.judge.done.contains(&t));
         }
     }
 
