Let what was slowed for a serving task go on when that one has gone

Filling tasks that were halted beside a serving one stayed halted for a minute and more after it had ended or failed, and nothing more was placed to fill on that worker. Cause: paces and whether a tail is over its target are worked out when the tail of a serving task is told, and a worker without one was passed over. Now such a worker's answers let what fills there work at its full pace. Holds since a worker's answers always come while it has runs, and a pace is only told if it differs.

--- a/crates/jobs/src/share/watch.rs
+++ b/crates/jobs/src/share/watch.rs
@@ -23,7 +23,10 @@
     pub(crate) fn watch(&mut self, slot: u32, look: &Look, ended: &[&End]) {
         let now = self.now;
         let worker = self.fleet.get_mut(slot);
-        if worker.serving == 0 || now < worker.figured + PERIOD {
+        if worker.serving == 0 {
+            return self.watch_fillers(slot);
+        }
+        if now < worker.figured + PERIOD {
             return;
         }
         worker.figured = now;
@@ -66,6 +69,16 @@
         }
     }
 
+    /// Lets what fills on a worker without serving tasks work at its full pace: what was slowed
+    /// for one that has gone would else stay so, and nothing more would fill there.
+    fn watch_fillers(&mut self, slot: u32) {
+        let worker = self.fleet.get_mut(slot);
+        worker.over = false;
+        if worker.filling > 0 {
+            self.choose_paces(slot);
+        }
+    }
+
     /// Fits the disturbances to the figures, each half second, and lowers paces where a
     /// tail has been over its target for long.
     pub(crate) fn fit(&mut self) {
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -263,8 +263,8 @@
 }
 
 /// What was halted beside a serving task goes on when that one has gone. Paces are chosen when
-/// the tail of a serving task is told: where none is left, nobody chose them again, and the
-/// tasks stayed halted for good.
+/// the tail of a serving task is told: where none was left, nobody chose them again, the tasks
+/// stayed halted for good, and the worker was thought to be over its target for good.
 #[test]
 fn what_is_halted_goes_on_when_nothing_serves_beside_it() {
     let (mut world, id) = world_of_halted();
