Have checkpoints in tests hold signs that a codec may trip over

Seen: the texts of the tests' checkpoints were plain digits. Change: a quote, a backslash, a letter beyond ASCII and an end of line in each; they go through records at each takeover.

--- a/crates/jobs/tests/all/common/checkpoints.rs
+++ b/crates/jobs/tests/all/common/checkpoints.rs
@@ -21,12 +21,13 @@
 }
 
 impl Checkpoint {
-    /// The text that workers list for it: nothing but a name to whoever reads it.
+    /// The text that workers list for it: nothing but a name to whoever reads it, with signs
+    /// that a codec may trip over.
     pub fn text(&self) -> Arc<str> {
         let mut hasher = DefaultHasher::new();
         let task = self.task.to_string();
         (task, self.run, &*self.life, self.progress).hash(&mut hasher);
-        format!("{:08}{:016x}", self.progress, hasher.finish()).into()
+        format!("{:08}\"\\é\n{:016x}", self.progress, hasher.finish()).into()
     }
 }
 
