Test that the end of a connection is noticed; three tests fail

Seen: in a test of an owner's connections, starts whose worker ended the connection behind half an answer waited 700 ms for their limit, and those queued behind them were withdrawn. Cause: mio tells of what arrived only once, and Link stops reading at a short read: an end that arrived with the last bytes is never read. A call without its answer waits for its limit; behind a whole answer the connection is kept, and the next call is lost on it.

--- a/crates/http/tests/links.rs
+++ b/crates/http/tests/links.rs
@@ -54,18 +54,24 @@
         self.link.as_mut().expect("connected").send(request)
     }
 
-    /// Reads until an answer is there or the link has failed.
+    /// Reads until an answer is there or the link has failed; gives up when nothing comes.
     fn answer(&mut self) -> Result<Response, HttpError> {
         let mut events = Events::with_capacity(16);
+        let wait = Some(QUIET * 2);
         loop {
-            self.poll.poll(&mut events, None).expect("an event loop");
+            self.poll.poll(&mut events, wait).expect("an event loop");
+            if events.is_empty() {
+                self.drop_link();
+                return Err(HttpError::Timeout);
+            }
             for event in &events {
                 let link = self.link.as_mut().expect("connected");
                 let mut result = Ok(None);
                 if event.is_writable() {
                     result = link.writable().map(|()| None);
                 }
-                if event.is_readable() && result.is_ok() {
+                let read = event.is_readable() || event.is_read_closed();
+                if read && result.is_ok() {
                     result = link.readable();
                 }
                 let Some(result) = result.transpose() else {
@@ -319,3 +325,30 @@
     assert!(bodies.iter().all(|b| *b == large || b == b"next"));
     assert_eq!(answer.expect("own").body, b"own");
 }
+
+/// A peer ends the connection together with the last bytes that it sends. The event loop tells
+/// of both at once, and only once: a call that gets no answer any more need not wait for its
+/// limit, and the next one needs another connection.
+#[test_case(&OWN[..20], Err(HttpError::Lost { message: "closed".into() }); "within the head")]
+#[test_case(&OWN[..OWN.len() - 1], Err(HttpError::Lost { message: "closed".into() }); "within the body")]
+#[test_case(OWN, Ok(()); "behind the answer")]
+fn the_end_of_a_connection_is_noticed(sent: &'static [u8], expected: Result<(), HttpError>) {
+    let (addr, peers) = accepting();
+    let mut caller = Caller::new(addr);
+    caller.send(&request(b"")).expect("sent");
+    fill(&mut caller);
+    let mut first = peers.recv().expect("a connection");
+    first.request().expect("a request");
+    first.stream.write_all(sent).expect("sent");
+    drop(first);
+    let answer = caller.answer();
+    assert_eq!(answer.map(|r| assert_eq!(r.body, b"own")), expected);
+    let peer = thread::spawn(move || {
+        let mut second = peers.recv().expect("a connection");
+        second.request().expect("a request");
+        second.stream.write_all(OWN).expect("sent");
+        second
+    });
+    assert_eq!(caller.call(&request(b"")).expect("own").body, b"own");
+    drop(peer.join().expect("a peer"));
+}
