Test whose answer each order of an owner gets

Missing: no test looked at which order an answer is taken for, or at which worker a request arrives, where connections are cut, closed and opened again. Change: workers that answer, refuse, break off and close, one of them with a later life at the same address: each order reaches its worker once and names it, no connection serves two lives, each answer is that of its order. An answer that comes after its call was given up is nobody's. The stand-in of the protocol names the worker in its requests and reads answers by their status.

--- a/crates/node/src/fakes_tests.rs
+++ b/crates/node/src/fakes_tests.rs
@@ -44,7 +44,7 @@
     }
 }
 
-/// Looks and their answers without content.
+/// Orders that name their worker, and answers by their status.
 #[derive(Debug)]
 pub(crate) struct Bare;
 
@@ -76,13 +76,23 @@
         unread()
     }
 
-    fn order(&self, _: &Order, _: u64, _: &Arc<str>) -> Request {
-        Request::new(Method::Post, "/look", Vec::new())
+    fn order(&self, order: &Order, _: u64, worker: &Arc<str>) -> Request {
+        let path = match order {
+            Order::Start(start) => format!("/{worker}/{}", start.task.job),
+            _ => format!("/{worker}/look"),
+        };
+        Request::new(Method::Post, path, Vec::new())
     }
 
     fn answer(&self, order: &Order, result: Result<Response, HttpError>) -> Answer {
         if let Order::Start(start) = order {
-            return Answer::Started(start.task, start.run, Started::Unknown);
+            let started = match result.map(|r| r.status) {
+                Ok(200) => Started::Done,
+                Ok(409) => Started::NoRoom,
+                Ok(_) => Started::Refused,
+                Err(_) => Started::Unknown,
+            };
+            return Answer::Started(start.task, start.run, started);
         }
         match result {
             Ok(_) => Answer::Looked(Look {
--- a/crates/node/src/owner/lines_tests.rs
+++ b/crates/node/src/owner/lines_tests.rs
@@ -1,12 +1,17 @@
-//! When a call to a worker is given up.
+//! When a call to a worker is given up, and whose answer each call gets.
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener},
-    sync::Arc,
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        mpsc::{Sender, channel},
+    },
     thread,
+    time::Duration,
 };
 
+use gorsespur_http::{Limits, Request, parse_request};
 use gorsespur_jobs::{Answer, JobId, StartOrder, Started, TaskId};
 use mio::{Events, Poll};
 
@@ -14,6 +19,7 @@
 use crate::{
     fakes_tests::{NoStore, shared},
     protocol::Order,
+    shared::Shared,
 };
 
 /// A worker that answers each request, or none; it ends with the test.
@@ -38,7 +44,11 @@
     addr
 }
 
+/// Longest wait of one turn.
+const TICK: Duration = Duration::from_millis(25);
+
 struct Desk {
+    shared: Arc<Shared>,
     poll: Poll,
     lines: Lines,
     sent: u64,
@@ -77,6 +87,7 @@
         poll: Poll::new().expect("descriptors"),
         lines: Lines::new(&shared, 1),
         sent: shared.clock.now(),
+        shared,
     };
     let addr = worker(answers);
     for order in orders {
@@ -105,6 +116,21 @@
         }
     }
 
+    /// Reads for a while as an owner does, and gives up what is due.
+    fn turn(&mut self) -> Vec<(u32, u64, Answer)> {
+        let mut events = Events::with_capacity(16);
+        let read = self.shared.clock.now();
+        let waited = self.poll.poll(&mut events, Some(TICK));
+        waited.expect("an event loop");
+        for event in &events {
+            let read = event.is_readable() || event.is_read_closed() || event.is_error();
+            let (token, write) = (event.token(), event.is_writable());
+            self.lines.ready(self.poll.registry(), token, read, write);
+        }
+        self.lines.expire(self.poll.registry(), read, false);
+        self.lines.take_answers()
+    }
+
     /// Gives up what is due if all that arrived by `at` was read.
     fn expire(&mut self, at: u64, late: bool) -> Vec<Answer> {
         self.lines.expire(self.poll.registry(), at, late);
@@ -158,3 +184,175 @@
     ];
     assert_eq!(came, expected);
 }
+
+/// Reads one request; nothing at the end of the connection.
+fn request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<Request> {
+    let mut chunk = [0; 1024];
+    loop {
+        if let Some((request, size)) = parse_request(buf, Limits::default()).expect("a request") {
+            buf.drain(..size);
+            return Some(request);
+        }
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => return None,
+            Ok(n) => buf.extend_from_slice(&chunk[..n]),
+        }
+    }
+}
+
+/// What a worker writes when it is to start a job, and whether it goes on afterwards.
+fn reply(job: u64) -> (&'static str, bool) {
+    match job % 6 {
+        0 => ("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", true),
+        1 => ("HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n", true),
+        2 => ("", false),
+        3 => (
+            "HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\n{\"clock",
+            false,
+        ),
+        4 => (
+            "HTTP/1.1 429 Many\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+            false,
+        ),
+        _ => ("HTTP/1.1 503 Busy\r\ncontent-length: 1\r\n\r\n-", true),
+    }
+}
+
+/// What the sender of that start is to be told.
+fn expected(job: u64) -> Started {
+    match job % 6 {
+        0 => Started::Done,
+        1 => Started::NoRoom,
+        2 | 3 => Started::Unknown,
+        _ => Started::Refused,
+    }
+}
+
+/// Answers what comes on a connection, each answer in two pieces, and tells of each request.
+fn serve(mut stream: TcpStream, to: &Sender<(SocketAddr, SocketAddr, String)>) {
+    let (own, peer) = (stream.local_addr(), stream.peer_addr());
+    let (own, peer) = (own.expect("bound"), peer.expect("connected"));
+    let mut buf = Vec::new();
+    while let Some(request) = request(&mut stream, &mut buf) {
+        let told = to.send((own, peer, request.path.clone()));
+        let job = request.path.rsplit('/').next().map(str::parse::<JobId>);
+        let (text, goes_on) = match job {
+            Some(Ok(job)) => reply(job.0),
+            _ => reply(0),
+        };
+        let (head, rest) = text.split_at(text.len() / 2);
+        let written = stream.write_all(head.as_bytes()).is_ok();
+        thread::sleep(Duration::from_millis(1));
+        let written = written && stream.write_all(rest.as_bytes()).is_ok();
+        // The end of a connection comes after what was sent on it.
+        thread::sleep(Duration::from_millis(1));
+        if told.is_err() || !written || !goes_on {
+            return;
+        }
+    }
+}
+
+/// A worker that answers on any number of connections.
+fn answering(to: &Sender<(SocketAddr, SocketAddr, String)>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let to = to.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, to) = (stream.expect("a connection"), to.clone());
+            thread::spawn(move || serve(stream, &to));
+        }
+    });
+    addr
+}
+
+/// Two workers and a later life at the address of the first one, on up to five connections
+/// each that are cut, closed and opened again: each order reaches its worker once and names it,
+/// no connection serves two lives, and each answer is that of its order.
+#[test]
+fn each_order_reaches_its_worker_and_gets_its_answer() {
+    let (to, requests) = channel();
+    let (first, second) = (answering(&to), answering(&to));
+    let lives = [(first, "a"), (second, "b"), (first, "c")];
+    let mut desk = sent(false, Vec::new());
+    let mut paths = Vec::new();
+    for round in 0..6 {
+        let mut left = 0;
+        for (slot, (addr, id)) in (0..).zip(lives) {
+            for job in (round * 6..round * 6 + 6).map(|j| j * 3 + u64::from(slot)) {
+                let target = (addr, id.into());
+                desk.lines
+                    .send(desk.poll.registry(), slot, target, start(job));
+                left += 1;
+            }
+        }
+        while left > 0 {
+            for (slot, _, answer) in desk.turn() {
+                let Answer::Started(task, 1, started) = answer else {
+                    panic!("{answer:?}");
+                };
+                let (job, (addr, id)) = (task.job, lives[slot as usize]);
+                assert_eq!(job.0 % 3, u64::from(slot));
+                left -= 1;
+                // On a busy machine some wait for too long.
+                if started == Started::Withdrawn {
+                    continue;
+                }
+                assert_eq!(started, expected(job.0), "{job}");
+                paths.push((addr, format!("/{id}/{job}")));
+            }
+        }
+    }
+    let told: Vec<_> = requests.try_iter().collect();
+    let mut got: Vec<_> = told.iter().map(|(at, _, p)| (*at, p.clone())).collect();
+    got.sort();
+    paths.sort();
+    assert_eq!(got, paths);
+    for (_, peer, path) in &told {
+        let same = told.iter().filter(|t| t.1 == *peer);
+        assert!(same.clone().all(|t| t.2[..3] == path[..3]), "{path}");
+    }
+}
+
+/// A worker that is held up answers after its call was given up: that answer belongs to no
+/// call, also while the next order is under way.
+#[test]
+fn an_answer_that_comes_late_is_nobodys() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let mut desk = sent(false, Vec::new());
+    let target = (addr, "w".into());
+    desk.lines.send(desk.poll.registry(), 0, target, start(1));
+    // The connection stands, and the order is sent.
+    let (mut late, _) = listener.accept().expect("a connection");
+    let mut events = Events::with_capacity(16);
+    desk.poll.poll(&mut events, None).expect("an event loop");
+    for event in &events {
+        desk.lines
+            .ready(desk.poll.registry(), event.token(), false, true);
+    }
+    let read = request(&mut late, &mut Vec::new()).expect("a request");
+    assert!(read.path.ends_with('1'));
+    let given_up = desk.expire(desk.sent + 60_000, false);
+    assert!(matches!(
+        given_up[..],
+        [Answer::Started(_, 1, Started::Unknown)]
+    ));
+    let target = (addr, "w".into());
+    desk.lines.send(desk.poll.registry(), 0, target, start(2));
+    // Its sender may have closed that connection already.
+    let written = late.write_all(reply(0).0.as_bytes());
+    let worker = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let read = request(&mut stream, &mut Vec::new()).expect("a request");
+        let answered = stream.write_all(reply(1).0.as_bytes());
+        (stream, read, answered)
+    });
+    let answers = desk.read();
+    let (_stream, read, answered) = worker.join().expect("a worker");
+    assert!(read.path.ends_with('2') && answered.is_ok(), "{written:?}");
+    assert!(matches!(
+        answers[..],
+        [(0, _, Answer::Started(task, 1, Started::NoRoom))] if task.job == JobId(2)
+    ));
+}
