Test that a start brings a checkpoint of its own task; two tests of gangs fail

Missing: no test followed checkpoints over ends, crashes, late and overtaking answers, starts carried out late, and takeovers; none looked at what the members of a gang bring, nor at a name that comes again with other steps. Cause of the failures: each member of a gang is started with what it listed itself; the users' protocol wants one checkpoint for all. Change: a play of owners, workers and a store with six jobs of alike names, two steps and up to three times that overlap; the judge holds each start against what its task (of a gang, any member) has listed. A name that comes again stays the first job, also for a later owner.

--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod guards;
 mod load;
 mod promises;
+mod records;
 mod regression;
 mod resizing;
 mod sharing;
