Read the end of a connection that comes with its last bytes

Starts whose worker ended the connection behind half an answer waited 700 ms for their limit, and those queued behind them were withdrawn; behind a whole answer the connection was kept, and the next order was lost on it. Cause: the event loop tells only once of what arrives together, and reading stopped at the first short read. Now what it tells of the peer's end goes to the connection, which then reads until there is nothing; an answer that is whole counts, also where the end or a reset lies behind it, and is the last one there.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use client::Client;
 pub use error::HttpError;
-pub use link::Link;
+pub use link::{Link, Readiness};
 pub use message::{Method, Request, Response};
 pub use parse::{Limits, parse_request, parse_response};
 pub use server::{Handler, Server, ServerSettings};
--- a/crates/http/src/link.rs
+++ b/crates/http/src/link.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
 };
 
-use mio::{Interest, Registry, Token, net::TcpStream};
+use mio::{Interest, Registry, Token, event::Event, net::TcpStream};
 
 use crate::{
     error::{HttpError, LostSnafu, not_connected},
@@ -17,6 +17,28 @@
 /// Bytes that one read takes at most.
 const CHUNK: usize = 16 << 10;
 
+/// What an event loop tells of a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Readiness {
+    /// Something has arrived, the end or a failure included.
+    pub read: bool,
+    /// More can be sent.
+    pub write: bool,
+    /// The peer sends nothing more.
+    pub ended: bool,
+}
+
+impl From<&Event> for Readiness {
+    fn from(event: &Event) -> Readiness {
+        let ended = event.is_read_closed() || event.is_error();
+        Readiness {
+            read: event.is_readable() || ended,
+            write: event.is_writable(),
+            ended,
+        }
+    }
+}
+
 /// One connection with at most one request under way.
 ///
 /// Limits on time are the event loop's: it drops links that are late.
@@ -75,27 +97,25 @@
         self.flush()
     }
 
-    /// Reads after the socket became readable; returns the answer once it is whole.
-    ///
-    /// What comes without having been asked for is a failure, and an answer with more behind it,
-    /// or to a request that is not sent whole, is the last one: on a kept connection the rest
-    /// would be taken for the answer to the next request.
-    pub fn readable(&mut self) -> Result<Option<Response>, HttpError> {
-        let mut chunk = [0; CHUNK];
-        loop {
-            match self.stream.read(&mut chunk) {
-                Ok(0) => return LostSnafu { message: "closed" }.fail(),
-                Ok(n) => {
-                    self.input.extend_from_slice(&chunk[..n]);
-                    if n < CHUNK {
-                        break;
-                    }
-                }
-                Err(err) if err.kind() == ErrorKind::WouldBlock => break,
-                Err(err) if err.kind() == ErrorKind::Interrupted => continue,
-                Err(err) => return Err(self.failed(err)),
-            }
+    /// Does what the event loop tells that can be done; returns the answer once it is whole.
+    pub fn ready(&mut self, readiness: Readiness) -> Result<Option<Response>, HttpError> {
+        if readiness.write {
+            self.writable()?;
         }
+        match readiness.read {
+            true => self.readable(readiness.ended),
+            false => Ok(None),
+        }
+    }
+
+    /// Reads after the socket became readable; returns the answer once it is whole. `ended`
+    /// tells that the peer sends nothing more.
+    ///
+    /// What comes without having been asked for is a failure. An answer with more behind it, or
+    /// to a request that is not sent whole, is the last one: on a kept connection the rest would
+    /// be taken for the answer to the next request.
+    pub fn readable(&mut self, ended: bool) -> Result<Option<Response>, HttpError> {
+        let end = self.read_all(ended);
         if !self.asked && !self.input.is_empty() {
             return LostSnafu {
                 message: "bytes that nobody asked for",
@@ -103,14 +123,41 @@
             .fail();
         }
         let Some((mut response, size)) = parse_response(&self.input, Limits::default())? else {
-            return Ok(None);
+            return end.map_or(Ok(None), Err);
         };
-        response.keep &= size == self.input.len() && self.sent == self.out.len();
+        let whole = size == self.input.len() && self.sent == self.out.len();
+        response.keep &= whole && end.is_none();
         self.input.clear();
         self.asked = false;
         Ok(Some(response))
     }
 
+    /// Reads what has arrived; returns how the connection ended if it did.
+    ///
+    /// A short read usually means that nothing is left, but an end that came with the last bytes
+    /// has to be read as well: the event loop tells of both only once.
+    fn read_all(&mut self, ended: bool) -> Option<HttpError> {
+        let mut chunk = [0; CHUNK];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => {
+                    return Some(HttpError::Lost {
+                        message: "closed".into(),
+                    });
+                }
+                Ok(n) => {
+                    self.input.extend_from_slice(&chunk[..n]);
+                    if n < CHUNK && !ended {
+                        return None;
+                    }
+                }
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return None,
+                Err(err) if err.kind() == ErrorKind::Interrupted => continue,
+                Err(err) => return Some(self.failed(err)),
+            }
+        }
+    }
+
     /// Takes the connection out of its event loop.
     pub fn close(mut self, registry: &Registry) {
         if let Err(err) = registry.deregister(&mut self.stream) {
--- a/crates/http/tests/links.rs
+++ b/crates/http/tests/links.rs
@@ -66,15 +66,7 @@
             }
             for event in &events {
                 let link = self.link.as_mut().expect("connected");
-                let mut result = Ok(None);
-                if event.is_writable() {
-                    result = link.writable().map(|()| None);
-                }
-                let read = event.is_readable() || event.is_read_closed();
-                if read && result.is_ok() {
-                    result = link.readable();
-                }
-                let Some(result) = result.transpose() else {
+                let Some(result) = link.ready(event.into()).transpose() else {
                     continue;
                 };
                 if !result.as_ref().is_ok_and(|r| r.keep) {
@@ -192,7 +184,7 @@
         caller.poll.poll(&mut events, None).expect("an event loop");
     }
     let link = caller.link.as_mut().expect("connected");
-    let read = link.readable();
+    let read = link.readable(false);
     if !matches!(&read, Ok(found) if found.as_ref().is_none_or(|r| r.keep)) {
         return;
     }
--- a/crates/node/src/owner/lines.rs
+++ b/crates/node/src/owner/lines.rs
@@ -7,7 +7,7 @@
     sync::Arc,
 };
 
-use gorsespur_http::{HttpError, Link, Response};
+use gorsespur_http::{HttpError, Link, Readiness, Response};
 use gorsespur_jobs::{Answer, Started};
 use mio::{Registry, Token};
 
@@ -91,7 +91,7 @@
     }
 
     /// Handles a connection that became ready.
-    pub(crate) fn ready(&mut self, registry: &Registry, token: Token, read: bool, write: bool) {
+    pub(crate) fn ready(&mut self, registry: &Registry, token: Token, readiness: Readiness) {
         let (worker, line) = ((token.0 / LINES) as u32, token.0 % LINES);
         let Some(Some(post)) = self.posts.get_mut(worker as usize) else {
             return;
@@ -99,14 +99,7 @@
         let Some(link) = post.lines[line].link.as_mut() else {
             return;
         };
-        let mut result = Ok(None);
-        if write {
-            result = link.writable().map(|()| None);
-        }
-        if read && result.is_ok() {
-            result = link.readable();
-        }
-        match result {
+        match link.ready(readiness) {
             Ok(None) => {}
             Ok(Some(response)) => {
                 if !response.keep {
--- a/crates/node/src/owner/lines_tests.rs
+++ b/crates/node/src/owner/lines_tests.rs
@@ -105,9 +105,8 @@
             let waited = self.poll.poll(&mut events, None);
             waited.expect("an event loop");
             for event in &events {
-                let read = event.is_readable() || event.is_read_closed();
-                let (token, write) = (event.token(), event.is_writable());
-                self.lines.ready(self.poll.registry(), token, read, write);
+                self.lines
+                    .ready(self.poll.registry(), event.token(), event.into());
             }
             let answers = self.lines.take_answers();
             if !answers.is_empty() {
@@ -123,9 +122,8 @@
         let waited = self.poll.poll(&mut events, Some(TICK));
         waited.expect("an event loop");
         for event in &events {
-            let read = event.is_readable() || event.is_read_closed() || event.is_error();
-            let (token, write) = (event.token(), event.is_writable());
-            self.lines.ready(self.poll.registry(), token, read, write);
+            self.lines
+                .ready(self.poll.registry(), event.token(), event.into());
         }
         self.lines.expire(self.poll.registry(), read, false);
         self.lines.take_answers()
@@ -329,7 +327,7 @@
     desk.poll.poll(&mut events, None).expect("an event loop");
     for event in &events {
         desk.lines
-            .ready(desk.poll.registry(), event.token(), false, true);
+            .ready(desk.poll.registry(), event.token(), event.into());
     }
     let read = request(&mut late, &mut Vec::new()).expect("a request");
     assert!(read.path.ends_with('1'));
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -117,10 +117,8 @@
                 if event.token() == WAKE {
                     continue;
                 }
-                let read = event.is_readable() || event.is_read_closed() || event.is_error();
                 let registry = self.inbox.poll.registry();
-                self.lines
-                    .ready(registry, event.token(), read, event.is_writable());
+                self.lines.ready(registry, event.token(), event.into());
             }
             if !wake.partial {
                 break;
