Test that a rejected checkpoint is not brought again; it fails

Symptom: a worker rejects a start whose checkpoint is not the task's, as malformed. The same start goes to one worker after the other, every 20 ms, until each of them gets no work for a while, and again after that, until the end; the job never ends. The tests' workers now reject what was not written for the task.

--- a/crates/jobs/tests/all/common/checkpoints.rs
+++ b/crates/jobs/tests/all/common/checkpoints.rs
@@ -69,6 +69,8 @@
     /// Runs that failed.
     failed: BTreeSet<(TaskId, u32)>,
     pub brought: Brought,
+    /// What workers rejected, as it came.
+    pub rejected: Vec<(TaskId, Arc<str>)>,
 }
 
 impl Checkpoints {
@@ -87,6 +89,23 @@
         self.written.get(text).map_or(0, |c| c.progress)
     }
 
+    /// Tells whether an order brings none, or one that was written for its task or gang.
+    pub fn is_own(&self, order: &StartOrder) -> bool {
+        let gang = order.spec.steps[order.task.step as usize].gang;
+        let made = self.written.get(&order.saved);
+        let own = made.is_some_and(|c| holder(c.task, gang) == holder(order.task, gang));
+        order.saved.is_empty() || own
+    }
+
+    /// A worker rejected what an order brings; returns what is wrong if it did so before.
+    pub fn rejected(&mut self, order: &StartOrder) -> Option<String> {
+        self.rejected.push((order.task, order.saved.clone()));
+        let (task, saved) = (order.task, &order.saved);
+        let before = &self.rejected[..self.rejected.len() - 1];
+        let again = before.iter().any(|(t, s)| *t == task && s == saved);
+        again.then(|| format!("{task} brings {saved} again, which was rejected"))
+    }
+
     /// A run ended failed.
     pub fn failed(&mut self, task: TaskId, run: u32) {
         self.failed.insert((task, run));
--- a/crates/jobs/tests/all/common/judge.rs
+++ b/crates/jobs/tests/all/common/judge.rs
@@ -84,6 +84,13 @@
         }
     }
 
+    /// A worker rejected the checkpoint that an order brings.
+    pub fn rejected(&mut self, now: u64, order: &StartOrder) {
+        if let Some(wrong) = self.checkpoints.rejected(order) {
+            self.wrong.push(format!("{now}: {wrong}"));
+        }
+    }
+
     /// A run began on a worker, which may not be over its room by that.
     pub fn fitted(&mut self, now: u64, worker: &SimWorker) {
         if worker.is_over(now, SHRUNK) {
--- a/crates/jobs/tests/all/common/orders.rs
+++ b/crates/jobs/tests/all/common/orders.rs
@@ -146,7 +146,10 @@
             }
             Action::Start(_, order) => {
                 let mut started = Started::Unknown;
-                if reached {
+                if reached && !self.judge.checkpoints.is_own(order) {
+                    started = Started::Refused;
+                    self.judge.rejected(now, order);
+                } else if reached {
                     let before = worker.runs.len();
                     let progress = self.judge.checkpoints.progress(&order.saved);
                     started = worker.start(now, fence, order, progress);
