--- a/crates/jobs/tests/all/resizing.rs
+++ b/crates/jobs/tests/all/resizing.rs
@@ -7,6 +7,7 @@
 use crate::common::{World, WorldSettings, chain, check_seed, serving, short};
 use gorsespur_jobs::{JobId, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
+use test_case::test_case;
 
 /// Cores and memory of a worker in full.
 const FULL: (u64, u64) = (8000, 16000);
@@ -149,3 +150,163 @@
         check_seed(&world, seed);
     }
 }
+
+/// Workers of the world with bursts; a quarter of them shrinks.
+const MANY: usize = 8;
+
+/// What is left of a worker that has shrunk to 0.55 of its room.
+const LEFT: (u64, u64) = (4400, 8800);
+
+/// Usually a job comes each so many milliseconds ...
+const USUAL: u64 = 130;
+
+/// ... and in a burst each so many.
+const PRESSED: u64 = 90;
+
+/// Thousandths of a core that each task asks for.
+const SMALLEST: u64 = 1000;
+
+/// Milliseconds until owners hear of a worker's room.
+const HEARD: u64 = 800;
+
+/// The first of the jobs that come in turn.
+const FIRST: u64 = 10;
+
+/// What happens to owners while workers are shrunk.
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    /// Nothing.
+    None,
+    /// The owner is killed, and another one takes over.
+    Killed,
+    /// The store is away when the room shrinks, and for some seconds.
+    Away,
+}
+
+/// Short jobs are handed in, at times in a burst; what begins on workers is watched.
+struct Burst {
+    world: World,
+    /// Workers with less room than owners may think, and since when.
+    shrunk: Vec<(usize, u64)>,
+    /// The next job, and the time for it.
+    next: (u64, u64),
+    /// Starts that workers took, and runs that did not do their work.
+    counted: (u64, u64),
+}
+
+impl Burst {
+    fn new(guards: bool) -> Burst {
+        let mut world = world(MANY, 0);
+        for worker in &mut world.workers {
+            worker.guards = guards;
+        }
+        let lasting = Step {
+            spread: 2,
+            ..serving(2 * MANY as u32)
+        };
+        world.submit(1, chain(vec![lasting]));
+        world.run(1500);
+        assert!(world.workers.iter().all(|w| w.runs.len() == 2));
+        let next = (FIRST, world.now);
+        Burst {
+            world,
+            shrunk: Vec::new(),
+            next,
+            counted: (0, 0),
+        }
+    }
+
+    /// Adds what the owner counted: it is about to be killed, or all is done.
+    fn count(&mut self) {
+        let figures = self.world.figures();
+        self.counted.0 += figures.starts - figures.refused;
+        self.counted.1 += figures.stopped + figures.lapsed + figures.failed;
+    }
+
+    /// Runs for so long while a job comes each `every` milliseconds.
+    fn run(&mut self, ms: u64, every: u64) {
+        let world = &mut self.world;
+        let end = world.now + ms;
+        while world.now < end {
+            let (id, at) = self.next;
+            if world.now >= at {
+                world.submit(id, chain(vec![short(3, 700), short(2, 900)]));
+                self.next = (id + 1, at + every);
+            }
+            world.run(5);
+            for &(at, since) in &self.shrunk {
+                let (worker, now) = (&world.workers[at], world.now);
+                let begins = worker.runs.iter().any(|r| r.begun + 5 > now);
+                let is_late = now > since + HEARD + 50;
+                assert!(
+                    !(begins && is_late && worker.is_over(now, 0)),
+                    "{now}: a task begins on {} beyond its room",
+                    worker.id,
+                );
+            }
+        }
+    }
+
+    /// The room of the first quarter changes; owners hear of it a little later.
+    fn resize(&mut self, room: (u64, u64), every: u64) {
+        let now = self.world.now;
+        self.shrunk.clear();
+        for at in 0..MANY / 4 {
+            self.world.workers[at].resize(room, now);
+            if room != FULL {
+                self.shrunk.push((at, now));
+            }
+        }
+        self.run(HEARD, every);
+        for at in 0..MANY / 4 {
+            self.world.announce(at, true);
+        }
+    }
+}
+
+/// A quarter of the workers has 0.55 of its room for 14 s, and a burst comes meanwhile. What runs
+/// there goes on, nothing begins beyond what is left, whether the worker guards itself or not, no
+/// task is started twice, and room that is back is used within a second.
+#[test_case(Trouble::None, true)]
+#[test_case(Trouble::None, false)]
+#[test_case(Trouble::Killed, true)]
+#[test_case(Trouble::Killed, false)]
+#[test_case(Trouble::Away, true)]
+#[test_case(Trouble::Away, false)]
+fn a_quarter_that_shrinks_under_a_burst_is_used_again(trouble: Trouble, guards: bool) {
+    let mut burst = Burst::new(guards);
+    burst.run(4000, USUAL);
+    burst.world.store_down = matches!(trouble, Trouble::Away);
+    burst.run(200, USUAL);
+    burst.resize(LEFT, USUAL);
+    burst.run(4000 - HEARD, USUAL);
+    burst.world.store_down = false;
+    burst.run(1000, USUAL);
+    if matches!(trouble, Trouble::Killed) {
+        burst.count();
+        burst.world.pause(true);
+        let over = burst.world.lease_end();
+        burst.run(1500, PRESSED);
+        burst.world.take_over(over);
+    } else {
+        burst.run(1500, PRESSED);
+    }
+    burst.run(4500, PRESSED);
+    for worker in &burst.world.workers[..MANY / 4] {
+        let used = worker.used().0;
+        assert!(used + SMALLEST > LEFT.0, "{} has {used}", worker.id);
+    }
+    burst.run(3000, USUAL);
+    burst.resize(FULL, PRESSED);
+    burst.run(1000 - HEARD, PRESSED);
+    for worker in &burst.world.workers[..MANY / 4] {
+        let (used, _) = worker.used();
+        assert!(used > LEFT.0, "{} has {used}", worker.id);
+    }
+    let world = &mut burst.world;
+    assert!(world.run_until_done(60_000), "jobs are left");
+    check_seed(world, 0);
+    burst.count();
+    let tasks = 2 * MANY as u64 + 5 * (burst.next.0 - FIRST);
+    assert_eq!(burst.counted, (tasks, 0), "begun, and ended otherwise");
+}
