Tell what an earlier owner started at which pace it may work

Filling tasks that an earlier owner had halted stayed so under the next one for 7 s, were stopped as standing still, and their worker was blamed for it. Cause: a run that an owner finds on a worker was taken for one at full pace, so that an order for full pace was never sent. Now its pace is unknown until one was told, which the first figures of its worker lead to; it costs one order for each such run that fills, once after a takeover. What disturbs is slowed by what the earlier owner learned, which the new one goes on with.

--- a/crates/jobs/src/share/pace.rs
+++ b/crates/jobs/src/share/pace.rs
@@ -10,7 +10,10 @@
 use crate::{
     action::Action,
     machine::Machine,
-    model::{ids::TaskId, task::Stage},
+    model::{
+        ids::TaskId,
+        task::{Stage, UNKNOWN_PACE},
+    },
     share::{
         headroom::LEAST_HEADROOM,
         slack::{Filler, Served},
@@ -135,7 +138,7 @@
             return;
         };
         let pace = steady(filler.pace, pace);
-        if pace != run.wanted {
+        if pace != run.wanted || run.pace == UNKNOWN_PACE {
             run.wanted = pace;
             self.pacing.push(id);
         }
@@ -200,8 +203,7 @@
         };
         run.pacing = false;
         if !done {
-            // Unknown: any other value makes it be sent again.
-            run.pace = u32::MAX;
+            run.pace = UNKNOWN_PACE;
             self.pacing.push(id);
         }
     }
