Tell connections apart by their number in the test of an owner's orders

Cause: the test took the caller's port for the name of a connection. Change: connections are numbered as each worker accepts them.

--- a/crates/node/src/owner/lines_tests.rs
+++ b/crates/node/src/owner/lines_tests.rs
@@ -228,13 +228,15 @@
     }
 }
 
+/// A request: where it came to, on which connection there, and its path.
+type Told = (SocketAddr, usize, String);
+
 /// Answers what comes on a connection, each answer in two pieces, and tells of each request.
-fn serve(mut stream: TcpStream, to: &Sender<(SocketAddr, SocketAddr, String)>) {
-    let (own, peer) = (stream.local_addr(), stream.peer_addr());
-    let (own, peer) = (own.expect("bound"), peer.expect("connected"));
+fn serve(mut stream: TcpStream, connection: usize, to: &Sender<Told>) {
+    let own = stream.local_addr().expect("bound");
     let mut buf = Vec::new();
     while let Some(request) = request(&mut stream, &mut buf) {
-        let told = to.send((own, peer, request.path.clone()));
+        let told = to.send((own, connection, request.path.clone()));
         let job = request.path.rsplit('/').next().map(str::parse::<JobId>);
         let (text, goes_on) = match job {
             Some(Ok(job)) => reply(job.0),
@@ -253,14 +255,14 @@
 }
 
 /// A worker that answers on any number of connections.
-fn answering(to: &Sender<(SocketAddr, SocketAddr, String)>) -> SocketAddr {
+fn answering(to: &Sender<Told>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let addr = listener.local_addr().expect("bound");
     let to = to.clone();
     thread::spawn(move || {
-        for stream in listener.incoming() {
+        for (at, stream) in listener.incoming().enumerate() {
             let (stream, to) = (stream.expect("a connection"), to.clone());
-            thread::spawn(move || serve(stream, &to));
+            thread::spawn(move || serve(stream, at, &to));
         }
     });
     addr
@@ -308,9 +310,9 @@
     got.sort();
     paths.sort();
     assert_eq!(got, paths);
-    for (_, peer, path) in &told {
-        let same = told.iter().filter(|t| t.1 == *peer);
-        assert!(same.clone().all(|t| t.2[..3] == path[..3]), "{path}");
+    for (addr, connection, path) in &told {
+        let mut same = told.iter().filter(|t| (&t.0, &t.1) == (addr, connection));
+        assert!(same.all(|t| t.2[..3] == path[..3]), "{path}");
     }
 }
 
