Test that members of a gang go on from the same checkpoint, which they don't

Seen by reading: what a gang's members list is kept for each of them, and each of them is started again with its own; PROTOCOL says that the one of any member is good for its gang and that all must bring the same. Cause: place_gang chooses one run number for all members, and nothing chooses one checkpoint; send_start takes each task's own. Measured: all four fail: members bring a-20, b-22 and c-19, or b-22 and nothing.

--- /dev/null
+++ b/crates/jobs/tests/all/gangs.rs
@@ -0,0 +1,222 @@
+//! Gangs that go on from saved progress.
+//!
+//! The members of a gang save their progress at moments of their own, so that what they list
+//! differs. That of any member is good for all, and a run of the gang has to begin with the same
+//! one everywhere.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use gorsespur_jobs::{
+    Action, Answer, Capacity, End, Ending, Event, Job, JobId, Look, Machine, QueuePolicy, Running,
+    Settings, StartOrder, Started, Step, Stopped, Takeover, TaskId, WorkerInfo,
+};
+use test_case::test_case;
+
+use crate::common::{chain, short};
+
+/// Members of the gang, and workers, each of which has room for one.
+const MEMBERS: u32 = 3;
+
+/// Runs on a worker and ends that it lists.
+#[derive(Debug, Default)]
+struct Lists {
+    running: Vec<Running>,
+    finished: Vec<End>,
+    /// Ends so far.
+    ends: u64,
+}
+
+/// An owner, its store and its workers, all of which answer at once.
+struct Owner {
+    machine: Machine,
+    now: u64,
+    workers: BTreeMap<u32, Lists>,
+    starts: Vec<StartOrder>,
+}
+
+impl Owner {
+    fn new(step: Step) -> Owner {
+        let now = 100_000;
+        let takeover = Takeover {
+            asked: now,
+            inherited: 0,
+        };
+        let mut owner = Owner {
+            machine: Machine::new(Settings::default(), now, takeover),
+            now,
+            workers: BTreeMap::new(),
+            starts: Vec::new(),
+        };
+        owner.tell(Event::Queues(vec![QueuePolicy {
+            queue: "q".into(),
+            service: "s".into(),
+            priority: 0,
+            attempts: 3,
+            stretch: 1.5,
+            latency: 250,
+        }]));
+        for at in 0..MEMBERS {
+            let id: Arc<str> = format!("w{at}").into();
+            owner.tell(Event::Worker(WorkerInfo {
+                id,
+                addr: ([127, 0, 0, 1], 1000 + at as u16).into(),
+                service: "s".into(),
+                zone: "z".into(),
+                labels: Vec::new(),
+                rack: "r".into(),
+                capacity: Capacity {
+                    cpu: 1000,
+                    memory: 1000,
+                    gpu: 0,
+                },
+                ready: true,
+                remaining: 0,
+            }));
+        }
+        owner.tell(Event::Accepted(Arc::new(Job {
+            id: JobId(1),
+            queue: "q".into(),
+            accepted: 0,
+            spec: Arc::new(chain(vec![step])),
+        })));
+        owner
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.machine.handle(self.now, self.now, event);
+    }
+
+    /// Runs for so many milliseconds.
+    fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 5;
+            let asked = self.now;
+            self.tell(Event::Current { asked });
+            self.tell(Event::Renewed { asked });
+            for action in self.machine.settle(self.now, self.now) {
+                self.act(action);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let sent = self.now;
+        let (worker, answer) = match action {
+            Action::Commit(_) => return self.tell(Event::Committed { asked: sent }),
+            Action::Depose => panic!("there is no other owner"),
+            Action::Look {
+                worker, observed, ..
+            } => {
+                let lists = self.workers.entry(worker).or_default();
+                lists.finished.retain(|e| e.number > observed);
+                let look = Look {
+                    clock: sent,
+                    running: lists.running.clone(),
+                    finished: lists.finished.clone(),
+                };
+                (worker, Answer::Looked(look))
+            }
+            Action::Start(worker, order) => {
+                self.workers
+                    .entry(worker)
+                    .or_default()
+                    .running
+                    .push(Running {
+                        task: order.task,
+                        run: order.run,
+                        saved: order.saved.clone(),
+                        percent: 10,
+                        figure: None,
+                    });
+                let answer = Answer::Started(order.task, order.run, Started::Done);
+                self.starts.push(order);
+                (worker, answer)
+            }
+            Action::Stop { worker, task, run } => {
+                (worker, Answer::Stopped(task, run, Stopped::Done))
+            }
+            Action::Pace {
+                worker, task, run, ..
+            } => (worker, Answer::Paced(task, run, true)),
+        };
+        self.tell(Event::Answer {
+            worker,
+            sent,
+            answer,
+        });
+    }
+
+    /// Has a member save its progress.
+    fn save(&mut self, index: u32, saved: &str) {
+        let runs = self.workers.values_mut().flat_map(|w| &mut w.running);
+        for run in runs.filter(|r| r.task.index == index) {
+            run.saved = saved.into();
+        }
+    }
+
+    /// All runs end: the first member's so, the others' since it did.
+    fn end(&mut self, first: Ending) {
+        for lists in self.workers.values_mut() {
+            for run in std::mem::take(&mut lists.running) {
+                lists.ends += 1;
+                lists.finished.push(End {
+                    number: lists.ends,
+                    task: run.task,
+                    run: run.run,
+                    ending: match run.task.index {
+                        0 => first,
+                        _ => Ending::Broken,
+                    },
+                    saved: run.saved,
+                });
+            }
+        }
+    }
+
+    /// Takes the starts that were sent: one of each member, all with the same number.
+    fn take_starts(&mut self) -> Vec<StartOrder> {
+        let mut starts = std::mem::take(&mut self.starts);
+        starts.sort_by_key(|s| s.task);
+        let members: Vec<TaskId> = starts.iter().map(|s| s.task).collect();
+        let expected: Vec<TaskId> = (0..MEMBERS)
+            .map(|index| TaskId {
+                job: JobId(1),
+                time: 0,
+                step: 0,
+                index,
+            })
+            .collect();
+        assert_eq!(members, expected);
+        assert!(starts.iter().all(|s| s.run == starts[0].run));
+        starts
+    }
+}
+
+/// Each member lists a text of its own when the gang is stopped, or when one of them fails, and
+/// some list none yet. Their next run brings the same one for all of them, since members that go
+/// on from different progress can't work jointly.
+#[test_case(Ending::Stopped, &["a-20", "b-22", "c-19"]; "stopped")]
+#[test_case(Ending::Stopped, &["", "b-22", ""]; "stopped where one saved")]
+#[test_case(Ending::Failed, &["a-20", "b-22", "c-19"]; "failed")]
+#[test_case(Ending::Failed, &["a-20", "", "c-19"]; "failed where two saved")]
+fn members_of_a_gang_go_on_from_the_same_progress(first: Ending, saved: &[&str]) {
+    let mut owner = Owner::new(Step {
+        gang: true,
+        checkpoints: true,
+        ..short(MEMBERS, 30_000)
+    });
+    owner.run(500);
+    let starts = owner.take_starts();
+    assert!(starts.iter().all(|s| s.saved.is_empty()));
+    for (index, saved) in (0..).zip(saved) {
+        owner.save(index, saved);
+    }
+    owner.run(1000);
+    owner.end(first);
+    owner.run(2000);
+    let starts = owner.take_starts();
+    let brought: Vec<&str> = starts.iter().map(|s| &*s.saved).collect();
+    assert!(brought.iter().all(|&s| s == brought[0]), "{brought:?}");
+    assert!(!brought[0].is_empty() && saved.contains(&brought[0]));
+}
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod crashing;
 mod evacuation;
+mod gangs;
 mod guards;
 mod load;
 mod promises;
