--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod crashing;
 mod evacuation;
+mod gangs;
 mod guards;
 mod load;
 mod promises;
