--- a/crates/http/tests/links.rs
+++ b/crates/http/tests/links.rs
@@ -195,6 +195,32 @@
     }
 }
 
+/// What has arrived answers nothing either where the next call is sent before the event loop
+/// tells of it: an owner reads all answers of a turn, and then sends the next orders.
+#[test_case(SURPLUS; "a whole answer")]
+#[test_case(b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"; "a farewell")]
+fn what_lies_there_before_a_call_does_not_answer_it(before: &'static [u8]) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut caller = Caller::new(listener.local_addr().expect("bound"));
+    let peer = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buf = Vec::new();
+        read_request(&mut stream, &mut buf).expect("a request");
+        stream.write_all(OWN).expect("sent");
+        stream
+    });
+    assert_eq!(caller.call(&request(b"")).expect("an answer").body, b"own");
+    let mut stream = peer.join().expect("a peer");
+    stream.write_all(before).expect("sent");
+    thread::sleep(Duration::from_millis(20));
+    if caller.send(&request(b"")).is_err() {
+        return;
+    }
+    if let Ok(response) = caller.answer() {
+        assert_eq!(response.body, b"own", "{response:?}");
+    }
+}
+
 /// A peer that does as it is told: it reads only when asked to.
 struct Peer {
     stream: TcpStream,
--- a/crates/jobs/tests/all/checkpoints.rs
+++ b/crates/jobs/tests/all/checkpoints.rs
@@ -77,6 +77,132 @@
     assert_eq!(world.outcome(id), Outcome::Complete);
 }
 
+/// All members of a gang bring the same wrong text, and each start is rejected. Only the first
+/// answer finds the checkpoint, which all members lose by it; the others look like rejected
+/// starts without one, and their workers are blamed, three times each: the whole fleet gets no
+/// work for a while.
+#[test]
+fn a_rejected_checkpoint_of_a_gang_is_no_workers_fault() {
+    let gang = Step {
+        gang: true,
+        spread: 4,
+        ..saving(short(12, 3000))
+    };
+    let mut world = World::new(WorldSettings::default());
+    world.away = 60_000;
+    world.run(100);
+    let id = world.submit(1, chain(vec![gang]));
+    world.run(1500);
+    for run in world.workers.iter_mut().flat_map(|w| &mut w.runs) {
+        run.saved = ("another's".into(), 3000);
+    }
+    world.run(1000);
+    world.crash(0);
+    while world.judge.checkpoints.rejected.len() < 12 {
+        world.run(20);
+    }
+    let began = world.now;
+    let other = world.submit(2, chain(vec![short(4, 200)]));
+    while !world.outcome(other).is_final() {
+        world.run(20);
+    }
+    let took = world.now - began;
+    assert!(took < 1000, "the other job took {took} ms");
+    assert_eq!(world.figures().rejected, 12, "the other job took {took} ms");
+    assert!(world.run_until_done(15_000));
+    assert_eq!(world.outcome(id), Outcome::Complete);
+    check_seed(&world, 0);
+}
+
+/// A worker rejects all that it is told to start. The other members of the gang begin with the
+/// same checkpoint and list it, so that it comes back; the worker is not blamed, looks idle and
+/// gets a member of the next run as well.
+#[test]
+fn a_worker_that_rejects_all_does_not_hold_up_a_gang() {
+    let gang = Step {
+        gang: true,
+        ..short(3, 3000)
+    };
+    let (mut world, id) = world(saving(gang));
+    world.workers[3].mode = Mode::Rejects;
+    world.crash(0);
+    let done = world.run_until_done(60_000);
+    let rejected = &world.workers[3].rejected;
+    let texts = rejected.iter().filter(|(_, s)| !s.is_empty()).count();
+    let rejected = rejected.len();
+    assert!(
+        done,
+        "{rejected} rejected, {texts} of them with a checkpoint"
+    );
+    assert_eq!(world.outcome(id), Outcome::Complete);
+    check_seed(&world, 0);
+}
+
+/// The owner is gone before the record without the rejected checkpoint is durable.
+#[test]
+fn a_rejection_may_be_lost_with_its_owner_once() {
+    let (mut world, id) = world(saving(short(3, 3000)));
+    world.workers[0].runs[0].saved = ("another's".into(), 3000);
+    world.run(1000);
+    world.crash(0);
+    while world.judge.checkpoints.rejected.is_empty() {
+        world.run(5);
+    }
+    world.pause(true);
+    world.take_over(world.lease_end());
+    assert!(world.run_until_done(30_000));
+    assert_eq!(world.outcome(id), Outcome::Complete);
+    let rejected = world.judge.checkpoints.rejected.len();
+    assert_eq!((rejected, world.judge.wrong.len()), (2, 1));
+}
+
+/// What one worker that rejects all costs the tasks that go on elsewhere.
+#[test]
+fn a_worker_that_rejects_all_costs_few_checkpoints() {
+    let mut world = World::new(WorldSettings {
+        attempts: 100,
+        ..WorldSettings::default()
+    });
+    world.run(100);
+    world.submit(1, chain(vec![saving(short(24, 4000))]));
+    world.run(2500);
+    world.workers[3].mode = Mode::Rejects;
+    for at in 0..3 {
+        world.crash(at);
+        world.run(1500);
+    }
+    world.run_until_done(60_000);
+    let rejected = &world.workers[3].rejected;
+    let texts = rejected.iter().filter(|(_, s)| !s.is_empty()).count();
+    let all = rejected.len();
+    let brought = world.judge.checkpoints.brought;
+    assert!(texts <= 3, "{texts} of {all} rejected, {brought:?}");
+}
+
+/// A job that every worker calls malformed, without any checkpoint: it is sent again and again,
+/// and each worker that says so gets no work for a while, also of other jobs.
+#[test]
+fn a_malformed_job_closes_no_workers() {
+    let mut world = World::new(WorldSettings::default());
+    world.run(100);
+    let mut spec = chain(vec![short(1, 300)]);
+    spec.text = "malformed".into();
+    world.submit(1, spec);
+    world.run(1000);
+    let began = world.now;
+    let other = world.submit(2, chain(vec![short(4, 200)]));
+    let limit = world.now + 20_000;
+    while world.now < limit && !world.outcome(other).is_final() {
+        world.run(20);
+    }
+    let took = world.now - began;
+    world.run(limit - world.now.min(limit));
+    let rejected: usize = world.workers.iter().map(|w| w.rejected.len()).sum();
+    let outcome = world.outcome(JobId(1));
+    let told = format!("{rejected} rejected, {outcome:?}; the other job took {took} ms");
+    assert!(took < 1000 && rejected <= 12, "{told}");
+}
+
 /// Workers of a random play.
 const WORKERS: usize = 6;
 
--- a/crates/jobs/tests/all/common/orders.rs
+++ b/crates/jobs/tests/all/common/orders.rs
@@ -5,7 +5,7 @@
 use gorsespur_jobs::{Action, Answer, Event, Started, Stopped, TaskId};
 use rand::Rng;
 
-use super::{World, world::WRITE};
+use super::{Mode, World, world::WRITE};
 
 /// Milliseconds after which an order without an answer is given up.
 const ORDER_LIMIT: u64 = 700;
@@ -146,7 +146,11 @@
             }
             Action::Start(_, order) => {
                 let mut started = Started::Unknown;
-                if reached && !self.judge.checkpoints.is_own(order) {
+                let malformed = &*order.spec.text == "malformed";
+                if reached && (malformed || worker.mode == Mode::Rejects) {
+                    started = Started::Rejected;
+                    worker.rejected.push((order.task, order.saved.clone()));
+                } else if reached && !self.judge.checkpoints.is_own(order) {
                     started = Started::Rejected;
                     self.judge.rejected(now, order);
                 } else if reached {
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -28,6 +28,10 @@
     Hangs,
     /// What it runs takes so many times as long.
     Slow(u64),
+    /// It calls every start malformed.
+    Rejects,
+    /// It takes no order for a pace.
+    KeepsPace,
 }
 
 /// A run on a worker.
@@ -117,6 +121,10 @@
     pub shares: bool,
     /// Runs of a hundred that fail half-way by their task's own fault.
     pub flaky: u64,
+    /// Starts that it called malformed though nothing was wrong with them.
+    pub rejected: Vec<(TaskId, Arc<str>)>,
+    /// Orders for a pace that it did not take.
+    pub paces: u64,
 }
 
 impl SimWorker {
@@ -150,6 +158,8 @@
             length: None,
             shares: false,
             flaky: 0,
+            rejected: Vec::new(),
+            paces: 0,
         }
     }
 
@@ -414,6 +424,10 @@
     }
 
     pub fn pace(&mut self, task: TaskId, run: u32, percent: u32) -> bool {
+        if self.mode == Mode::KeepsPace {
+            self.paces += 1;
+            return false;
+        }
         let found = self
             .runs
             .iter_mut()
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -1,6 +1,6 @@
 //! What fills beside what serves, where loads swing and tails grow as in a queue.
 
-use crate::common::{World, WorldSettings, chain, serving, short};
+use crate::common::{Mode, World, WorldSettings, chain, serving, short};
 use gorsespur_jobs::{JobId, Outcome, Step};
 use test_case::test_case;
 
@@ -256,6 +256,26 @@
     (world, id)
 }
 
+/// A worker that is overloaded takes no orders for a pace. Each one is sent again as soon as its
+/// answer is there, where a stop waits for 400 ms.
+#[test]
+fn a_pace_that_is_not_taken_is_not_sent_again_at_once() {
+    let mut world = World::new(WorldSettings {
+        workers: 1,
+        ..WorldSettings::default()
+    });
+    world.run(100);
+    world.submit(1, chain(vec![serving(1)]));
+    world.run(1500);
+    world.submit(2, chain(vec![filling("fill", 2)]));
+    world.run(300);
+    world.workers[0].mode = Mode::KeepsPace;
+    world.workers[0].tails = vec![200];
+    world.run(3000);
+    let sent = world.workers[0].paces;
+    assert!(sent <= 40, "{sent} orders for two runs in 3 s");
+}
+
 /// The paces of what fills on the first worker, in percent.
 fn paces(world: &World) -> Vec<u32> {
     let fills = world.workers[0].runs.iter().filter(|r| r.fill);
