Keep a gang's rejected checkpoint rejected, and blame no worker for it

A gang's checkpoint that was rejected still closed workers: the first answer took it from all members, and the other answers looked like rejected starts without one, so that another job waited 2.2 s. And it came back: members that began with it on other workers listed it, it was shared again, and one worker that rejects everything held a gang up for good, 19 rejections in a minute. Cause: what the task has now was looked at, and not what the start brought; and nothing remembered what had been rejected. Now the run tells whether it brought one, and a gang remembers the last one that was rejected and does not take it again. The next owner may bring it once more.

--- a/crates/jobs/src/figures.rs
+++ b/crates/jobs/src/figures.rs
@@ -15,7 +15,7 @@
     pub failed: u64,
     /// Runs that ended otherwise.
     pub stopped: u64,
-    /// Starts that workers refused.
+    /// Starts that workers refused, rejected ones included.
     pub refused: u64,
     /// Starts that workers rejected for the checkpoint that they brought.
     pub rejected: u64,
--- a/crates/jobs/src/model/checkpoint.rs
+++ b/crates/jobs/src/model/checkpoint.rs
@@ -39,7 +39,7 @@
 
     /// Returns the number of the run that made it and when it was listed, by which checkpoints
     /// of one gang are ordered; those of records come first.
-    pub(crate) fn version(&self) -> Option<(u32, u64)> {
+    pub(crate) fn recency(&self) -> Option<(u32, u64)> {
         self.origin.map(|o| (o.run, o.listed))
     }
 }
--- a/crates/jobs/src/model/step.rs
+++ b/crates/jobs/src/model/step.rs
@@ -1,7 +1,12 @@
 //! The tasks of one step in one repetition.
 
+use std::sync::Arc;
+
 use crate::{
-    model::task::{Run, Stage, Task},
+    model::{
+        checkpoint::Origin,
+        task::{Run, Stage, Task},
+    },
     order::times::{Guesses, Seen},
     share::{forecast::History, headroom::Headroom},
 };
@@ -21,6 +26,9 @@
     pub(crate) history: History,
     /// Times of tasks that ran from their start at full pace.
     pub(crate) seen: Seen,
+    /// The last checkpoint that a worker rejected: members of a gang that began with it on other
+    /// workers still list it.
+    pub(crate) rejected: Option<Arc<str>>,
 }
 
 impl StepState {
@@ -32,6 +40,7 @@
             headroom: Headroom::default(),
             history: History::default(),
             seen: Seen::default(),
+            rejected: None,
         }
     }
 
@@ -53,7 +62,7 @@
     /// and workers take what began from different checkpoints for different work.
     pub(crate) fn share_checkpoint(&mut self) {
         let saved = self.tasks.iter().filter_map(|t| t.saved.as_ref());
-        let Some(newest) = saved.max_by_key(|c| c.version()).cloned() else {
+        let Some(newest) = saved.max_by_key(|c| c.recency()).cloned() else {
             return;
         };
         for task in &mut self.tasks {
@@ -61,11 +70,19 @@
         }
     }
 
-    /// Has no member of a gang go on from this checkpoint any more.
-    pub(crate) fn drop_checkpoint(&mut self, text: &str) {
+    /// Takes over a checkpoint that a run of a task listed, unless it was rejected.
+    pub(crate) fn save(&mut self, index: usize, text: &Arc<str>, origin: Origin) {
+        if self.rejected.as_ref() != Some(text) {
+            self.tasks[index].save(text, origin);
+        }
+    }
+
+    /// Has no task go on from this checkpoint any more.
+    pub(crate) fn reject(&mut self, text: &Arc<str>) {
         for task in &mut self.tasks {
-            task.saved = task.saved.take().filter(|c| *c.text != *text);
+            task.saved = task.saved.take().filter(|c| c.text != *text);
         }
+        self.rejected = Some(text.clone());
     }
 
     /// Gives a task a run.
--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -66,7 +66,7 @@
         log::info!(task = id.to_string().as_str(), run = number, worker = &*worker.id, started:?; "start: refused");
         match started {
             Started::Refused => self.blame(slot),
-            Started::Rejected => self.reject_checkpoint(slot, id),
+            Started::Rejected => self.reject_start(slot, id),
             Started::NotSent => {
                 worker.silent.get_or_insert(now);
             }
--- a/crates/jobs/src/runs/checkpoints.rs
+++ b/crates/jobs/src/runs/checkpoints.rs
@@ -1,13 +1,17 @@
 //! What tasks go on from: one checkpoint for all members of a gang, and none that was rejected.
 //!
 //! The load pattern that this answers: a text that is not the task's, however it came to be
-//! kept. Each start that brings it is rejected, on every worker.
+//! kept, so that each start that brings it is rejected.
 //!
-//! Limits: a worker that rejects a good checkpoint costs the work that was done by then.
+//! Limits: one worker's word is enough, so that one that rejects good checkpoints costs the work
+//! that was done by then. The last rejected checkpoint of a gang is remembered, by this owner.
 
 use crate::{
     machine::Machine,
-    model::{checkpoint::shown, ids::TaskId},
+    model::{
+        checkpoint::{Checkpoint, shown},
+        ids::TaskId,
+    },
 };
 
 impl Machine {
@@ -19,9 +23,10 @@
         }
     }
 
-    /// Forgets the checkpoint that a start brought which a worker rejected as malformed, since
-    /// any other worker would reject it as well; the worker is to blame if there was none.
-    pub(super) fn reject_checkpoint(&mut self, slot: u32, id: TaskId) {
+    /// Takes note that a worker rejected a start as malformed: the task forgets the checkpoint
+    /// that this brought, since other workers would reject it too, and the worker is to blame if
+    /// it brought none.
+    pub(super) fn reject_start(&mut self, slot: u32, id: TaskId) {
         let Some(state) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -31,20 +36,29 @@
         };
         let task = &mut step.tasks[id.index as usize];
         let run = task.last;
-        let Some(rejected) = task.saved.take() else {
+        // Another member's answer may have taken the checkpoint away already.
+        let brought = task.run.as_ref().is_some_and(|r| r.partial);
+        let rejected = task.saved.take();
+        if !brought {
             return self.blame(slot);
+        }
+        self.figures.rejected += 1;
+        let Some(rejected) = rejected else {
+            return;
         };
         if gang {
-            step.drop_checkpoint(&rejected.text);
+            step.reject(&rejected.text);
         }
-        self.figures.rejected += 1;
-        let fleet = &self.fleet;
-        let worker = &*fleet.get(slot).id;
-        let saved_on = rejected
-            .origin
-            .map_or("record", |o| &*fleet.get(o.worker).id);
-        let saved_run = rejected.origin.map_or(0, |o| o.run);
-        log::warn!(task = id.to_string().as_str(), run, worker, saved = shown(&rejected.text), saved_run, saved_on; "start: checkpoint rejected");
+        let (saved_run, saved_on) = self.source(&rejected);
+        log::warn!(task = id.to_string().as_str(), run, worker = &*self.fleet.get(slot).id, saved = shown(&rejected.text), saved_run, saved_on; "start: checkpoint rejected");
         self.mark(id.job);
     }
+
+    /// Returns what log lines tell of where a checkpoint was made: the run and its worker.
+    pub(super) fn source(&self, checkpoint: &Checkpoint) -> (u32, &str) {
+        match checkpoint.origin {
+            Some(origin) => (origin.run, &self.fleet.get(origin.worker).id),
+            None => (0, "record"),
+        }
+    }
 }
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -145,10 +145,8 @@
             log::info!(task = id.to_string().as_str(), run, worker = &*worker.id, waited_ms = waited, apart; "start: sent");
             return;
         };
-        let origin = checkpoint.origin;
-        let saved_on = origin.map_or("record", |o| &*self.fleet.get(o.worker).id);
-        let saved_run = origin.map_or(0, |o| o.run);
-        let saved_ms = origin.map_or(0, |o| self.now - o.listed);
+        let (saved_run, saved_on) = self.source(checkpoint);
+        let saved_ms = checkpoint.origin.map_or(0, |o| self.now - o.listed);
         log::info!(task = id.to_string().as_str(), run, worker = &*worker.id, waited_ms = waited, apart, saved = shown(&checkpoint.text), saved_run, saved_on, saved_ms; "start: sent");
     }
 }
--- a/crates/jobs/src/runs/ends.rs
+++ b/crates/jobs/src/runs/ends.rs
@@ -75,13 +75,13 @@
         let current = run.is_some_and(|r| r.worker == slot) && task.last == end.run;
         let ran = run.map_or(0, |r| self.now.saturating_sub(r.since));
         let partial = run.is_none_or(|r| r.partial);
-        if current {
+        if current && let Some(step) = state.step_mut(id.time, id.step) {
             let origin = Origin {
                 run: end.run,
                 worker: slot,
                 listed: self.now,
             };
-            task.save(&end.saved, origin);
+            step.save(id.index as usize, &end.saved, origin);
         }
         log::info!(task = id.to_string().as_str(), run = end.run, worker = &*self.fleet.get(slot).id, how:? = end.ending, current, ran_ms = ran, saved = shown(&end.saved); "run: ended");
         if current {
--- a/crates/jobs/src/runs/listed.rs
+++ b/crates/jobs/src/runs/listed.rs
@@ -41,9 +41,10 @@
             worker: slot,
             listed: now,
         };
-        task.save(&row.saved, origin);
         let crashed = !task.crashes.is_empty();
-        if task.run.is_none() {
+        let idle = task.run.is_none();
+        step.save(id.index as usize, &row.saved, origin);
+        if idle {
             step.set_run(id.index as usize, Run::new(slot, Stage::There(now), now));
             self.adopt(slot, id, row.run);
         }
