Pause a task whose start was rejected without a checkpoint

A job that all workers call malformed was sent again every 20 ms, 35 times in 20 s, and closed all four workers of the test's world to others in between. Cause: nothing in such a start can be changed, and only the worker's pause slowed it down. Now the task waits for two seconds; the worker is still blamed, since it may reject everything, and does well in between if it does not.

--- a/crates/jobs/src/runs/checkpoints.rs
+++ b/crates/jobs/src/runs/checkpoints.rs
@@ -14,6 +14,10 @@
     },
 };
 
+/// Pause of a task whose start was rejected without a checkpoint, in milliseconds: others may
+/// reject it as well, and each of them is blamed.
+const REJECTED_PAUSE: u64 = 2000;
+
 impl Machine {
     /// Has all members of a gang go on from the newest checkpoint of any of them.
     pub(crate) fn share_checkpoint(&mut self, member: TaskId) {
@@ -27,6 +31,7 @@
     /// that this brought, since other workers would reject it too, and the worker is to blame if
     /// it brought none.
     pub(super) fn reject_start(&mut self, slot: u32, id: TaskId) {
+        let now = self.now;
         let Some(state) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -40,6 +45,7 @@
         let brought = task.run.as_ref().is_some_and(|r| r.partial);
         let rejected = task.saved.take();
         if !brought {
+            task.pause = now + REJECTED_PAUSE;
             return self.blame(slot);
         }
         self.figures.rejected += 1;
