Wait before an order for a pace that was not taken is sent again

Cause: the order was sent again at the next check, 20 ms later. Now it waits for 200 ms: less than a stop, since a tail may be over its target meanwhile. Found by a review that looked for the class of the repeated start elsewhere; no caller saw it.

--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -60,8 +60,8 @@
     /// Whether its time tells nothing of the task: it was slowed, went on from saved
     /// progress, or began under an earlier owner.
     pub(crate) partial: bool,
-    /// Whether an order for its pace is under way.
-    pub(crate) pacing: bool,
+    /// No order for its pace before this time; [`u64::MAX`] while one is under way.
+    pub(crate) next_pace: u64,
     /// Since when it is slowed much.
     pub(crate) slowed: Option<u64>,
     /// For a task that serves: since when its tail is over its target.
@@ -88,7 +88,7 @@
             pace,
             wanted: 100,
             partial: stage != Stage::Planned,
-            pacing: false,
+            next_pace: 0,
             slowed: None,
             over: None,
             under: false,
--- a/crates/jobs/src/share/pace.rs
+++ b/crates/jobs/src/share/pace.rs
@@ -52,6 +52,9 @@
 /// A slowed task moves if its pace is below this, in percent.
 const MOVE_BELOW: u32 = 50;
 
+/// Pause before an order for a pace that was not taken is sent again, in milliseconds.
+const PACE_RETRY: u64 = 200;
+
 impl Served {
     /// Returns the highest paces, in percent, of what disturbs it and of all else that
     /// fills, for the time that it is over its target.
@@ -165,6 +168,7 @@
 
     /// Sends a change of pace if one is wanted; true if it has to be seen to again.
     fn send_pace(&mut self, id: TaskId) -> bool {
+        let now = self.now;
         let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
         let Some(task) = task else {
             return false;
@@ -175,10 +179,11 @@
         };
         let slot = run.worker;
         let worker = self.fleet.get(slot);
-        if run.pacing || !worker.is_live() || !matches!(run.stage, Stage::There(_)) {
+        if now < run.next_pace || !worker.is_live() || !matches!(run.stage, Stage::There(_)) {
             return run.is_wanted();
         }
-        run.pacing = true;
+        // The answer sets the next time; this one only guards against its loss.
+        run.next_pace = u64::MAX;
         run.partial = true;
         log::info!(task = id.to_string().as_str(), worker = &*worker.id, from = run.pace, to = run.wanted; "pace: changed");
         self.out.push(Action::Pace {
@@ -194,6 +199,7 @@
 
     /// Takes note of what came of an order for a pace.
     pub(crate) fn paced(&mut self, slot: u32, id: TaskId, number: u32, done: bool) {
+        let now = self.now;
         let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
         let Some(task) = task.filter(|t| t.last == number) else {
             return;
@@ -201,9 +207,10 @@
         let Some(run) = task.run.as_mut().filter(|r| r.worker == slot) else {
             return;
         };
-        run.pacing = false;
+        run.next_pace = 0;
         if !done {
             run.pace = UNKNOWN_PACE;
+            run.next_pace = now + PACE_RETRY;
             self.pacing.push(id);
         }
     }
