Send no request on a connection on which something lies already

A surplus answer, or a farewell before a connection is closed, that arrived after the event loop had looked and before the next order went out was read as the answer to that order; a surplus one left the connection one answer behind. Cause: the connection of the event loop did not look whether anything lies on it before it sends, as the blocking client does. Now it does, and another connection is opened where something is. What arrives after the request was sent can't be told from its answer. Two fields and a message have the names a reader expects.

--- a/crates/http/src/link.rs
+++ b/crates/http/src/link.rs
@@ -49,9 +49,9 @@
     out: Vec<u8>,
     sent: usize,
     input: Vec<u8>,
-    ready: bool,
+    connected: bool,
     /// Whether a request is under way.
-    asked: bool,
+    in_flight: bool,
 }
 
 impl Link {
@@ -69,30 +69,40 @@
             out: Vec::new(),
             sent: 0,
             input: Vec::new(),
-            ready: false,
-            asked: false,
+            connected: false,
+            in_flight: false,
         })
     }
 
+    /// Tells whether nothing has arrived since the last answer, nor the end: else that would
+    /// be read as the answer to the next request.
+    pub fn is_quiet(&self) -> bool {
+        let quiet = match self.stream.peek(&mut [0; 1]) {
+            Ok(_) => false,
+            Err(err) => matches!(err.kind(), ErrorKind::WouldBlock | ErrorKind::NotConnected),
+        };
+        quiet && self.input.is_empty()
+    }
+
     /// Queues a request and sends what the socket takes at once.
     pub fn send(&mut self, request: &Request) -> Result<(), HttpError> {
         self.out.clear();
         self.sent = 0;
-        self.asked = true;
+        self.in_flight = true;
         request.encode(&self.host, &mut self.out);
         self.flush()
     }
 
     /// Goes on sending after the socket became writable.
     pub fn writable(&mut self) -> Result<(), HttpError> {
-        if !self.ready {
+        if !self.connected {
             if let Ok(Some(err)) = self.stream.take_error() {
                 return Err(not_connected(&err));
             }
             if self.stream.peer_addr().is_err() {
                 return Ok(());
             }
-            self.ready = true;
+            self.connected = true;
         }
         self.flush()
     }
@@ -116,9 +126,9 @@
     /// be taken for the answer to the next request.
     pub fn readable(&mut self, ended: bool) -> Result<Option<Response>, HttpError> {
         let end = self.read_all(ended);
-        if !self.asked && !self.input.is_empty() {
+        if !self.in_flight && !self.input.is_empty() {
             return LostSnafu {
-                message: "bytes that nobody asked for",
+                message: "unsolicited bytes",
             }
             .fail();
         }
@@ -128,7 +138,7 @@
         let whole = size == self.input.len() && self.sent == self.out.len();
         response.keep &= whole && end.is_none();
         self.input.clear();
-        self.asked = false;
+        self.in_flight = false;
         Ok(Some(response))
     }
 
@@ -166,7 +176,7 @@
     }
 
     fn flush(&mut self) -> Result<(), HttpError> {
-        while self.ready && self.sent < self.out.len() {
+        while self.connected && self.sent < self.out.len() {
             match self.stream.write(&self.out[self.sent..]) {
                 Ok(n) => self.sent += n,
                 Err(err) if err.kind() == ErrorKind::WouldBlock => break,
@@ -179,7 +189,7 @@
 
     /// Before the connection stands nothing can have been sent.
     fn failed(&self, err: std::io::Error) -> HttpError {
-        if !self.ready {
+        if !self.connected {
             return not_connected(&err);
         }
         HttpError::Lost {
--- a/crates/http/tests/links.rs
+++ b/crates/http/tests/links.rs
@@ -47,6 +47,9 @@
     }
 
     fn send(&mut self, request: &Request) -> Result<(), HttpError> {
+        if self.link.as_ref().is_some_and(|l| !l.is_quiet()) {
+            self.drop_link();
+        }
         if self.link.is_none() {
             let link = Link::connect(self.addr, self.poll.registry(), Token(0));
             self.link = Some(link?);
--- a/crates/node/src/owner/lines.rs
+++ b/crates/node/src/owner/lines.rs
@@ -229,6 +229,9 @@
             worker,
             line,
         }));
+        if let Some(link) = at.link.take_if(|l| !l.is_quiet()) {
+            link.close(registry);
+        }
         if at.link.is_none() {
             let token = Token(worker as usize * LINES + line);
             match Link::connect(post.addr, registry, token) {
