Leave a checkpoint that a rejected start did not bring

No caller saw it: a start without a checkpoint that was rejected would also have taken one that the task got meanwhile. Found by reading the change again; nothing gives a task one between a start and its answer. 11 tests of checkpoints pass.

--- a/crates/jobs/src/runs/checkpoints.rs
+++ b/crates/jobs/src/runs/checkpoints.rs
@@ -41,15 +41,13 @@
         };
         let task = &mut step.tasks[id.index as usize];
         let run = task.last;
-        // Another member's answer may have taken the checkpoint away already.
-        let brought = task.run.as_ref().is_some_and(|r| r.partial);
-        let rejected = task.saved.take();
-        if !brought {
+        if task.run.as_ref().is_none_or(|r| !r.partial) {
             task.pause = now + REJECTED_PAUSE;
             return self.blame(slot);
         }
         self.figures.rejected += 1;
-        let Some(rejected) = rejected else {
+        // The answer to another member's start may have taken it away already.
+        let Some(rejected) = task.saved.take() else {
             return;
         };
         if gang {
