--- a/crates/http/tests/links.rs
+++ b/crates/http/tests/links.rs
@@ -165,10 +165,8 @@
     assert_eq!(caller.call(&request(b"")).expect("own").body, b"own");
 }
 
-/// What arrives while nothing is asked answers nothing.
-#[test_case(SURPLUS; "a whole answer")]
-#[test_case(&SURPLUS[..SURPLUS.len() - 3]; "half an answer")]
-fn what_comes_between_two_calls_answers_neither(between: &'static [u8]) {
+/// A caller that got one answer, and the other end of its connection.
+fn answered_once() -> (Caller, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let mut caller = Caller::new(listener.local_addr().expect("bound"));
     let peer = thread::spawn(move || {
@@ -179,7 +177,14 @@
         stream
     });
     assert_eq!(caller.call(&request(b"")).expect("an answer").body, b"own");
-    let mut stream = peer.join().expect("a peer");
+    (caller, peer.join().expect("a peer"))
+}
+
+/// What arrives while nothing is asked answers nothing.
+#[test_case(SURPLUS; "a whole answer")]
+#[test_case(&SURPLUS[..SURPLUS.len() - 3]; "half an answer")]
+fn what_comes_between_two_calls_answers_neither(between: &'static [u8]) {
+    let (mut caller, mut stream) = answered_once();
     stream.write_all(between).expect("sent");
     // The event loop tells of it before the next call.
     let mut events = Events::with_capacity(16);
@@ -203,17 +208,7 @@
 #[test_case(SURPLUS; "a whole answer")]
 #[test_case(b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"; "a farewell")]
 fn what_lies_there_before_a_call_does_not_answer_it(before: &'static [u8]) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let mut caller = Caller::new(listener.local_addr().expect("bound"));
-    let peer = thread::spawn(move || {
-        let (mut stream, _) = listener.accept().expect("a connection");
-        let mut buf = Vec::new();
-        read_request(&mut stream, &mut buf).expect("a request");
-        stream.write_all(OWN).expect("sent");
-        stream
-    });
-    assert_eq!(caller.call(&request(b"")).expect("an answer").body, b"own");
-    let mut stream = peer.join().expect("a peer");
+    let (mut caller, mut stream) = answered_once();
     stream.write_all(before).expect("sent");
     thread::sleep(Duration::from_millis(20));
     if caller.send(&request(b"")).is_err() {
--- a/crates/jobs/tests/all/checkpoints.rs
+++ b/crates/jobs/tests/all/checkpoints.rs
@@ -77,10 +77,10 @@
     assert_eq!(world.outcome(id), Outcome::Complete);
 }
 
-/// All members of a gang bring the same wrong text, and each start is rejected. Only the first
-/// answer finds the checkpoint, which all members lose by it; the others look like rejected
-/// starts without one, and their workers are blamed, three times each: the whole fleet gets no
-/// work for a while.
+/// All members of a gang brought the same wrong text, and each start was rejected. Only the first
+/// answer found the checkpoint, which all members lost by it; the others looked like rejected
+/// starts without one, and their workers were blamed, three times each, so that the whole fleet
+/// got no work for a while. What counts is what the start brought.
 #[test]
 fn a_rejected_checkpoint_of_a_gang_is_no_workers_fault() {
     let gang = Step {
@@ -114,9 +114,9 @@
     check_seed(&world, 0);
 }
 
-/// A worker rejects all that it is told to start. The other members of the gang begin with the
-/// same checkpoint and list it, so that it comes back; the worker is not blamed, looks idle and
-/// gets a member of the next run as well.
+/// A worker rejected all that it was told to start. The other members of the gang began with the
+/// same checkpoint and listed it, so that it came back; the worker was not blamed, looked idle
+/// and got a member of each next run. Now what was rejected is not taken again.
 #[test]
 fn a_worker_that_rejects_all_does_not_hold_up_a_gang() {
     let gang = Step {
@@ -179,8 +179,8 @@
     assert!(texts <= 3, "{texts} of {all} rejected, {brought:?}");
 }
 
-/// A job that every worker calls malformed, without any checkpoint: it is sent again and again,
-/// and each worker that says so gets no work for a while, also of other jobs.
+/// Every worker called a job malformed, without any checkpoint. It was sent again at once, and
+/// each worker that said so got no work for a while, also of other jobs. Now its task pauses.
 #[test]
 fn a_malformed_job_closes_no_workers() {
     let mut world = World::new(WorldSettings::default());
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -239,8 +239,8 @@
     assert_eq!(world.outcome(id), Outcome::Complete);
 }
 
-/// A world of one worker, whose two filling tasks are halted beside a serving one.
-fn world_of_halted() -> (World, JobId) {
+/// A world of one worker, on which two tasks fill beside a serving one.
+fn world_of_one() -> (World, JobId) {
     let mut world = World::new(WorldSettings {
         workers: 1,
         ..WorldSettings::default()
@@ -250,25 +250,23 @@
     world.run(1500);
     let id = world.submit(2, chain(vec![filling("fill", 2)]));
     world.run(300);
+    (world, id)
+}
+
+/// The same, whose filling tasks are halted.
+fn world_of_halted() -> (World, JobId) {
+    let (mut world, id) = world_of_one();
     world.workers[0].tails = vec![200];
     world.run(3000);
     assert_eq!(paces(&world), [0, 0], "halted");
     (world, id)
 }
 
-/// A worker that is overloaded takes no orders for a pace. Each one is sent again as soon as its
-/// answer is there, where a stop waits for 400 ms.
+/// A worker that was overloaded took no orders for a pace. Each one was sent again as soon as its
+/// answer was there, where a stop waits for 400 ms. Now it waits as well.
 #[test]
 fn a_pace_that_is_not_taken_is_not_sent_again_at_once() {
-    let mut world = World::new(WorldSettings {
-        workers: 1,
-        ..WorldSettings::default()
-    });
-    world.run(100);
-    world.submit(1, chain(vec![serving(1)]));
-    world.run(1500);
-    world.submit(2, chain(vec![filling("fill", 2)]));
-    world.run(300);
+    let (mut world, _) = world_of_one();
     world.workers[0].mode = Mode::KeepsPace;
     world.workers[0].tails = vec![200];
     world.run(3000);
