Log why no worker takes a task of a job that stands still

Callers saw tasks that could run and did not for 25 s, and nothing in the logs told the hypotheses apart: which of room, share, tails, suspects or order held them back. Once a second the four jobs that have stood still for longest are logged, with the workers counted by their first reason; the figure jobs_still counts all. Placement asks the same functions as before, which now say why.

--- a/crates/jobs/src/figures.rs
+++ b/crates/jobs/src/figures.rs
@@ -29,6 +29,8 @@
     pub given_up: u64,
     /// Runs of earlier owners on workers that were not heard yet; they hold their tasks.
     pub unheard: u64,
+    /// Jobs of which nothing has run for seconds though a task could.
+    pub still: u64,
     /// Looks that were sent.
     pub looks: u64,
     /// Passes of placement over the open jobs.
--- a/crates/jobs/src/place/apart.rs
+++ b/crates/jobs/src/place/apart.rs
@@ -154,8 +154,8 @@
     ) -> Option<u32> {
         let workers = pass.open.iter().map(|&slot| (slot, self.fleet.get(slot)));
         let fitting = workers.filter(|&(slot, w)| {
-            let fits = |w| self.fits(w, request.step, request.service, request.starved);
-            suits(w) && fits(w) && !self.is_spread(slot, request)
+            let fits = self.fits(w, request.step, request.service, request.starved);
+            suits(w) && fits.is_ok() && !self.is_spread(slot, request)
         });
         let best = fitting.min_by_key(|&(slot, w)| {
             let stake = (w.lasting, w.runs.len());
--- a/crates/jobs/src/place/mod.rs
+++ b/crates/jobs/src/place/mod.rs
@@ -13,8 +13,10 @@
 pub(crate) mod misfit;
 pub(crate) mod pass;
 pub(crate) mod rank;
+pub(crate) mod refusal;
 pub(crate) mod request;
 pub(crate) mod room;
+mod still;
 mod tasks;
 pub(crate) mod window;
 #[cfg(test)]
--- a/crates/jobs/src/place/rank.rs
+++ b/crates/jobs/src/place/rank.rs
@@ -9,7 +9,7 @@
 use crate::{
     machine::Machine,
     model::spec::Step,
-    place::{pass::Pass, request::Request},
+    place::{pass::Pass, refusal::Refusal, request::Request},
     runs::worker::Worker,
     share::sample::Image,
 };
@@ -43,24 +43,29 @@
 impl Machine {
     /// Rates all workers for a request.
     pub(crate) fn rank(&mut self, request: &Request<'_>, pass: &Pass) -> Ranking {
-        let takes = match request.step.fill {
-            true => self.pairs.takes(request.image, self.images.len() + 1),
-            false => Vec::new(),
-        };
         let mut ranking = Ranking {
             rated: BinaryHeap::new(),
-            takes,
+            takes: self.takes(request),
         };
         for &slot in &pass.open {
             if !pass.room(slot).fits(request.step, request.starved) {
                 continue;
             }
-            let rating = self.rate(slot, request, pass, &ranking.takes);
+            let rating = self.rate(slot, request, pass, &ranking.takes).ok();
             ranking.rated.extend(rating.map(|r| (r, Reverse(slot))));
         }
         ranking
     }
 
+    /// Returns the headroom that a request takes from each serving image; none if it does not
+    /// fill.
+    pub(super) fn takes(&self, request: &Request<'_>) -> Vec<f64> {
+        match request.step.fill {
+            true => self.pairs.takes(request.image, self.images.len() + 1),
+            false => Vec::new(),
+        }
+    }
+
     /// Returns the best worker of a ranking.
     ///
     /// What was placed since may have changed a rating: it counts only if it still holds.
@@ -71,7 +76,7 @@
         pass: &Pass,
     ) -> Option<u32> {
         while let Some(&(old, Reverse(slot))) = ranking.rated.peek() {
-            let new = self.rate(slot, request, pass, &ranking.takes);
+            let new = self.rate(slot, request, pass, &ranking.takes).ok();
             if new == Some(old) {
                 return Some(slot);
             }
@@ -81,24 +86,25 @@
         None
     }
 
-    /// Returns how well a worker suits a request, if it can take it; more is better.
-    fn rate(
+    /// Returns how well a worker suits a request, more is better, or why it can't take it.
+    pub(super) fn rate(
         &mut self,
         slot: u32,
         request: &Request<'_>,
         pass: &Pass,
         takes: &[f64],
-    ) -> Option<i64> {
+    ) -> Result<i64, Refusal> {
         let step = request.step;
         let worker = self.fleet.get(slot);
-        if !self.fits(worker, step, request.service, request.starved) {
-            return None;
-        }
+        self.fits(worker, step, request.service, request.starved)?;
         if request.avoid == Some(slot) || request.avoid.is_some() && worker.failures > 0 {
-            return None;
+            return Err(Refusal::Avoided);
+        }
+        if !step.fill && pass.held.contains(&slot) {
+            return Err(Refusal::Held);
         }
-        if !step.fill && pass.held.contains(&slot) || self.is_spread(slot, request) {
-            return None;
+        if self.is_spread(slot, request) {
+            return Err(Refusal::Spread);
         }
         let mut points = rating(worker, step);
         if step.target > 0 {
@@ -109,12 +115,15 @@
             let share = worker.share(step.cpu);
             let slack = self.slack(slot);
             let excess = slack.excess(takes, share);
-            if slack.over || excess > 0.0 && !request.starved {
-                return None;
+            if slack.over {
+                return Err(Refusal::Tail);
+            }
+            if excess > 0.0 && !request.starved {
+                return Err(Refusal::Excess);
             }
             points -= (excess * DISTURBED) as i64;
         }
-        Some(points)
+        Ok(points)
     }
 
     /// Tells whether a worker has as many tasks of a step as it may have.
--- /dev/null
+++ b/crates/jobs/src/place/refusal.rs
@@ -0,0 +1,33 @@
+//! Why a worker does not take a task.
+
+/// The first reason that was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// It takes nothing new now: it leaves, is silent, failed too often, or is evacuated.
+    Closed,
+    /// A suspect runs there apart.
+    Guest,
+    /// Its last runs failed, and enough others are to show why.
+    Trial,
+    /// It is of another service, or lacks a label.
+    Label,
+    /// Processors, memory or accelerators are short.
+    Room,
+    /// What fills there has its share of processors.
+    Share,
+    /// The task failed there of late, or another one did.
+    Avoided,
+    /// It is kept free for a lasting task.
+    Held,
+    /// It has as many tasks of the step as it may have.
+    Spread,
+    /// A tail there is over its target.
+    Tail,
+    /// The task would disturb what serves there.
+    Excess,
+}
+
+impl Refusal {
+    /// How many reasons there are.
+    pub(crate) const COUNT: usize = Refusal::Excess as usize + 1;
+}
--- a/crates/jobs/src/place/room.rs
+++ b/crates/jobs/src/place/room.rs
@@ -5,7 +5,7 @@
 use crate::{
     machine::Machine,
     model::{spec::Step, step::StepState},
-    place::request::Request,
+    place::{refusal::Refusal, request::Request},
     runs::worker::{Capacity, Worker, size},
 };
 
@@ -43,39 +43,50 @@
     /// Tells whether a task of a step fits; one that fills may go beyond the share of
     /// processors that is left if its job has `starved`.
     pub(crate) fn fits(&self, step: &Step, starved: bool) -> bool {
+        self.check(step, starved).is_ok()
+    }
+
+    /// Says why a task of a step does not fit, as [`Room::fits`] asks.
+    fn check(&self, step: &Step, starved: bool) -> Result<(), Refusal> {
         let size = size(step);
-        let share = starved || !step.fill || step.cpu <= self.fill;
-        share
-            && !self.over
-            && size.cpu <= self.free.cpu
+        let enough = size.cpu <= self.free.cpu
             && size.memory <= self.free.memory
-            && size.gpu <= self.free.gpu
+            && size.gpu <= self.free.gpu;
+        if self.over || !enough {
+            return Err(Refusal::Room);
+        }
+        match starved || !step.fill || step.cpu <= self.fill {
+            true => Ok(()),
+            false => Err(Refusal::Share),
+        }
     }
 }
 
 impl Machine {
-    /// Tells whether a worker may run a task of a step if it has room.
-    fn may_take(&self, worker: &Worker, step: &Step, service: &Arc<str>) -> bool {
-        let Some(info) = &worker.info else {
-            return false;
-        };
+    /// Says why a worker may not run a task of a step, whatever room it has.
+    fn may_take(&self, worker: &Worker, step: &Step, service: &Arc<str>) -> Result<(), Refusal> {
+        let info = worker.info.as_ref().filter(|_| worker.is_open(self.now));
+        let info = info.ok_or(Refusal::Closed)?;
         let label = step.label.as_ref();
-        worker.is_open(self.now)
-            && worker.guest.is_none()
-            && Arc::ptr_eq(&info.service, service)
-            && !worker.is_on_trial(self.now)
-            && label.is_none_or(|l| info.labels.contains(l))
+        match () {
+            () if worker.guest.is_some() => Err(Refusal::Guest),
+            () if !Arc::ptr_eq(&info.service, service) => Err(Refusal::Label),
+            () if worker.is_on_trial(self.now) => Err(Refusal::Trial),
+            () if label.is_some_and(|l| !info.labels.contains(l)) => Err(Refusal::Label),
+            () => Ok(()),
+        }
     }
 
-    /// Tells whether a worker can take a task of a step now, as [`Room::fits`] says.
+    /// Says why a worker can't take a task of a step now, as [`Room::fits`] asks.
     pub(crate) fn fits(
         &self,
         worker: &Worker,
         step: &Step,
         service: &Arc<str>,
         starved: bool,
-    ) -> bool {
-        Room::of(worker).fits(step, starved) && self.may_take(worker, step, service)
+    ) -> Result<(), Refusal> {
+        Room::of(worker).check(step, starved)?;
+        self.may_take(worker, step, service)
     }
 
     /// Finds a worker to be kept free of other tasks for one of a step that fits nowhere
@@ -96,7 +107,7 @@
                 && room.gpu >= worker.used.gpu + size.gpu;
             let spread = step.spread > 0 && runs.on_worker(slot) >= step.spread;
             let kept = held.contains(&slot);
-            if spread || kept || !enough || !self.may_take(worker, step, service) {
+            if spread || kept || !enough || self.may_take(worker, step, service).is_err() {
                 continue;
             }
             let free = room.cpu.saturating_sub(worker.used.cpu);
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -47,5 +47,6 @@
             jobs = self.open.len(), waiting, running, slowed;
             "owner: load"
         );
+        self.tell_still();
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -119,6 +119,7 @@
             ("runs_lost", decided.lost),
             ("jobs_given_up", decided.given_up),
             ("runs_unheard", decided.unheard),
+            ("jobs_still", decided.still),
             ("looks", decided.looks),
             ("tasks", decided.tasks),
             ("passes", decided.passes),
