Test that late jobs do not stand still, which they do

Five tests in virtual time fail on the present decisions. With a third more work than room for a minute, half of which disturbs what serves, 24, 21 and 7 of 200 jobs stand still 14 s after the last arrival, when users ask after them, the longest for 38 s. And a job that comes last in the order of names gets nothing for 19 s beside one job that takes all, whether it disturbs nothing or may disturb everywhere.

--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -16,4 +16,5 @@
 #[path = "../../benches/site.rs"]
 #[expect(dead_code, reason = "the benchmarks use more of it")]
 mod site;
+mod still;
 mod takeovers;
--- /dev/null
+++ b/crates/jobs/tests/all/still.rs
@@ -0,0 +1,176 @@
+//! Jobs that fill go on, however late they are and whatever they disturb.
+
+use std::collections::BTreeMap;
+
+use crate::common::{World, WorldSettings, chain, saving, short};
+use gorsespur_jobs::{JobId, Spec, Step};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use test_case::test_case;
+
+const WORKERS: usize = 8;
+
+/// Milliseconds between two looks at what runs.
+const EVERY: u64 = 100;
+
+/// Milliseconds after which users count a job as lost of which nothing runs.
+const LOST: u64 = 3000;
+
+/// Milliseconds from the last arrival until users ask after all jobs.
+const FINISH: u64 = 14_000;
+
+/// A job whose name comes last in every order that is drawn from names.
+const LAST: u64 = 0x46a7_6c98_01ea_bfcf;
+
+/// A job whose name comes first in them.
+const FIRST: u64 = 0x9345_a9f5_82f4_1895;
+
+/// How long a job has stood still.
+#[derive(Debug, Clone, Copy)]
+struct Still {
+    /// When something of it ran last.
+    since: u64,
+    longest: u64,
+}
+
+/// A world whose jobs are watched.
+struct Watched {
+    world: World,
+    rng: SmallRng,
+    jobs: BTreeMap<JobId, Still>,
+}
+
+impl Watched {
+    /// Three jobs serve on all workers, with loads that swing.
+    fn new(seed: u64) -> Watched {
+        let mut world = World::new(WorldSettings {
+            workers: WORKERS,
+            seed,
+            ..WorldSettings::default()
+        });
+        for worker in &mut world.workers {
+            worker.queues = true;
+            worker.shares = true;
+        }
+        world.run(EVERY);
+        for id in 1..4 {
+            let serve = Step {
+                cpu: 1500,
+                lasting: true,
+                target: 100,
+                spread: 1,
+                image: Some("serve".into()),
+                ..short(WORKERS as u32, 0)
+            };
+            world.submit(id, chain(vec![serve]));
+        }
+        world.run(5000);
+        Watched {
+            world,
+            rng: SmallRng::seed_from_u64(seed),
+            jobs: BTreeMap::new(),
+        }
+    }
+
+    fn submit(&mut self, id: u64, spec: Spec) {
+        let id = self.world.submit(id, spec);
+        let still = Still {
+            since: self.world.now,
+            longest: 0,
+        };
+        self.jobs.insert(id, still);
+    }
+
+    /// A third more arrives for `ms` than can be done: jobs of two steps of these images.
+    fn overload(&mut self, ms: u64, images: &[&str]) {
+        let end = self.world.now + ms;
+        while self.world.now < end {
+            let (first, second) = (self.filling(images), self.filling(images));
+            let id = self.rng.random_range(1000..u64::MAX);
+            self.submit(id, chain(vec![first, second]));
+            self.run(300);
+        }
+    }
+
+    fn filling(&mut self, images: &[&str]) -> Step {
+        let image = images[self.rng.random_range(0..images.len())];
+        saving(Step {
+            fill: true,
+            cpu: self.rng.random_range(600..1200),
+            image: Some(image.into()),
+            ..short(
+                self.rng.random_range(2..10),
+                self.rng.random_range(1000..3000),
+            )
+        })
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end = self.world.now + ms;
+        while self.world.now < end {
+            self.world.run(EVERY);
+            let (world, now) = (&self.world, self.world.now);
+            for (&id, still) in &mut self.jobs {
+                let mut runs = world.workers.iter().flat_map(|w| &w.runs);
+                if runs.any(|r| r.task.job == id) || world.outcome(id).is_final() {
+                    still.since = now;
+                }
+                still.longest = still.longest.max(now - still.since);
+            }
+        }
+    }
+
+    /// The jobs that have stood still for so long now that users count them as lost.
+    fn lost(&self) -> Vec<(JobId, Still)> {
+        let now = self.world.now;
+        let lost = self.jobs.iter().filter(|(_, s)| now >= s.since + LOST);
+        lost.map(|(&id, &s)| (id, s)).collect()
+    }
+}
+
+/// More arrives for a minute than can be done, and half of it disturbs what serves. When users
+/// ask after their jobs, something of each is running.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn no_late_job_stands_still_after_the_last_arrival(seed: u64) {
+    let mut watched = Watched::new(seed);
+    watched.overload(60_000, &["light", "thin", "heavy", "heavy"]);
+    watched.run(FINISH);
+    let lost = watched.lost();
+    assert!(
+        lost.is_empty(),
+        "{} of {}: {lost:?}",
+        lost.len(),
+        watched.jobs.len()
+    );
+}
+
+/// A job of a thousand tasks takes all that is left to what fills. One that comes last in every
+/// order goes on beside it.
+#[test_case("light"; "where it disturbs nothing")]
+#[test_case("unknown"; "where it may disturb everywhere")]
+fn a_late_job_goes_on_beside_one_that_takes_all(image: &str) {
+    let mut watched = Watched::new(1);
+    for worker in &mut watched.world.workers {
+        worker.tails = vec![60];
+    }
+    let wide = Step {
+        count: 1000,
+        ..fill("light")
+    };
+    watched.submit(FIRST, chain(vec![wide]));
+    watched.run(10_000);
+    watched.submit(LAST, chain(vec![fill(image), fill(image)]));
+    watched.run(30_000);
+    let still = watched.jobs[&JobId(LAST)];
+    assert!(still.longest < LOST, "{still:?}");
+}
+
+/// A step whose tasks fill for long, and save their progress.
+fn fill(image: &str) -> Step {
+    saving(Step {
+        fill: true,
+        image: Some(image.into()),
+        ..short(3, 4000)
+    })
+}
