Split the tests of records and checkpoints by subject

Pure moves: lives of workers (132 lines), the play over them (276), and the tests with their jobs in mod.rs (143). What another module uses became pub; nothing else in the moved lines has changed.

--- /dev/null
+++ b/crates/jobs/tests/all/records/life.rs
@@ -0,0 +1,132 @@
+//! Workers that a play's owners look at, and their runs.
+
+use std::sync::Arc;
+
+use gorsespur_jobs::{
+    Answer, Capacity, End, Ending, Look, Running, StartOrder, Started, Stopped, TaskId, WorkerInfo,
+};
+
+/// A run on a worker.
+#[derive(Debug)]
+pub struct Run {
+    pub task: TaskId,
+    pub number: u32,
+    pub saved: Arc<str>,
+}
+
+/// One life of a worker.
+#[derive(Debug)]
+pub struct Life {
+    pub id: Arc<str>,
+    fence: u64,
+    pub runs: Vec<Run>,
+    ends: Vec<End>,
+    next: u64,
+    /// Runs at or below these never begin any more.
+    barred: Vec<(TaskId, u32)>,
+}
+
+impl Life {
+    pub fn new(id: String) -> Life {
+        Life {
+            id: id.into(),
+            fence: 0,
+            runs: Vec::new(),
+            ends: Vec::new(),
+            next: 1,
+            barred: Vec::new(),
+        }
+    }
+
+    pub fn info(&self, at: usize) -> WorkerInfo {
+        WorkerInfo {
+            id: self.id.clone(),
+            addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
+            service: "s".into(),
+            zone: "z".into(),
+            labels: Vec::new(),
+            rack: "r".into(),
+            capacity: Capacity {
+                cpu: 100_000,
+                memory: 100_000,
+                gpu: 0,
+            },
+            ready: true,
+            remaining: 0,
+        }
+    }
+
+    pub fn start(&mut self, order: &StartOrder, fence: u64) -> Started {
+        if fence < self.fence {
+            return Started::Fenced;
+        }
+        self.fence = fence;
+        let (task, number) = (order.task, order.run);
+        if self
+            .runs
+            .iter()
+            .any(|r| (r.task, r.number) == (task, number))
+        {
+            return Started::Done;
+        }
+        let barred = self.barred.iter().any(|b| b.0 == task && b.1 >= number);
+        if barred || self.runs.iter().any(|r| r.task == task) {
+            return Started::Old;
+        }
+        self.runs.push(Run {
+            task,
+            number,
+            saved: order.saved.clone(),
+        });
+        Started::Done
+    }
+
+    pub fn end(&mut self, at: usize, ending: Ending) {
+        let run = self.runs.remove(at);
+        self.barred.push((run.task, run.number));
+        self.ends.push(End {
+            number: self.next,
+            task: run.task,
+            run: run.number,
+            ending,
+            saved: run.saved,
+        });
+        self.next += 1;
+    }
+
+    pub fn stop(&mut self, task: TaskId, number: u32, fence: u64) -> Stopped {
+        if fence < self.fence {
+            return Stopped::Fenced;
+        }
+        self.fence = fence;
+        self.barred.push((task, number));
+        let at = self
+            .runs
+            .iter()
+            .position(|r| (r.task, r.number) == (task, number));
+        if let Some(at) = at {
+            self.end(at, Ending::Stopped);
+        }
+        Stopped::Done
+    }
+
+    pub fn look(&mut self, clock: u64, observed: u64, fence: u64) -> Answer {
+        if fence < self.fence {
+            return Answer::Fenced;
+        }
+        self.fence = fence;
+        self.ends.retain(|e| e.number > observed);
+        let rows = self.runs.iter().map(|r| Running {
+            task: r.task,
+            run: r.number,
+            saved: r.saved.clone(),
+            percent: 50,
+            figure: None,
+        });
+        Answer::Looked(Look {
+            clock,
+            running: rows.collect(),
+            finished: self.ends.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/all/records/mod.rs
@@ -0,0 +1,143 @@
+//! Checkpoints over ends, lost workers, late answers and takeovers: each start brings one that
+//! its own task has listed, or none.
+
+mod life;
+mod play;
+
+use std::sync::Arc;
+
+use crate::records::play::Play;
+use gorsespur_jobs::{Ending, Event, Job, JobId, Outcome, Record, Schedule, Spec, Step};
+use test_case::test_case;
+
+/// A job of two steps, the second one after the first, at several times.
+fn job(id: u64, schedule: Schedule) -> Job {
+    let id = JobId(id);
+    let step = Step {
+        count: 3,
+        cpu: 100,
+        memory: 1,
+        estimate: 100_000,
+        checkpoints: true,
+        ..Step::default()
+    };
+    let steps = vec![
+        step.clone(),
+        Step {
+            count: 2,
+            deps: vec![0],
+            ..step
+        },
+    ];
+    Job {
+        id,
+        queue: "q".into(),
+        accepted: 0,
+        spec: Arc::new(Spec {
+            text: format!("text of {id}").into(),
+            steps,
+            schedule,
+        }),
+    }
+}
+
+/// Names that are alike, several steps, and times of one job that overlap: the checkpoint of one
+/// task is another one's under no order of answers, whoever wrote the record.
+#[test_case(0; "once")]
+#[test_case(3; "three times")]
+fn a_start_brings_what_its_own_task_listed(times: u32) {
+    for seed in 0..10 {
+        let schedule = Schedule {
+            times,
+            first: 1_000_000,
+            interval: 700,
+        };
+        let names = [1, 2, 16, 17, 1 << 60, 1 << 60 | 1];
+        let jobs = names.iter().map(|&id| job(id, schedule)).collect();
+        let mut play = Play::new(seed, jobs);
+        for _ in 0..1200 {
+            play.step();
+        }
+        assert!(play.brought > 50, "seed {seed}: {}", play.brought);
+    }
+}
+
+/// A caller uses a name again with other steps and another text, while the first job runs or
+/// after it has ended: it remains the first job, for the owner that knows it and for a later one
+/// that reads its record.
+#[test_case(false; "while it runs")]
+#[test_case(true; "after its end")]
+fn a_name_that_comes_again_is_the_first_job(ended: bool) {
+    let first = job(1, Schedule::default());
+    let mut play = Play::new(1, vec![first.clone()]);
+    play.calm = true;
+    let mut other = (*first.spec).clone();
+    other.text = "another text".into();
+    other.steps[0].count = 9;
+    let other = Arc::new(Job {
+        spec: Arc::new(other),
+        ..first
+    });
+    for round in 0..60 {
+        if round > 10 {
+            play.tell(Event::Accepted(other.clone()));
+        }
+        if round == 30 {
+            play.take_over();
+        }
+        for life in &mut play.lives {
+            while ended && !life.runs.is_empty() {
+                life.runs[0].saved = "saved".into();
+                life.end(0, Ending::Done);
+            }
+        }
+        play.step();
+    }
+    let tasks: Vec<(u32, u32, u32)> = play
+        .starts
+        .iter()
+        .map(|s| (s.task.step, s.task.index, s.run))
+        .collect();
+    let mut expected = vec![(0, 0, 1), (0, 1, 1), (0, 2, 1)];
+    if ended {
+        expected.extend([(1, 0, 1), (1, 1, 1)]);
+    }
+    assert_eq!(tasks, expected);
+    assert_eq!(play.brought, 0);
+    let record = Record::decode(&play.records[&JobId(1)]).expect("own record");
+    assert_eq!(record.outcome == Outcome::Complete, ended);
+}
+
+/// A gang goes on from one checkpoint: that of any member is good for it, and all members bring
+/// the same. Each lists its own, as far as it had come when it was looked at; a member whose
+/// worker crashed has listed an older one, or none.
+#[test_case(&["a", "b", "c"]; "each another one")]
+#[test_case(&["a", "", ""]; "one of them none")]
+fn the_members_of_a_gang_bring_the_same(listed: &[&str]) {
+    let mut gang = job(1, Schedule::default());
+    let mut spec = (*gang.spec).clone();
+    spec.steps.truncate(1);
+    spec.steps[0].gang = true;
+    gang.spec = Arc::new(spec);
+    let mut play = Play::new(1, vec![gang]);
+    play.calm = true;
+    for _ in 0..20 {
+        play.step();
+    }
+    assert_eq!(play.starts.len(), 3);
+    for life in &mut play.lives {
+        for at in (0..life.runs.len()).rev() {
+            let run = &mut life.runs[at];
+            run.saved = listed[run.task.index as usize].into();
+            life.end(at, Ending::Stopped);
+        }
+    }
+    for _ in 0..20 {
+        play.step();
+    }
+    let saved: Vec<&str> = play.starts[3..].iter().map(|s| &*s.saved).collect();
+    assert!(
+        matches!(saved[..], [a, b, c] if !a.is_empty() && a == b && b == c),
+        "{saved:?}"
+    );
+}
--- a/crates/jobs/tests/all/records.rs
+++ b/crates/jobs/tests/all/records/play.rs
@@ -1,15 +1,13 @@
-//! Checkpoints over ends, lost workers, late answers and takeovers: each start brings one that
-//! its own task has listed, or none.
+//! A play: owners, one after another, over workers, a store, and what is on its way.
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use crate::records::life::Life;
 use gorsespur_jobs::{
-    Action, Answer, Capacity, End, Ending, Event, Job, JobId, Look, Machine, Outcome, QueuePolicy,
-    Record, Running, Schedule, Settings, Spec, StartOrder, Started, Step, Stopped, Takeover,
-    TaskId, WorkerInfo,
+    Action, Answer, Ending, Event, Job, JobId, Machine, QueuePolicy, Record, Settings, StartOrder,
+    Started, Takeover, TaskId,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
-use test_case::test_case;
 
 /// Milliseconds of one step of a play.
 const TICK: u64 = 50;
@@ -17,131 +15,6 @@
 /// Workers of a play.
 const WORKERS: usize = 3;
 
-/// A run on a worker.
-#[derive(Debug)]
-struct Run {
-    task: TaskId,
-    number: u32,
-    saved: Arc<str>,
-}
-
-/// One life of a worker.
-#[derive(Debug)]
-struct Life {
-    id: Arc<str>,
-    fence: u64,
-    runs: Vec<Run>,
-    ends: Vec<End>,
-    next: u64,
-    /// Runs at or below these never begin any more.
-    barred: Vec<(TaskId, u32)>,
-}
-
-impl Life {
-    fn new(id: String) -> Life {
-        Life {
-            id: id.into(),
-            fence: 0,
-            runs: Vec::new(),
-            ends: Vec::new(),
-            next: 1,
-            barred: Vec::new(),
-        }
-    }
-
-    fn info(&self, at: usize) -> WorkerInfo {
-        WorkerInfo {
-            id: self.id.clone(),
-            addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
-            service: "s".into(),
-            zone: "z".into(),
-            labels: Vec::new(),
-            rack: "r".into(),
-            capacity: Capacity {
-                cpu: 100_000,
-                memory: 100_000,
-                gpu: 0,
-            },
-            ready: true,
-            remaining: 0,
-        }
-    }
-
-    fn start(&mut self, order: &StartOrder, fence: u64) -> Started {
-        if fence < self.fence {
-            return Started::Fenced;
-        }
-        self.fence = fence;
-        let (task, number) = (order.task, order.run);
-        if self
-            .runs
-            .iter()
-            .any(|r| (r.task, r.number) == (task, number))
-        {
-            return Started::Done;
-        }
-        let barred = self.barred.iter().any(|b| b.0 == task && b.1 >= number);
-        if barred || self.runs.iter().any(|r| r.task == task) {
-            return Started::Old;
-        }
-        self.runs.push(Run {
-            task,
-            number,
-            saved: order.saved.clone(),
-        });
-        Started::Done
-    }
-
-    fn end(&mut self, at: usize, ending: Ending) {
-        let run = self.runs.remove(at);
-        self.barred.push((run.task, run.number));
-        self.ends.push(End {
-            number: self.next,
-            task: run.task,
-            run: run.number,
-            ending,
-            saved: run.saved,
-        });
-        self.next += 1;
-    }
-
-    fn stop(&mut self, task: TaskId, number: u32, fence: u64) -> Stopped {
-        if fence < self.fence {
-            return Stopped::Fenced;
-        }
-        self.fence = fence;
-        self.barred.push((task, number));
-        let at = self
-            .runs
-            .iter()
-            .position(|r| (r.task, r.number) == (task, number));
-        if let Some(at) = at {
-            self.end(at, Ending::Stopped);
-        }
-        Stopped::Done
-    }
-
-    fn look(&mut self, clock: u64, observed: u64, fence: u64) -> Answer {
-        if fence < self.fence {
-            return Answer::Fenced;
-        }
-        self.fence = fence;
-        self.ends.retain(|e| e.number > observed);
-        let rows = self.runs.iter().map(|r| Running {
-            task: r.task,
-            run: r.number,
-            saved: r.saved.clone(),
-            percent: 50,
-            figure: None,
-        });
-        Answer::Looked(Look {
-            clock,
-            running: rows.collect(),
-            finished: self.ends.clone(),
-        })
-    }
-}
-
 /// What is on its way, and when it arrives.
 #[derive(Debug)]
 enum Parcel {
@@ -154,28 +27,28 @@
 }
 
 /// Owners, one after another, with workers, a store, and a judge of the starts.
-struct Play {
+pub struct Play {
     rng: SmallRng,
     now: u64,
     epoch: u64,
     machine: Machine,
-    lives: Vec<Life>,
+    pub lives: Vec<Life>,
     /// Texts that were made so far.
     made: u64,
     jobs: BTreeMap<JobId, Arc<Job>>,
-    records: BTreeMap<JobId, Vec<u8>>,
+    pub records: BTreeMap<JobId, Vec<u8>>,
     parcels: Vec<(u64, Parcel)>,
     /// What each task has listed to an owner that read it.
     listed: BTreeMap<TaskId, Vec<Arc<str>>>,
     /// Starts that brought a checkpoint.
-    brought: usize,
-    starts: Vec<StartOrder>,
+    pub brought: usize,
+    pub starts: Vec<StartOrder>,
     /// Whether no run ends, no worker crashes and no owner is followed by another.
-    calm: bool,
+    pub calm: bool,
 }
 
 impl Play {
-    fn new(seed: u64, jobs: Vec<Job>) -> Play {
+    pub fn new(seed: u64, jobs: Vec<Job>) -> Play {
         let now = 1_000_000;
         let jobs = jobs.into_iter().map(|j| (j.id, Arc::new(j)));
         let mut play = Play {
@@ -198,7 +71,7 @@
     }
 
     /// A new owner reads the rows, in any order.
-    fn take_over(&mut self) {
+    pub fn take_over(&mut self) {
         self.epoch += 1;
         self.machine = machine(self.now);
         let mut ids: Vec<JobId> = self.jobs.keys().copied().collect();
@@ -227,7 +100,7 @@
         }
     }
 
-    fn tell(&mut self, event: Event) {
+    pub fn tell(&mut self, event: Event) {
         self.machine.handle(self.now, self.now, event);
     }
 
@@ -236,7 +109,7 @@
         self.rng.random_range(0..4) * TICK
     }
 
-    fn step(&mut self) {
+    pub fn step(&mut self) {
         self.now += TICK;
         if !self.calm {
             self.work();
@@ -401,135 +274,3 @@
     };
     Machine::new(Settings::default(), now, takeover)
 }
-
-/// A job of two steps, the second one after the first, at several times.
-fn job(id: u64, schedule: Schedule) -> Job {
-    let id = JobId(id);
-    let step = Step {
-        count: 3,
-        cpu: 100,
-        memory: 1,
-        estimate: 100_000,
-        checkpoints: true,
-        ..Step::default()
-    };
-    let steps = vec![
-        step.clone(),
-        Step {
-            count: 2,
-            deps: vec![0],
-            ..step
-        },
-    ];
-    Job {
-        id,
-        queue: "q".into(),
-        accepted: 0,
-        spec: Arc::new(Spec {
-            text: format!("text of {id}").into(),
-            steps,
-            schedule,
-        }),
-    }
-}
-
-/// Names that are alike, several steps, and times of one job that overlap: the checkpoint of one
-/// task is another one's under no order of answers, whoever wrote the record.
-#[test_case(0; "once")]
-#[test_case(3; "three times")]
-fn a_start_brings_what_its_own_task_listed(times: u32) {
-    for seed in 0..10 {
-        let schedule = Schedule {
-            times,
-            first: 1_000_000,
-            interval: 700,
-        };
-        let names = [1, 2, 16, 17, 1 << 60, 1 << 60 | 1];
-        let jobs = names.iter().map(|&id| job(id, schedule)).collect();
-        let mut play = Play::new(seed, jobs);
-        for _ in 0..1200 {
-            play.step();
-        }
-        assert!(play.brought > 50, "seed {seed}: {}", play.brought);
-    }
-}
-
-/// A caller uses a name again with other steps and another text, while the first job runs or
-/// after it has ended: it remains the first job, for the owner that knows it and for a later one
-/// that reads its record.
-#[test_case(false; "while it runs")]
-#[test_case(true; "after its end")]
-fn a_name_that_comes_again_is_the_first_job(ended: bool) {
-    let first = job(1, Schedule::default());
-    let mut play = Play::new(1, vec![first.clone()]);
-    play.calm = true;
-    let mut other = (*first.spec).clone();
-    other.text = "another text".into();
-    other.steps[0].count = 9;
-    let other = Arc::new(Job {
-        spec: Arc::new(other),
-        ..first
-    });
-    for round in 0..60 {
-        if round > 10 {
-            play.tell(Event::Accepted(other.clone()));
-        }
-        if round == 30 {
-            play.take_over();
-        }
-        for life in &mut play.lives {
-            while ended && !life.runs.is_empty() {
-                life.runs[0].saved = "saved".into();
-                life.end(0, Ending::Done);
-            }
-        }
-        play.step();
-    }
-    let tasks: Vec<(u32, u32, u32)> = play
-        .starts
-        .iter()
-        .map(|s| (s.task.step, s.task.index, s.run))
-        .collect();
-    let mut expected = vec![(0, 0, 1), (0, 1, 1), (0, 2, 1)];
-    if ended {
-        expected.extend([(1, 0, 1), (1, 1, 1)]);
-    }
-    assert_eq!(tasks, expected);
-    assert_eq!(play.brought, 0);
-    let record = Record::decode(&play.records[&JobId(1)]).expect("own record");
-    assert_eq!(record.outcome == Outcome::Complete, ended);
-}
-
-/// A gang goes on from one checkpoint: that of any member is good for it, and all members bring
-/// the same. Each lists its own, as far as it had come when it was looked at; a member whose
-/// worker crashed has listed an older one, or none.
-#[test_case(&["a", "b", "c"]; "each another one")]
-#[test_case(&["a", "", ""]; "one of them none")]
-fn the_members_of_a_gang_bring_the_same(listed: &[&str]) {
-    let mut gang = job(1, Schedule::default());
-    let mut spec = (*gang.spec).clone();
-    spec.steps.truncate(1);
-    spec.steps[0].gang = true;
-    gang.spec = Arc::new(spec);
-    let mut play = Play::new(1, vec![gang]);
-    play.calm = true;
-    for _ in 0..20 {
-        play.step();
-    }
-    assert_eq!(play.starts.len(), 3);
-    for life in &mut play.lives {
-        for at in (0..life.runs.len()).rev() {
-            let run = &mut life.runs[at];
-            run.saved = listed[run.task.index as usize].into();
-            life.end(at, Ending::Stopped);
-        }
-    }
-    for _ in 0..20 {
-        play.step();
-    }
-    let saved: Vec<&str> = play.starts[3..].iter().map(|s| &*s.saved).collect();
-    assert!(
-        matches!(saved[..], [a, b, c] if !a.is_empty() && a == b && b == c),
-        "{saved:?}"
-    );
-}
