Hold back no job that stands still while half of the room is free

Cause: a job of which nothing runs may have one task beyond the share of processors that what fills is given, but not while the fleet is crowded, and crowded counted processors that filling tasks ask for. These are never room: on a loaded fleet it was always crowded, and the way out was closed just where it was needed. So a job that disturbs everywhere, or that comes last, got nothing as long as others waited. Class of fault: a guard that measures another resource than the promise it guards.

Now the fleet is crowded only if more than half of its processors or memory is taken as well, which is what users judge by.

The test what_fills_keeps_to_its_share_while_work_piles_up asserted that none goes beyond its share where half of the room was free, which is what callers lost jobs by.

--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     place::{misfit::Misfit, room::Room},
-    runs::fleet::Fleet,
+    runs::{fleet::Fleet, worker::Capacity},
 };
 
 /// Workers that one pass rates at most, some 15 ms of work: a hundred steps of 3,000
@@ -39,7 +39,8 @@
     pub(crate) ratings: usize,
     /// Workers that it may rate.
     budget: usize,
-    /// Whether filling tasks have more than half of the processors that are left to them.
+    /// Whether more than half of the room is taken, and filling tasks have more than half of the
+    /// processors that are left to them.
     pub(crate) crowded: bool,
     /// Starts that may still be placed.
     pub(crate) starts: usize,
@@ -50,6 +51,7 @@
     pub(crate) fn begin(fleet: &Fleet, now: u64) -> Pass {
         let mut pass = Pass::default();
         let (mut left, mut filling) = (0, 0);
+        let (mut all, mut used) = (Capacity::default(), Capacity::default());
         for (slot, worker) in (0..).zip(&fleet.workers) {
             let room = Room::of(worker);
             pass.rooms.push(room);
@@ -57,9 +59,14 @@
                 pass.open.push(slot);
                 left += room.fill();
                 filling += worker.filling;
+                all.add(worker.capacity());
+                used.add(worker.used);
             }
         }
-        pass.crowded = filling > left;
+        // What fills takes up no processors: users count a job as lost of which nothing runs
+        // while half of the room is free, however much fills there.
+        let is_full = used.cpu * 2 > all.cpu || used.memory * 2 > all.memory;
+        pass.crowded = is_full && filling > left;
         pass.budget = RATINGS.max(STEPS * pass.open.len());
         pass.starts = usize::MAX;
         pass
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -25,6 +25,15 @@
     pub gpu: u64,
 }
 
+impl Capacity {
+    /// Adds another one.
+    pub(crate) fn add(&mut self, other: Capacity) {
+        self.cpu += other.cpu;
+        self.memory += other.memory;
+        self.gpu += other.gpu;
+    }
+}
+
 /// What a worker announces.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerInfo {
@@ -269,7 +278,7 @@
             self.runs.insert(at, task);
         }
         self.slack = None;
-        self.take(size(step));
+        self.used.add(size(step));
         self.filling += filling(step);
         self.serving += u32::from(step.target > 0);
         self.lasting += u32::from(step.lasting);
@@ -296,7 +305,7 @@
 
     /// Takes up room for a run that is not wanted.
     pub(crate) fn add_stray(&mut self, stray: Stray) {
-        self.take(stray.size);
+        self.used.add(stray.size);
         self.strays.push(stray);
     }
 
@@ -313,12 +322,6 @@
         }
     }
 
-    fn take(&mut self, size: Capacity) {
-        self.used.cpu += size.cpu;
-        self.used.memory += size.memory;
-        self.used.gpu += size.gpu;
-    }
-
     fn free(&mut self, size: Capacity) {
         self.used.cpu -= size.cpu.min(self.used.cpu);
         self.used.memory -= size.memory.min(self.used.memory);
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -380,11 +380,16 @@
     assert!(pace > 99.0, "at {pace}%");
 }
 
-/// Three times as many tasks fill as there are processors for, of jobs that wait for long:
-/// none goes beyond its share, by which it would only slow the others.
+/// Three times as many tasks fill as there are processors for, of jobs that wait for long, and
+/// more than half of the room is taken: none goes beyond its share, by which it would only slow
+/// the others.
 #[test]
 fn what_fills_keeps_to_its_share_while_work_piles_up() {
     let mut world = world();
+    for at in 0..WORKERS {
+        world.workers[at].room.1 = 10_000;
+        world.announce(at, true);
+    }
     let mut most = 0;
     for step in 0..200 {
         if step % 2 == 0 {
