Give late jobs that stand still their turn

What callers saw: two late jobs that got a start 50 s apart, and else nothing, while others went on.

Cause: jobs that are late come last, among themselves in an order drawn once from their names. As long as other late jobs have tasks to place, the last ones of that order get nothing. Class of fault: a static priority without ageing.

Evidence: beside one late job with many tasks, in a fleet most of whose room is taken, the last one stood still for 21.7 s; now for less than 3 s and a task's length. The test fails without this.

Of what jobs in time leave, the late job of which nothing has run for longest gets a piece first, for one task, on an eighth of the workers at a time.

--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -14,7 +14,7 @@
         spec::Job,
     },
     order::times::Guesses,
-    place::window::Window,
+    place::{rescue::Still, window::Window},
     runs::fleet::Fleet,
     settings::Settings,
     share::{pairs::Pairs, sample::Image, season::Season},
@@ -50,6 +50,10 @@
     pub(crate) counted: Vec<u32>,
     /// How many starts may be under way.
     pub(crate) window: Window,
+    /// How many of the open jobs, the last ones, can't be in time.
+    pub(crate) late: usize,
+    /// Jobs that stand still.
+    pub(crate) still: Still,
     /// Jobs whose records changed.
     pub(crate) dirty: Vec<JobId>,
     pub(crate) fleet: Fleet,
@@ -94,6 +98,8 @@
             pacing: Vec::new(),
             counted: Vec::new(),
             window: Window::default(),
+            late: 0,
+            still: Still::default(),
             dirty: Vec::new(),
             fleet,
             queues: Vec::new(),
--- a/crates/jobs/src/order/standing.rs
+++ b/crates/jobs/src/order/standing.rs
@@ -62,6 +62,7 @@
             keys.push((standing, priority, order, id));
         }
         keys.sort_unstable();
+        self.late = keys.iter().filter(|k| k.0 == Standing::Late).count();
         self.open = keys.into_iter().map(|k| k.3).collect();
     }
 
--- a/crates/jobs/src/place/mod.rs
+++ b/crates/jobs/src/place/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod rank;
 pub(crate) mod refusal;
 pub(crate) mod request;
+pub(crate) mod rescue;
 pub(crate) mod room;
 mod still;
 mod tasks;
--- /dev/null
+++ b/crates/jobs/src/place/rescue.rs
@@ -0,0 +1,142 @@
+//! Gives jobs that stand still their turn.
+//!
+//! The load pattern that this answers: more work than room for minutes. Jobs that are late come
+//! last, in an order that does not change, so that the last ones of it would get nothing. Of what
+//! jobs in time leave, the late one of which nothing has run for longest gets a piece first, for
+//! one task.
+//!
+//! Limits: while jobs in time take all, late ones wait. A part of the workers has a rescued task
+//! at a time, so that other late jobs end as well. Gangs and suspects wait for their own turn.
+
+use crate::{
+    machine::Machine,
+    model::{
+        ids::{JobId, TaskId},
+        job::JobState,
+    },
+    place::{pass::Pass, request::Request},
+};
+
+/// A job of which nothing has run for this long is rescued, in milliseconds: users count a job
+/// as lost that has stood still for 3 s.
+const RESCUED: u64 = 2000;
+
+/// Which jobs stand still is worked out this often, in milliseconds.
+const PERIOD: u64 = 100;
+
+/// One in so many workers may have the task of a rescued job.
+const SHARE: usize = 8;
+
+/// The jobs that stand still, and those that were rescued.
+#[derive(Debug, Default)]
+pub(crate) struct Still {
+    /// Jobs of which nothing has run for long, and since when, the longest first.
+    jobs: Vec<(u64, JobId)>,
+    /// When that was worked out.
+    noted: u64,
+    /// Runs by which jobs were rescued.
+    runs: Vec<(TaskId, u32)>,
+}
+
+impl JobState {
+    /// Returns since when nothing of it has run, if nothing runs.
+    pub(crate) fn still_since(&self) -> Option<u64> {
+        if self.has_runs() {
+            return None;
+        }
+        let tasks = self.times.iter().flatten().flat_map(|s| &s.tasks);
+        let ended = tasks.map(|t| t.cleared).max().unwrap_or(0);
+        Some(self.seen.max(ended))
+    }
+
+    /// Returns the first task that waits beside others, if it is no member of a gang.
+    fn first_beside(&self, now: u64) -> Option<TaskId> {
+        for (time, steps) in (0..).zip(&self.times) {
+            for (step, state) in (0..).zip(steps) {
+                let kept = &self.job.spec.steps[step as usize];
+                if kept.gang || kept.lasting || !self.is_ready(time as usize, step as usize) {
+                    continue;
+                }
+                let Some(&index) = state.waiting(now).first() else {
+                    continue;
+                };
+                return Some(TaskId {
+                    job: self.job.id,
+                    time,
+                    step,
+                    index,
+                });
+            }
+        }
+        None
+    }
+}
+
+impl Machine {
+    /// Places a task of each job that has stood still for long, as far as that may go.
+    pub(super) fn place_still(&mut self, pass: &mut Pass) {
+        if self.now >= self.still.noted + PERIOD {
+            self.still.noted = self.now;
+            self.note_still();
+        }
+        let most = pass.open.len().div_ceil(SHARE);
+        let jobs = std::mem::take(&mut self.still.jobs);
+        for &(_, id) in &jobs {
+            if self.still.runs.len() >= most || pass.starts == 0 {
+                break;
+            }
+            self.rescue(id, pass);
+        }
+        self.still.jobs = jobs;
+    }
+
+    /// Works out which jobs stand still, and which rescued ones still run.
+    fn note_still(&mut self) {
+        let mut runs = std::mem::take(&mut self.still.runs);
+        runs.retain(|&(id, run)| {
+            let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
+            task.is_some_and(|t| t.last == run && t.run.is_some())
+        });
+        self.still.runs = runs;
+        let mut jobs = Vec::new();
+        for &id in &self.open {
+            let since = self.jobs.get(&id).and_then(JobState::still_since);
+            let since = since.filter(|&at| self.now > at + RESCUED);
+            jobs.extend(since.map(|at| (at, id)));
+        }
+        jobs.sort_unstable();
+        self.still.jobs = jobs;
+    }
+
+    /// Places a task of a job that stands still.
+    fn rescue(&mut self, id: JobId, pass: &mut Pass) {
+        let state = self.jobs.get(&id).filter(|j| !j.has_runs());
+        let Some(task) = state.and_then(|j| j.first_beside(self.now)) else {
+            return;
+        };
+        let Some(state) = self.jobs.get(&id) else {
+            return;
+        };
+        let (job, image) = (state.job.clone(), state.images[task.step as usize]);
+        let Some(service) = self.policy(&job.queue).map(|p| p.service.clone()) else {
+            return;
+        };
+        let service = self.fleet.service(&service);
+        let request = Request {
+            first: TaskId { index: 0, ..task },
+            step: &job.spec.steps[task.step as usize],
+            image,
+            service: &service,
+            avoid: self.avoided(task),
+            starved: false,
+        };
+        let Some(slot) = self.choose(&request, &mut None, pass) else {
+            return;
+        };
+        self.plan(task, slot, request.step, None);
+        pass.starts -= 1;
+        pass.note_room(slot, &self.fleet);
+        let planned = self.jobs.get(&id).and_then(|j| j.task(task));
+        self.still.runs.extend(planned.map(|t| (task, t.last)));
+    }
+}
--- a/crates/jobs/src/place/still.rs
+++ b/crates/jobs/src/place/still.rs
@@ -30,16 +30,6 @@
 }
 
 impl JobState {
-    /// Returns since when nothing of it has run, if nothing runs.
-    pub(crate) fn still_since(&self) -> Option<u64> {
-        if self.has_runs() {
-            return None;
-        }
-        let tasks = self.times.iter().flatten().flat_map(|s| &s.tasks);
-        let ended = tasks.map(|t| t.cleared).max().unwrap_or(0);
-        Some(self.seen.max(ended))
-    }
-
     /// Returns the first task of the first step that has tasks waiting.
     fn first_waiting(&self, now: u64) -> Option<TaskId> {
         for (time, steps) in (0..).zip(&self.times) {
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -51,7 +51,11 @@
             pass.starts = bound.saturating_sub(self.starting());
         }
         self.place_suspects(&mut pass);
+        let timely = self.open.len() - self.late;
         for at in 0..self.open.len() {
+            if at == timely {
+                self.place_still(&mut pass);
+            }
             if pass.starts == 0 {
                 self.figures.held += 1;
                 break;
@@ -140,11 +144,7 @@
                 return Placed::Short;
             }
             let id = TaskId { index, ..first };
-            let Some(task) = self.jobs.get(&id.job).and_then(|j| j.task(id)) else {
-                continue;
-            };
-            let recent = self.now < task.pause + AVOID;
-            request.avoid = task.avoid.filter(|_| recent);
+            request.avoid = self.avoided(id);
             let Some(slot) = self.choose(&request, &mut ranking, pass) else {
                 self.hold_overdue(&request, pass);
                 return Placed::Short;
@@ -157,6 +157,13 @@
         Placed::All
     }
 
+    /// Returns the worker on which a task failed of late.
+    pub(super) fn avoided(&self, id: TaskId) -> Option<u32> {
+        let task = self.jobs.get(&id.job)?.task(id)?;
+        let recent = self.now < task.pause + AVOID;
+        task.avoid.filter(|_| recent)
+    }
+
     /// Keeps a worker free for a lasting task that has waited for long.
     fn hold_overdue(&self, request: &Request<'_>, pass: &mut Pass) {
         let first = request.first;
@@ -235,7 +242,7 @@
 
     /// Returns the best worker for a task of a step, if any can take it; `ranking` serves
     /// the tasks of the step that are alike.
-    fn choose(
+    pub(super) fn choose(
         &mut self,
         request: &Request<'_>,
         ranking: &mut Option<Ranking>,
