Read when a worker's life began, and log it

The platform's workers may start again under their name; what they say of themselves and their lists of runs carry the moment of their start. It is read and logged, and decides nothing yet, so that logs tell the lives of one name apart. Without the field nothing changes.

--- a/crates/jobs/benches/site.rs
+++ b/crates/jobs/benches/site.rs
@@ -140,6 +140,7 @@
         for _ in 0..count {
             let at = self.workers.len();
             let info = WorkerInfo {
+                born: None,
                 id: format!("w{at:04}").into(),
                 addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
                 service: "s".into(),
@@ -327,6 +328,7 @@
             }),
         };
         let look = Look {
+            born: None,
             clock: CLOCK + now,
             running: at.runs.iter().map(|&r| row(&self.runs[r])).collect(),
             finished: at.ends.clone(),
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -62,6 +62,8 @@
 /// A worker's answer to a look.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Look {
+    /// When the life that answers began, in milliseconds since 1970, if it says so.
+    pub born: Option<u64>,
     /// The worker's steady clock in milliseconds.
     pub clock: u64,
     /// What runs.
--- a/crates/jobs/src/runs/fleet.rs
+++ b/crates/jobs/src/runs/fleet.rs
@@ -70,8 +70,8 @@
             worker.leaving = Some(now);
         }
         let old = worker.info.as_ref().filter(|_| worker.listed);
-        if old.is_none_or(|o| o.ready != info.ready) {
-            log::info!(worker = &*info.id, addr = info.addr.to_string().as_str(), ready = info.ready, remaining_ms = info.remaining; "worker: listed");
+        if old.is_none_or(|o| o.ready != info.ready || o.born != info.born) {
+            log::info!(worker = &*info.id, addr = info.addr.to_string().as_str(), ready = info.ready, remaining_ms = info.remaining, born:? = info.born; "worker: listed");
         }
         worker.listed = true;
         worker.info = Some(info);
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -28,8 +28,10 @@
 /// What a worker announces.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerInfo {
-    /// Its name, new in each life.
+    /// Its name; other lives may have the same one if they say when they began.
     pub id: Arc<str>,
+    /// When this life began, in milliseconds since 1970, if it says so.
+    pub born: Option<u64>,
     /// Where it listens.
     pub addr: SocketAddr,
     /// The service whose tasks it runs.
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -276,6 +276,7 @@
             figure: Some(self.figure(now, r)),
         });
         Some(Look {
+            born: None,
             clock: self.clock(now),
             running: running.collect(),
             finished: self.ends.iter().take(FULL_LIST).cloned().collect(),
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -254,6 +254,7 @@
         let worker = &self.workers[at];
         let info = WorkerInfo {
             id,
+            born: None,
             addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
             service: "s".into(),
             zone: World::zone(at),
--- a/crates/jobs/tests/all/records.rs
+++ b/crates/jobs/tests/all/records.rs
@@ -51,6 +51,7 @@
 
     fn info(&self, at: usize) -> WorkerInfo {
         WorkerInfo {
+            born: None,
             id: self.id.clone(),
             addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
             service: "s".into(),
@@ -135,6 +136,7 @@
             figure: None,
         });
         Answer::Looked(Look {
+            born: None,
             clock,
             running: rows.collect(),
             finished: self.ends.clone(),
--- a/crates/node/src/fakes_tests.rs
+++ b/crates/node/src/fakes_tests.rs
@@ -96,6 +96,7 @@
         }
         match result {
             Ok(_) => Answer::Looked(Look {
+                born: None,
                 clock: 1,
                 running: Vec::new(),
                 finished: Vec::new(),
