Play workers that start again under their names

A worker may start again under the id that it had: it knows nothing of before, and its counts and its clock start anew. The tests' world gave each new life a new name. Now a setting has it keep its name and say when it began, at the same or another address, with a row that is told earlier or later than the first list, and with orders for the old life that arrive in the new one. Leases are cut to the longest that workers grant. The judge also notes ends that a life is made to forget before an owner has read them.

--- a/crates/jobs/tests/all/behind.rs
+++ b/crates/jobs/tests/all/behind.rs
@@ -18,6 +18,7 @@
         attempts: 3,
         seed,
         lost: 0,
+        lives: false,
     });
     world.judge.calm = true;
     world.run(100);
--- a/crates/jobs/tests/all/checkpoints.rs
+++ b/crates/jobs/tests/all/checkpoints.rs
@@ -312,6 +312,7 @@
         attempts: 100,
         seed,
         lost: rng.random_range(0..10),
+        lives: false,
     });
     world.unaware = rng.random_range(1..3000);
     for worker in &mut world.workers {
--- a/crates/jobs/tests/all/common/crash.rs
+++ b/crates/jobs/tests/all/common/crash.rs
@@ -1,7 +1,5 @@
 //! Workers whose process ends, and tasks that bring that about.
 
-use std::sync::Arc;
-
 use gorsespur_jobs::{Action, Answer, Event, Started, Stopped, TaskId};
 
 use super::World;
@@ -41,8 +39,13 @@
         }
         while let Some(at) = self.unlisted.iter().position(|(t, _)| *t <= now) {
             let (_, id) = self.unlisted.remove(at);
-            self.tell(Event::Unlisted(id));
+            let at = self.workers.iter().position(|w| w.id == id);
+            match at.filter(|_| self.settings.lives) {
+                Some(at) => self.lapse_row(at),
+                None => self.tell(Event::Unlisted(id)),
+            }
         }
+        self.tell_arrivals();
     }
 
     /// A worker's process ends, for whatever cause; it is back after some seconds.
@@ -51,6 +54,7 @@
         self.workers[at].crash(now + self.away);
         let id = self.workers[at].id.clone();
         self.unlisted.push((now + LISTED, id));
+        self.scatter(at);
     }
 
     /// A worker's machine loses its power: nothing is heard of it until it is back.
@@ -59,37 +63,32 @@
         self.workers[at].absent = false;
     }
 
-    fn begin_life(&mut self, at: usize) {
-        let worker = &self.workers[at];
-        let (old, rate, room) = (worker.id.clone(), worker.rate, worker.room);
-        let id = format!("w{at}-{}", self.lives.len());
-        self.lives.insert(old, at);
-        self.workers[at] = super::SimWorker::new(&id, self.now, rate);
-        self.workers[at].room = room;
-        self.announce(at, true);
-    }
-
     /// What answers an order that is meant for a life which has ended, if anything does.
-    pub(super) fn refusal(&self, at: usize, action: &Action, meant: Arc<str>) -> Option<Answer> {
+    pub(super) fn refusal(&self, at: usize, action: &Action, meant: &str) -> Option<Answer> {
         let worker = &self.workers[at];
         if worker.cut {
             return None;
         }
         if worker.alive && !worker.deaf {
-            return (worker.id != meant).then_some(Answer::Dead);
+            return (*worker.id != *meant).then_some(Answer::Dead);
         }
         if !worker.absent && !worker.deaf {
             return None;
         }
-        match action {
-            Action::Look { .. } => Some(Answer::Absent),
-            Action::Start(_, order) => {
-                let started = Started::NotSent;
-                Some(Answer::Started(order.task, order.run, started))
-            }
-            Action::Stop { task, run, .. } => Some(Answer::Stopped(*task, *run, Stopped::Unknown)),
-            Action::Pace { task, run, .. } => Some(Answer::Paced(*task, *run, false)),
-            Action::Commit(_) | Action::Depose => None,
+        refused(action)
+    }
+}
+
+/// What answers an order at an address where nobody listens.
+pub(super) fn refused(action: &Action) -> Option<Answer> {
+    match action {
+        Action::Look { .. } => Some(Answer::Absent),
+        Action::Start(_, order) => {
+            let started = Started::NotSent;
+            Some(Answer::Started(order.task, order.run, started))
         }
+        Action::Stop { task, run, .. } => Some(Answer::Stopped(*task, *run, Stopped::Unknown)),
+        Action::Pace { task, run, .. } => Some(Answer::Paced(*task, *run, false)),
+        Action::Commit(_) | Action::Depose => None,
     }
 }
--- a/crates/jobs/tests/all/common/judge.rs
+++ b/crates/jobs/tests/all/common/judge.rs
@@ -1,8 +1,11 @@
 //! What must hold, as the workers see it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
-use gorsespur_jobs::{Ending, Spec, StartOrder, TaskId};
+use gorsespur_jobs::{Ending, Look, Spec, StartOrder, TaskId};
 
 use super::{SimWorker, checkpoints::Checkpoints};
 
@@ -25,6 +28,8 @@
     pub checkpoints: Checkpoints,
     /// When the end of a task was first listed, for those that ended done.
     listed: BTreeMap<TaskId, u64>,
+    /// The highest end of each life that an owner has read.
+    read: BTreeMap<(Arc<str>, Option<u64>), u64>,
 }
 
 /// Time in which an owner has to read an end before it starts the task again.
@@ -115,11 +120,28 @@
         self.crashed.entry(task).or_insert((0, 0)).0 += 1;
     }
 
-    /// A worker was told that it may forget ends up to a number.
-    pub fn observed(&mut self, now: u64, worker: &SimWorker, number: u64) {
+    /// An owner has read a worker's answer.
+    pub fn read(&mut self, id: Arc<str>, look: &Look) {
+        let Some(last) = look.finished.last() else {
+            return;
+        };
+        let highest = self.read.entry((id, look.born)).or_insert(0);
+        *highest = last.number.max(*highest);
+    }
+
+    /// A worker was told that it may forget ends up to a number; by a late order perhaps, which
+    /// its sender may have meant for an earlier life.
+    pub fn observed(&mut self, now: u64, worker: &SimWorker, number: u64, late: bool) {
+        let read = self.read.get(&(worker.id.clone(), worker.born));
+        let read = read.copied().unwrap_or(0);
         for end in worker.ends.iter().filter(|e| e.number <= number) {
             match end.ending {
                 Ending::Done => {
+                    if !late && end.number > read {
+                        let (id, task) = (&worker.id, end.task);
+                        self.wrong
+                            .push(format!("{now}: {id} forgets unread that {task} was done"));
+                    }
                     self.noted_done.entry(end.task).or_insert(now);
                 }
                 Ending::Failed => *self.noted_failed.entry(end.task).or_insert(0) += 1,
--- /dev/null
+++ b/crates/jobs/tests/all/common/lives.rs
@@ -0,0 +1,168 @@
+//! Workers that start again under their names, and the rows by which owners know them.
+
+use std::sync::Arc;
+
+use gorsespur_jobs::{Capacity, Event, WorkerInfo};
+
+use super::{SimWorker, World};
+
+/// Where the first worker listens; the others follow.
+const FIRST_PORT: u16 = 1000;
+
+/// Where the first life listens that moves to another address.
+const MOVED_PORT: u16 = 30_000;
+
+/// What the clocks of first lives show when the world begins, in milliseconds.
+const UPTIME: u64 = 500_000;
+
+/// How a worker starts again that keeps its name.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Restart {
+    /// Whether the wall clock was set back, so that the later life seems the earlier one.
+    pub back: bool,
+    /// Whether it listens at another address from then on.
+    pub moves: bool,
+    /// Milliseconds until its row is told; that of the life before is there until then.
+    pub told: u64,
+}
+
+impl World {
+    /// Has the first lives say when they began, and writes their rows.
+    pub(super) fn found_lives(&mut self) {
+        for at in 0..self.workers.len() {
+            let worker = &mut self.workers[at];
+            worker.port = FIRST_PORT + at as u16;
+            if self.settings.lives {
+                worker.born = Some(self.now - 60_000 - at as u64);
+                worker.uptime = UPTIME;
+            }
+            let row = self.row(at, self.workers[at].id.clone(), true);
+            self.rows.push(Some(row));
+        }
+    }
+
+    /// Tells the newest owner of a worker.
+    pub fn announce(&mut self, at: usize, ready: bool) {
+        let worker = &self.workers[at];
+        if worker.cut || !worker.alive {
+            return;
+        }
+        let id = worker.id.clone();
+        if self.settings.lives {
+            self.unlisted.retain(|(_, gone)| *gone != id);
+        }
+        let row = self.row(at, id, ready);
+        self.rows[at] = Some(row.clone());
+        self.tell(Event::Worker(row));
+    }
+
+    /// Tells a new owner of the workers that have rows.
+    pub(super) fn announce_all(&mut self) {
+        if self.settings.lives {
+            for row in self.rows.clone().into_iter().flatten() {
+                self.tell(Event::Worker(row));
+            }
+            return;
+        }
+        for (_, id) in self.unlisted.clone() {
+            let at = self.workers.iter().position(|w| w.id == id);
+            let at = at.unwrap_or_else(|| self.lives[&id]);
+            let row = self.row(at, id, true);
+            self.tell(Event::Worker(row));
+        }
+        for at in 0..self.workers.len() {
+            self.announce(at, true);
+        }
+    }
+
+    /// A worker's row is gone, though the worker may be there.
+    pub fn lapse_row(&mut self, at: usize) {
+        self.rows[at] = None;
+        self.tell(Event::Unlisted(self.workers[at].id.clone()));
+    }
+
+    /// What a worker announces under a name.
+    fn row(&self, at: usize, id: Arc<str>, ready: bool) -> WorkerInfo {
+        let worker = &self.workers[at];
+        WorkerInfo {
+            id,
+            born: worker.born,
+            addr: ([127, 0, 0, 1], worker.port).into(),
+            service: "s".into(),
+            zone: World::zone(at),
+            labels: vec!["a".into(), format!("r{}", at / 2).into()],
+            rack: format!("r{}", at / 2).into(),
+            capacity: Capacity {
+                cpu: worker.room.0,
+                memory: worker.room.1,
+                gpu: 0,
+            },
+            ready,
+            remaining: if ready { 0 } else { 2000 },
+        }
+    }
+
+    /// A worker's next life begins.
+    pub(super) fn begin_life(&mut self, at: usize) {
+        let now = self.now;
+        let old = &self.workers[at];
+        let (id, rate, room, port) = (old.id.clone(), old.rate, old.room, old.port);
+        if !self.settings.lives {
+            let name = format!("w{at}-{}", self.lives.len());
+            self.lives.insert(id, at);
+            self.workers[at] = SimWorker::new(&name, now, rate);
+            self.workers[at].room = room;
+            self.workers[at].port = port;
+            return self.announce(at, true);
+        }
+        self.past.push((at, self.row(at, id.clone(), true)));
+        let born = match self.restart.back {
+            true => old.born.map(|b| b - 1000),
+            false => Some(now),
+        };
+        let moved = MOVED_PORT + self.past.len() as u16;
+        let mut worker = SimWorker::new(&id, now, rate);
+        worker.born = born;
+        worker.uptime = 0;
+        worker.port = if self.restart.moves { moved } else { port };
+        worker.room = room;
+        self.workers[at] = worker;
+        self.arrivals.push((now + self.restart.told, at, born));
+        self.tell_arrivals();
+    }
+
+    /// Tells of the lives whose rows are due.
+    pub(super) fn tell_arrivals(&mut self) {
+        let now = self.now;
+        let due = |(t, _, _): &(u64, usize, Option<u64>)| *t <= now;
+        while let Some(next) = self.arrivals.iter().position(due) {
+            let (_, at, born) = self.arrivals.remove(next);
+            if self.workers[at].born == born {
+                self.announce(at, true);
+            }
+        }
+    }
+
+    /// Tells the newest owner again of all lives that have ended.
+    pub fn tell_past(&mut self) {
+        for (_, row) in self.past.clone() {
+            self.tell(Event::Worker(row));
+        }
+    }
+
+    /// Two workers change addresses.
+    pub fn swap_ports(&mut self, one: usize, other: usize) {
+        let port = self.workers[one].port;
+        self.workers[one].port = self.workers[other].port;
+        self.workers[other].port = port;
+    }
+
+    /// The worker that listens at a port, or did when it was last up.
+    pub(super) fn listener(&self, port: u16) -> Option<usize> {
+        let usual = usize::from(port.wrapping_sub(FIRST_PORT));
+        match self.workers.get(usual) {
+            Some(worker) if worker.port == port => Some(usual),
+            _ => self.workers.iter().position(|w| w.port == port),
+        }
+    }
+}
--- a/crates/jobs/tests/all/common/mod.rs
+++ b/crates/jobs/tests/all/common/mod.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod crash;
 mod judge;
+mod lives;
 mod orders;
 mod sim;
 mod world;
@@ -11,6 +12,7 @@
 pub use checkpoints::Brought;
 pub use crash::Crasher;
 pub use judge::Judge;
+pub use lives::Restart;
 pub use sim::{Mode, SimWorker};
 pub use world::{World, WorldSettings};
 
--- a/crates/jobs/tests/all/common/orders.rs
+++ b/crates/jobs/tests/all/common/orders.rs
@@ -5,7 +5,7 @@
 use gorsespur_jobs::{Action, Answer, Event, Started, Stopped, TaskId};
 use rand::Rng;
 
-use super::{Mode, World, world::WRITE};
+use super::{Mode, World, crash::refused, world::WRITE};
 
 /// Milliseconds after which an order without an answer is given up.
 const ORDER_LIMIT: u64 = 700;
@@ -20,10 +20,23 @@
 /// Something on its way.
 #[derive(Debug, Clone)]
 pub(super) enum Parcel {
-    Order(usize, Action, u64),
+    Order(Order),
     Answer(u32, u64, Answer),
 }
 
+/// An order on its way to a worker.
+#[derive(Debug, Clone)]
+pub(super) struct Order {
+    /// The worker that has the name, and where it is thought to listen.
+    at: usize,
+    port: u16,
+    id: Arc<str>,
+    action: Action,
+    sent: u64,
+    /// Whether it is on its way for so long that its sender has given it up.
+    stray: bool,
+}
+
 impl World {
     pub(super) fn act(&mut self, at: usize, action: Action) {
         let now = self.now;
@@ -42,7 +55,7 @@
             Action::Start(worker, _) => *worker,
         };
         let owner = &mut self.owners[at];
-        let (_, id) = owner.machine.worker(worker).expect("announced");
+        let (addr, id) = owner.machine.worker(worker).expect("announced");
         let index = match owner.slots.get(&worker) {
             Some(&index) => index,
             None => {
@@ -53,21 +66,29 @@
             }
         };
         let late = self.workers[index].late;
-        let is_look = matches!(action, Action::Look { .. });
         let cost = if matches!(action, Action::Start(..)) {
             self.link
         } else {
             0
         };
         owner.link = owner.link.max(now) + cost;
-        let extra = if is_look { 0 } else { late } + (owner.link - now);
+        let extra = if is_look(&action) { 0 } else { late } + (owner.link - now);
         let due = now + 2 + extra;
-        if extra > limit(&action) {
+        let stray = extra > limit(&action);
+        if stray {
             let (slot, answer) = silence(&action);
             let given_up = (now + limit(&action), Parcel::Answer(slot, now, answer));
             owner.parcels.push(given_up);
         }
-        owner.parcels.push((due, Parcel::Order(index, action, now)));
+        let order = Order {
+            at: index,
+            port: addr.port(),
+            id,
+            action,
+            sent: now,
+            stray,
+        };
+        owner.parcels.push((due, Parcel::Order(order)));
     }
 
     pub(super) fn deliver(&mut self, at: usize) {
@@ -91,6 +112,10 @@
                 Parcel::Answer(worker, sent, answer) => {
                     let owner = &mut self.owners[at];
                     if !owner.deposed {
+                        if let Answer::Looked(look) = &answer {
+                            let (_, id) = owner.machine.worker(worker).expect("announced");
+                            self.judge.read(id, look);
+                        }
                         let event = Event::Answer {
                             worker,
                             sent,
@@ -99,27 +124,41 @@
                         owner.machine.handle(owner.clock.read(now), now, event);
                     }
                 }
-                Parcel::Order(index, action, sent) => self.carry_out(at, index, action, sent),
+                Parcel::Order(order) => self.carry_out(at, order),
             }
         }
     }
 
-    /// The name of the worker that an owner's order is meant for.
-    fn meant(&self, at: usize, action: &Action) -> Arc<str> {
-        let worker = self.owners[at].machine.worker(slot_of(action));
-        worker.expect("announced").1
-    }
-
-    fn carry_out(&mut self, at: usize, index: usize, action: Action, sent: u64) {
+    fn carry_out(&mut self, at: usize, order: Order) {
         let now = self.now;
         let fence = self.owners[at].epoch;
-        if let Some(answer) = self.refusal(index, &action, self.meant(at, &action)) {
-            let parcel = (now + 2, Parcel::Answer(slot_of(&action), sent, answer));
-            self.owners[at].parcels.push(parcel);
+        let sent = order.sent;
+        let listener = match order.stray {
+            true => Some(order.at),
+            false => self.listener(order.port),
+        };
+        let refusal = match listener {
+            Some(index) => self.refusal(index, &order.action, &order.id),
+            None => refused(&order.action),
+        };
+        if let Some(answer) = refusal {
+            let parcel = (
+                now + 2,
+                Parcel::Answer(slot_of(&order.action), sent, answer),
+            );
+            if !order.stray {
+                self.owners[at].parcels.push(parcel);
+            }
             return;
         }
-        let late = now > sent + limit(&action);
+        let index = listener.unwrap_or(order.at);
+        let late = order.stray || now > sent + limit(&order.action);
         let lost = self.rng.random_range(0..100) < self.settings.lost;
+        let silent = lost || !self.workers[index].alive || self.workers[index].cut;
+        if silent && !late && self.is_echoed(&order.action) {
+            return self.put_off(at, order);
+        }
+        let action = order.action;
         let worker = &mut self.workers[index];
         let reached = worker.alive && !worker.cut;
         let (slot, silence) = silence(&action);
@@ -130,7 +169,7 @@
                 let look = reached
                     .then(|| {
                         if fence >= worker.fence {
-                            self.judge.observed(now, worker, *observed);
+                            self.judge.observed(now, worker, *observed, late);
                         }
                         let look = worker.look(now, fence, *observed, *deadline)?;
                         if !late {
@@ -193,22 +232,63 @@
             Answer::Looked(look) => look.finished.is_empty(),
             _ => false,
         };
-        let owner = &mut self.owners[at];
         if late {
             // Its sender has given it up already.
             return;
         }
+        let lag = match self.lag {
+            0 => 0,
+            lag if is_look(&action) => self.rng.random_range(0..lag),
+            _ => 0,
+        };
         let parcel = match reached && !lost {
             // A waiting worker answers at an end; here it is asked again soon.
-            true if waits && idle => (now + 100, Parcel::Answer(slot, sent, answer)),
-            true => (now + 2, Parcel::Answer(slot, sent, answer)),
+            true if waits && idle => (now + 100 + lag, Parcel::Answer(slot, sent, answer)),
+            true => (now + 2 + lag, Parcel::Answer(slot, sent, answer)),
             false => {
                 let due = (sent + ORDER_LIMIT).max(now);
                 (due, Parcel::Answer(slot, sent, silence))
             }
         };
-        owner.parcels.push(parcel);
+        self.owners[at].parcels.push(parcel);
     }
+
+    /// Tells whether an order that gets no answer is carried out later all the same.
+    fn is_echoed(&mut self, action: &Action) -> bool {
+        let may = self.echoes > 0 && (self.echo_looks || !is_look(action));
+        may && self.rng.random_range(0..100) < self.echoes
+    }
+
+    /// Has an order carried out later; its sender gets no answer.
+    fn put_off(&mut self, at: usize, mut order: Order) {
+        let (slot, answer) = silence(&order.action);
+        let given_up = (order.sent + limit(&order.action)).max(self.now);
+        let due = self.now + self.rng.random_range(0..self.echo.max(1));
+        order.stray = true;
+        let parcels = &mut self.owners[at].parcels;
+        parcels.push((given_up, Parcel::Answer(slot, order.sent, answer)));
+        parcels.push((due, Parcel::Order(order)));
+    }
+
+    /// Some of the orders on their way to a worker whose process ends arrive later.
+    pub(super) fn scatter(&mut self, index: usize) {
+        for at in 0..self.owners.len() {
+            for (due, parcel) in std::mem::take(&mut self.owners[at].parcels) {
+                match parcel {
+                    Parcel::Order(order)
+                        if order.at == index && !order.stray && self.is_echoed(&order.action) =>
+                    {
+                        self.put_off(at, order);
+                    }
+                    parcel => self.owners[at].parcels.push((due, parcel)),
+                }
+            }
+        }
+    }
+}
+
+fn is_look(action: &Action) -> bool {
+    matches!(action, Action::Look { .. })
 }
 
 /// The slot of the worker that an order is for.
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -11,6 +11,9 @@
 /// A member of a gang waits for the others for this long, in milliseconds.
 const GANG_WAIT: u64 = 3000;
 
+/// A lease that would last longer from its arrival on is cut to this, in milliseconds.
+const LONGEST_LEASE: u64 = 10_000;
+
 /// Work after which a run that saves its progress writes a checkpoint, in milliseconds.
 const CHECKPOINT: u64 = 500;
 
@@ -73,6 +76,9 @@
 #[derive(Debug)]
 pub struct SimWorker {
     pub id: Arc<str>,
+    /// When this life began, if it says so.
+    pub born: Option<u64>,
+    pub port: u16,
     pub alive: bool,
     /// Whether its process has ended on a machine that is up: it refuses connections.
     pub absent: bool,
@@ -91,6 +97,8 @@
     /// Its clock runs at this rate, in percent, and began at an odd time.
     pub rate: u64,
     pub begun: u64,
+    /// What its clock showed then, in milliseconds.
+    pub uptime: u64,
     pub room: (u64, u64),
     /// What it could hold before its room changed, and when that was.
     pub roomier: Option<((u64, u64), u64)>,
@@ -131,6 +139,8 @@
     pub fn new(id: &str, now: u64, rate: u64) -> SimWorker {
         SimWorker {
             id: id.into(),
+            born: None,
+            port: 0,
             alive: true,
             absent: false,
             deaf: false,
@@ -142,6 +152,7 @@
             deadline: 0,
             rate,
             begun: now,
+            uptime: 7000,
             room: (8000, 16000),
             roomier: None,
             guards: true,
@@ -164,7 +175,7 @@
     }
 
     pub fn clock(&self, now: u64) -> u64 {
-        7_000 + (now - self.begun) * self.rate / 100
+        self.uptime + (now - self.begun) * self.rate / 100
     }
 
     /// Its process ends, and with it all that runs; another life begins at `returns`.
@@ -176,8 +187,9 @@
         self.ends.clear();
     }
 
-    fn grant(&mut self, deadline: Option<u64>) {
-        self.deadline = self.deadline.max(deadline.unwrap_or(0));
+    fn grant(&mut self, now: u64, deadline: Option<u64>) {
+        let longest = self.clock(now) + LONGEST_LEASE;
+        self.deadline = self.deadline.max(deadline.unwrap_or(0).min(longest));
     }
 
     /// Writes a checkpoint of a run.
@@ -186,7 +198,7 @@
         let checkpoint = Checkpoint {
             task: run.task,
             run: run.run,
-            life: self.id.clone(),
+            life: format!("{}{:?}", self.id, self.born).into(),
             progress: run.done,
         };
         run.saved = (checkpoint.text(), run.done);
@@ -263,7 +275,7 @@
             return None;
         }
         self.fence = fence;
-        self.grant(deadline);
+        self.grant(now, deadline);
         self.ends.retain(|e| e.number > observed);
         let running = self.runs.iter().map(|r| Running {
             task: r.task,
@@ -276,7 +288,7 @@
             figure: Some(self.figure(now, r)),
         });
         Some(Look {
-            born: None,
+            born: self.born,
             clock: self.clock(now),
             running: running.collect(),
             finished: self.ends.iter().take(FULL_LIST).cloned().collect(),
@@ -338,7 +350,7 @@
             return Started::Fenced;
         }
         self.fence = fence;
-        self.grant(Some(order.deadline));
+        self.grant(now, Some(order.deadline));
         let same = |r: &SimRun| r.task == order.task && r.run == order.run;
         if self.runs.iter().any(same) {
             return Started::Done;
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -3,13 +3,13 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use gorsespur_jobs::{
-    Capacity, Event, Figures, Job, JobId, Machine, Outcome, QueuePolicy, Record, Settings, Spec,
-    Takeover, TaskId, WorkerInfo,
+    Event, Figures, Job, JobId, Machine, Outcome, QueuePolicy, Record, Settings, Spec, Takeover,
+    TaskId, WorkerInfo,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use super::{
-    Judge, SimWorker,
+    Judge, Restart, SimWorker,
     clock::OwnerClock,
     crash::{Crasher, RETURNS},
     orders::Parcel,
@@ -33,6 +33,8 @@
     pub seed: u64,
     /// Share of answers that are lost, in percent.
     pub lost: u32,
+    /// Whether workers say when they began, and start again under their names.
+    pub lives: bool,
 }
 
 impl Default for WorldSettings {
@@ -42,6 +44,7 @@
             attempts: 3,
             seed: 1,
             lost: 0,
+            lives: false,
         }
     }
 }
@@ -82,6 +85,18 @@
     pub lives: BTreeMap<Arc<str>, usize>,
     /// Milliseconds until a crashed worker's next life begins.
     pub away: u64,
+    /// How it begins if it keeps its worker's name.
+    pub restart: Restart,
+    /// What lives announced that have ended and whose workers kept their names.
+    pub past: Vec<(usize, WorkerInfo)>,
+    /// Share of orders without an answer that are carried out later all the same, in percent ...
+    pub echoes: u32,
+    /// ... by so many milliseconds at most.
+    pub echo: u64,
+    /// Whether this holds for looks as well.
+    pub echo_looks: bool,
+    /// Milliseconds that answers to looks are late at most, drawn for each.
+    pub lag: u64,
     /// Announcements that are gone at a time.
     pub unlisted: Vec<(u64, Arc<str>)>,
     /// Whether owners no longer hear what workers announce.
@@ -99,6 +114,10 @@
     pub unaware: u64,
     /// Whether a new owner is given what the last one learned.
     pub remembers: bool,
+    /// The workers' rows, as the store has them.
+    pub(super) rows: Vec<Option<WorkerInfo>>,
+    /// Rows of new lives that are to be told at a time.
+    pub(super) arrivals: Vec<(u64, usize, Option<u64>)>,
     pub(super) records: BTreeMap<JobId, Vec<u8>>,
     pub(super) jobs: BTreeMap<JobId, Arc<Job>>,
     pub(super) cancelled: Vec<JobId>,
@@ -122,6 +141,12 @@
             crashers: Vec::new(),
             lives: BTreeMap::new(),
             away: RETURNS,
+            restart: Restart::default(),
+            past: Vec::new(),
+            echoes: 0,
+            echo: 0,
+            echo_looks: false,
+            lag: 0,
             unlisted: Vec::new(),
             unheard: false,
             turns: 0,
@@ -130,6 +155,8 @@
             claim: 0,
             unaware: 0,
             remembers: true,
+            rows: Vec::new(),
+            arrivals: Vec::new(),
             records: BTreeMap::new(),
             jobs: BTreeMap::new(),
             cancelled: Vec::new(),
@@ -145,6 +172,7 @@
                 .workers
                 .push(SimWorker::new(&format!("w{at}"), now, rate));
         }
+        world.found_lives();
         world.take_over(0);
         world
     }
@@ -204,14 +232,7 @@
                 .handle(self.now, self.now, Event::Cancelled(id));
         }
         self.owners.push(owner);
-        for (_, id) in self.unlisted.clone() {
-            let at = self.workers.iter().position(|w| w.id == id);
-            let at = at.unwrap_or_else(|| self.lives[&id]);
-            self.list(at, id, true);
-        }
-        for at in 0..self.workers.len() {
-            self.announce(at, true);
-        }
+        self.announce_all();
     }
 
     /// The newest owner stops and wakes up again.
@@ -240,37 +261,6 @@
         self.renewed.max(self.now) + 500 + settings.reach * 100 / 98 + 100
     }
 
-    /// Tells the newest owner of a worker.
-    pub fn announce(&mut self, at: usize, ready: bool) {
-        let worker = &self.workers[at];
-        if worker.cut || !worker.alive {
-            return;
-        }
-        self.list(at, worker.id.clone(), ready);
-    }
-
-    /// Tells the newest owner what a life of a worker announced.
-    fn list(&mut self, at: usize, id: Arc<str>, ready: bool) {
-        let worker = &self.workers[at];
-        let info = WorkerInfo {
-            id,
-            born: None,
-            addr: format!("127.0.0.1:{}", 1000 + at).parse().expect("address"),
-            service: "s".into(),
-            zone: World::zone(at),
-            labels: vec!["a".into(), format!("r{}", at / 2).into()],
-            rack: format!("r{}", at / 2).into(),
-            capacity: Capacity {
-                cpu: worker.room.0,
-                memory: worker.room.1,
-                gpu: 0,
-            },
-            ready,
-            remaining: if ready { 0 } else { 2000 },
-        };
-        self.tell(Event::Worker(info));
-    }
-
     /// The newest owner's machine is suspended for so many milliseconds.
     pub fn suspend(&mut self, ms: u64) {
         self.pause(true);
--- a/crates/jobs/tests/all/evacuation.rs
+++ b/crates/jobs/tests/all/evacuation.rs
@@ -88,6 +88,7 @@
             attempts: 40,
             seed,
             lost: rng.random_range(0..4),
+            lives: false,
         });
         world.run(100);
         for round in 0..rng.random_range(3..9) {
--- /dev/null
+++ b/crates/jobs/tests/all/lives.rs
@@ -0,0 +1,409 @@
+//! Workers that start again under their names.
+//!
+//! What such a worker says carries the moment of its start. It holds and knows nothing of
+//! before, and the numbers of its ends and its clock start anew.
+
+use crate::common::{Crasher, Restart, World, WorldSettings, chain, check_seed, lasting, short};
+use gorsespur_jobs::{JobId, Outcome, Step, TaskId};
+
+/// The job of the first worker's only task.
+const FIRST: JobId = JobId(1);
+
+/// Milliseconds in which a task runs again whose worker is there again and known to be.
+const SOON: u64 = 2000;
+
+/// Milliseconds for which a worker may be silent before all leases on it are over.
+const LEASES: u64 = 12_000;
+
+/// Absences in milliseconds, from those that nobody notices to those that everybody does.
+const ABSENCES: [u64; 5] = [5, 50, 400, 2000, 6000];
+
+/// Milliseconds until the row of a new life is told.
+const TOLD: [u64; 3] = [0, 300, 3000];
+
+fn world(workers: usize) -> World {
+    let mut world = World::new(WorldSettings {
+        workers,
+        lives: true,
+        ..WorldSettings::default()
+    });
+    world.run(100);
+    world
+}
+
+/// A step whose tasks run on the first two workers only.
+fn first_rack(step: Step) -> Step {
+    Step {
+        label: Some("r0".into()),
+        ..step
+    }
+}
+
+/// A world of three workers, the first of which has the only task of a job.
+fn world_with(step: Step) -> World {
+    let mut world = world(3);
+    world.workers[1].cut = true;
+    world.workers[2].cut = true;
+    world.run(2000);
+    world.submit(FIRST.0, chain(vec![step]));
+    world.run(500);
+    world.workers[1].cut = false;
+    world.workers[2].cut = false;
+    world.run(1500);
+    assert_eq!(world.workers[0].runs.len(), 1);
+    world
+}
+
+/// How often a task of the first job runs.
+fn running(world: &World) -> usize {
+    let workers = world.workers.iter().filter(|w| w.alive);
+    let runs = workers.flat_map(|w| &w.runs);
+    runs.filter(|r| r.task.job == FIRST).count()
+}
+
+/// The ways in which a worker starts again: how long it is away, and how it is back.
+fn restarts() -> Vec<(u64, Restart)> {
+    let mut out = Vec::new();
+    for away in ABSENCES {
+        for told in TOLD {
+            for (back, moves) in [(false, false), (false, true), (true, false)] {
+                out.push((away, Restart { back, moves, told }));
+            }
+        }
+    }
+    out
+}
+
+/// Has a worker start again and be there.
+fn restart(world: &mut World, at: usize, away: u64) {
+    world.away = away;
+    world.crash(at);
+    world.run(away + 10);
+    assert!(world.workers[at].alive);
+}
+
+/// Asserts that all jobs are done soon, and that nothing was wrong.
+fn check_done(world: &mut World, limit: u64, what: &str) {
+    let done = world.run_until_done(limit);
+    let wrong = &world.judge.wrong;
+    assert!(wrong.is_empty(), "{what}: {wrong:#?}");
+    assert!(done, "{what}: jobs are left");
+}
+
+/// Ends of the new life count, though the old one had more.
+#[test]
+fn ends_numbered_anew_are_counted() {
+    for (away, how) in restarts() {
+        let what = format!("{away} {how:?}");
+        let mut world = world(1);
+        world.restart = how;
+        world.submit(1, chain(vec![short(8, 300), short(4, 200)]));
+        check_done(&mut world, 5000, &what);
+        restart(&mut world, 0, away);
+        world.submit(2, chain(vec![short(8, 300), short(4, 200)]));
+        check_done(&mut world, how.told + 5000, &what);
+        assert_eq!(world.workers[0].ends.len(), 0, "{what}: ends are left");
+    }
+}
+
+/// The old life's count of ends is durable by then, and the new one's ends are told to an
+/// owner that knows the count.
+#[test]
+fn a_new_life_does_not_forget_ends_that_nobody_read() {
+    for seed in 0..20 {
+        let mut world = world(2);
+        world.submit(1, chain(vec![short(16, 300), short(8, 200)]));
+        check_done(&mut world, 5000, "first life");
+        world.submit(2, chain(vec![short(16, 400), short(8, 100), short(16, 50)]));
+        world.run(seed * 37);
+        restart(&mut world, 0, 5);
+        check_done(&mut world, 9000, &format!("after {} ms", seed * 37));
+    }
+}
+
+/// What ran on the old life is found to be gone at once, not only when its leases are over.
+#[test]
+fn a_task_of_the_old_life_runs_again_soon() {
+    for (away, how) in restarts() {
+        for step in [lasting(1), short(1, 30_000)] {
+            let mut world = world_with(step);
+            world.restart = how;
+            restart(&mut world, 0, away);
+            let unknown = if how.moves { how.told } else { 0 };
+            world.run(unknown + SOON);
+            let what = format!("{away} {how:?}");
+            assert_eq!(running(&world), 1, "{what}");
+            check_seed(&world, 0);
+        }
+    }
+}
+
+/// The clock of a new life shows less than the end of the leases that the old one had.
+#[test]
+fn runs_of_a_new_life_are_given_up_when_its_own_leases_are_over() {
+    for (away, how) in restarts() {
+        let what = format!("{away} {how:?}");
+        let mut world = world_with(first_rack(lasting(1)));
+        world.restart = how;
+        world.workers[1].cut = true;
+        restart(&mut world, 0, away);
+        world.run(how.told + SOON);
+        assert_eq!(world.workers[0].runs.len(), 1, "{what}");
+        world.workers[1].cut = false;
+        world.run(SOON);
+        world.away = 600_000;
+        world.lose_power(0);
+        world.run(LEASES);
+        assert_eq!(running(&world), 1, "{what}");
+        check_seed(&world, 0);
+    }
+}
+
+/// Asserts that the first worker, the only one that can be reached, takes work.
+fn check_takes_work(world: &mut World, what: &str) {
+    for worker in &mut world.workers[1..] {
+        worker.cut = true;
+    }
+    world.run(SOON);
+    world.submit(90, chain(vec![first_rack(short(2, 200))]));
+    check_done(world, SOON, what);
+}
+
+#[test]
+fn a_worker_takes_work_again_after_its_leases_were_over() {
+    for told in TOLD {
+        let mut world = world_with(lasting(1));
+        world.restart.told = told;
+        world.away = LEASES + 3000;
+        world.lose_power(0);
+        world.run(LEASES);
+        assert_eq!(running(&world), 1);
+        check_seed(&world, 0);
+        world.run(3100 + told);
+        check_takes_work(&mut world, &format!("{told}"));
+    }
+}
+
+#[test]
+fn a_worker_takes_work_again_after_it_was_unlisted() {
+    for (away, how) in restarts() {
+        let mut world = world_with(lasting(1));
+        world.restart = how;
+        world.lapse_row(0);
+        world.run(500);
+        restart(&mut world, 0, away);
+        world.run(how.told + 500);
+        check_takes_work(&mut world, &format!("{away} {how:?}"));
+    }
+}
+
+/// Two workers start again, each at the other one's address.
+#[test]
+fn a_worker_takes_work_again_after_another_one_answered_for_it() {
+    for told in [0, 1000, 3000] {
+        let mut world = world_with(lasting(1));
+        world.restart.told = told;
+        world.away = 50;
+        world.crash(0);
+        world.crash(1);
+        world.run(45);
+        world.swap_ports(0, 1);
+        world.run(10 + told + SOON);
+        let what = format!("{told}");
+        assert_eq!(running(&world), 1, "{what}");
+        check_takes_work(&mut world, &what);
+    }
+}
+
+/// A start without an answer begins in the new life seconds later, unless it is barred there.
+#[test]
+fn a_late_start_of_the_old_life_does_not_run_beside_the_next_run() {
+    for (away, how) in restarts() {
+        for late in [800, 1500, 3000, 5000] {
+            let mut world = world(3);
+            world.restart = how;
+            world.workers[0].late = late;
+            world.workers[1].cut = true;
+            world.workers[2].cut = true;
+            world.run(2000);
+            world.submit(FIRST.0, chain(vec![short(1, 4000)]));
+            world.run(150);
+            world.workers[1].cut = false;
+            world.workers[2].cut = false;
+            restart(&mut world, 0, away);
+            check_done(&mut world, 20_000, &format!("{late} {away} {how:?}"));
+        }
+    }
+}
+
+/// An order for the old life names a lease on its clock, which reaches further than any on the
+/// new one's: it is cut to the longest lease, counted from when the order arrives.
+#[test]
+fn a_late_order_of_the_old_life_does_not_outlast_what_its_sender_waits_for() {
+    for away in [5, 400] {
+        for late in [800, 1500, 3000] {
+            let mut world = world_with(first_rack(lasting(1)));
+            world.workers[1].cut = true;
+            world.workers[0].late = late;
+            world.submit(2, chain(vec![short(3, 300)]));
+            world.run(100);
+            restart(&mut world, 0, away);
+            world.run(late);
+            world.workers[0].cut = true;
+            world.workers[1].cut = false;
+            world.run(LEASES + SOON);
+            let what = format!("{late} {away}");
+            check_done(&mut world, 0, &what);
+            assert_eq!(running(&world), 1, "{what}");
+        }
+    }
+}
+
+/// Takes over while a worker is away, or just after it is back, so long after its crash.
+fn take_over(world: &mut World, away: u64, after: u64) {
+    world.away = away;
+    world.pause(true);
+    let end = world.lease_end();
+    world.crash(0);
+    world.run(after);
+    world.take_over(end);
+}
+
+#[test]
+fn a_new_owner_gives_up_runs_of_the_old_life() {
+    for (away, how) in restarts() {
+        for after in [0, 20, 700, 2500] {
+            let mut world = world_with(lasting(1));
+            world.restart = how;
+            take_over(&mut world, away, after);
+            let known = away + if how.moves { how.told } else { 0 };
+            world.run(known.saturating_sub(after) + SOON + 500);
+            assert_eq!(running(&world), 1, "{away} {after} {how:?}");
+            check_seed(&world, 0);
+        }
+    }
+}
+
+/// The start was sent to the old life by the old owner, and begins in the new life.
+#[test]
+fn a_new_owner_adopts_no_run_that_has_gone_elsewhere() {
+    for late in (300..5000).step_by(300) {
+        for away in ABSENCES {
+            let mut world = world(3);
+            world.restart.told = 2000;
+            world.workers[0].late = late;
+            for at in [1, 2] {
+                world.workers[at].cut = true;
+            }
+            world.run(2000);
+            world.submit(FIRST.0, chain(vec![short(1, 4000)]));
+            world.run(100);
+            for at in [1, 2] {
+                world.workers[at].cut = false;
+            }
+            take_over(&mut world, away, 200);
+            check_done(&mut world, 25_000, &format!("{late} {away}"));
+        }
+    }
+}
+
+#[test]
+fn a_row_of_the_old_life_does_not_undo_the_new_one() {
+    for (away, how) in restarts() {
+        let what = format!("{away} {how:?}");
+        let mut world = world_with(first_rack(lasting(1)));
+        world.restart = how;
+        world.workers[1].cut = true;
+        restart(&mut world, 0, away);
+        world.run(how.told + SOON);
+        assert_eq!(world.workers[0].runs.len(), 1, "{what}");
+        let run = world.workers[0].runs[0].run;
+        for id in 10..16 {
+            world.tell_past();
+            world.submit(id, chain(vec![first_rack(short(2, 200))]));
+            world.run(400);
+        }
+        check_done(&mut world, SOON, &what);
+        let now = world.workers[0].runs.first().map(|r| r.run);
+        assert_eq!(now, Some(run), "{what}: the run goes on");
+        // Its real row is read again as well.
+        world.announce(0, true);
+        check_takes_work(&mut world, &what);
+    }
+}
+
+/// A row that lapsed and comes back, and one that is told again, begin no new life.
+#[test]
+fn a_row_that_comes_back_begins_no_life() {
+    let mut world = world_with(lasting(1));
+    for _ in 0..4 {
+        world.lapse_row(0);
+        world.run(700);
+        world.announce(0, true);
+        world.run(300);
+        world.announce(0, true);
+    }
+    let run = world.workers[0].runs.first().map(|r| r.run);
+    assert_eq!(run, Some(1));
+    check_seed(&world, 0);
+}
+
+/// Clocks that are set back let a later life seem the earlier one; it stays the current one.
+#[test]
+fn a_later_life_that_seems_the_earlier_one_is_kept() {
+    for told in TOLD {
+        let mut world = world_with(first_rack(lasting(1)));
+        world.workers[1].cut = true;
+        for back in [true, false, true, true] {
+            world.restart = Restart {
+                back,
+                moves: back,
+                told,
+            };
+            restart(&mut world, 0, 30);
+            world.tell_past();
+            world.run(told + SOON + 500);
+            assert_eq!(world.workers[0].runs.len(), 1, "{told}");
+            check_seed(&world, 0);
+        }
+        check_takes_work(&mut world, &format!("{told}"));
+    }
+}
+
+/// Without the field a new life has a new name, as before.
+#[test]
+fn workers_that_do_not_say_when_they_began_start_again_under_new_names() {
+    for away in ABSENCES {
+        let mut world = World::new(WorldSettings::default());
+        world.run(100);
+        world.submit(1, chain(vec![lasting(4)]));
+        world.submit(2, chain(vec![short(8, 900), short(8, 300)]));
+        world.run(1500);
+        restart(&mut world, 0, away);
+        world.run(SOON + 500);
+        let runs = world.workers.iter().flat_map(|w| &w.runs);
+        assert_eq!(runs.filter(|r| r.task.job == FIRST).count(), 4, "{away}");
+        check_done(&mut world, 9000, &format!("{away}"));
+        assert!(world.past.is_empty());
+    }
+}
+
+/// A task that crashes whatever starts it is given up where there is one worker only.
+#[test]
+fn crashes_of_two_lives_count_as_two() {
+    for away in [300, 700, 3000] {
+        let mut world = world(1);
+        world.away = away;
+        let task = TaskId {
+            job: FIRST,
+            time: 0,
+            step: 0,
+            index: 0,
+        };
+        world.crashers.push(Crasher { task, after: 10 });
+        world.submit(FIRST.0, chain(vec![short(1, 800)]));
+        world.run(45_000);
+        check_seed(&world, 0);
+        assert_eq!(world.outcome(FIRST), Outcome::Failed, "{away}");
+    }
+}
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -7,11 +7,13 @@
 mod evacuation;
 mod gangs;
 mod guards;
+mod lives;
 mod load;
 mod promises;
 mod records;
 mod regression;
 mod resizing;
+mod restarts;
 mod sharing;
 #[path = "../../benches/site.rs"]
 #[expect(dead_code, reason = "the benchmarks use more of it")]
--- a/crates/jobs/tests/all/promises.rs
+++ b/crates/jobs/tests/all/promises.rs
@@ -134,6 +134,7 @@
             attempts: 40,
             seed,
             lost: rng.random_range(0..4),
+            lives: false,
         });
         world.run(100);
         fill(&mut world);
--- /dev/null
+++ b/crates/jobs/tests/all/restarts.rs
@@ -0,0 +1,129 @@
+//! Random series of workers that start again under their names, among other faults.
+
+use std::{env, ops::Range};
+
+use crate::common::{Restart, World, WorldSettings, chain, lasting, saving_some, short};
+use gorsespur_jobs::Spec;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+/// A job of one step or two, as the random series hand them in.
+fn some_job(rng: &mut SmallRng, id: u64) -> Spec {
+    let count = rng.random_range(1..6);
+    let steps = vec![short(count, rng.random_range(50..1500)), short(2, 300)];
+    chain(saving_some(id, steps))
+}
+
+/// Something that happens in a random series.
+fn strike(world: &mut World, rng: &mut SmallRng, at: usize) {
+    world.away = match rng.random_range(0..3) {
+        0 => rng.random_range(5..50),
+        1 => rng.random_range(50..1500),
+        _ => rng.random_range(1500..9000),
+    };
+    world.restart = Restart {
+        back: rng.random_bool(0.2),
+        moves: rng.random_bool(0.3),
+        told: [0, 20, 400, 3000][rng.random_range(0..4)],
+    };
+    match rng.random_range(0..14) {
+        0..5 => world.crash(at),
+        5 => world.lose_power(at),
+        6 => {
+            world.crash(at);
+            world.crash((at + 1) % 5);
+            world.swap_ports(at, (at + 1) % 5);
+        }
+        7 => world.tell_past(),
+        8 => world.lapse_row(at),
+        9 => world.workers[at].late = rng.random_range(0..4000),
+        10..12 => world.workers[at].cut ^= true,
+        12 => {
+            world.pause(true);
+            let end = world.lease_end();
+            world.run(rng.random_range(0..3000));
+            world.take_over(end);
+        }
+        _ => {
+            let end = world.lease_end();
+            world.take_over(end);
+        }
+    }
+}
+
+/// Plays the series of a seed; returns what was wrong.
+fn play(seed: u64) -> Vec<String> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = World::new(WorldSettings {
+        workers: 5,
+        attempts: 40,
+        seed,
+        lost: rng.random_range(0..6),
+        lives: true,
+    });
+    world.echoes = [0, 30, 100][rng.random_range(0..3)];
+    world.echo = rng.random_range(100..6000);
+    world.echo_looks = seed.is_multiple_of(4);
+    world.lag = [0, 40, 300][rng.random_range(0..3)];
+    world.unread = [0, 0, 50][rng.random_range(0..3)];
+    world.run(100);
+    world.submit(1000, chain(vec![lasting(2)]));
+    let mut id = 0;
+    for _ in 0..rng.random_range(2..9) {
+        for _ in 0..rng.random_range(0..6) {
+            id += 1;
+            world.submit(id, some_job(&mut rng, id));
+            world.run(rng.random_range(0..300));
+        }
+        let at = rng.random_range(0..5);
+        strike(&mut world, &mut rng, at);
+        world.run(rng.random_range(0..2500));
+    }
+    for worker in &mut world.workers {
+        worker.late = 0;
+        worker.cut = false;
+    }
+    world.restart.told = 0;
+    world.run(12_000);
+    for at in 0..5 {
+        world.announce(at, true);
+    }
+    for _ in 0..4 {
+        id += 1;
+        world.submit(id, some_job(&mut rng, id));
+    }
+    let done = world.run_until_done(40_000);
+    world.run(3000);
+    let mut wrong = world.judge.wrong.clone();
+    if !done {
+        wrong.push("jobs are left".into());
+    }
+    let runs = world.workers.iter().flat_map(|w| &w.runs);
+    if runs.count() != 2 {
+        wrong.push("lasting tasks do not run".into());
+    }
+    wrong
+}
+
+/// `GORSESPUR_LIVES` names other seeds, as in `0..5000` or `7`.
+fn seeds() -> Range<u64> {
+    let Ok(text) = env::var("GORSESPUR_LIVES") else {
+        return 0..200;
+    };
+    let number = |t: &str| t.parse().expect("GORSESPUR_LIVES: a number or a..b");
+    match text.split_once("..") {
+        Some((first, end)) => number(first)..number(end),
+        None => number(&text)..number(&text) + 1,
+    }
+}
+
+#[test]
+fn random_series_of_restarts_break_no_promise() {
+    let mut bad = Vec::new();
+    for seed in seeds() {
+        let wrong = play(seed);
+        if let Some(first) = wrong.first() {
+            bad.push(format!("seed {seed}: {first}, {} in all", wrong.len()));
+        }
+    }
+    assert!(bad.is_empty(), "{} seeds: {bad:#?}", bad.len());
+}
