Judge a look that finds a new life, and what late starts begin there

A start may reach a new life before a look does, and its run be over when the look comes, which names the count of the life before: the end is forgotten unread.

--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -70,6 +70,8 @@
     pub pace: u32,
     pub stops: Option<u64>,
     pub size: (u64, u64),
+    /// Until when no owner can help that it runs.
+    pub excused: u64,
 }
 
 /// A worker.
@@ -392,6 +394,7 @@
             pace: 100,
             stops: None,
             size: (step.cpu, step.memory),
+            excused: 0,
         });
         Started::Done
     }
--- a/crates/jobs/tests/all/lives.rs
+++ b/crates/jobs/tests/all/lives.rs
@@ -102,6 +102,7 @@
         restart(&mut world, 0, away);
         world.submit(2, chain(vec![short(8, 300), short(4, 200)]));
         check_done(&mut world, how.told + 5000, &what);
+        world.run(SOON);
         assert_eq!(world.workers[0].ends.len(), 0, "{what}: ends are left");
     }
 }
@@ -121,6 +122,24 @@
     }
 }
 
+/// A start may reach a new life before a look does, and its run be over by then: the look that
+/// finds the life names the count of the one before.
+#[test]
+fn a_look_that_finds_a_new_life_has_it_forget_nothing() {
+    for away in [5, 20, 50] {
+        for delay in (0..100).step_by(10) {
+            let mut world = world(1);
+            world.submit(1, chain(vec![short(8, 300), short(4, 200)]));
+            check_done(&mut world, 5000, "first life");
+            world.run(SOON);
+            restart(&mut world, 0, away);
+            world.run(delay);
+            world.submit(2, chain(vec![short(8, 20)]));
+            check_done(&mut world, 5000, &format!("{away} {delay}"));
+        }
+    }
+}
+
 /// What ran on the old life is found to be gone at once, not only when its leases are over.
 #[test]
 fn a_task_of_the_old_life_runs_again_soon() {
