Tell the lives of a worker apart

Callers saw tasks start again that were done (TWICE), and others stand still beside free room: a worker may start again under its name, and all that an owner kept belonged to the name. The next life's ends up to the old one's count were passed over and then dropped, so that their runs seemed gone; clocks and ends of leases of two lives were compared; and one that was given up stayed so.

A slot of the fleet now stands for one life. Lists say which life is there, by when it began; rows only announce: until a list has said so, nothing begins on any life of the name, and a row of an earlier life decides nothing. Answers overtake each other, so a list of another life counts only if it was asked for after the last one had come. The runs of a replaced life are given up at once. Records and crashes name the life (NAME@BORN); orders and rows keep the worker's name. A look tells of ends only where it is known which life reads it. Without the field there is one life a name, as before.

--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -192,13 +192,14 @@
             return;
         }
         let wait = worker.look_wait(&settings);
+        let observed = worker.droppable();
         worker.promised = worker.promised.max(deadline.unwrap_or(0));
         worker.looking = true;
         worker.looked = now;
         self.figures.looks += 1;
         self.out.push(Action::Look {
             worker: slot,
-            observed: worker.observed,
+            observed,
             deadline,
             wait,
         });
--- a/crates/jobs/src/model/mod.rs
+++ b/crates/jobs/src/model/mod.rs
@@ -9,6 +9,9 @@
 mod crash_tests;
 pub(crate) mod ids;
 pub(crate) mod job;
+pub(crate) mod life;
+#[cfg(test)]
+mod life_tests;
 pub(crate) mod policy;
 pub(crate) mod record;
 pub(crate) mod spec;
--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -109,6 +109,9 @@
     pub(crate) fn silent(&mut self, slot: u32, sent: u64) {
         let now = self.now;
         let worker = self.fleet.get_mut(slot);
+        if worker.dead {
+            return;
+        }
         worker.looking = false;
         worker.next_look = now + SILENT_RETRY;
         worker.missed = Some(sent);
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -34,7 +34,7 @@
                 break;
             };
             state.dirty = false;
-            let record = state.record(|slot| workers.get(slot).id.clone()).encode();
+            let record = state.record(|slot| workers.get(slot).name.clone()).encode();
             bytes += record.len();
             records.push((id, record));
             for task in state.task_ids() {
--- a/crates/jobs/src/runs/crashes.rs
+++ b/crates/jobs/src/runs/crashes.rs
@@ -75,14 +75,14 @@
         let worker = self.fleet.get_mut(slot);
         worker.absent = false;
         worker.charged = false;
-        let (id, runs) = (worker.id.clone(), worker.runs.clone());
+        let (life, runs) = (worker.name.clone(), worker.runs.clone());
         worker.guest = worker.guest.filter(|g| runs.binary_search(g).is_ok());
         for task in runs {
             let state = self.jobs.get_mut(&task.job);
             let Some(state) = state.and_then(|j| j.task_mut(task)) else {
                 continue;
             };
-            state.crashes.forget(&id);
+            state.crashes.forget(&life);
             self.mark(task.job);
         }
     }
@@ -90,7 +90,7 @@
     /// Takes note of what the crash of a worker tells of the tasks there, `most` at most.
     pub(super) fn charge(&mut self, slot: u32, most: Blame) {
         let worker = self.fleet.get(slot);
-        let (id, runs) = (worker.id.clone(), worker.runs.clone());
+        let (life, runs) = (worker.name.clone(), worker.runs.clone());
         let end = worker.silent.unwrap_or(self.now);
         let young: Vec<TaskId> = runs
             .iter()
@@ -104,12 +104,12 @@
                 false if runs.len() == 1 => Blame::Own,
                 false => Blame::Shared,
             };
-            self.charge_task(task, &id, blame.min(most));
+            self.charge_task(task, &life, blame.min(most));
         }
     }
 
-    /// Takes note of a worker's crash for a task that ran there.
-    fn charge_task(&mut self, id: TaskId, worker: &Arc<str>, blame: Blame) {
+    /// Takes note of the crash of a worker's life for a task that ran there.
+    fn charge_task(&mut self, id: TaskId, life: &Arc<str>, blame: Blame) {
         let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
         let Some(task) = task else {
             return;
@@ -117,9 +117,9 @@
         if task.run.as_ref().is_none_or(|r| r.stage == Stage::Planned) {
             return;
         }
-        task.crashes.note(worker, blame);
+        task.crashes.note(life, blame);
         let (run, crashes) = (task.last, task.crashes.count());
-        log::info!(task = id.to_string().as_str(), run, worker = &**worker, blame:?, crashes; "task: a worker crashed under it");
+        log::info!(task = id.to_string().as_str(), run, worker = &**life, blame:?, crashes; "task: a worker crashed under it");
         if task.crashes.is_suspect() {
             self.suspect(id);
         }
--- a/crates/jobs/src/runs/ends.rs
+++ b/crates/jobs/src/runs/ends.rs
@@ -23,11 +23,14 @@
     /// Takes a worker's answer to a look that was sent at `sent`.
     pub(crate) fn looked(&mut self, slot: u32, sent: u64, look: Look) {
         let (now, settings) = (self.now, self.settings);
+        self.fleet.get_mut(slot).looking = false;
+        let Some(slot) = self.answering(slot, sent, look.born) else {
+            return;
+        };
         let worker = self.fleet.get_mut(slot);
         if worker.dead {
             return;
         }
-        worker.looking = false;
         worker.heard(look.clock, now, &settings);
         let was_absent = worker.absent;
         if let Some(since) = worker.silent.take() {
--- a/crates/jobs/src/runs/fleet.rs
+++ b/crates/jobs/src/runs/fleet.rs
@@ -3,18 +3,22 @@
 use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 
 use crate::{
-    runs::worker::{Worker, WorkerInfo},
+    runs::{
+        lives::Lives,
+        worker::{Worker, WorkerInfo},
+    },
     settings::Settings,
     sorted::Sorted,
 };
 
-/// The workers by slot; a slot is never used again.
+/// The workers by slot, one for each life; a slot is never used again.
 #[derive(Debug)]
 pub(crate) struct Fleet {
     pub(crate) workers: Vec<Worker>,
-    slots: Sorted<Arc<str>, u32>,
+    /// The lives of each name.
+    pub(super) names: Sorted<Arc<str>, Lives>,
     /// When leases of an earlier owner are over everywhere.
-    inherited: u64,
+    pub(super) inherited: u64,
     /// Workers that changed since they were last asked for.
     touched: Vec<u32>,
     /// Workers to be seen to at a time.
@@ -32,7 +36,7 @@
     pub(crate) fn new(inherited: u64) -> Fleet {
         Fleet {
             workers: Vec::new(),
-            slots: Sorted::default(),
+            names: Sorted::default(),
             inherited,
             touched: Vec::new(),
             timers: BinaryHeap::new(),
@@ -42,23 +46,14 @@
         }
     }
 
-    /// Returns the slot of a worker's name, a new one if need be.
-    pub(crate) fn slot(&mut self, id: &Arc<str>) -> u32 {
-        if let Some(&slot) = self.slots.get(id) {
-            return slot;
-        }
-        let slot = self.workers.len() as u32;
-        self.workers.push(Worker::new(id.clone(), self.inherited));
-        self.slots.insert(id.clone(), slot);
-        slot
-    }
-
     /// Takes what a worker announced; true if that is new.
     ///
     /// Workers repeat themselves every other second, which is not worth a pass of placement.
     pub(crate) fn announce(&mut self, mut info: WorkerInfo, now: u64) -> bool {
         info.service = self.service(&info.service);
-        let slot = self.slot(&info.id);
+        let Some(slot) = self.announced(&info) else {
+            return false;
+        };
         let known = self.get(slot);
         if known.listed && known.info.as_ref() == Some(&info) {
             return false;
@@ -74,6 +69,9 @@
             log::info!(worker = &*info.id, addr = info.addr.to_string().as_str(), ready = info.ready, remaining_ms = info.remaining, born:? = info.born; "worker: listed");
         }
         worker.listed = true;
+        if worker.announced == 0 {
+            worker.announced = now;
+        }
         worker.info = Some(info);
         let evacuated = self.is_evacuated(slot);
         self.get_mut(slot).evacuated = evacuated;
@@ -88,7 +86,7 @@
         }
     }
 
-    fn is_evacuated(&self, slot: u32) -> bool {
+    pub(super) fn is_evacuated(&self, slot: u32) -> bool {
         let info = self.get(slot).info.as_ref();
         info.is_some_and(|i| self.evacuated.binary_search(&i.zone).is_ok())
     }
@@ -110,8 +108,9 @@
 
     /// Takes note that a worker's announcement is gone.
     pub(crate) fn unlist(&mut self, id: &Arc<str>) {
-        let slot = self.slot(id);
-        self.get_mut(slot).listed = false;
+        for slot in self.lives(id).to_vec() {
+            self.get_mut(slot).listed = false;
+        }
     }
 
     pub(crate) fn get(&self, slot: u32) -> &Worker {
--- a/crates/jobs/src/runs/look.rs
+++ b/crates/jobs/src/runs/look.rs
@@ -22,6 +22,15 @@
         self.counted > self.observed
     }
 
+    /// Returns up to which end a look that is sent now lets it drop them.
+    ///
+    /// Where another life may read the look it would drop ends of its own that nobody has
+    /// read: then none, and the ends are listed again.
+    pub(crate) fn droppable(&self) -> u64 {
+        let unsure = self.silent.is_some() || self.contested;
+        if unsure { 0 } else { self.observed }
+    }
+
     /// Returns when it is to be looked at; `deadline` is the lease that this would grant.
     pub(crate) fn look_due(&self, deadline: Option<u64>, settings: &Settings) -> u64 {
         let gained = deadline.unwrap_or(0).saturating_sub(self.promised);
@@ -38,7 +47,7 @@
             return 0;
         };
         let was_late = at.saturating_sub(self.looked) > LATE_ANSWER;
-        if was_late || self.is_behind() || self.silent.is_some() {
+        if was_late || self.is_behind() || self.silent.is_some() || self.contested {
             return 0;
         }
         if self.runs.is_empty() {
--- a/crates/jobs/src/runs/lost.rs
+++ b/crates/jobs/src/runs/lost.rs
@@ -1,6 +1,6 @@
 //! What is lost with a worker.
 //!
-//! A worker is lost if another life answers at its address, or if all leases on it are over
+//! A worker is lost if another life answers at its address or under its name, or if all leases on it are over
 //! and it gave no answer. Its machine may have lost its power, it may be cut off, or its
 //! process may have ended; only of the last one does its address refuse connections.
 
@@ -8,8 +8,8 @@
 
 /// How a worker was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Loss {
-    /// Another life answers at its address.
+pub(super) enum Loss {
+    /// Another life answers at its address, or under its name.
     Ended,
     /// It gave no answer, and all leases on it are over.
     Lapsed,
@@ -23,7 +23,7 @@
             return;
         }
         let silent = worker.silent.map_or(0, |at| self.now - at);
-        log::warn!(worker = &*worker.id, runs = worker.runs.len(), silent_ms = silent, absent = worker.absent; "worker: its life has ended");
+        log::warn!(worker = &*worker.id, born:? = worker.born, runs = worker.runs.len(), silent_ms = silent, absent = worker.absent; "worker: its life has ended");
         let worker = self.fleet.get_mut(slot);
         worker.dead = true;
         worker.looking = false;
@@ -47,6 +47,12 @@
 
     /// Gives up all runs on a worker; none of them can be there any more.
     fn forget_runs(&mut self, slot: u32, loss: Loss) {
+        self.account(slot, loss);
+        self.drop_runs(slot);
+    }
+
+    /// Takes note of what the loss of a worker tells of the tasks there.
+    pub(super) fn account(&mut self, slot: u32, loss: Loss) {
         let worker = self.fleet.get(slot);
         // Without its row it can't be asked: it may have crashed. One that was silent until its
         // leases were over may be cut off.
@@ -56,6 +62,10 @@
         } else if unclear && worker.leaving.is_none() {
             self.charge(slot, Blame::Unseen);
         }
+    }
+
+    /// Clears all runs on a worker that is lost.
+    pub(super) fn drop_runs(&mut self, slot: u32) {
         self.tell_lost(slot);
         let worker = self.fleet.get_mut(slot);
         worker.drop_strays(|_| true);
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -17,8 +17,14 @@
 pub(crate) mod ends;
 pub(crate) mod fleet;
 mod listed;
+mod lives;
+#[cfg(test)]
+mod lives_tests;
 pub(crate) mod look;
 mod lost;
+mod replaced;
+#[cfg(test)]
+mod replaced_tests;
 pub(crate) mod stray;
 pub(crate) mod trust;
 mod unheard;
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use crate::{
-    model::{ids::TaskId, spec::Step},
+    model::{ids::TaskId, life::Life, spec::Step},
     runs::stray::Stray,
     settings::{Settings, longest_lease},
     share::{slack::Slack, spare::unused},
@@ -53,8 +53,16 @@
 /// A worker in one of its lives.
 #[derive(Debug, Clone)]
 pub(crate) struct Worker {
-    /// Its name.
+    /// Its name, which it may share with other lives.
     pub(crate) id: Arc<str>,
+    /// When this life began, if it says so.
+    pub(crate) born: Option<u64>,
+    /// This life's own name.
+    pub(crate) name: Arc<str>,
+    /// When this life was first announced; 0 if it was not.
+    pub(crate) announced: u64,
+    /// Whether another life of its name may be there instead: nothing new begins meanwhile.
+    pub(crate) contested: bool,
     /// What it announced; nothing if only records name it.
     pub(crate) info: Option<WorkerInfo>,
     /// Whether its announcement is still there.
@@ -136,9 +144,13 @@
 }
 
 impl Worker {
-    pub(crate) fn new(id: Arc<str>, inherited: u64) -> Worker {
+    pub(crate) fn new(life: Life, inherited: u64) -> Worker {
         Worker {
-            id,
+            name: life.name(),
+            id: life.id,
+            born: life.born,
+            announced: 0,
+            contested: false,
             info: None,
             listed: false,
             evacuated: false,
@@ -200,7 +212,7 @@
     /// Tells whether new runs may be placed here.
     pub(crate) fn is_open(&self, now: u64) -> bool {
         let ready = self.info.as_ref().is_some_and(|i| i.ready);
-        ready && !self.evacuated && self.is_live() && self.closed <= now
+        ready && !self.evacuated && !self.contested && self.is_live() && self.closed <= now
     }
 
     /// Tells whether it is listed and answers.
