Bar late starts of an earlier life in the next one

Callers saw a task run twice at once: a start that was held up is carried out in the worker's next life, which has seen no epoch, while the task's next run is elsewhere; a renewal that was held up holds runs there for longer than its owner waits, since the old life's clock was ahead.

No answer says which life it is of, so only a list proves where a run began. Runs that the replaced life has not listed move to the next one: if its list has them they go on, else they are stopped there, which bars them, before their tasks are placed again. Starts without an answer whose runs were given up are kept for 30 s, 64 a worker, and barred as well; meanwhile a task that has lost its run waits, and no run counts as gone beside another one of its task that is to be stopped. The next life is not given up by silence before the longest lease (a setting now) is over, counted from the last moment at which an order of the old one may arrive. A look tells a worker to drop ends only while it still lists them, so that few looks on their way carry a count that the next life would take for its own.

--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -47,6 +47,8 @@
     pub(crate) since: u64,
     /// When its start was sent; nothing before, and of one that an earlier owner sent.
     pub(crate) sent: Option<u64>,
+    /// Whether its start was answered, so that it can't be carried out any more.
+    pub(crate) answered: bool,
     /// Progress in percent, as last listed.
     pub(crate) percent: u32,
     /// When it was first listed, on the worker's clock.
@@ -82,6 +84,7 @@
             stage,
             since: now,
             sent: None,
+            answered: false,
             percent: 0,
             listed: None,
             moved: None,
@@ -125,6 +128,12 @@
         self.under = under;
     }
 
+    /// Returns when its start was sent, if its worker has not listed it: it may not have begun
+    /// yet, or in another life than the one that was meant. An answer does not say which.
+    pub(crate) fn unlisted(&self) -> Option<u64> {
+        self.sent.filter(|_| self.listed.is_none())
+    }
+
     /// Tells whether the run is wanted to go on.
     pub(crate) fn is_wanted(&self) -> bool {
         !matches!(self.stage, Stage::Stopping(_) | Stage::Halted(_))
--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -43,6 +43,7 @@
         let Some(run) = self.run_on(slot, id, number) else {
             return;
         };
+        run.answered |= started != Started::Unknown;
         match started {
             Started::Done => {
                 if matches!(run.stage, Stage::Sent(_) | Stage::Unclear(_)) {
--- a/crates/jobs/src/runs/close.rs
+++ b/crates/jobs/src/runs/close.rs
@@ -49,9 +49,11 @@
         };
         let job = state.job.clone();
         let now = self.now;
-        if let Some(task) = state.task_mut(id) {
-            task.cleared = now;
-        }
+        let Some(task) = state.task_mut(id) else {
+            return;
+        };
+        task.cleared = now;
+        let number = task.last;
         let step = state.step_mut(id.time, id.step);
         let Some(run) = step.and_then(|s| s.take_run(id.index as usize)) else {
             return;
@@ -59,6 +61,7 @@
         let step = &job.spec.steps[id.step as usize];
         let worker = self.fleet.get_mut(run.worker);
         worker.release(id, step);
+        worker.note_loose(id, number, &run, now);
         // One that is lost keeps it: what was lost there is explained by it.
         if !worker.dead && !worker.absent {
             worker.guest = worker.guest.filter(|&g| g != id);
--- a/crates/jobs/src/runs/ends.rs
+++ b/crates/jobs/src/runs/ends.rs
@@ -32,6 +32,7 @@
             return;
         }
         worker.heard(look.clock, now, &settings);
+        worker.first_end = look.finished.first().map(|e| e.number);
         let was_absent = worker.absent;
         if let Some(since) = worker.silent.take() {
             log::info!(worker = &*worker.id, silent_ms = now - since; "worker: answers again");
--- a/crates/jobs/src/runs/listed.rs
+++ b/crates/jobs/src/runs/listed.rs
@@ -133,6 +133,7 @@
         };
         let worker = self.fleet.get_mut(slot);
         worker.drop_strays(|s| s.halted.is_some_and(|at| sent > at) && !is_listed(s.task, s.run));
+        let strays: Vec<TaskId> = worker.strays.iter().map(|s| s.task).collect();
         for id in worker.runs.clone() {
             let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
             let Some(task) = task else {
@@ -145,13 +146,15 @@
             if is_listed(id, last) {
                 continue;
             }
+            // Another run of the task may be there, or begin.
+            let free = !strays.contains(&id);
             match run.stage {
                 Stage::Unclear(at) if sent > at => {
                     run.stage = Stage::Stopping(None);
                     self.stopping.push(id);
                 }
-                Stage::There(at) | Stage::Halted(at) if sent > at => self.gone(id),
-                Stage::Inherited => self.gone(id),
+                Stage::There(at) | Stage::Halted(at) if sent > at && free => self.gone(id),
+                Stage::Inherited if free => self.gone(id),
                 _ => {}
             }
         }
--- a/crates/jobs/src/runs/look.rs
+++ b/crates/jobs/src/runs/look.rs
@@ -22,13 +22,18 @@
         self.counted > self.observed
     }
 
-    /// Returns up to which end a look that is sent now lets it drop them.
+    /// Returns up to which end a look that is sent now lets it drop them; 0 if it has dropped
+    /// them already.
     ///
-    /// Where another life may read the look it would drop ends of its own that nobody has
-    /// read: then none, and the ends are listed again.
+    /// Where another life reads the look it drops ends of its own that nobody has read. So it
+    /// tells of none where that may be, nor of any twice: ends that are kept are listed again.
     pub(crate) fn droppable(&self) -> u64 {
         let unsure = self.silent.is_some() || self.contested;
-        if unsure { 0 } else { self.observed }
+        let kept = self.first_end.is_some_and(|e| e <= self.observed);
+        match kept && !unsure {
+            true => self.observed,
+            false => 0,
+        }
     }
 
     /// Returns when it is to be looked at; `deadline` is the lease that this would grant.
--- /dev/null
+++ b/crates/jobs/src/runs/loose.rs
@@ -0,0 +1,57 @@
+//! Starts that got no answer and whose runs were given up since.
+//!
+//! The load pattern that this answers: an order that is held up for seconds and carried out
+//! after its worker has started again. The life that it was meant for would refuse it, by a
+//! stop or since its lease is over; the next one knows of neither.
+//!
+//! Limits: so many are kept for a worker, for so long.
+
+use crate::{
+    model::{
+        ids::TaskId,
+        task::{Run, Stage},
+    },
+    runs::worker::Worker,
+};
+
+/// A start is carried out within this time or not at all, in milliseconds.
+const KEPT: u64 = 30_000;
+
+/// Most such starts that are kept for a worker.
+const MOST: usize = 64;
+
+/// A start that may still be carried out, though its run was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Loose {
+    pub(crate) task: TaskId,
+    pub(crate) run: u32,
+    /// When it was sent.
+    pub(crate) sent: u64,
+}
+
+impl Worker {
+    /// Takes note of a run that is given up, if its start may still be carried out.
+    pub(super) fn note_loose(&mut self, task: TaskId, run: u32, given_up: &Run, now: u64) {
+        let sent = given_up.unlisted().filter(|_| !given_up.answered);
+        let Some(sent) = sent.filter(|_| given_up.stage != Stage::Planned) else {
+            return;
+        };
+        self.keep_loose(Loose { task, run, sent }, now);
+    }
+
+    /// Keeps such a start, and of those that are kept only what may still be carried out.
+    pub(super) fn keep_loose(&mut self, start: Loose, now: u64) {
+        self.loose.retain(|l| now <= l.sent + KEPT && *l != start);
+        if self.loose.len() >= MOST {
+            self.loose.remove(0);
+        }
+        self.loose.push(start);
+    }
+
+    /// Takes the starts that may still be carried out by its next life.
+    pub(super) fn take_loose(&mut self, now: u64) -> Vec<Loose> {
+        let mut out = std::mem::take(&mut self.loose);
+        out.retain(|l| now <= l.sent + KEPT);
+        out
+    }
+}
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -21,6 +21,7 @@
 #[cfg(test)]
 mod lives_tests;
 pub(crate) mod look;
+pub(crate) mod loose;
 mod lost;
 mod replaced;
 #[cfg(test)]
--- a/crates/jobs/src/runs/replaced.rs
+++ b/crates/jobs/src/runs/replaced.rs
@@ -1,13 +1,28 @@
 //! What is left of a worker's earlier life when another one is there.
 //!
-//! Whatever ran there is over, whatever clocks and leases say.
+//! Whatever ran there is over, whatever clocks and leases say. Starts that it has not listed
+//! may be carried out by the next life, which has seen no epoch and whose clock is behind:
+//! their tasks wait until it lists them, or until a stop bars them there.
 
 use crate::{
     machine::Machine,
-    model::ids::TaskId,
-    runs::{lives::Listed, lost::Loss},
+    model::{
+        ids::TaskId,
+        task::{Run, Stage, UNKNOWN_PACE},
+    },
+    runs::{
+        lives::Listed,
+        loose::Loose,
+        lost::Loss,
+        stray::Stray,
+        worker::{Capacity, size},
+    },
+    settings::longest_lease,
 };
 
+/// A renewal of a lease is carried out within this time or not at all, in milliseconds.
+const HELD_UP: u64 = 3000;
+
 impl Machine {
     /// Returns the slot of the life that a list is of; nothing if it does not count. Earlier
     /// lives are over.
@@ -24,10 +39,10 @@
     fn replace(&mut self, old: u32, new: u32) {
         let worker = self.fleet.get(old);
         let (runs, counted) = (worker.runs.len(), worker.counted);
-        match worker.is_nameless() {
+        let moved = match worker.is_nameless() {
             true => self.rename(old, new),
-            false => self.succeed(old),
-        }
+            false => self.succeed(old, new),
+        };
         self.fleet.retire(old);
         self.moved = true;
         let (worker, old) = (self.fleet.get(new), self.fleet.get(old));
@@ -35,33 +50,64 @@
             log::info!(worker = &*worker.id, born:? = worker.born, old_born:? = old.born; "worker: row of an earlier life");
             return;
         }
-        log::warn!(worker = &*worker.id, born:? = worker.born, old_born:? = old.born, counted, runs; "worker: another life");
+        log::warn!(worker = &*worker.id, born:? = worker.born, old_born:? = old.born, counted, runs, unconfirmed = moved; "worker: another life");
     }
 
-    /// Hands what is known of a life over to the same one, now that its name is known.
-    fn rename(&mut self, old: u32, new: u32) {
+    /// Hands what is known of a life over to the same one, now that its name is known; returns
+    /// how many runs that were.
+    fn rename(&mut self, old: u32, new: u32) -> usize {
         let worker = self.fleet.get(old);
         let (runs, guest) = (worker.runs.clone(), worker.guest);
         let listed = worker.listed;
         for &id in &runs {
-            self.move_run(id, new);
+            self.move_run(id, new, |stage| stage);
         }
         let worker = self.fleet.get_mut(new);
         worker.guest = worker.guest.or(guest);
         worker.listed |= listed;
+        runs.len()
     }
 
-    /// Ends a life that another one has replaced.
-    fn succeed(&mut self, old: u32) {
+    /// Ends a life that another one has replaced; returns how many starts of it may still be
+    /// carried out.
+    fn succeed(&mut self, old: u32, new: u32) -> usize {
+        let (now, settings) = (self.now, self.settings);
         let worker = self.fleet.get_mut(old);
-        if !std::mem::replace(&mut worker.dead, true) {
+        let dead = std::mem::replace(&mut worker.dead, true);
+        let late = if worker.promised > 0 { HELD_UP } else { 0 };
+        if worker.clock.is_some() || !worker.runs.is_empty() {
+            let end = now + late + longest_lease(settings.longest);
+            let worker = self.fleet.get_mut(new);
+            worker.foreign = worker.foreign.max(end);
+        }
+        if !dead {
             self.account(old, Loss::Ended);
         }
+        let loose = self.fleet.get_mut(old).take_loose(now);
+        let unlisted = self.unlisted(old);
+        for &id in &unlisted {
+            self.move_run(id, new, unclear);
+        }
+        for start in &loose {
+            self.bar(old, new, *start);
+        }
         self.drop_runs(old);
+        unlisted.len() + loose.len()
+    }
+
+    /// Returns the runs on a worker whose starts were sent and that it has not listed.
+    fn unlisted(&self, slot: u32) -> Vec<TaskId> {
+        let runs = self.fleet.get(slot).runs.iter().copied();
+        let unlisted = runs.filter(|&id| {
+            let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
+            let run = task.and_then(|t| t.run.as_ref());
+            run.is_some_and(|r| r.unlisted().is_some())
+        });
+        unlisted.collect()
     }
 
-    /// Has a run be in the place of another life.
-    fn move_run(&mut self, id: TaskId, new: u32) {
+    /// Has a run be in the place of another life, at the stage that `stage` gives.
+    fn move_run(&mut self, id: TaskId, new: u32, stage: impl Fn(Stage) -> Stage) {
         let Some(state) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -71,6 +117,12 @@
         };
         let step = &job.spec.steps[id.step as usize];
         let old = std::mem::replace(&mut run.worker, new);
+        run.stage = stage(run.stage);
+        run.pace = UNKNOWN_PACE;
+        run.next_pace = 0;
+        if matches!(run.stage, Stage::Stopping(_)) {
+            self.stopping.push(id);
+        }
         let worker = self.fleet.get_mut(old);
         worker.release(id, step);
         let guest = worker.guest.filter(|&g| g == id);
@@ -79,4 +131,67 @@
         worker.guest = worker.guest.or(guest);
         self.mark(id.job);
     }
+
+    /// Has the next life stop what it may still start of a run that was given up. Where its
+    /// task would need a run now it waits until that is barred.
+    fn bar(&mut self, old: u32, new: u32, start: Loose) {
+        let id = start.task;
+        self.fleet.get_mut(new).keep_loose(start, self.now);
+        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
+        let Some(task) = task.filter(|t| !t.done) else {
+            return self.add_stray(new, start);
+        };
+        let last = task.last;
+        match &task.run {
+            None => self.detain(new, id),
+            Some(run) if run.worker == old => self.move_run(id, new, |_| Stage::Stopping(None)),
+            Some(_) => return self.add_stray(new, start),
+        }
+        if last != start.run {
+            self.add_stray(new, start);
+        }
+    }
+
+    /// Has a worker stop a run that it may still start and that nobody wants.
+    fn add_stray(&mut self, slot: u32, start: Loose) {
+        let id = start.task;
+        let state = self.jobs.get(&id.job);
+        let step = state.and_then(|j| j.job.spec.steps.get(id.step as usize));
+        let size = step.map_or(Capacity::default(), size);
+        self.fleet.get_mut(slot).add_stray(Stray {
+            task: id,
+            run: start.run,
+            size,
+            sent: None,
+            halted: None,
+            pause: 0,
+        });
+    }
+
+    /// Has a task without a run wait as if it had one that is to be stopped.
+    fn detain(&mut self, slot: u32, id: TaskId) {
+        let now = self.now;
+        let Some(state) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let job = state.job.clone();
+        let Some(step) = state.step_mut(id.time, id.step) else {
+            return;
+        };
+        let run = Run::new(slot, Stage::Stopping(None), now);
+        step.set_run(id.index as usize, run);
+        let worker = self.fleet.get_mut(slot);
+        worker.reserve(id, &job.spec.steps[id.step as usize]);
+        self.stopping.push(id);
+        self.mark(id.job);
+    }
+}
+
+/// Returns the stage in the next life of a run that it may start or not: its first list
+/// tells, and else a stop.
+fn unclear(stage: Stage) -> Stage {
+    match stage {
+        Stage::Stopping(_) | Stage::Halted(_) => Stage::Stopping(None),
+        _ => Stage::Unclear(0),
+    }
 }
--- a/crates/jobs/src/runs/replaced_tests.rs
+++ b/crates/jobs/src/runs/replaced_tests.rs
@@ -5,7 +5,7 @@
 use super::worker::{Capacity, WorkerInfo};
 use crate::{
     action::Action,
-    event::{Answer, Event, Look, Running, Started},
+    event::{Answer, Event, Look, Running, Started, Stopped},
     machine::Machine,
     model::{
         ids::{JobId, TaskId},
@@ -152,6 +152,11 @@
         self.answer(worker, sent, Answer::Started(TASK, run, started));
     }
 
+    fn stopped(&mut self, worker: u32, run: u32) {
+        let sent = self.now;
+        self.answer(worker, sent, Answer::Stopped(TASK, run, Stopped::Done));
+    }
+
     /// Returns the workers and runs of the starts that were sent; nothing else was.
     fn starts(&mut self) -> Vec<(u32, u32)> {
         let sent = std::mem::take(&mut self.sent);
@@ -161,6 +166,16 @@
         });
         starts.collect()
     }
+
+    /// Returns the workers and runs of the stops that were sent; nothing else was.
+    fn stops(&mut self) -> Vec<(u32, u32)> {
+        let sent = std::mem::take(&mut self.sent);
+        let stops = sent.into_iter().map(|action| match action {
+            Action::Stop { worker, run, .. } => (worker, run),
+            other => panic!("{other:?}"),
+        });
+        stops.collect()
+    }
 }
 
 #[test]
@@ -173,6 +188,23 @@
     assert_eq!(owner.starts(), [(1, 2)]);
 }
 
+/// An answer does not say which life it is of.
+#[test]
+fn a_start_that_was_not_listed_is_barred_in_the_next_life() {
+    for answer in [None, Some(Started::Unknown), Some(Started::Done)] {
+        let mut owner = Owner::new();
+        if let Some(started) = answer {
+            owner.started(0, 1, started);
+        }
+        owner.row(2);
+        owner.list(0, 2, &[]);
+        assert_eq!(owner.stops(), [(1, 1)]);
+        owner.stopped(1, 1);
+        owner.list(1, 2, &[]);
+        assert_eq!(owner.starts(), [(1, 2)]);
+    }
+}
+
 #[test]
 fn a_run_that_the_next_life_lists_goes_on() {
     let mut owner = Owner::new();
@@ -183,3 +215,92 @@
     owner.list(1, 2, &[]);
     assert_eq!(owner.starts(), [(1, 2)]);
 }
+
+#[test]
+fn a_stop_that_the_old_life_confirmed_bars_nothing_in_the_next_one() {
+    let mut owner = Owner::new();
+    owner.started(0, 1, Started::Unknown);
+    owner.list(0, 1, &[]);
+    assert_eq!(owner.stops(), [(0, 1)]);
+    owner.stopped(0, 1);
+    owner.row(2);
+    owner.list(0, 2, &[]);
+    assert_eq!(owner.stops(), [(1, 1)]);
+}
+
+/// Run 1 was given up and run 2 lost with the old life; the start of run 1 may come to the
+/// next one.
+#[test]
+fn a_task_waits_until_starts_that_were_given_up_are_barred() {
+    let mut owner = Owner::new();
+    owner.started(0, 1, Started::Unknown);
+    owner.list(0, 1, &[]);
+    assert_eq!(owner.stops(), [(0, 1)]);
+    owner.stopped(0, 1);
+    owner.list(0, 1, &[]);
+    assert_eq!(owner.starts(), [(0, 2)]);
+    owner.list(0, 1, &[2]);
+    owner.row(2);
+    owner.list(0, 2, &[]);
+    assert_eq!(owner.stops(), [(1, 1), (1, 2)]);
+    owner.stopped(1, 2);
+    owner.list(1, 2, &[1]);
+    owner.stopped(1, 1);
+    owner.list(1, 2, &[1]);
+    assert!(owner.sent.is_empty());
+    owner.list(1, 2, &[]);
+    assert_eq!(owner.starts(), [(1, 3)]);
+}
+
+/// Its clock is behind, and it takes the longest lease from what was meant for the old life.
+#[test]
+fn the_next_life_is_not_given_up_while_old_orders_may_hold_its_runs() {
+    let mut owner = Owner::new();
+    owner.list(0, 1, &[1]);
+    owner.row(2);
+    owner.list(0, 2, &[]);
+    assert_eq!(owner.starts(), [(1, 2)]);
+    owner.list(1, 2, &[2]);
+    let end = owner.now + Settings::default().longest;
+    while owner.now < end {
+        let sent = owner.now;
+        owner.answer(1, sent, Answer::Silent);
+        assert!(
+            owner
+                .machine
+                .jobs
+                .get(&TASK.job)
+                .is_some_and(|j| j.has_runs())
+        );
+    }
+    while owner.now < end + 4000 {
+        let sent = owner.now;
+        owner.answer(1, sent, Answer::Silent);
+    }
+    assert!(
+        owner
+            .machine
+            .jobs
+            .get(&TASK.job)
+            .is_some_and(|j| !j.has_runs())
+    );
+}
+
+#[test]
+fn a_look_tells_of_ends_only_where_they_are_kept_and_its_reader_is_known() {
+    let mut owner = Owner::new();
+    let worker = owner.machine.fleet.get_mut(0);
+    worker.observed = 5;
+    for (first, silent, contested, expected) in [
+        (Some(5), None, false, 5),
+        (None, None, false, 0),
+        (Some(6), None, false, 0),
+        (Some(5), Some(1), false, 0),
+        (Some(5), None, true, 0),
+    ] {
+        worker.first_end = first;
+        worker.silent = silent;
+        worker.contested = contested;
+        assert_eq!(worker.droppable(), expected);
+    }
+}
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     model::{ids::TaskId, life::Life, spec::Step},
-    runs::stray::Stray,
+    runs::{loose::Loose, stray::Stray},
     settings::{Settings, longest_lease},
     share::{slack::Slack, spare::unused},
 };
@@ -79,10 +79,14 @@
     pub(crate) promised: u64,
     /// When leases of earlier owners are over on it.
     pub(crate) inherited: u64,
+    /// When leases are over that it took from orders meant for an earlier life.
+    pub(crate) foreign: u64,
     /// Highest end that was counted.
     pub(crate) counted: u64,
     /// Highest end whose count is durable.
     pub(crate) observed: u64,
+    /// The first end that it listed last.
+    pub(crate) first_end: Option<u64>,
     /// Whether a look is under way.
     pub(crate) looking: bool,
     /// When the last look was sent.
@@ -109,6 +113,8 @@
     pub(crate) guest: Option<TaskId>,
     /// Runs on it that nobody wants.
     pub(crate) strays: Vec<Stray>,
+    /// Starts that may still be carried out, by this life or the next, whose runs were given up.
+    pub(crate) loose: Vec<Loose>,
     /// Room that is taken; `cpu` without tasks that fill.
     pub(crate) used: Capacity,
     /// Thousandths of a core that its filling tasks ask for.
@@ -159,8 +165,10 @@
             clock: None,
             promised: 0,
             inherited,
+            foreign: 0,
             counted: 0,
             observed: 0,
+            first_end: None,
             looking: false,
             looked: 0,
             next_look: 0,
@@ -174,6 +182,7 @@
             runs: Vec::new(),
             guest: None,
             strays: Vec::new(),
+            loose: Vec::new(),
             used: Capacity::default(),
             filling: 0,
             serving: 0,
@@ -243,12 +252,13 @@
 
     /// Returns when every lease that any owner granted here is over, on our clock.
     pub(crate) fn lapse(&self) -> u64 {
+        let others = self.inherited.max(self.foreign);
         let Some((reading, at)) = self.clock else {
-            return self.inherited;
+            return others;
         };
         let left = self.promised.saturating_sub(reading);
         let own = at + longest_lease(left);
-        own.max(self.inherited)
+        own.max(others)
     }
 
     /// Takes note of an answer that showed `reading` on its clock.
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -10,6 +10,9 @@
     /// contact with the store. A successor that can't ask a worker waits for as long; work
     /// outlasts a silent store for three seconds less, by the looks that are under way.
     pub reach: u64,
+    /// Longest lease that a worker grants, whatever it is asked for. An order that was meant
+    /// for an earlier life of a worker asks for too much, since that one's clock was ahead.
+    pub longest: u64,
     /// How long a look waits at a worker for an end.
     pub wait: u64,
     /// Between looks while ends wait to become durable.
@@ -50,6 +53,7 @@
             // the slowest clock, renewals and a restart this makes 9.5 s. Two tasks were lost
             // that were away for 14.5 s, since their worker could not be asked.
             reach: 8500,
+            longest: 10_000,
             wait: 1000,
             recheck: 700,
             answer: 900,
