Have no ends dropped by the first look on a connection

A connection to a process that has ended can't be continued by the next one at its address: a look on a new connection is the one that may find another life, which would take the count of ends that it carries for one of its own and forget ends that nobody has read; their tasks would start again (TWICE). Such a look now carries no count, and the ends are listed once more. Starts that wait for a connection to a worker whose life is over are taken back instead of sent to the next life.

--- a/crates/node/src/fakes_tests.rs
+++ b/crates/node/src/fakes_tests.rs
@@ -79,7 +79,8 @@
     fn order(&self, order: &Order, _: u64, worker: &Arc<str>) -> Request {
         let path = match order {
             Order::Start(start) => format!("/{worker}/{}", start.task.job),
-            _ => format!("/{worker}/look"),
+            Order::Look { observed, .. } => format!("/{worker}/look/{observed}"),
+            _ => format!("/{worker}/other"),
         };
         Request::new(Method::Post, path, Vec::new())
     }
--- a/crates/node/src/owner/lines.rs
+++ b/crates/node/src/owner/lines.rs
@@ -172,6 +172,10 @@
         let Some(post) = self.posts.get_mut(worker as usize) else {
             return;
         };
+        if let Some(post) = post {
+            let answers = &mut self.answers;
+            post.waiting.retain(|w| !withdraw(worker, w, answers));
+        }
         let Some(post) = post.take_if(|p| p.lines.iter().all(|l| l.call.is_none())) else {
             return;
         };
@@ -206,18 +210,24 @@
         }
     }
 
-    fn call(&mut self, registry: &Registry, worker: u32, line: usize, order: Order) {
+    fn call(&mut self, registry: &Registry, worker: u32, line: usize, mut order: Order) {
         let now = self.shared.clock.now();
         let Some(Some(post)) = self.posts.get_mut(worker as usize) else {
             return;
         };
+        let at = &mut post.lines[line];
+        if let Some(link) = at.link.take_if(|l| !l.is_quiet()) {
+            link.close(registry);
+        }
+        if at.link.is_none() {
+            keep_ends(&mut order);
+        }
         let request = self.shared.protocol.order(&order, self.epoch, &post.id);
         let limit = match &order {
             Order::Look { wait, .. } => wait + LOOK_LIMIT,
             _ => ORDER_LIMIT,
         };
         let until = now + limit;
-        let at = &mut post.lines[line];
         at.call = Some(Call {
             order,
             sent: now,
@@ -229,9 +239,6 @@
             worker,
             line,
         }));
-        if let Some(link) = at.link.take_if(|l| !l.is_quiet()) {
-            link.close(registry);
-        }
         if at.link.is_none() {
             let token = Token(worker as usize * LINES + line);
             match Link::connect(post.addr, registry, token) {
@@ -270,6 +277,24 @@
     }
 }
 
+/// Takes back a start that waits for a connection; true if it is one.
+fn withdraw(worker: u32, waiting: &Waiting, answers: &mut Vec<(u32, u64, Answer)>) -> bool {
+    let Order::Start(start) = &waiting.order else {
+        return false;
+    };
+    let taken = Answer::Started(start.task, start.run, Started::Withdrawn);
+    answers.push((worker, waiting.since, taken));
+    true
+}
+
+/// Has a look drop no ends of its worker: on a new connection another life may read it, which
+/// counts its ends anew. They are listed once more.
+fn keep_ends(order: &mut Order) {
+    if let Order::Look { observed, .. } = order {
+        *observed = 0;
+    }
+}
+
 fn name(order: &Order) -> &'static str {
     match order {
         Order::Look { .. } => "look",
--- a/crates/node/src/owner/lines_tests.rs
+++ b/crates/node/src/owner/lines_tests.rs
@@ -314,6 +314,64 @@
     }
 }
 
+/// Answers a request with empty lists, and returns its path.
+fn look_at(stream: &mut TcpStream) -> String {
+    let read = request(stream, &mut Vec::new()).expect("a request");
+    stream.write_all(reply(0).0.as_bytes()).expect("a reader");
+    read.path
+}
+
+/// A connection to a process that has ended can't be continued by the next one at its address,
+/// which would take the count of ends for one of its own.
+#[test]
+fn the_first_look_on_a_connection_has_no_ends_dropped() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let (to, closed) = channel();
+    let worker = thread::spawn(move || {
+        let (mut first, _) = listener.accept().expect("a connection");
+        let mut paths = vec![look_at(&mut first), look_at(&mut first)];
+        drop(first);
+        to.send(()).expect("a reader");
+        let (mut second, _) = listener.accept().expect("a connection");
+        paths.extend([look_at(&mut second), look_at(&mut second)]);
+        paths
+    });
+    let mut desk = sent(false, Vec::new());
+    for observed in 1..=4 {
+        let look = Order::Look {
+            observed,
+            deadline: None,
+            wait: 0,
+        };
+        let target = (addr, "w".into());
+        desk.lines.send(desk.poll.registry(), 0, target, look);
+        let answers = desk.read();
+        assert!(matches!(answers[..], [(0, _, Answer::Looked(_))]));
+        if observed == 2 {
+            closed.recv().expect("closed");
+        }
+    }
+    let paths = worker.join().expect("a worker");
+    assert_eq!(paths, ["/w/look/0", "/w/look/2", "/w/look/0", "/w/look/4"]);
+}
+
+/// A worker whose life is over is sent nothing that waits for a connection.
+#[test]
+fn starts_that_wait_are_taken_back_with_their_worker() {
+    let mut desk = sent(false, (1..=3).map(start).collect());
+    desk.lines.drop_worker(desk.poll.registry(), 0);
+    let answers = desk.lines.take_answers();
+    let taken: Vec<_> = answers.iter().map(|a| &a.2).collect();
+    assert!(matches!(
+        taken[..],
+        [
+            Answer::Started(_, 1, Started::Withdrawn),
+            Answer::Started(_, 1, Started::Withdrawn)
+        ]
+    ));
+}
+
 /// A worker that is held up answers after its call was given up: that answer belongs to no
 /// call, also while the next order is under way.
 #[test]
