Show that a gang that has to run apart can keep all workers idle

Four or more members of a gang had just begun on a worker that crashed, so that each is a likely suspect and wants a worker of its own, but only three of five workers may host one. The gang is not placed, and each try takes the workers that its first members were meant for out of the pass: after the last member's try none is left for others.

--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about jobs, in virtual time.
 
+mod apart;
 mod behind;
 mod checkpoints;
 mod common;
