--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -43,6 +43,7 @@
         let Some(run) = self.run_on(slot, id, number) else {
             return;
         };
+        run.answered |= started != Started::Unknown;
         match started {
             Started::Done => {
                 if matches!(run.stage, Stage::Sent(_) | Stage::Unclear(_)) {
@@ -109,6 +110,9 @@
     pub(crate) fn silent(&mut self, slot: u32, sent: u64) {
         let now = self.now;
         let worker = self.fleet.get_mut(slot);
+        if worker.dead {
+            return;
+        }
         worker.looking = false;
         worker.next_look = now + SILENT_RETRY;
         worker.missed = Some(sent);
--- /dev/null
+++ b/crates/jobs/src/runs/replaced_tests.rs
@@ -0,0 +1,306 @@
+//! What becomes of runs and starts when their worker has started again.
+
+use std::sync::Arc;
+
+use super::worker::{Capacity, WorkerInfo};
+use crate::{
+    action::Action,
+    event::{Answer, Event, Look, Running, Started, Stopped},
+    machine::Machine,
+    model::{
+        ids::{JobId, TaskId},
+        policy::QueuePolicy,
+        spec::{Job, Spec, Step},
+    },
+    settings::Settings,
+    takeover::Takeover,
+};
+
+/// The only task.
+const TASK: TaskId = TaskId {
+    job: JobId(1),
+    time: 0,
+    step: 0,
+    index: 0,
+};
+
+/// An owner of one job of one task, and of one worker whose answers the test gives.
+struct Owner {
+    machine: Machine,
+    now: u64,
+    /// What was sent since it was last asked for, but for looks.
+    sent: Vec<Action>,
+}
+
+impl Owner {
+    /// Makes an owner whose worker's first life was heard and has the start of run 1.
+    fn new() -> Owner {
+        let now = 100_000;
+        let takeover = Takeover {
+            asked: now,
+            inherited: 0,
+        };
+        let mut owner = Owner {
+            machine: Machine::new(Settings::default(), now, takeover),
+            now,
+            sent: Vec::new(),
+        };
+        owner.tell(Event::Queues(vec![QueuePolicy {
+            queue: "q".into(),
+            service: "s".into(),
+            priority: 0,
+            attempts: 3,
+            stretch: 1.5,
+            latency: 250,
+        }]));
+        owner.row(1);
+        owner.list(0, 1, &[]);
+        let step = Step {
+            count: 1,
+            cpu: 1000,
+            estimate: 60_000,
+            ..Step::default()
+        };
+        let spec = Spec {
+            steps: vec![step],
+            ..Spec::default()
+        };
+        owner.tell(Event::Accepted(Arc::new(Job {
+            id: TASK.job,
+            queue: "q".into(),
+            accepted: 0,
+            spec: Arc::new(spec),
+        })));
+        owner.run();
+        assert_eq!(owner.starts(), [(0, 1)]);
+        owner
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.machine.handle(self.now, self.now, event);
+    }
+
+    fn answer(&mut self, worker: u32, sent: u64, answer: Answer) {
+        self.tell(Event::Answer {
+            worker,
+            sent,
+            answer,
+        });
+        self.run();
+    }
+
+    /// Decides for a while; records are durable at once.
+    fn run(&mut self) {
+        for _ in 0..50 {
+            self.now += 5;
+            let asked = self.now;
+            self.tell(Event::Current { asked });
+            self.tell(Event::Renewed { asked });
+            for action in self.machine.settle(self.now, self.now) {
+                match action {
+                    Action::Commit(_) => self.tell(Event::Committed { asked }),
+                    Action::Look { .. } => {}
+                    action => self.sent.push(action),
+                }
+            }
+        }
+    }
+
+    /// The row of a life is read.
+    fn row(&mut self, born: u64) {
+        self.tell(Event::Worker(WorkerInfo {
+            id: "w".into(),
+            born: Some(born),
+            addr: ([127, 0, 0, 1], 1000).into(),
+            service: "s".into(),
+            zone: "z".into(),
+            labels: Vec::new(),
+            rack: "r".into(),
+            capacity: Capacity {
+                cpu: 4000,
+                memory: 4000,
+                gpu: 0,
+            },
+            ready: true,
+            remaining: 0,
+        }));
+        self.run();
+    }
+
+    /// A list of a life is read with these runs of the task, which was asked for just before.
+    fn list(&mut self, worker: u32, born: u64, runs: &[u32]) {
+        let running = runs.iter().map(|&run| Running {
+            task: TASK,
+            run,
+            saved: "".into(),
+            percent: 1,
+            figure: None,
+        });
+        let look = Look {
+            born: Some(born),
+            clock: self.now - born,
+            running: running.collect(),
+            finished: Vec::new(),
+        };
+        let sent = self.now;
+        self.now += 5;
+        self.answer(worker, sent, Answer::Looked(look));
+    }
+
+    fn started(&mut self, worker: u32, run: u32, started: Started) {
+        let sent = self.now;
+        self.answer(worker, sent, Answer::Started(TASK, run, started));
+    }
+
+    fn stopped(&mut self, worker: u32, run: u32) {
+        let sent = self.now;
+        self.answer(worker, sent, Answer::Stopped(TASK, run, Stopped::Done));
+    }
+
+    /// Returns the workers and runs of the starts that were sent; nothing else was.
+    fn starts(&mut self) -> Vec<(u32, u32)> {
+        let sent = std::mem::take(&mut self.sent);
+        let starts = sent.into_iter().map(|action| match action {
+            Action::Start(worker, order) => (worker, order.run),
+            other => panic!("{other:?}"),
+        });
+        starts.collect()
+    }
+
+    /// Returns the workers and runs of the stops that were sent; nothing else was.
+    fn stops(&mut self) -> Vec<(u32, u32)> {
+        let sent = std::mem::take(&mut self.sent);
+        let stops = sent.into_iter().map(|action| match action {
+            Action::Stop { worker, run, .. } => (worker, run),
+            other => panic!("{other:?}"),
+        });
+        stops.collect()
+    }
+}
+
+#[test]
+fn a_run_that_was_listed_is_over() {
+    let mut owner = Owner::new();
+    owner.started(0, 1, Started::Done);
+    owner.list(0, 1, &[1]);
+    owner.row(2);
+    owner.list(0, 2, &[]);
+    assert_eq!(owner.starts(), [(1, 2)]);
+}
+
+/// An answer does not say which life it is of.
+#[test]
+fn a_start_that_was_not_listed_is_barred_in_the_next_life() {
+    for answer in [None, Some(Started::Unknown), Some(Started::Done)] {
+        let mut owner = Owner::new();
+        if let Some(started) = answer {
+            owner.started(0, 1, started);
+        }
+        owner.row(2);
+        owner.list(0, 2, &[]);
+        assert_eq!(owner.stops(), [(1, 1)]);
+        owner.stopped(1, 1);
+        owner.list(1, 2, &[]);
+        assert_eq!(owner.starts(), [(1, 2)]);
+    }
+}
+
+#[test]
+fn a_run_that_the_next_life_lists_goes_on() {
+    let mut owner = Owner::new();
+    owner.row(2);
+    owner.list(0, 2, &[1]);
+    owner.list(1, 2, &[1]);
+    assert!(owner.sent.is_empty());
+    owner.list(1, 2, &[]);
+    assert_eq!(owner.starts(), [(1, 2)]);
+}
+
+#[test]
+fn a_stop_that_the_old_life_confirmed_bars_nothing_in_the_next_one() {
+    let mut owner = Owner::new();
+    owner.started(0, 1, Started::Unknown);
+    owner.list(0, 1, &[]);
+    assert_eq!(owner.stops(), [(0, 1)]);
+    owner.stopped(0, 1);
+    owner.row(2);
+    owner.list(0, 2, &[]);
+    assert_eq!(owner.stops(), [(1, 1)]);
+}
+
+/// Run 1 was given up and run 2 lost with the old life; the start of run 1 may come to the
+/// next one.
+#[test]
+fn a_task_waits_until_starts_that_were_given_up_are_barred() {
+    let mut owner = Owner::new();
+    owner.started(0, 1, Started::Unknown);
+    owner.list(0, 1, &[]);
+    assert_eq!(owner.stops(), [(0, 1)]);
+    owner.stopped(0, 1);
+    owner.list(0, 1, &[]);
+    assert_eq!(owner.starts(), [(0, 2)]);
+    owner.list(0, 1, &[2]);
+    owner.row(2);
+    owner.list(0, 2, &[]);
+    assert_eq!(owner.stops(), [(1, 1), (1, 2)]);
+    owner.stopped(1, 2);
+    owner.list(1, 2, &[1]);
+    owner.stopped(1, 1);
+    owner.list(1, 2, &[1]);
+    assert!(owner.sent.is_empty());
+    owner.list(1, 2, &[]);
+    assert_eq!(owner.starts(), [(1, 3)]);
+}
+
+/// Its clock is behind, and it takes the longest lease from what was meant for the old life.
+#[test]
+fn the_next_life_is_not_given_up_while_old_orders_may_hold_its_runs() {
+    let mut owner = Owner::new();
+    owner.list(0, 1, &[1]);
+    owner.row(2);
+    owner.list(0, 2, &[]);
+    assert_eq!(owner.starts(), [(1, 2)]);
+    owner.list(1, 2, &[2]);
+    let end = owner.now + Settings::default().longest;
+    while owner.now < end {
+        let sent = owner.now;
+        owner.answer(1, sent, Answer::Silent);
+        assert!(
+            owner
+                .machine
+                .jobs
+                .get(&TASK.job)
+                .is_some_and(|j| j.has_runs())
+        );
+    }
+    while owner.now < end + 4000 {
+        let sent = owner.now;
+        owner.answer(1, sent, Answer::Silent);
+    }
+    assert!(
+        owner
+            .machine
+            .jobs
+            .get(&TASK.job)
+            .is_some_and(|j| !j.has_runs())
+    );
+}
+
+#[test]
+fn a_look_tells_of_ends_only_where_they_are_kept_and_its_reader_is_known() {
+    let mut owner = Owner::new();
+    let worker = owner.machine.fleet.get_mut(0);
+    worker.observed = 5;
+    for (first, silent, contested, expected) in [
+        (Some(5), None, false, 5),
+        (None, None, false, 0),
+        (Some(6), None, false, 0),
+        (Some(5), Some(1), false, 0),
+        (Some(5), None, true, 0),
+    ] {
+        worker.first_end = first;
+        worker.silent = silent;
+        worker.contested = contested;
+        assert_eq!(worker.droppable(), expected);
+    }
+}
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use crate::{
-    model::{ids::TaskId, spec::Step},
-    runs::stray::Stray,
+    model::{ids::TaskId, life::Life, spec::Step},
+    runs::{loose::Loose, stray::Stray},
     settings::{Settings, longest_lease},
     share::{slack::Slack, spare::unused},
 };
@@ -37,8 +37,10 @@
 /// What a worker announces.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerInfo {
-    /// Its name, new in each life.
+    /// Its name; other lives may have the same one if they say when they began.
     pub id: Arc<str>,
+    /// When this life began, in milliseconds since 1970, if it says so.
+    pub born: Option<u64>,
     /// Where it listens.
     pub addr: SocketAddr,
     /// The service whose tasks it runs.
@@ -60,8 +62,16 @@
 /// A worker in one of its lives.
 #[derive(Debug, Clone)]
 pub(crate) struct Worker {
-    /// Its name.
+    /// Its name, which it may share with other lives.
     pub(crate) id: Arc<str>,
+    /// When this life began, if it says so.
+    pub(crate) born: Option<u64>,
+    /// This life's own name.
+    pub(crate) name: Arc<str>,
+    /// When this life was first announced; 0 if it was not.
+    pub(crate) announced: u64,
+    /// Whether another life of its name may be there instead: nothing new begins meanwhile.
+    pub(crate) contested: bool,
     /// What it announced; nothing if only records name it.
     pub(crate) info: Option<WorkerInfo>,
     /// Whether its announcement is still there.
@@ -78,10 +88,14 @@
     pub(crate) promised: u64,
     /// When leases of earlier owners are over on it.
     pub(crate) inherited: u64,
+    /// When leases are over that it took from orders meant for an earlier life.
+    pub(crate) foreign: u64,
     /// Highest end that was counted.
     pub(crate) counted: u64,
     /// Highest end whose count is durable.
     pub(crate) observed: u64,
+    /// The first end that it listed last.
+    pub(crate) first_end: Option<u64>,
     /// Whether a look is under way.
     pub(crate) looking: bool,
     /// When the last look was sent.
@@ -108,6 +122,8 @@
     pub(crate) guest: Option<TaskId>,
     /// Runs on it that nobody wants.
     pub(crate) strays: Vec<Stray>,
+    /// Starts that may still be carried out, by this life or the next, whose runs were given up.
+    pub(crate) loose: Vec<Loose>,
     /// Room that is taken; `cpu` without tasks that fill.
     pub(crate) used: Capacity,
     /// Thousandths of a core that its filling tasks ask for.
@@ -143,9 +159,13 @@
 }
 
 impl Worker {
-    pub(crate) fn new(id: Arc<str>, inherited: u64) -> Worker {
+    pub(crate) fn new(life: Life, inherited: u64) -> Worker {
         Worker {
-            id,
+            name: life.name(),
+            id: life.id,
+            born: life.born,
+            announced: 0,
+            contested: false,
             info: None,
             listed: false,
             evacuated: false,
@@ -154,8 +174,10 @@
             clock: None,
             promised: 0,
             inherited,
+            foreign: 0,
             counted: 0,
             observed: 0,
+            first_end: None,
             looking: false,
             looked: 0,
             next_look: 0,
@@ -169,6 +191,7 @@
             runs: Vec::new(),
             guest: None,
             strays: Vec::new(),
+            loose: Vec::new(),
             used: Capacity::default(),
             filling: 0,
             serving: 0,
@@ -207,7 +230,7 @@
     /// Tells whether new runs may be placed here.
     pub(crate) fn is_open(&self, now: u64) -> bool {
         let ready = self.info.as_ref().is_some_and(|i| i.ready);
-        ready && !self.evacuated && self.is_live() && self.closed <= now
+        ready && !self.evacuated && !self.contested && self.is_live() && self.closed <= now
     }
 
     /// Tells whether it is listed and answers.
@@ -238,12 +261,13 @@
 
     /// Returns when every lease that any owner granted here is over, on our clock.
     pub(crate) fn lapse(&self) -> u64 {
+        let others = self.inherited.max(self.foreign);
         let Some((reading, at)) = self.clock else {
-            return self.inherited;
+            return others;
         };
         let left = self.promised.saturating_sub(reading);
         let own = at + longest_lease(left);
-        own.max(self.inherited)
+        own.max(others)
     }
 
     /// Takes note of an answer that showed `reading` on its clock.
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about jobs, in virtual time.
 
+mod apart;
 mod behind;
 mod checkpoints;
 mod common;
@@ -7,11 +8,13 @@
 mod evacuation;
 mod gangs;
 mod guards;
+mod lives;
 mod load;
 mod promises;
 mod records;
 mod regression;
 mod resizing;
+mod restarts;
 mod sharing;
 #[path = "../../benches/site.rs"]
 #[expect(dead_code, reason = "the benchmarks use more of it")]
