Leave nothing behind of a gang that finds no place

Cause: a gang whose members may have crashed a worker is tried once for each member in every pass. A try that fails took the workers that its first members were meant for out of the pass, so that none was left for others; and clearing the places that were chosen set the time from which its members wait, so that their patience never ran out.

One try stands for all members of a gang, a failed one gives its workers back to the pass, and its tasks have waited all the while. a_gang_that_waits_for_workers_apart_keeps_none_from_others failed with four members and more, and passes. That such a gang does not run again itself is another fault, and still listed.

--- a/crates/jobs/src/place/apart.rs
+++ b/crates/jobs/src/place/apart.rs
@@ -51,10 +51,17 @@
     pub(super) fn place_suspects(&mut self, pass: &mut Pass) {
         let mut left = std::mem::take(&mut self.suspects);
         left.retain(|&id| self.is_open_suspect(id));
+        let mut tried = None;
         for &id in &left {
             if pass.starts == 0 {
                 break;
             }
+            // One try of a gang stands for all its members.
+            let first = TaskId { index: 0, ..id };
+            if tried == Some(first) && self.is_member(id) {
+                continue;
+            }
+            tried = Some(first);
             self.place_suspect(id, pass);
         }
         self.suspects = left;
@@ -67,6 +74,11 @@
         task.is_some_and(|t| !t.done && t.crashes.is_suspect())
     }
 
+    fn is_member(&self, id: TaskId) -> bool {
+        let state = self.jobs.get(&id.job);
+        state.is_some_and(|j| j.job.spec.steps[id.step as usize].gang)
+    }
+
     fn place_suspect(&mut self, id: TaskId, pass: &mut Pass) {
         let Some(state) = self.jobs.get(&id.job) else {
             return;
--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -82,6 +82,13 @@
         self.rooms[slot as usize] = Room::of(fleet.get(slot));
     }
 
+    /// Has a worker take new runs again that was kept for one of this pass.
+    pub(crate) fn reopen(&mut self, slot: u32) {
+        if let Err(at) = self.open.binary_search(&slot) {
+            self.open.insert(at, slot);
+        }
+    }
+
     /// Takes note that all workers are rated for a step.
     pub(crate) fn note_ranking(&mut self) {
         self.ratings += self.open.len();
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -218,12 +218,27 @@
             return Placed::All;
         }
         for (id, slot) in planned {
-            self.clear(id);
+            self.unplan(id);
+            pass.reopen(slot);
             pass.note_room(slot, &self.fleet);
         }
         Placed::Short
     }
 
+    /// Takes a place back that was chosen in this pass: its task has waited all the while.
+    fn unplan(&mut self, id: TaskId) {
+        let cleared = self
+            .jobs
+            .get(&id.job)
+            .and_then(|j| j.task(id))
+            .map(|t| t.cleared);
+        self.clear(id);
+        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
+        if let (Some(task), Some(cleared)) = (task, cleared) {
+            task.cleared = cleared;
+        }
+    }
+
     pub(super) fn plan(&mut self, id: TaskId, slot: u32, step: &Step, number: Option<u32>) {
         let now = self.now;
         let state = self.jobs.get_mut(&id.job);
