Run a gang beside others if it has more suspects than may run apart

What callers saw (in the tests' world): a gang of four or more members whose worker crashed just after they had begun does not run again within 30 s; on any fleet if its members are more than half of the workers that may run suspects apart.

Cause: each member may have crashed the worker and wants one of its own, but no more than half of the workers run likely suspects, and a gang is placed whole or not at all. A wait without a bound.

A member that has waited for 3 s takes any worker that suits. What that risks is what the bound on suspects already accepts elsewhere: a crash takes others with it, and is charged to fewer for sure. a_gang_whose_worker_crashed_once_runs_again failed with four members and more, and passes.

--- a/crates/jobs/src/place/apart.rs
+++ b/crates/jobs/src/place/apart.rs
@@ -22,6 +22,10 @@
 /// and crashed workers are back.
 const PATIENCE: u64 = 1500;
 
+/// A member of a gang waits for a worker of its own for this long, in milliseconds: a gang may
+/// have more members than workers may run suspects.
+const GANG_PATIENCE: u64 = 2 * PATIENCE;
+
 /// One in so many workers may run a likely suspect ...
 const LIKELY_SHARE: usize = 2;
 
@@ -149,6 +153,12 @@
         self.best_apart(request, pass, |w| self.now > w.probed + YOUNG)
     }
 
+    /// Tells whether a member of a gang has waited in vain for a worker of its own.
+    pub(super) fn has_waited_apart(&self, id: TaskId) -> bool {
+        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
+        task.is_some_and(|t| self.now > t.cleared + GANG_PATIENCE)
+    }
+
     /// Keeps new tasks from the worker that a suspect will soon run on beside others, so that
     /// fewer are there then.
     fn clear_way(&self, request: &Request<'_>, pass: &mut Pass) {
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -199,15 +199,21 @@
         let mut planned = Vec::new();
         for (beside, index) in members {
             let id = TaskId { index, ..first };
-            let slot = match beside {
-                true => self.choose(&request, &mut ranking, pass),
+            let apart = match beside {
+                true => None,
                 false => self.find_apart(id, &request, pass),
             };
+            let slot = match apart {
+                None if beside || self.has_waited_apart(id) => {
+                    self.choose(&request, &mut ranking, pass)
+                }
+                slot => slot,
+            };
             let Some(slot) = slot else {
                 break;
             };
             self.plan(id, slot, step, Some(run));
-            if !beside {
+            if apart.is_some() {
                 self.keep_apart(id, slot, pass);
             }
             pass.note_room(slot, &self.fleet);
