--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -18,3 +18,4 @@
 mod site;
 mod still;
 mod takeovers;
+mod waits;
