--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -21,3 +21,4 @@
 mod site;
 mod still;
 mod takeovers;
+mod waits;
