Rate once a pass what fits nowhere, also with a label or beyond its share

Cause: a pass remembers what no worker can take, but not if it asks for a label or starves, so that each such job cost a rating of all workers. Starving jobs are more since a full share of what fills does not hold them back.

Now the label is part of what is remembered, what a starved job found nowhere counts for all like it, only tasks that fill starve, and a pass that is spent gives no one a turn.

--- a/crates/jobs/src/place/misfit.rs
+++ b/crates/jobs/src/place/misfit.rs
@@ -9,7 +9,11 @@
 pub(crate) struct Misfit {
     image: Image,
     fill: bool,
+    /// Whether it might have gone beyond the share of what fills.
+    starved: bool,
     service: Arc<str>,
+    /// The label that its worker must have.
+    label: Option<Arc<str>>,
     /// What it asks for, also if it fills.
     asked: Capacity,
 }
@@ -21,7 +25,9 @@
         Misfit {
             image: request.image,
             fill: step.fill,
+            starved: request.starved,
             service: request.service.clone(),
+            label: step.label.clone(),
             asked: Capacity {
                 cpu: step.cpu,
                 memory: step.memory,
@@ -34,7 +40,9 @@
     pub(crate) fn covers(&self, other: &Misfit) -> bool {
         self.image == other.image
             && self.fill == other.fill
+            && (self.starved || !other.starved)
             && Arc::ptr_eq(&self.service, &other.service)
+            && (self.label.is_none() || self.label == other.label)
             && self.asked.cpu <= other.asked.cpu
             && self.asked.memory <= other.asked.memory
             && self.asked.gpu <= other.asked.gpu
--- a/crates/jobs/src/place/rescue.rs
+++ b/crates/jobs/src/place/rescue.rs
@@ -82,7 +82,7 @@
         let most = pass.open.len().div_ceil(SHARE);
         let jobs = std::mem::take(&mut self.still.jobs);
         for &(_, id) in &jobs {
-            if self.still.runs.len() >= most || pass.starts == 0 {
+            if self.still.runs.len() >= most || pass.starts == 0 || pass.is_spent() {
                 break;
             }
             self.rescue(id, pass);
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -117,7 +117,7 @@
                     image: state.images[at],
                     service: &service,
                     avoid: None,
-                    starved: idle,
+                    starved: idle && step.fill,
                 };
                 let placed = match step.gang {
                     true => self.place_gang(request, pass),
@@ -269,7 +269,7 @@
         ranking: &mut Option<Ranking>,
         pass: &mut Pass,
     ) -> Option<u32> {
-        if request.starved || request.avoid.is_some() {
+        if request.avoid.is_some() {
             pass.note_ranking();
             let mut own = self.rank(request, pass);
             return self.best(&mut own, request, pass);
@@ -278,14 +278,15 @@
         if pass.misfits.iter().any(|m| m.covers(&misfit)) {
             return None;
         }
+        let mut own = None;
+        let ranking = if request.starved { &mut own } else { ranking };
         if ranking.is_none() {
             pass.note_ranking();
             *ranking = Some(self.rank(request, pass));
         }
         let best = self.best(ranking.as_mut()?, request, pass);
-        // What any worker may take, others of the same kind may as well.
-        let plain = request.step.label.is_none() && request.step.spread == 0;
-        if best.is_none() && plain {
+        // A worker that has as many tasks of one step as it may have takes those of another one.
+        if best.is_none() && request.step.spread == 0 {
             pass.misfits.push(misfit);
         }
         best
