Give back the starts of a gang that finds no place

While starts are answered late only so many may be under way. A gang that is tried and not placed kept as many of them from the rest of the pass, so that nothing began at all beside one that fits nowhere: no start in 30 s. Found by a review. a_gang_that_fits_nowhere_takes_no_starts_from_others failed and passes.

--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -194,7 +194,8 @@
             .map(|(at, t)| (!t.is_apart(self.now), at))
             .collect();
         members.sort_unstable();
-        pass.starts = pass.starts.saturating_sub(step.count as usize);
+        let starts = pass.starts;
+        pass.starts = starts.saturating_sub(step.count as usize);
         let mut ranking: Option<Ranking> = None;
         let mut planned = Vec::new();
         for (beside, index) in members {
@@ -223,6 +224,7 @@
             self.share_checkpoint(first);
             return Placed::All;
         }
+        pass.starts = starts;
         for (id, slot) in planned {
             self.unplan(id);
             pass.reopen(slot);
