Let a gang that fills begin as a job that starves does

A gang of tasks that may disturb everywhere, or that comes last beside a job that takes all that is left to what fills, never began (30 and 40 s), where the same tasks begin one by one. A job that starves may go beyond the share of what fills, but placement took that back for gangs. Now all members of its gang may. what_may_disturb_everywhere_begins and what_fills_begins_beside_a_job_that_takes_all failed as a gang and pass.

--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -176,9 +176,8 @@
     }
 
     /// Places all tasks of a gang, or none.
-    pub(super) fn place_gang(&mut self, mut request: Request<'_>, pass: &mut Pass) -> Placed {
+    pub(super) fn place_gang(&mut self, request: Request<'_>, pass: &mut Pass) -> Placed {
         let (step, first) = (request.step, request.first);
-        request.starved = false;
         let Some(state) = self.jobs.get(&first.job) else {
             return Placed::All;
         };
