Count no tail as over its target when nobody is served any more

What fills began nowhere for 30 s, and what was halted stayed so for good, on workers whose serving tasks had been over their targets when their load ended: without a figure nothing ended that time. Found by a review. Two half seconds in a row without a figure end it now, as two figures below the target do. what_fills_begins_after_the_last_figure_was_over_its_target and what_is_halted_goes_on_after_the_last_figure_was_over_its_target failed and pass.

--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -128,6 +128,14 @@
         self.under = under;
     }
 
+    /// Takes note that there is no tail, since nobody was served in the last half second.
+    pub(crate) fn note_no_tail(&mut self) {
+        if self.under {
+            self.over = None;
+        }
+        self.under = true;
+    }
+
     /// Returns when its start was sent, if its worker has not listed it: it may not have begun
     /// yet, or in another life than the one that was meant. An answer does not say which.
     pub(crate) fn unlisted(&self) -> Option<u64> {
--- a/crates/jobs/src/share/watch.rs
+++ b/crates/jobs/src/share/watch.rs
@@ -33,9 +33,6 @@
         let press: Arc<[Press]> = self.press(slot, look, ended).into();
         let mut over = false;
         for row in &look.running {
-            let Some(ms) = row.figure.filter(|f| *f > 0) else {
-                continue;
-            };
             let Some(state) = self.jobs.get_mut(&row.task.job) else {
                 continue;
             };
@@ -50,6 +47,11 @@
             let Some(run) = task.and_then(|t| t.run.as_mut()) else {
                 continue;
             };
+            let Some(ms) = row.figure.filter(|f| *f > 0) else {
+                run.note_no_tail();
+                over |= run.over.is_some();
+                continue;
+            };
             let group = Group {
                 job: row.task.job,
                 time: row.task.time,
