--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -1,5 +1,7 @@
 //! What one pass of placement knows and found out, and how far it goes.
 
+use std::sync::Arc;
+
 use crate::{
     place::{misfit::Misfit, room::Room},
     runs::{fleet::Fleet, worker::Capacity},
@@ -14,6 +16,41 @@
 /// Steps that a pass tries at least, however many workers there are.
 const STEPS: usize = 30;
 
+/// What the workers of a service have that take new runs.
+#[derive(Debug)]
+struct Load {
+    service: Arc<str>,
+    /// Thousandths of a core that more filling tasks may ask for.
+    left: u64,
+    /// Thousandths of a core that filling tasks ask for.
+    filling: u64,
+    all: Capacity,
+    used: Capacity,
+}
+
+impl Load {
+    fn new(service: Arc<str>) -> Load {
+        Load {
+            service,
+            left: 0,
+            filling: 0,
+            all: Capacity::default(),
+            used: Capacity::default(),
+        }
+    }
+
+    /// Tells whether more than half of the room is taken, and filling tasks have more than half
+    /// of the processors that are left to them.
+    ///
+    /// What fills takes up no processors: users count a job as lost of which nothing runs while
+    /// half of the room is free, however much fills there.
+    fn is_crowded(&self) -> bool {
+        let (all, used) = (self.all, self.used);
+        let is_full = used.cpu * 2 > all.cpu || used.memory * 2 > all.memory;
+        is_full && self.filling > self.left
+    }
+}
+
 /// Whether a pass of placement came to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Coverage {
@@ -39,9 +76,8 @@
     pub(crate) ratings: usize,
     /// Workers that it may rate.
     budget: usize,
-    /// Whether more than half of the room is taken, and filling tasks have more than half of the
-    /// processors that are left to them.
-    pub(crate) crowded: bool,
+    /// What the workers of each service have, sorted.
+    loads: Vec<Load>,
     /// Starts that may still be placed.
     pub(crate) starts: usize,
 }
@@ -50,28 +86,41 @@
     /// Begins a pass at `now`.
     pub(crate) fn begin(fleet: &Fleet, now: u64) -> Pass {
         let mut pass = Pass::default();
-        let (mut left, mut filling) = (0, 0);
-        let (mut all, mut used) = (Capacity::default(), Capacity::default());
         for (slot, worker) in (0..).zip(&fleet.workers) {
             let room = Room::of(worker);
             pass.rooms.push(room);
-            if worker.is_open(now) && worker.guest.is_none() {
-                pass.open.push(slot);
-                left += room.fill();
-                filling += worker.filling;
-                all.add(worker.capacity());
-                used.add(worker.used);
-            }
+            let info = worker.info.as_ref().filter(|_| worker.is_open(now));
+            let Some(info) = info.filter(|_| worker.guest.is_none()) else {
+                continue;
+            };
+            pass.open.push(slot);
+            let load = pass.load_mut(&info.service);
+            load.left += room.fill();
+            load.filling += worker.filling;
+            load.all.add(worker.capacity());
+            load.used.add(worker.used);
         }
-        // What fills takes up no processors: users count a job as lost of which nothing runs
-        // while half of the room is free, however much fills there.
-        let is_full = used.cpu * 2 > all.cpu || used.memory * 2 > all.memory;
-        pass.crowded = is_full && filling > left;
         pass.budget = RATINGS.max(STEPS * pass.open.len());
         pass.starts = usize::MAX;
         pass
     }
 
+    fn load_mut(&mut self, service: &Arc<str>) -> &mut Load {
+        let at = self.loads.binary_search_by(|l| l.service.cmp(service));
+        let at = at.unwrap_or_else(|at| {
+            let service = service.clone();
+            self.loads.insert(at, Load::new(service));
+            at
+        });
+        &mut self.loads[at]
+    }
+
+    /// Tells whether the workers of a service are crowded.
+    pub(crate) fn is_crowded(&self, service: &Arc<str>) -> bool {
+        let at = self.loads.binary_search_by(|l| l.service.cmp(service));
+        at.is_ok_and(|at| self.loads[at].is_crowded())
+    }
+
     /// Returns what a worker has left.
     pub(crate) fn room(&self, slot: u32) -> Room {
         self.rooms[slot as usize]
--- a/crates/jobs/src/place/still.rs
+++ b/crates/jobs/src/place/still.rs
@@ -7,10 +7,8 @@
     model::{
         ids::{JobId, TaskId},
         job::JobState,
-        spec::Job,
     },
     place::{pass::Pass, refusal::Refusal, request::Request},
-    share::sample::Image,
 };
 
 /// A job of which nothing has run for this long stands still, in milliseconds.
@@ -82,14 +80,25 @@
         };
         let (job, image) = (state.job.clone(), state.images[task.step as usize]);
         let apart = state.task(task).is_some_and(|t| t.is_apart(self.now));
-        let Some(refusals) = self.refusals(&job, task, image, pass) else {
+        let Some(service) = self.policy(&job.queue).map(|p| p.service.clone()) else {
             return;
         };
+        let service = self.fleet.service(&service);
+        let request = Request {
+            first: TaskId { index: 0, ..task },
+            step: &job.spec.steps[task.step as usize],
+            image,
+            service: &service,
+            avoid: None,
+            starved: false,
+        };
+        let refusals = self.refusals(&request, pass);
+        let crowded = pass.is_crowded(&service);
         let at = self.open.iter().position(|&o| o == id);
         let count = |r| refusals.get(r);
         log::info!(
             task = task.to_string().as_str(), still_ms = self.now - since,
-            order:? = at, jobs = self.open.len(), crowded = pass.crowded, apart,
+            order:? = at, jobs = self.open.len(), crowded, apart,
             closed = count(Refusal::Closed), guest = count(Refusal::Guest),
             trial = count(Refusal::Trial), label = count(Refusal::Label),
             room = count(Refusal::Room), share = count(Refusal::Share),
@@ -100,19 +109,9 @@
         );
     }
 
-    /// Counts the workers by why they take no task of a job now.
-    fn refusals(&mut self, job: &Job, task: TaskId, image: Image, pass: &Pass) -> Option<Refusals> {
-        let service = self.policy(&job.queue)?.service.clone();
-        let service = self.fleet.service(&service);
-        let request = Request {
-            first: TaskId { index: 0, ..task },
-            step: &job.spec.steps[task.step as usize],
-            image,
-            service: &service,
-            avoid: None,
-            starved: false,
-        };
-        let takes = self.takes(&request);
+    /// Counts the workers by why they don't take a request now.
+    fn refusals(&mut self, request: &Request<'_>, pass: &Pass) -> Refusals {
+        let takes = self.takes(request);
         let mut refusals = Refusals::default();
         for slot in 0..self.fleet.workers.len() as u32 {
             let worker = self.fleet.get(slot);
@@ -123,10 +122,10 @@
                 refusals.0[Refusal::Closed as usize] += 1;
                 continue;
             }
-            if let Err(refusal) = self.rate(slot, &request, pass, &takes) {
+            if let Err(refusal) = self.rate(slot, request, pass, &takes) {
                 refusals.0[refusal as usize] += 1;
             }
         }
-        Some(refusals)
+        refusals
     }
 }
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -91,12 +91,13 @@
         };
         let job = state.job.clone();
         let long = self.now > state.seen + STARVED;
-        let mut idle = long && !pass.crowded && !state.has_runs();
+        let is_still = long && !state.has_runs();
         let times = state.times.len();
         let Some(service) = self.policy(&job.queue).map(|p| p.service.clone()) else {
             return;
         };
         let service = self.fleet.service(&service);
+        let mut idle = is_still && !pass.is_crowded(&service);
         for time in 0..times {
             for (at, step) in job.spec.steps.iter().enumerate() {
                 let Some(state) = self.jobs.get(&id) else {
