Keep one worker free for suspects that wait, not one for each

Two short tasks waited for 16 s beside workers most of whose processors were free: each likely suspect that found no worker of its own had one more taken out of the pass, until none was open. One worker a pass is kept free now, for the first that waits. suspects_that_wait_hold_back_no_others failed and passes.

--- a/crates/jobs/src/place/apart.rs
+++ b/crates/jobs/src/place/apart.rs
@@ -160,8 +160,11 @@
     }
 
     /// Keeps new tasks from the worker that a suspect will soon run on beside others, so that
-    /// fewer are there then.
+    /// fewer are there then; from one at a time, whatever number of suspects waits.
     fn clear_way(&self, request: &Request<'_>, pass: &mut Pass) {
+        if std::mem::replace(&mut pass.cleared, true) {
+            return;
+        }
         if let Some(slot) = self.best_apart(request, pass, |_| true) {
             pass.open.retain(|&s| s != slot);
         }
--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -72,6 +72,8 @@
     pub(crate) misfits: Vec<Misfit>,
     /// Workers that are kept free for overdue tasks.
     pub(crate) held: Vec<u32>,
+    /// Whether a worker is kept free for a suspect that found none.
+    pub(crate) cleared: bool,
     /// Workers that were rated.
     pub(crate) ratings: usize,
     /// Workers that it may rate.
