Show two more ways to run a task twice across lives

In at least seven an unanswered start is forgotten once another worker answers with 421 at the old address, and begins in the next life, whose address nobody knows yet. In one a life took starts that named the old clock, was never listed and then cut off: its lease was the longest one from then on, and its owner waited for the old life's only.

--- a/crates/jobs/tests/all/lives.rs
+++ b/crates/jobs/tests/all/lives.rs
@@ -284,6 +284,49 @@
     }
 }
 
+/// Another worker answers for the old life, and nobody knows yet where the new one listens.
+#[test]
+fn a_late_start_is_waited_for_where_another_worker_answers() {
+    for late in [800, 1500, 3000] {
+        let mut world = world(3);
+        world.restart.told = 3000;
+        world.workers[0].late = late;
+        cut_off(&mut world, 1);
+        cut_off(&mut world, 2);
+        world.submit(FIRST.0, chain(vec![short(1, 4000)]));
+        world.run(100);
+        world.workers[1].cut = false;
+        world.workers[2].cut = false;
+        world.away = 50;
+        world.crash(0);
+        world.crash(1);
+        world.run(45);
+        world.swap_ports(0, 1);
+        check_done(&mut world, 25_000, &format!("{late}"));
+    }
+}
+
+/// A start that the new life took holds its run there for the longest lease, though its sender
+/// knows of the old life only, whose lease is over before.
+#[test]
+fn a_life_that_took_a_start_and_was_never_listed_is_waited_for() {
+    for away in [110, 200, 300, 400] {
+        let mut world = world_with(first_rack(lasting(1)));
+        cut_off(&mut world, 1);
+        world.restart.told = 3000;
+        world.away = away;
+        world.lose_power(0);
+        world.run(away + 20);
+        world.submit(2, chain(vec![first_rack(short(1, 20_000))]));
+        world.run(100);
+        let mut taken = world.workers[0].runs.iter();
+        assert!(taken.any(|r| r.task.job == JobId(2)), "{away}");
+        world.workers[0].cut = true;
+        world.workers[1].cut = false;
+        check_done(&mut world, 45_000, &format!("{away}"));
+    }
+}
+
 /// Takes over while a worker is away, or just after it is back, so long after its crash.
 fn take_over(world: &mut World, away: u64, after: u64) {
     world.away = away;
