Name the ageing of late jobs, and the log of those that starve, by what they do

Modules place/aging.rs and place/starving.rs (rescue.rs and still.rs before), with their functions and types; nothing decides otherwise. Tests of both and of waiting pass as before.

--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -14,7 +14,7 @@
         spec::Job,
     },
     order::times::Guesses,
-    place::{rescue::Still, window::Window},
+    place::{aging::Aging, window::Window},
     runs::fleet::Fleet,
     settings::Settings,
     share::{pairs::Pairs, sample::Image, season::Season},
@@ -53,7 +53,7 @@
     /// How many of the open jobs, the last ones, can't be in time.
     pub(crate) late: usize,
     /// Jobs that stand still.
-    pub(crate) still: Still,
+    pub(crate) aging: Aging,
     /// Jobs whose records changed.
     pub(crate) dirty: Vec<JobId>,
     pub(crate) fleet: Fleet,
@@ -99,7 +99,7 @@
             counted: Vec::new(),
             window: Window::default(),
             late: 0,
-            still: Still::default(),
+            aging: Aging::default(),
             dirty: Vec::new(),
             fleet,
             queues: Vec::new(),
--- a/crates/jobs/src/place/rescue.rs
+++ b/crates/jobs/src/place/aging.rs
@@ -1,12 +1,12 @@
-//! Gives jobs that stand still their turn.
+//! Ages late jobs: those that stand still get their turn.
 //!
 //! The load pattern that this answers: more work than room for minutes. Jobs that are late come
 //! last, in an order that does not change, so that the last ones of it would get nothing. Of what
 //! jobs in time leave, the late one of which nothing has run for longest gets a piece first, for
 //! one task.
 //!
-//! Limits: while jobs in time take all, late ones wait. A part of the workers has a rescued task
-//! at a time, so that other late jobs end as well. Gangs and suspects wait for their own turn.
+//! Limits: while jobs in time take all, late ones wait. A part of the workers has such a task at
+//! a time, so that other late jobs end as well. Gangs and suspects wait for their own turn.
 
 use crate::{
     machine::Machine,
@@ -17,24 +17,24 @@
     place::{pass::Pass, request::Request},
 };
 
-/// A job of which nothing has run for this long is rescued, in milliseconds: users count a job
-/// as lost that has stood still for 3 s.
-const RESCUED: u64 = 2000;
+/// A job of which nothing has run for this long comes first among late ones, in milliseconds:
+/// users count a job as lost that has stood still for 3 s.
+const AGED: u64 = 2000;
 
 /// Which jobs stand still is worked out this often, in milliseconds.
 const PERIOD: u64 = 100;
 
-/// One in so many workers may have the task of a rescued job.
+/// One in so many workers may have a task that was placed so.
 const SHARE: usize = 8;
 
-/// The jobs that stand still, and those that were rescued.
+/// The jobs that stand still, and those that got their turn.
 #[derive(Debug, Default)]
-pub(crate) struct Still {
+pub(crate) struct Aging {
     /// Jobs of which nothing has run for long, and since when, the longest first.
     jobs: Vec<(u64, JobId)>,
     /// When that was worked out.
     noted: u64,
-    /// Runs by which jobs were rescued.
+    /// Runs by which jobs got their turn.
     runs: Vec<(TaskId, u32)>,
 }
 
@@ -74,47 +74,46 @@
 
 impl Machine {
     /// Places a task of each job that has stood still for long, as far as that may go.
-    pub(super) fn place_still(&mut self, pass: &mut Pass) {
-        if self.now >= self.still.noted + PERIOD {
-            self.still.noted = self.now;
-            self.note_still();
+    pub(super) fn place_aged(&mut self, pass: &mut Pass) {
+        if self.now >= self.aging.noted + PERIOD {
+            self.aging.noted = self.now;
+            self.note_aged();
         }
         let most = pass.open.len().div_ceil(SHARE);
-        let jobs = std::mem::take(&mut self.still.jobs);
+        let jobs = std::mem::take(&mut self.aging.jobs);
         for &(_, id) in &jobs {
-            if self.still.runs.len() >= most || pass.starts == 0 || pass.is_spent() {
+            if self.aging.runs.len() >= most || pass.starts == 0 || pass.is_spent() {
                 break;
             }
-            self.rescue(id, pass);
+            self.place_one(id, pass);
         }
-        self.still.jobs = jobs;
+        self.aging.jobs = jobs;
     }
 
-    /// Works out which jobs stand still, and which rescued ones still run.
-    fn note_still(&mut self) {
-        let mut runs = std::mem::take(&mut self.still.runs);
+    /// Works out which jobs stand still, and which of those that got their turn still run.
+    fn note_aged(&mut self) {
+        let mut runs = std::mem::take(&mut self.aging.runs);
         runs.retain(|&(id, run)| {
             let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
             task.is_some_and(|t| t.last == run && t.run.is_some())
         });
-        self.still.runs = runs;
+        self.aging.runs = runs;
         let mut jobs = Vec::new();
         for &id in &self.open {
             let since = self.jobs.get(&id).and_then(JobState::still_since);
-            let since = since.filter(|&at| self.now > at + RESCUED);
+            let since = since.filter(|&at| self.now > at + AGED);
             jobs.extend(since.map(|at| (at, id)));
         }
         jobs.sort_unstable();
-        self.still.jobs = jobs;
+        self.aging.jobs = jobs;
     }
 
     /// Places a task of a job that stands still.
-    fn rescue(&mut self, id: JobId, pass: &mut Pass) {
-        let state = self.jobs.get(&id).filter(|j| !j.has_runs());
-        let Some(task) = state.and_then(|j| j.first_beside(self.now)) else {
+    fn place_one(&mut self, id: JobId, pass: &mut Pass) {
+        let Some(state) = self.jobs.get(&id).filter(|j| !j.has_runs()) else {
             return;
         };
-        let Some(state) = self.jobs.get(&id) else {
+        let Some(task) = state.first_beside(self.now) else {
             return;
         };
         let (job, image) = (state.job.clone(), state.images[task.step as usize]);
@@ -137,6 +136,6 @@
         pass.starts -= 1;
         pass.note_room(slot, &self.fleet);
         let planned = self.jobs.get(&id).and_then(|j| j.task(task));
-        self.still.runs.extend(planned.map(|t| (task, t.last)));
+        self.aging.runs.extend(planned.map(|t| (task, t.last)));
     }
 }
--- a/crates/jobs/src/place/mod.rs
+++ b/crates/jobs/src/place/mod.rs
@@ -9,15 +9,15 @@
 //! Limits: a pass rates a bounded number of workers, the most urgent steps first, so that
 //! no pass holds up renewals; passes are paced by the number of open jobs.
 
+pub(crate) mod aging;
 mod apart;
 pub(crate) mod misfit;
 pub(crate) mod pass;
 pub(crate) mod rank;
 pub(crate) mod refusal;
 pub(crate) mod request;
-pub(crate) mod rescue;
 pub(crate) mod room;
-mod still;
+mod starving;
 mod tasks;
 pub(crate) mod window;
 #[cfg(test)]
--- a/crates/jobs/src/place/still.rs
+++ b/crates/jobs/src/place/starving.rs
@@ -53,7 +53,7 @@
 
 impl Machine {
     /// Logs the jobs that have stood still for longest, and counts all.
-    pub(crate) fn tell_still(&mut self) {
+    pub(crate) fn tell_starving(&mut self) {
         let mut still: Vec<(u64, JobId)> = Vec::new();
         for &id in &self.open {
             let Some(state) = self.jobs.get(&id) else {
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -54,7 +54,7 @@
         let timely = self.open.len() - self.late;
         for at in 0..self.open.len() {
             if at == timely {
-                self.place_still(&mut pass);
+                self.place_aged(&mut pass);
             }
             if pass.starts == 0 {
                 self.figures.held += 1;
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -47,6 +47,6 @@
             jobs = self.open.len(), waiting, running, slowed;
             "owner: load"
         );
-        self.tell_still();
+        self.tell_starving();
     }
 }
