--- a/crates/jobs/src/runs/lost.rs
+++ b/crates/jobs/src/runs/lost.rs
@@ -1,8 +1,8 @@
 //! What is lost with a worker.
 //!
-//! A worker is lost if another life answers at its address or under its name, or if all leases on it are over
-//! and it gave no answer. Its machine may have lost its power, it may be cut off, or its
-//! process may have ended; only of the last one does its address refuse connections.
+//! A worker is lost if another life answers at its address or under its name, or if all leases
+//! on it are over and it gave no answer. Its machine may have lost its power, it may be cut off,
+//! or its process may have ended; only of the last one does its address refuse connections.
 
 use crate::{machine::Machine, model::crash::Blame};
 
