Count calls to the store, and their bytes, by duty

Each call now counts itself under the duty that made it, refused ones included; the metrics page has calls, sent and received bytes for each of seven duties.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -12,6 +12,7 @@
     message::{Request, Response},
     parse::{Limits, parse_response},
     socket,
+    traffic::Traffic,
 };
 
 /// Connections that are kept while nobody uses them.
@@ -54,6 +55,16 @@
     /// Kept connections that the peer has closed are passed over before anything is
     /// sent; a request is never sent twice.
     pub fn call(&self, request: &Request, limit: Duration) -> Result<Response, HttpError> {
+        self.call_counted(request, limit, &Traffic::default())
+    }
+
+    /// As [`Client::call`]; counts the call and the bytes of its messages.
+    pub fn call_counted(
+        &self,
+        request: &Request,
+        limit: Duration,
+        traffic: &Traffic,
+    ) -> Result<Response, HttpError> {
         let end = Instant::now() + limit;
         let mut stream = match self.take_idle() {
             Some(stream) => stream,
@@ -61,7 +72,8 @@
         };
         let mut out = Vec::with_capacity(256 + request.body.len());
         request.encode(&self.host, &mut out);
-        let response = exchange(&mut stream, &out, end).inspect_err(|err| {
+        traffic.asked(out.len());
+        let response = exchange(&mut stream, &out, end, traffic).inspect_err(|err| {
             if matches!(err, HttpError::Timeout) {
                 self.lock().clear();
             }
@@ -113,20 +125,29 @@
     quiet && stream.set_nonblocking(false).is_ok()
 }
 
-fn exchange(stream: &mut TcpStream, out: &[u8], end: Instant) -> Result<Response, HttpError> {
+fn exchange(
+    stream: &mut TcpStream,
+    out: &[u8],
+    end: Instant,
+    traffic: &Traffic,
+) -> Result<Response, HttpError> {
     if Instant::now() >= end {
         return Err(HttpError::Timeout);
     }
     limit_io(stream, end)?;
     stream.write_all(out).map_err(lost)?;
-    read_response(stream, end)
+    read_response(stream, end, traffic)
 }
 
 /// Reads an answer that has to have arrived by `end`.
 ///
 /// A process that was paused meanwhile finds it later: what has arrived is read, and only
 /// then is the call given up.
-pub(crate) fn read_response(stream: &mut TcpStream, end: Instant) -> Result<Response, HttpError> {
+pub(crate) fn read_response(
+    stream: &mut TcpStream,
+    end: Instant,
+    traffic: &Traffic,
+) -> Result<Response, HttpError> {
     let mut buf = Vec::new();
     let mut chunk = vec![0; CHUNK];
     let mut late = 0;
@@ -140,6 +161,7 @@
         if n == 0 {
             return LostSnafu { message: "closed" }.fail();
         }
+        traffic.received(n);
         buf.extend_from_slice(&chunk[..n]);
         if let Some((mut response, size)) = parse_response(&buf, Limits::default())? {
             // What lies behind it would be taken for the answer to the next request.
--- a/crates/http/src/client_tests.rs
+++ b/crates/http/src/client_tests.rs
@@ -10,6 +10,7 @@
     client::{Client, read_response},
     error::HttpError,
     message::{Method, Request},
+    traffic::Traffic,
 };
 
 /// Connects to a peer that has sent these bytes.
@@ -33,16 +34,22 @@
 #[test]
 fn an_answer_that_has_arrived_is_read_after_the_limit() {
     let (mut stream, _peer) = connected(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
-    let response = read_response(&mut stream, over()).expect("an answer");
+    let response = read_response(&mut stream, over(), &Traffic::default()).expect("an answer");
     assert_eq!(response.body, b"ok");
 }
 
 #[test]
 fn nothing_that_is_still_to_come_is_waited_for_after_the_limit() {
     let (mut stream, _peer) = connected(b"");
-    assert_eq!(read_response(&mut stream, over()), Err(HttpError::Timeout));
+    assert_eq!(
+        read_response(&mut stream, over(), &Traffic::default()),
+        Err(HttpError::Timeout)
+    );
     let (mut stream, _peer) = connected(b"HTTP/1.1 200 OK\r\n");
-    assert_eq!(read_response(&mut stream, over()), Err(HttpError::Timeout));
+    assert_eq!(
+        read_response(&mut stream, over(), &Traffic::default()),
+        Err(HttpError::Timeout)
+    );
 }
 
 #[test]
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,6 +18,7 @@
 mod parse;
 mod server;
 mod socket;
+mod traffic;
 
 pub use client::Client;
 pub use error::HttpError;
@@ -25,3 +26,4 @@
 pub use message::{Method, Request, Response};
 pub use parse::{Limits, parse_request, parse_response};
 pub use server::{Handler, Server, ServerSettings};
+pub use traffic::{Traffic, Usage};
--- a/crates/node/src/fakes_tests.rs
+++ b/crates/node/src/fakes_tests.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use gorsespur_http::{HttpError, Method, Request, Response};
+use gorsespur_http::{HttpError, Method, Request, Response, Traffic};
 use gorsespur_jobs::{Answer, Look, Outcome, Settings, Spec, Started, WorkerInfo};
 
 use crate::{
@@ -31,15 +31,15 @@
 }
 
 impl Store for NoStore {
-    fn read(&self, _: Range<'_>) -> Result<Page, StoreError> {
+    fn read(&self, _: Range<'_>, _: &Traffic) -> Result<Page, StoreError> {
         away()
     }
 
-    fn changes(&self, _: &str, _: u64, _: Duration) -> Result<Changes, StoreError> {
+    fn changes(&self, _: &str, _: u64, _: Duration, _: &Traffic) -> Result<Changes, StoreError> {
         away()
     }
 
-    fn commit(&self, _: &Tx, _: Duration) -> Result<Commit, StoreError> {
+    fn commit(&self, _: &Tx, _: Duration, _: &Traffic) -> Result<Commit, StoreError> {
         away()
     }
 }
@@ -175,7 +175,7 @@
 }
 
 impl Store for Arc<LeaseStore> {
-    fn read(&self, range: Range<'_>) -> Result<Page, StoreError> {
+    fn read(&self, range: Range<'_>, _: &Traffic) -> Result<Page, StoreError> {
         self.check()?;
         let row = Row {
             part: OWNER_PART.into(),
@@ -196,7 +196,13 @@
         })
     }
 
-    fn changes(&self, _: &str, after: u64, _: Duration) -> Result<Changes, StoreError> {
+    fn changes(
+        &self,
+        _: &str,
+        after: u64,
+        _: Duration,
+        _: &Traffic,
+    ) -> Result<Changes, StoreError> {
         self.check()?;
         Ok(Changes {
             rows: Vec::new(),
@@ -205,7 +211,7 @@
         })
     }
 
-    fn commit(&self, tx: &Tx, _: Duration) -> Result<Commit, StoreError> {
+    fn commit(&self, tx: &Tx, _: Duration, _: &Traffic) -> Result<Commit, StoreError> {
         self.check()?;
         let row = tx.writes.iter().find(|w| w.table == LEASE);
         let lease = row.and_then(|w| decode("lease", &w.value));
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -5,9 +5,9 @@
 use gorsespur_runtime::cancel::Cancel;
 
 use crate::{
-    metrics::Count,
+    metrics::{Count, Duty},
     shared::Shared,
-    store::{Row, StoreError, read_one},
+    store::{Row, StoreError},
 };
 
 /// How long one question for changes waits. A change is in force within two
@@ -20,7 +20,7 @@
 /// Reads the newest configuration from the store, and puts it in force.
 pub(crate) fn refresh(shared: &Shared) -> Result<(), StoreError> {
     let (table, key) = shared.protocol.config_row();
-    let row = read_one(&*shared.store, table, "", key)?;
+    let row = shared.store(Duty::Callers).read_one(table, "", key)?;
     shared.touched();
     if let Some(row) = row {
         take(shared, &row);
@@ -74,7 +74,7 @@
 /// Reads the configuration and the evacuated zones, whole; returns the store's version.
 pub(crate) fn refresh_at(shared: &Shared) -> Result<u64, StoreError> {
     let (table, _) = shared.protocol.config_row();
-    let page = crate::store::read_all(&*shared.store, table, "")?;
+    let page = shared.store(Duty::Config).read_all(table, "")?;
     shared.touched();
     for row in &page.rows {
         take(shared, row);
@@ -87,7 +87,7 @@
 }
 
 fn changes(shared: &Shared, table: &str, after: u64) -> Result<u64, StoreError> {
-    let changes = shared.store.changes(table, after, WAIT)?;
+    let changes = shared.store(Duty::Config).changes(table, after, WAIT)?;
     shared.touched();
     for row in &changes.rows {
         take(shared, row);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -13,12 +13,12 @@
 use crate::{
     config::Queue,
     follow::refresh,
-    metrics::Count,
+    metrics::{Count, Duty},
     rows::{
         JOBS, LEASE, LeaseRow, OWNER, OWNER_PART, RECORDS, cancel_key, decode, encode, job_part,
     },
     shared::Shared,
-    store::{Expect, StoreError, Tx, Write, read_one},
+    store::{Expect, StoreError, Tx, Write},
 };
 
 /// Seconds after which a refused caller may come back: most refusals come from a
@@ -195,7 +195,7 @@
         loop {
             let left = end.saturating_sub(self.shared.clock.now());
             let limit = Duration::from_millis(left.max(LEAST));
-            match self.shared.store.commit(tx, limit) {
+            match self.shared.store(Duty::Callers).commit(tx, limit) {
                 Ok(_) => {
                     self.shared.touched();
                     return Written::Done;
@@ -221,15 +221,15 @@
 
     /// Reads what became of a job; nothing if it was never accepted.
     fn outcome(&self, id: JobId) -> Result<Option<Outcome>, StoreError> {
-        let store = &*self.shared.store;
-        let row = read_one(store, RECORDS, OWNER_PART, &id.to_string())?;
+        let store = self.shared.store(Duty::Callers);
+        let row = store.read_one(RECORDS, OWNER_PART, &id.to_string())?;
         if let Some(row) = row {
             let record = Record::decode(&row.value).map_err(|err| StoreError::Malformed {
                 reason: err.to_string(),
             })?;
             return Ok(Some(record.outcome));
         }
-        let row = read_one(store, JOBS, &job_part(id), &id.to_string())?;
+        let row = store.read_one(JOBS, &job_part(id), &id.to_string())?;
         Ok(row.map(|_| Outcome::Pending))
     }
 
@@ -270,7 +270,11 @@
     }
 
     fn pending(&self, queue: &Queue) -> Response {
-        let row = match read_one(&*self.shared.store, LEASE, OWNER_PART, OWNER) {
+        let row = match self
+            .shared
+            .store(Duty::Callers)
+            .read_one(LEASE, OWNER_PART, OWNER)
+        {
             Ok(row) => row,
             Err(err) => return self.store_failed(&err),
         };
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -11,11 +11,11 @@
 
 use crate::{
     contest::{Contest, JITTER},
-    metrics::Count,
+    metrics::{Count, Duty},
     owner::{self, Tenure},
     rows::{HEAD, HeadRow, JOURNAL, LEASE, LeaseRow, OWNER, OWNER_PART, decode, encode},
     shared::Shared,
-    store::{Commit, Expect, Row, StoreError, Tx, Write, read_one},
+    store::{Commit, Expect, Row, StoreError, Tx, Write},
 };
 
 /// How long one question for changes waits at most: an instance that may take the
@@ -119,7 +119,7 @@
     let contest = old.contest(shared, shared.clock.now(), jitter);
     let remaining = contest.remaining();
     let wait = Duration::from_millis(remaining.clamp(LEAST_WAIT, WAIT));
-    let changes = match shared.store.changes(LEASE, old.version, wait) {
+    let changes = match shared.store(Duty::Lease).changes(LEASE, old.version, wait) {
         Err(StoreError::Forgotten) => return read_again(shared, old),
         Err(err) => return keep(shared, old, &err),
         Ok(changes) => changes,
@@ -166,7 +166,7 @@
 }
 
 fn read(shared: &Shared) -> Result<Seen, StoreError> {
-    let page = crate::store::read_all(&*shared.store, LEASE, OWNER_PART)?;
+    let page = shared.store(Duty::Lease).read_all(LEASE, OWNER_PART)?;
     shared.touched();
     let row = page.rows.into_iter().find(|r| r.key == OWNER);
     let lease = read_lease(shared, row.as_ref())?;
@@ -190,7 +190,9 @@
         return Ok(lease);
     }
     shared.metrics.count(Count::BadRows);
-    let head = read_one(&*shared.store, JOURNAL, OWNER_PART, HEAD)?;
+    let head = shared
+        .store(Duty::Lease)
+        .read_one(JOURNAL, OWNER_PART, HEAD)?;
     let head: Option<HeadRow> = head.and_then(|r| decode("head", &r.value));
     let head = head.ok_or_else(|| StoreError::Malformed {
         reason: "lease and journal's end".into(),
@@ -239,7 +241,7 @@
             },
         ],
     };
-    let done = match shared.store.commit(&tx, LIMIT) {
+    let done = match shared.store(Duty::Lease).commit(&tx, LIMIT) {
         Ok(Commit::Done(version)) => Some(version),
         Ok(Commit::Conflict(_)) => None,
         Err(StoreError::Unknown { .. }) => find_claim(shared, &lease)?,
@@ -261,7 +263,9 @@
 
 /// After a lost answer: the version of our claim, if it was done.
 fn find_claim(shared: &Shared, lease: &LeaseRow) -> Result<Option<u64>, StoreError> {
-    let row = read_one(&*shared.store, LEASE, OWNER_PART, OWNER)?;
+    let row = shared
+        .store(Duty::Lease)
+        .read_one(LEASE, OWNER_PART, OWNER)?;
     let Some(row) = row else {
         return Ok(None);
     };
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,6 +8,7 @@
     },
 };
 
+use gorsespur_http::Traffic;
 use gorsespur_jobs::Figures;
 use hdrhistogram::Histogram;
 
@@ -53,10 +54,36 @@
     "bad_rows",
 ];
 
+/// What calls to the store are for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Duty {
+    /// Requests of callers.
+    Callers,
+    /// Following the configuration.
+    Config,
+    /// Watching and claiming the lease.
+    Lease,
+    /// Reading all jobs after a takeover.
+    Takeover,
+    /// The owner's writes.
+    Journal,
+    /// The owner follows accepted jobs.
+    Jobs,
+    /// The owner follows the workers' announcements.
+    Workers,
+}
+
+/// Names of the duties, in the order of [`Duty`].
+const DUTIES: [&str; 7] = [
+    "callers", "config", "lease", "takeover", "journal", "jobs", "workers",
+];
+
 /// Counters and histograms of one process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     counts: [AtomicU64; NAMES.len()],
+    /// Calls to the store, by duty.
+    traffic: [Traffic; DUTIES.len()],
     accept: Mutex<Histogram<u32>>,
     /// What the owner counted; of its last time as the owner.
     decided: Mutex<Figures>,
@@ -69,6 +96,7 @@
         let accept = histogram.unwrap_or_else(|_| Histogram::new(DIGITS).expect("two digits"));
         Metrics {
             counts: Default::default(),
+            traffic: Default::default(),
             accept: Mutex::new(accept),
             decided: Mutex::default(),
         }
@@ -81,6 +109,11 @@
         self.counts[count as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Returns where calls of a duty to the store are counted.
+    pub(crate) fn traffic(&self, duty: Duty) -> &Traffic {
+        &self.traffic[duty as usize]
+    }
+
     /// Records how long it took to accept a job, in milliseconds.
     pub(crate) fn accepted(&self, ms: u64) {
         self.count(Count::Accepted);
@@ -99,6 +132,17 @@
         for (name, count) in NAMES.iter().zip(&self.counts) {
             let _ = writeln!(out, "gorsespur_{name} {}", count.load(Ordering::Relaxed));
         }
+        for (duty, traffic) in DUTIES.iter().zip(&self.traffic) {
+            let usage = traffic.usage();
+            let rows = [
+                ("calls", usage.calls),
+                ("sent_bytes", usage.sent),
+                ("received_bytes", usage.received),
+            ];
+            for (name, count) in rows {
+                let _ = writeln!(out, "gorsespur_store_{name}{{duty=\"{duty}\"}} {count}");
+            }
+        }
         let accept = self.accept.lock().unwrap_or_else(PoisonError::into_inner);
         for quantile in [0.5, 0.95, 0.99, 1.0] {
             let ms = accept.value_at_quantile(quantile);
--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -7,10 +7,10 @@
 
 use super::inbox::Input;
 use crate::{
-    metrics::Count,
+    metrics::{Count, Duty},
     rows::{JOBS, JobKey, decode, job_key, job_parts},
     shared::Shared,
-    store::{Changes, Row, StoreError, read_all},
+    store::{Changes, Row, StoreError},
 };
 
 /// How long one question for changes waits; it bounds how late a thread ends.
@@ -55,7 +55,7 @@
         let step = match follow.version {
             None => list_jobs(shared, &mut follow, &mut events),
             Some(after) => {
-                let changes = shared.store.changes(JOBS, after, wait(shared));
+                let changes = shared.store(Duty::Jobs).changes(JOBS, after, wait(shared));
                 changes.map(|c| {
                     shared.touched();
                     take_jobs(shared, &c.rows, &mut events);
@@ -72,11 +72,11 @@
 
 /// Reads the rows of all accepted jobs, and the version before the first read.
 pub(crate) fn all_jobs(shared: &Shared) -> Result<(Vec<Row>, u64), StoreError> {
-    let store = &*shared.store;
+    let store = shared.store(Duty::Takeover);
     let mut rows = Vec::new();
     let mut version = None;
     for part in job_parts() {
-        let page = read_all(store, JOBS, &part)?;
+        let page = store.read_all(JOBS, &part)?;
         version.get_or_insert(page.version);
         rows.extend(page.rows);
     }
@@ -131,7 +131,9 @@
         let step = match follow.version {
             None => list_workers(shared, &mut follow, &mut events).map(|()| WORKERS_PAUSE),
             Some(after) => {
-                let changes = shared.store.changes(table, after, wait(shared));
+                let changes = shared
+                    .store(Duty::Workers)
+                    .changes(table, after, wait(shared));
                 changes.map(|c| {
                     shared.touched();
                     take_workers(shared, &mut follow, &c.rows, &mut events);
@@ -175,7 +177,9 @@
     events: &mut Vec<Event>,
 ) -> Result<(), StoreError> {
     let asked = shared.clock.now();
-    let page = read_all(&*shared.store, shared.protocol.workers_table(), "")?;
+    let page = shared
+        .store(Duty::Workers)
+        .read_all(shared.protocol.workers_table(), "")?;
     for key in &follow.keys {
         if !page.rows.iter().any(|r| r.key == *key) {
             events.push(Event::Unlisted(key.as_str().into()));
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -16,7 +16,7 @@
     pulse::Pulse,
 };
 use crate::{
-    metrics::Count,
+    metrics::{Count, Duty},
     rows::{
         HEAD, HeadRow, JOURNAL, LEARNED, LEASE, LeaseRow, OWNER, OWNER_PART, RECORDS, decode,
         encode,
@@ -147,7 +147,7 @@
             let tried = self.shared.clock.now();
             match self
                 .shared
-                .store
+                .store(Duty::Journal)
                 .commit(&tx, limit(failing, self.shared.store_is_lost()))
             {
                 Ok(Commit::Done(version)) => {
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -11,10 +11,10 @@
 };
 use crate::{
     follow::refresh_at,
-    metrics::Count,
+    metrics::{Count, Duty},
     rows::{LEARNED, OWNER, OWNER_PART, RECORDS, decode},
     shared::Shared,
-    store::{StoreError, read_all, read_one},
+    store::StoreError,
 };
 
 /// A machine that knows all jobs, and from where on changes are to be followed.
@@ -26,7 +26,7 @@
 
 /// Reads all jobs, their records and the workers.
 pub(crate) fn load(shared: &Arc<Shared>, tenure: &Tenure) -> Result<Loaded, StoreError> {
-    let store = &*shared.store;
+    let store = shared.store(Duty::Takeover);
     let now = shared.clock.now();
     let mut machine = Machine::new(shared.settings.jobs, now, tenure.takeover);
     if let Some(learned) = learned(shared) {
@@ -36,7 +36,7 @@
     let mut unknown: Vec<String> = Vec::new();
     // The jobs first: a record that is newer than its job's row does no harm.
     let (mut rows, version) = feed::all_jobs(shared)?;
-    for row in read_all(store, RECORDS, OWNER_PART)?.rows {
+    for row in store.read_all(RECORDS, OWNER_PART)?.rows {
         match Record::decode(&row.value) {
             Ok(record) => {
                 records.insert(row.key, record);
@@ -92,7 +92,10 @@
 
 /// Reads what earlier owners learned; without it all can be done, and is learned anew.
 fn learned(shared: &Shared) -> Option<Learned> {
-    match read_one(&*shared.store, LEARNED, OWNER_PART, OWNER) {
+    match shared
+        .store(Duty::Takeover)
+        .read_one(LEARNED, OWNER_PART, OWNER)
+    {
         Ok(row) => row.and_then(|r| decode("learned", &r.value)),
         Err(err) => {
             log::warn!(err = err.to_string().as_str(); "owner: nothing that was learned is known");
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -11,7 +11,11 @@
 use gorsespur_runtime::clock::Clock;
 
 use crate::{
-    config::Config, metrics::Metrics, protocol::Protocol, settings::NodeSettings, store::Store,
+    config::Config,
+    metrics::{Duty, Metrics},
+    protocol::Protocol,
+    settings::NodeSettings,
+    store::{DutyStore, Store},
 };
 
 /// After a call without an answer, callers are not held up by another for this long
@@ -48,7 +52,7 @@
 /// What the threads of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: NodeSettings,
-    pub(crate) store: Box<dyn Store>,
+    store: Box<dyn Store>,
     pub(crate) protocol: Box<dyn Protocol>,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
@@ -93,6 +97,11 @@
         }
     }
 
+    /// Returns the store for the calls of a duty.
+    pub(crate) fn store(&self, duty: Duty) -> DutyStore<'_> {
+        DutyStore::new(&*self.store, self.metrics.traffic(duty))
+    }
+
     /// Returns the newest configuration, if any was read.
     pub(crate) fn config(&self) -> Option<Arc<Config>> {
         let config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gorsespur_http::Traffic;
 use snafu::Snafu;
 
 /// Why a call to the store failed.
@@ -124,57 +125,94 @@
     Conflict(Vec<Row>),
 }
 
-/// The store.
+/// The store. Each call counts itself in a [`Traffic`].
 pub trait Store: Send + Sync + 'static {
     /// Reads rows of one part, up to a page.
-    fn read(&self, range: Range<'_>) -> Result<Page, StoreError>;
+    fn read(&self, range: Range<'_>, traffic: &Traffic) -> Result<Page, StoreError>;
 
     /// Returns what changed in a table after a version, waiting up to `wait` for
     /// a first change.
-    fn changes(&self, table: &str, after: u64, wait: Duration) -> Result<Changes, StoreError>;
+    fn changes(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+        traffic: &Traffic,
+    ) -> Result<Changes, StoreError>;
 
     /// Runs a transaction; no answer within `limit` leaves it unclear. While the
     /// store is slow transactions wait for each other, and each that is sent again
     /// makes the others wait longer: the limit should be generous.
-    fn commit(&self, tx: &Tx, limit: Duration) -> Result<Commit, StoreError>;
+    fn commit(&self, tx: &Tx, limit: Duration, traffic: &Traffic) -> Result<Commit, StoreError>;
 }
 
-/// Reads all rows of one part; the version is the first page's.
-pub(crate) fn read_all(store: &dyn Store, table: &str, part: &str) -> Result<Page, StoreError> {
-    let range = Range {
-        table,
-        part,
-        from: "",
-        until: "",
-    };
-    let mut all = store.read(range)?;
-    while all.more {
-        let last = all.rows.last().map(|r| r.key.clone()).unwrap_or_default();
-        // The least key behind the last one.
-        let from = format!("{last}\0");
-        let next = store.read(Range {
-            from: &from,
-            ..range
-        })?;
-        all.more = next.more && !next.rows.is_empty();
-        all.rows.extend(next.rows);
-    }
-    Ok(all)
+/// The store as one duty calls it, whose calls are counted together.
+#[derive(Clone, Copy)]
+pub(crate) struct DutyStore<'a> {
+    store: &'a dyn Store,
+    traffic: &'a Traffic,
 }
 
-/// Reads one row.
-pub(crate) fn read_one(
-    store: &dyn Store,
-    table: &str,
-    part: &str,
-    key: &str,
-) -> Result<Option<Row>, StoreError> {
-    let until = format!("{key}\0");
-    let page = store.read(Range {
-        table,
-        part,
-        from: key,
-        until: &until,
-    })?;
-    Ok(page.rows.into_iter().next())
+impl<'a> DutyStore<'a> {
+    /// Makes one that counts calls in `traffic`.
+    pub(crate) fn new(store: &'a dyn Store, traffic: &'a Traffic) -> DutyStore<'a> {
+        DutyStore { store, traffic }
+    }
+
+    /// As [`Store::changes`].
+    pub(crate) fn changes(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        self.store.changes(table, after, wait, self.traffic)
+    }
+
+    /// As [`Store::commit`].
+    pub(crate) fn commit(&self, tx: &Tx, limit: Duration) -> Result<Commit, StoreError> {
+        self.store.commit(tx, limit, self.traffic)
+    }
+
+    /// Reads all rows of one part; the version is the first page's.
+    pub(crate) fn read_all(&self, table: &str, part: &str) -> Result<Page, StoreError> {
+        let range = Range {
+            table,
+            part,
+            from: "",
+            until: "",
+        };
+        let mut all = self.store.read(range, self.traffic)?;
+        while all.more {
+            let last = all.rows.last().map(|r| r.key.clone()).unwrap_or_default();
+            // The least key behind the last one.
+            let from = format!("{last}\0");
+            let range = Range {
+                from: &from,
+                ..range
+            };
+            let next = self.store.read(range, self.traffic)?;
+            all.more = next.more && !next.rows.is_empty();
+            all.rows.extend(next.rows);
+        }
+        Ok(all)
+    }
+
+    /// Reads one row.
+    pub(crate) fn read_one(
+        &self,
+        table: &str,
+        part: &str,
+        key: &str,
+    ) -> Result<Option<Row>, StoreError> {
+        let until = format!("{key}\0");
+        let range = Range {
+            table,
+            part,
+            from: key,
+            until: &until,
+        };
+        let page = self.store.read(range, self.traffic)?;
+        Ok(page.rows.into_iter().next())
+    }
 }
