Ask for the configuration as seldom as its time allows

Cause: the wait of a question was fixed for the shortest deployment (2 s to be in force). A change answers every question that waits, so that a long one delays nothing; only a lost answer or a silent connection does. Change: a question waits as long as lets the next one learn of the change in time (3.5 s on the fleet, 1 s where 2 s are allowed); a store counts as lost by that wait; connections to the store are probed each second; a 404 asks for what changed, not for the whole.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -100,10 +100,11 @@
         }
     }
 
-    fn connect(&self, limit: Duration) -> Result<TcpStream, HttpError> {
+    pub(crate) fn connect(&self, limit: Duration) -> Result<TcpStream, HttpError> {
         let stream = TcpStream::connect_timeout(&self.addr, limit);
         let stream = stream.map_err(|err| not_connected(&err))?;
         socket::tune(&stream);
+        socket::probe(&stream);
         Ok(stream)
     }
 
--- a/crates/http/src/client_tests.rs
+++ b/crates/http/src/client_tests.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use socket2::SockRef;
+
 use crate::{
     client::{Client, read_response},
     error::HttpError,
@@ -52,6 +54,20 @@
     );
 }
 
+/// A question may wait for its answer for many seconds: the system probes meanwhile whether its
+/// peer can be reached.
+#[test]
+fn connections_are_probed_while_an_answer_is_waited_for() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let client = Client::new(listener.local_addr().expect("bound"));
+    let stream = client.connect(Duration::from_secs(5)).expect("connected");
+    let socket = SockRef::from(&stream);
+    assert!(socket.keepalive().expect("told"));
+    let idle = socket.tcp_keepalive_time().expect("told");
+    let period = socket.tcp_keepalive_interval().expect("told");
+    assert!(idle + period <= Duration::from_secs(2));
+}
+
 #[test]
 fn a_port_on_which_nobody_listens_refuses() {
     // No other test listens on this address.
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 
 /// Sent bytes that stay unacknowledged for this long end a connection; behind a
 /// cut it would hang otherwise.
@@ -22,6 +22,24 @@
     }
 }
 
+/// A connection on which nothing came for this long is probed, again after as long; one whose
+/// probe stays unanswered has ended, however long its answer may take.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Has the system find out that a peer can't be reached while its answer is waited for.
+pub(crate) fn probe<'a, S>(socket: &'a S)
+where
+    SockRef<'a>: From<&'a S>,
+{
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_PERIOD)
+        .with_interval(PROBE_PERIOD)
+        .with_retries(1);
+    if let Err(err) = SockRef::from(socket).set_tcp_keepalive(&probes) {
+        log::debug!("http: no TCP keep-alive: {err}");
+    }
+}
+
 /// Connections that may wait to be accepted; a full queue costs callers seconds.
 const BACKLOG: i32 = 512;
 
--- a/crates/node/src/fakes_tests.rs
+++ b/crates/node/src/fakes_tests.rs
@@ -132,6 +132,7 @@
         metrics: None,
         linger: Duration::ZERO,
         connections: 1,
+        apply: Duration::from_secs(2),
         jobs: Settings::default(),
         share: 500,
     };
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -10,22 +10,23 @@
     store::{Row, StoreError},
 };
 
-/// How long one question for changes waits. A change is in force within two
-/// seconds; a lost question must not use up more than half of that.
-const WAIT: Duration = Duration::from_millis(1000);
-
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Reads the newest configuration from the store, and puts it in force.
+/// Puts the newest configuration in force for a caller who waits.
+///
+/// Of one that is known already nothing is read anew: it has tens of kilobytes, and any caller
+/// who asks for what is not there has it looked for.
 pub(crate) fn refresh(shared: &Shared) -> Result<(), StoreError> {
-    let (table, key) = shared.protocol.config_row();
-    let row = shared.store(Duty::Callers).read_one(table, "", key)?;
-    shared.touched();
-    if let Some(row) = row {
-        take(shared, &row);
+    let (table, _) = shared.protocol.config_row();
+    let step = match shared.config_known() {
+        None => refresh_at(shared, Duty::Callers),
+        Some(after) => changes(shared, Duty::Callers, table, after, Duration::ZERO),
+    };
+    match step {
+        Err(StoreError::Forgotten) => refresh_at(shared, Duty::Callers).map(drop),
+        step => step.map(drop),
     }
-    Ok(())
 }
 
 fn take(shared: &Shared, row: &Row) {
@@ -46,8 +47,8 @@
     let mut lost = false;
     while !cancel.is_cancelled() {
         let step = match version {
-            None => refresh_at(shared),
-            Some(after) => changes(shared, table, after),
+            None => refresh_at(shared, Duty::Config),
+            Some(after) => changes(shared, Duty::Config, table, after, shared.config_wait()),
         };
         match step {
             Ok(next) => {
@@ -72,9 +73,9 @@
 }
 
 /// Reads the configuration and the evacuated zones, whole; returns the store's version.
-pub(crate) fn refresh_at(shared: &Shared) -> Result<u64, StoreError> {
+pub(crate) fn refresh_at(shared: &Shared, duty: Duty) -> Result<u64, StoreError> {
     let (table, _) = shared.protocol.config_row();
-    let page = shared.store(Duty::Config).read_all(table, "")?;
+    let page = shared.store(duty).read_all(table, "")?;
     shared.touched();
     for row in &page.rows {
         take(shared, row);
@@ -86,8 +87,14 @@
     Ok(page.version)
 }
 
-fn changes(shared: &Shared, table: &str, after: u64) -> Result<u64, StoreError> {
-    let changes = shared.store(Duty::Config).changes(table, after, WAIT)?;
+fn changes(
+    shared: &Shared,
+    duty: Duty,
+    table: &str,
+    after: u64,
+    wait: Duration,
+) -> Result<u64, StoreError> {
+    let changes = shared.store(duty).changes(table, after, wait)?;
     shared.touched();
     for row in &changes.rows {
         take(shared, row);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -41,9 +41,6 @@
 /// Pause before an unclear write is sent again.
 const RESEND: Duration = Duration::from_millis(50);
 
-/// A configuration is asked for anew when the store was silent for this long.
-const STALE: u64 = 1500;
-
 /// What the store did with a write.
 enum Written {
     /// It is there, by this write or an earlier one.
@@ -107,7 +104,7 @@
     /// configuration is read.
     fn queue(&self, host: &str, path: &str) -> Option<Queue> {
         let find = || self.shared.config()?.find(host, path).cloned();
-        let fresh = self.shared.silence() < STALE;
+        let fresh = !self.shared.is_silent();
         if let Some(queue) = find().filter(|_| fresh) {
             return Some(queue);
         }
@@ -118,7 +115,7 @@
     }
 
     fn no_queue(&self) -> Response {
-        let known = self.shared.config().is_some() && self.shared.silence() < STALE;
+        let known = self.shared.config().is_some() && !self.shared.is_silent();
         if !known {
             return self.refuse();
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,6 +37,9 @@
 mod owner;
 mod program;
 mod protocol;
+mod question;
+#[cfg(test)]
+mod question_tests;
 mod rows;
 mod settings;
 mod shared;
--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -14,7 +14,7 @@
 };
 
 /// How long one question for changes waits; it bounds how late a thread ends.
-const WAIT: Duration = Duration::from_millis(1000);
+pub(super) const WAIT: Duration = Duration::from_millis(1000);
 
 /// Pause between questions for changed workers. Each writes its row every other
 /// second, so that without it nearly each write would be a call and a wake-up. It bounds
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -77,7 +77,7 @@
     }
     // What this instance followed so far may be old: it may have been cut off. The first turn
     // tells the machine which zones are evacuated then, before anything is placed.
-    refresh_at(shared)?;
+    refresh_at(shared, Duty::Takeover)?;
     feed::list_workers(shared, &mut workers, &mut events)?;
     for event in events {
         machine.handle(shared.clock.now(), wall_ms(), event);
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -63,6 +63,8 @@
             return;
         }
     };
+    // Its own questions and renewals are answered more often than those of other instances.
+    shared.asks_each(feed::WAIT);
     let mine = Cancel::new();
     let input = inbox.input();
     let (batches, journal) = flume::bounded(RING);
@@ -85,6 +87,7 @@
         mine.cancel();
         drop(batches);
     });
+    shared.asks_each(shared.config_wait());
     log::info!(epoch = tenure.epoch; "owner: ends");
 }
 
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -44,10 +44,6 @@
 /// Time for the last log lines to be written.
 const LAST_LINES: Duration = Duration::from_millis(60);
 
-/// Store silence beyond which an instance takes no new connections, in milliseconds:
-/// it would refuse what others can take.
-const READY_SILENCE: u64 = 2500;
-
 /// Tells the balancer whether the instance takes requests.
 struct Ready {
     shared: Arc<Shared>,
@@ -56,9 +52,8 @@
 impl Handler for Ready {
     fn handle(&self, _request: Request) -> Option<Response> {
         let shared = &self.shared;
-        let able = shared.config().is_some()
-            && shared.silence() < READY_SILENCE
-            && !shared.store_is_lost();
+        // Without the store it would refuse what others can take.
+        let able = shared.config().is_some() && !shared.store_is_lost();
         let status = if able && !shared.is_leaving() {
             200
         } else {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -19,6 +19,8 @@
     pub linger: Duration,
     /// Most open connections of callers.
     pub connections: usize,
+    /// Time within which a change of the configuration has to be in force.
+    pub apply: Duration,
     /// Limits and times of the decisions.
     pub jobs: Settings,
     /// This instance's share of a processor, in thousandths; the lease should
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,6 +6,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use gorsespur_runtime::clock::Clock;
@@ -14,6 +15,7 @@
     config::Config,
     metrics::{Duty, Metrics},
     protocol::Protocol,
+    question,
     settings::NodeSettings,
     store::{DutyStore, Store},
 };
@@ -22,11 +24,6 @@
 /// unless one is answered meanwhile, in milliseconds.
 const BREAK: u64 = 1000;
 
-/// An instance asks for changes each second at least, which a store at a sixtieth of its
-/// speed answers a quarter of a second later: without any answer for this long the store
-/// is lost, in milliseconds.
-const SILENT: u64 = 1400;
-
 /// Leave to call the store; given back when it is dropped.
 pub(crate) struct Try<'a> {
     alone: Option<&'a AtomicBool>,
@@ -60,6 +57,8 @@
     evacuated: Mutex<Evacuated>,
     /// When the store last answered, in milliseconds.
     contact: AtomicU64,
+    /// For how long nothing comes from a store that answers, in milliseconds.
+    longest_silence: AtomicU64,
     /// When a call to the store last got no answer, in milliseconds.
     lost: AtomicU64,
     /// Whether a caller tries a store that did not answer.
@@ -82,7 +81,8 @@
         store: Box<dyn Store>,
         protocol: Box<dyn Protocol>,
     ) -> Shared {
-        Shared {
+        let wait = question::wait(settings.apply);
+        let shared = Shared {
             settings,
             store,
             protocol,
@@ -91,10 +91,24 @@
             config: Mutex::new(None),
             evacuated: Mutex::default(),
             contact: AtomicU64::new(0),
+            longest_silence: AtomicU64::new(0),
             lost: AtomicU64::new(0),
             trying: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
-        }
+        };
+        shared.asks_each(wait);
+        shared
+    }
+
+    /// Takes note that the store is asked anew after `wait` at the latest.
+    pub(crate) fn asks_each(&self, wait: Duration) {
+        let silence = question::longest_silence(wait).as_millis() as u64;
+        self.longest_silence.store(silence, Ordering::Relaxed);
+    }
+
+    /// Returns how long questions about the configuration wait.
+    pub(crate) fn config_wait(&self) -> Duration {
+        question::wait(self.settings.apply)
     }
 
     /// Returns the store for the calls of a duty.
@@ -118,6 +132,14 @@
         *config = Some(Arc::new(new));
     }
 
+    /// Returns the store's version up to which changes of the configuration's table are known;
+    /// nothing if it was never read.
+    pub(crate) fn config_known(&self) -> Option<u64> {
+        let known = self.evacuated.lock();
+        let version = known.unwrap_or_else(PoisonError::into_inner).version;
+        (version > 0).then_some(version)
+    }
+
     /// Returns the availability zones that are evacuated, sorted.
     pub(crate) fn evacuated(&self) -> Arc<[Arc<str>]> {
         let known = self.evacuated.lock();
@@ -156,7 +178,12 @@
     /// Tells whether the store's last call got no answer, or none came lately.
     pub(crate) fn store_is_lost(&self) -> bool {
         let lost = self.lost.load(Ordering::Relaxed);
-        lost > self.contact.load(Ordering::Relaxed) || self.silence() > SILENT
+        lost > self.contact.load(Ordering::Relaxed) || self.is_silent()
+    }
+
+    /// Tells whether nothing came from the store for longer than a question takes.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.silence() > self.longest_silence.load(Ordering::Relaxed)
     }
 
     /// Gives leave to hold a caller up by a call to the store: while that does not
@@ -173,7 +200,7 @@
     }
 
     /// Returns the milliseconds since the store last answered.
-    pub(crate) fn silence(&self) -> u64 {
+    fn silence(&self) -> u64 {
         let last = self.contact.load(Ordering::Relaxed);
         self.clock.now().saturating_sub(last)
     }
