Let a few instances follow the lease, in turns

Cause: whoever may take the lease follows it, so that the calls grow with the instances, though the first few notice a lost owner as soon as all do. Weighed: standbys named by the owner (nobody notices a dead one), slots held by conditional writes (the others read them as often), rare looks by the store's clock (its reading is late by what a slow store takes). Built: instances announce themselves once, the owner counts them and tells the numbers with each renewal, and each follows for 2 s and then rests by chance, so that twelve of each size follow on average. A lease that was not renewed during a rest counts from the end of the rest. Virtual time (watch_sim_tests): 60 calls a second with 600 instances (500 with each following), 59 with 1,200 and 55 with 7,000; the lease is taken 1.0 to 1.1 s after the owner, a zone or a third are lost, 1.1 to 2.2 s after all that follow are lost with it.

--- /dev/null
+++ b/crates/node/src/census.rs
@@ -0,0 +1,154 @@
+//! How many instances there are.
+//!
+//! Each instance announces itself when it starts, and seldom again; the owner of the lease counts
+//! the announcements and tells the numbers with each renewal.
+//!
+//! Limits: an instance that is gone counts for a day. Nothing but how often instances ask the
+//! store follows from the numbers.
+
+use std::time::Duration;
+
+use gorsespur_runtime::{cancel::Cancel, clock::wall_ms};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    metrics::{Count, Duty},
+    rows::{INSTANCES, INSTANCES_PART, decode, encode},
+    shared::Shared,
+    store::{Row, StoreError, Tx, Write},
+};
+
+/// Instances that start at once announce themselves within this time, in milliseconds: a part of
+/// the store takes some hundred writes a second.
+const SPREAD: u64 = 10_000;
+
+/// An instance announces itself anew after this long, in milliseconds.
+const PERIOD: u64 = 6 * 3_600_000;
+
+/// An announcement of this age is of an instance that is gone, in milliseconds.
+const EXPIRED: u64 = 4 * PERIOD;
+
+/// First pause after a failure, in milliseconds; it doubles.
+const FIRST_PAUSE: u64 = 2000;
+
+/// Longest such pause, in milliseconds.
+const LAST_PAUSE: u64 = 120_000;
+
+/// Time for an answer to a write.
+const LIMIT: Duration = Duration::from_millis(2500);
+
+/// Tells whether an instance with this share of a processor is small beside the largest one.
+pub(crate) fn is_small(share: u64, largest: u64) -> bool {
+    share * 2 < largest
+}
+
+/// The numbers of instances.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Census {
+    /// Those that are not small.
+    pub(crate) large: u64,
+    /// All.
+    pub(crate) all: u64,
+}
+
+impl Census {
+    /// Returns the number of instances that are small, or that are not.
+    pub(crate) fn alike(&self, small: bool) -> u64 {
+        match small {
+            true => self.all - self.large.min(self.all),
+            false => self.large,
+        }
+    }
+}
+
+/// What an instance announces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct InstanceRow {
+    /// Its share of a processor, in thousandths.
+    pub(crate) share: u64,
+    /// When it announced itself, in milliseconds since 1970.
+    pub(crate) at: u64,
+}
+
+/// Announces the instance until cancelled.
+pub(crate) fn announce(shared: &std::sync::Arc<Shared>, cancel: &Cancel) {
+    let mut rng = rand::rng();
+    let mut pause = FIRST_PAUSE;
+    let mut wait = rng.random_range(0..SPREAD);
+    while !cancel.wait(Duration::from_millis(wait)) {
+        wait = match write(shared) {
+            Ok(()) => {
+                pause = FIRST_PAUSE;
+                PERIOD
+            }
+            Err(err) => {
+                log::debug!(err = err.to_string().as_str(); "census: not announced");
+                pause = (pause * 2).min(LAST_PAUSE);
+                pause
+            }
+        };
+        wait = rng.random_range(wait / 2..wait);
+    }
+}
+
+fn write(shared: &Shared) -> Result<(), StoreError> {
+    let row = InstanceRow {
+        share: shared.settings.share,
+        at: wall_ms(),
+    };
+    let tx = Tx {
+        part: INSTANCES_PART.into(),
+        writes: vec![Write {
+            table: INSTANCES,
+            key: shared.settings.name.to_string(),
+            value: encode(&row),
+        }],
+        ..Tx::default()
+    };
+    shared.store(Duty::Census).commit(&tx, LIMIT).map(drop)
+}
+
+/// The announcements as an owner follows them.
+#[derive(Debug, Default)]
+pub(crate) struct Register {
+    /// Instances by name.
+    rows: Vec<(String, InstanceRow)>,
+}
+
+impl Register {
+    /// Takes rows that were read or changed; returns the names of those that have expired at
+    /// `now`, in milliseconds since 1970.
+    pub(crate) fn take(&mut self, shared: &Shared, rows: &[Row], now: u64) -> Vec<String> {
+        let mut expired = Vec::new();
+        for row in rows {
+            let at = self.rows.binary_search_by(|(name, _)| name.cmp(&row.key));
+            let instance = (!row.removed).then(|| decode::<InstanceRow>("instance", &row.value));
+            if instance == Some(None) {
+                shared.metrics.count(Count::BadRows);
+            }
+            let instance = instance.flatten();
+            if instance.is_some_and(|i| i.at + EXPIRED < now) {
+                expired.push(row.key.clone());
+            }
+            let instance = instance.filter(|i| i.at + EXPIRED >= now);
+            match (at, instance) {
+                (Ok(at), Some(instance)) => self.rows[at].1 = instance,
+                (Ok(at), None) => drop(self.rows.remove(at)),
+                (Err(at), Some(instance)) => self.rows.insert(at, (row.key.clone(), instance)),
+                (Err(_), None) => {}
+            }
+        }
+        expired
+    }
+
+    /// Counts the instances.
+    pub(crate) fn census(&self) -> Census {
+        let shares = || self.rows.iter().map(|(_, row)| row.share);
+        let largest = shares().max().unwrap_or(0);
+        Census {
+            large: shares().filter(|&s| !is_small(s, largest)).count() as u64,
+            all: self.rows.len() as u64,
+        }
+    }
+}
--- a/crates/node/src/contest.rs
+++ b/crates/node/src/contest.rs
@@ -3,6 +3,7 @@
 use gorsespur_jobs::{Settings, longest_lease};
 
 use crate::{
+    census::is_small,
     owner::{journal::RENEWAL, pulse::MOST_TERM},
     rows::LeaseRow,
 };
@@ -34,6 +35,8 @@
     pub(crate) share: u64,
     /// For how long the lease was not renewed, in milliseconds.
     pub(crate) age: u64,
+    /// For how long it was followed without a rest, in milliseconds.
+    pub(crate) watched: u64,
     /// For how long it has had its owner, in milliseconds.
     pub(crate) tenure: u64,
     /// A delay by chance, in milliseconds.
@@ -58,11 +61,23 @@
         if lease.released || lease.owner == self.name {
             return small.saturating_sub(self.age);
         }
-        if lease.share * 2 < self.share && self.age < UPGRADE {
+        // What was not renewed during a rest may have been renewed unheard: the store may fall
+        // behind with changes for a second.
+        let age = self.age.min(self.watched);
+        if is_small(lease.share, self.share) && age < UPGRADE {
             return (UPGRADE + 1).saturating_sub(self.tenure);
         }
         let stale = if lease.term > 0 { lease.term } else { STALE };
-        (stale + self.jitter + small + 1).saturating_sub(self.age)
+        (stale + self.jitter + small + 1).saturating_sub(age)
+    }
+
+    /// Returns how many instances are about as large as this one; none if that is not known, or
+    /// if the lease has no owner.
+    pub(crate) fn alike(&self) -> u64 {
+        let Some(lease) = self.lease.filter(|l| !l.released) else {
+            return 0;
+        };
+        lease.census.alike(is_small(self.share, lease.largest))
     }
 
     /// Returns for how long the instance need not ask again, in milliseconds.
@@ -75,8 +90,7 @@
         let Some(lease) = self.lease else {
             return 0;
         };
-        let is_small = self.share * 2 < lease.largest;
-        if is_small && !lease.released {
+        if is_small(self.share, lease.largest) && !lease.released {
             self.remaining()
         } else {
             0
--- a/crates/node/src/contest_tests.rs
+++ b/crates/node/src/contest_tests.rs
@@ -21,6 +21,7 @@
         name: "me",
         share,
         age,
+        watched: 60_000,
         tenure: 60_000,
         jitter: 0,
     }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -164,6 +164,7 @@
                 key: id.to_string(),
                 value: encode(&job),
             }],
+            removes: Vec::new(),
         };
         match self.write(&tx, request, start) {
             Written::Done => {
@@ -255,6 +256,7 @@
                 key: cancel_key(id),
                 value: Vec::new(),
             }],
+            removes: Vec::new(),
         };
         match self.write(&tx, request, start) {
             Written::Done => {
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -16,6 +16,7 @@
     rows::{HEAD, HeadRow, JOURNAL, LEASE, LeaseRow, OWNER, OWNER_PART, decode, encode},
     shared::Shared,
     store::{Commit, Expect, Row, StoreError, Tx, Write},
+    turns::Turn,
 };
 
 /// How long one question for changes waits at most: an instance that may take the
@@ -50,25 +51,40 @@
 }
 
 impl Seen {
-    fn contest<'a>(&'a self, shared: &'a Shared, now: u64, jitter: u64) -> Contest<'a> {
+    fn contest<'a>(&'a self, shared: &'a Shared, now: u64, odds: Odds) -> Contest<'a> {
         Contest {
             lease: self.row.as_ref().map(|_| &self.lease),
             name: &shared.settings.name,
             share: shared.settings.share,
             age: now - self.since,
+            watched: odds.watched,
             tenure: now - self.begun,
-            jitter,
+            jitter: odds.jitter,
         }
     }
 }
 
+/// What is an instance's own in a contest for the lease.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Odds {
+    /// For how long it has followed the lease without a rest, in milliseconds.
+    pub(crate) watched: u64,
+    /// A delay by chance, in milliseconds.
+    pub(crate) jitter: u64,
+}
+
 /// Watches until cancelled; while this instance owns the lease, it decides.
 pub(crate) fn watch(shared: &Arc<Shared>, cancel: &Cancel) {
     let mut watch = Watch::default();
     let mut rng = rand::rng();
     let mut jitter = rng.random_range(0..JITTER);
+    let mut turn = Turn::new(shared.clock.now());
     while !cancel.is_cancelled() {
-        let seen = match watch.look(shared, jitter) {
+        let odds = |turn: &Turn| Odds {
+            watched: turn.watched(shared.clock.now()),
+            jitter,
+        };
+        let seen = match watch.look(shared, odds(&turn)) {
             Ok(seen) => seen,
             Err(err) => {
                 log::debug!(err = err.to_string().as_str(); "lease: not seen");
@@ -76,9 +92,18 @@
                 continue;
             }
         };
-        let contest = seen.contest(shared, shared.clock.now(), jitter);
+        let now = shared.clock.now();
+        let contest = seen.contest(shared, now, odds(&turn));
         if shared.is_leaving() || !contest.is_won() {
-            cancel.wait(Duration::from_millis(contest.pause()));
+            match turn.rest(now, contest.alike(), rng.random()) {
+                Some(rest) => {
+                    cancel.wait(Duration::from_millis(rest));
+                    turn = Turn::new(shared.clock.now());
+                }
+                None => {
+                    cancel.wait(Duration::from_millis(contest.pause()));
+                }
+            }
             continue;
         }
         jitter = rng.random_range(0..JITTER);
@@ -106,17 +131,17 @@
 
 impl Watch {
     /// Asks for changes of the lease, and returns it as it is now.
-    pub(crate) fn look(&mut self, shared: &Shared, jitter: u64) -> Result<&Seen, StoreError> {
+    pub(crate) fn look(&mut self, shared: &Shared, odds: Odds) -> Result<&Seen, StoreError> {
         let seen = match &self.seen {
             None => read(shared)?,
-            Some(old) => look_again(shared, old, jitter)?,
+            Some(old) => look_again(shared, old, odds)?,
         };
         Ok(self.seen.insert(seen))
     }
 }
 
-fn look_again(shared: &Shared, old: &Seen, jitter: u64) -> Result<Seen, StoreError> {
-    let contest = old.contest(shared, shared.clock.now(), jitter);
+fn look_again(shared: &Shared, old: &Seen, odds: Odds) -> Result<Seen, StoreError> {
+    let contest = old.contest(shared, shared.clock.now(), odds);
     let remaining = contest.remaining();
     let wait = Duration::from_millis(remaining.clamp(LEAST_WAIT, WAIT));
     let changes = match shared.store(Duty::Lease).changes(LEASE, old.version, wait) {
@@ -208,7 +233,7 @@
     let version = seen.row.as_ref().map_or(0, |r| r.version);
     let epoch = seen.lease.epoch + 1;
     let asked = shared.clock.now();
-    let contest = seen.contest(shared, asked, 0);
+    let contest = seen.contest(shared, asked, Odds::default());
     let inherited = contest.inherited(asked, &shared.settings.jobs);
     let lease = LeaseRow {
         owner: shared.settings.name.to_string(),
@@ -219,6 +244,7 @@
         pending: seen.lease.pending.clone(),
         term: 0,
         earlier: inherited.saturating_sub(asked),
+        census: seen.lease.census,
     };
     let head = HeadRow { epoch, number: 0 };
     let tx = Tx {
@@ -240,6 +266,7 @@
                 value: encode(&head),
             },
         ],
+        removes: Vec::new(),
     };
     let done = match shared.store(Duty::Lease).commit(&tx, LIMIT) {
         Ok(Commit::Done(version)) => Some(version),
@@ -255,6 +282,7 @@
     Ok(Some(Tenure {
         epoch,
         largest: lease.largest,
+        census: lease.census,
         pending: lease.pending,
         head: version,
         takeover: Takeover { asked, inherited },
--- a/crates/node/src/lease_tests.rs
+++ b/crates/node/src/lease_tests.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     fakes_tests::{LeaseStore, shared},
-    lease::{Watch, claim},
+    lease::{Odds, Watch, claim},
     rows::LeaseRow,
 };
 
@@ -28,13 +28,19 @@
     let store = LeaseStore::new(lease());
     let shared = shared(store.clone());
     let mut watch = Watch::default();
-    let since = watch.look(&shared, 0).expect("an answer").since;
+    let since = watch
+        .look(&shared, Odds::default())
+        .expect("an answer")
+        .since;
     store.away.store(true, Ordering::SeqCst);
     for _ in 0..3 {
-        assert!(watch.look(&shared, 0).is_err());
+        assert!(watch.look(&shared, Odds::default()).is_err());
     }
     store.away.store(false, Ordering::SeqCst);
-    let again = watch.look(&shared, 0).expect("an answer").since;
+    let again = watch
+        .look(&shared, Odds::default())
+        .expect("an answer")
+        .since;
     assert_eq!(again, since);
 }
 
@@ -44,7 +50,7 @@
     let store = LeaseStore::new(lease());
     let shared = shared(store.clone());
     let mut watch = Watch::default();
-    let seen = watch.look(&shared, 0).expect("an answer");
+    let seen = watch.look(&shared, Odds::default()).expect("an answer");
     let tenure = claim(&shared, seen).expect("an answer").expect("not taken");
     let takeover = tenure.takeover;
     // Both count from when the lease was seen, whenever the claim was asked for.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,9 @@
 //!
 //! Limits: the owner's processor bounds the starts a second; see docs/CAPACITY.md.
 
+mod census;
+#[cfg(test)]
+mod census_tests;
 mod config;
 mod contest;
 #[cfg(test)]
@@ -44,6 +47,11 @@
 mod settings;
 mod shared;
 mod store;
+mod turns;
+#[cfg(test)]
+mod turns_tests;
+#[cfg(test)]
+mod watch_sim_tests;
 
 pub use config::{Config, FrontLimits, Queue};
 pub use error::NodeError;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -71,11 +71,13 @@
     Jobs,
     /// The owner follows the workers' announcements.
     Workers,
+    /// Announcing and counting instances.
+    Census,
 }
 
 /// Names of the duties, in the order of [`Duty`].
-const DUTIES: [&str; 7] = [
-    "callers", "config", "lease", "takeover", "journal", "jobs", "workers",
+const DUTIES: [&str; 8] = [
+    "callers", "config", "lease", "takeover", "journal", "jobs", "workers", "census",
 ];
 
 /// Counters and histograms of one process.
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -85,6 +85,7 @@
             pending: tenure.pending.clone(),
             term: 0,
             earlier: 0,
+            census: tenure.census,
         },
         inherited: tenure.takeover.inherited,
         head: tenure.head,
@@ -138,6 +139,7 @@
         // would let the owner's contact be newer than its renewals by more than is allowed for.
         let sent = self.shared.clock.now();
         self.lease.term = self.pulse.term();
+        self.lease.census = self.shared.census().unwrap_or(self.lease.census);
         self.lease.earlier = self.inherited.saturating_sub(sent);
         let tx = self.tx(records, sent);
         let renews = tx.writes.iter().any(|w| w.table == LEASE);
@@ -250,6 +252,7 @@
                 version: self.head,
             }],
             writes,
+            removes: Vec::new(),
         }
     }
 }
--- a/crates/node/src/owner/journal_tests.rs
+++ b/crates/node/src/owner/journal_tests.rs
@@ -11,6 +11,7 @@
     journal::{Entry, contact, limit, write},
 };
 use crate::{
+    census::Census,
     fakes_tests::{LeaseStore, shared},
     rows::LeaseRow,
 };
@@ -35,6 +36,7 @@
     let tenure = Tenure {
         epoch: 1,
         largest: 500,
+        census: Census::default(),
         pending: Vec::new(),
         head: 1,
         takeover: Takeover {
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -4,6 +4,7 @@
 //! writes the journal, and one decides and talks with the workers over
 //! connections that never block. Each has a bounded ring to the last.
 
+mod census;
 mod feed;
 #[cfg(test)]
 mod feed_tests;
@@ -28,7 +29,7 @@
 use gorsespur_runtime::cancel::Cancel;
 
 use self::{inbox::Inbox, journal::Entry, load::Loaded, turn::Turn};
-use crate::shared::Shared;
+use crate::{census::Census, shared::Shared};
 
 /// Inputs that may wait for the thread that decides.
 const RING: usize = 1024;
@@ -43,6 +44,8 @@
     pub(crate) epoch: u64,
     /// The largest share of a processor of any owner so far, in thousandths.
     pub(crate) largest: u64,
+    /// How many instances there are, as the earlier owner counted them.
+    pub(crate) census: Census,
     /// Waiting jobs by queue, as the earlier owner counted them.
     pub(crate) pending: Vec<(Arc<str>, u64)>,
     /// Version of the journal's end.
@@ -78,7 +81,8 @@
                 spawn("jobs").spawn_scoped(scope, || feed::jobs(shared, jobs, &input, &mine));
             let workers = spawn("workers")
                 .spawn_scoped(scope, || feed::workers(shared, workers, &input, &mine));
-            if jobs.is_err() || workers.is_err() {
+            let census = spawn("census").spawn_scoped(scope, || census::count(shared, &mine));
+            if jobs.is_err() || workers.is_err() || census.is_err() {
                 log::error!("owner: can't start threads");
             } else {
                 Turn::new(shared, tenure.epoch, loaded.machine, inbox).run(&batches, cancel);
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -16,6 +16,7 @@
 use snafu::ResultExt;
 
 use crate::{
+    census::announce,
     error::{ListenSnafu, NodeError, SignalsSnafu, ThreadSnafu},
     follow::follow,
     front::Front,
@@ -118,6 +119,7 @@
             shared: shared.clone(),
         };
         let front = serve(shared.settings.front, shared.settings.connections, handler)?;
+        spawn("census", &shared, &cancel, announce)?;
         let watcher = spawn("lease", &shared, &cancel, watch)?;
         Ok(Node {
             shared,
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -5,6 +5,8 @@
 use gorsespur_jobs::JobId;
 use serde::{Deserialize, Serialize};
 
+use crate::census::Census;
+
 /// Jobs as they were accepted, and their cancellations.
 pub(crate) const JOBS: &str = "jobs";
 
@@ -20,6 +22,12 @@
 /// What the owners have learned.
 pub(crate) const LEARNED: &str = "learned";
 
+/// Which instances there are.
+pub(crate) const INSTANCES: &str = "instances";
+
+/// The part that these rows are in. The owner's writes do not wait for theirs.
+pub(crate) const INSTANCES_PART: &str = "instances";
+
 /// The part that all of the owner's rows are in, so that one transaction spans them.
 pub(crate) const OWNER_PART: &str = "all";
 
@@ -89,6 +97,9 @@
     /// this one may have granted.
     #[serde(default)]
     pub(crate) earlier: u64,
+    /// How many instances there are; none if that is not known.
+    #[serde(default)]
+    pub(crate) census: Census,
 }
 
 /// The row of the journal's end: who wrote last, and which write it was.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,6 +12,7 @@
 use gorsespur_runtime::clock::Clock;
 
 use crate::{
+    census::Census,
     config::Config,
     metrics::{Duty, Metrics},
     protocol::Protocol,
@@ -55,6 +56,8 @@
     pub(crate) metrics: Metrics,
     config: Mutex<Option<Arc<Config>>>,
     evacuated: Mutex<Evacuated>,
+    /// The instances as this one counted them when it last was the owner.
+    census: Mutex<Option<Census>>,
     /// When the store last answered, in milliseconds.
     contact: AtomicU64,
     /// For how long nothing comes from a store that answers, in milliseconds.
@@ -90,6 +93,7 @@
             metrics: Metrics::default(),
             config: Mutex::new(None),
             evacuated: Mutex::default(),
+            census: Mutex::default(),
             contact: AtomicU64::new(0),
             longest_silence: AtomicU64::new(0),
             lost: AtomicU64::new(0),
@@ -165,6 +169,16 @@
         known.zones = zones.into();
     }
 
+    /// Returns the number of instances, if this one has counted them.
+    pub(crate) fn census(&self) -> Option<Census> {
+        *self.census.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes note of the number of instances.
+    pub(crate) fn counted(&self, census: Census) {
+        *self.census.lock().unwrap_or_else(PoisonError::into_inner) = Some(census);
+    }
+
     /// Takes note that the store answered.
     pub(crate) fn touched(&self) {
         self.contact.store(self.clock.now(), Ordering::Relaxed);
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -105,7 +105,7 @@
     pub value: Vec<u8>,
 }
 
-/// A transaction in one part: all writes if all expectations hold.
+/// A transaction in one part: all writes and removals if all expectations hold.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Tx {
     /// Part of all its tables.
@@ -114,6 +114,8 @@
     pub expects: Vec<Expect>,
     /// Writes.
     pub writes: Vec<Write>,
+    /// Tables and keys of rows that are removed.
+    pub removes: Vec<(&'static str, String)>,
 }
 
 /// What came of a transaction.
--- /dev/null
+++ b/crates/node/src/watch_sim_tests.rs
@@ -0,0 +1,315 @@
+//! A fleet that watches the lease and the configuration, in virtual time.
+//!
+//! Instances decide as the real ones do; the store is a row that is renewed, and answers after a
+//! few milliseconds. Printed with `--nocapture`: calls and bytes a second, how long a change and a
+//! lost owner take.
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use test_case::test_case;
+
+use crate::{
+    census::Census,
+    contest::{Contest, JITTER},
+    question,
+    rows::LeaseRow,
+    turns::Turn,
+};
+
+/// The owner renews this often, in milliseconds.
+const RENEW: u64 = 400;
+
+/// Time for an answer of the store, in milliseconds.
+const ANSWER: u64 = 5;
+
+/// Bytes of a question and its answer with the row, and without one, as they are on the wire.
+const BYTES: (u64, u64) = (560, 240);
+
+/// One in so many instances is large, where there are many.
+const LARGE: usize = 10;
+
+/// Fewer than this are all alike.
+const MANY: usize = 30;
+
+/// Availability zones.
+const ZONES: usize = 5;
+
+/// When the owner is lost, in milliseconds: calls are counted until then, from half of it on.
+const LOST: u64 = 60_000;
+
+/// The most that a lost owner may take until another has the lease, in milliseconds; starts
+/// follow within a second.
+const TAKEN: u64 = 2500;
+
+/// Which instances can't reach the store any more once the owner is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    /// The owner.
+    Owner,
+    /// The owner, and all that follow the lease just then.
+    Followers,
+    /// The owner's zone.
+    Zone,
+    /// The owner and a third of all.
+    Third,
+    /// All large ones.
+    Large,
+}
+
+/// What an instance does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// It asks again at that time.
+    Pauses,
+    /// Its question waits; the version up to which it knows the lease.
+    Asks(u64),
+}
+
+struct Instance {
+    share: u64,
+    seen: u64,
+    since: u64,
+    turn: Turn,
+    jitter: u64,
+    state: State,
+    reachable: bool,
+    rests: bool,
+}
+
+struct Fleet {
+    rng: StdRng,
+    now: u64,
+    lease: LeaseRow,
+    version: u64,
+    instances: Vec<Instance>,
+    /// Times at which instances ask or are answered.
+    timers: BinaryHeap<Reverse<(u64, usize, u64)>>,
+    calls: u64,
+    bytes: u64,
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64) -> Fleet {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let large = match count < MANY {
+            true => count,
+            false => count / LARGE,
+        };
+        let lease = LeaseRow {
+            owner: "owner".into(),
+            epoch: 1,
+            share: 1000,
+            largest: 1000,
+            term: 1000,
+            census: Census {
+                large: large as u64,
+                all: count as u64,
+            },
+            ..LeaseRow::default()
+        };
+        let mut timers = BinaryHeap::new();
+        let instances = (0..count).map(|at| {
+            timers.push(Reverse((rng.random_range(0..300), at, 0)));
+            Instance {
+                share: if at < large { 1000 } else { 120 },
+                seen: 0,
+                since: 0,
+                turn: Turn::new(0),
+                jitter: rng.random_range(0..JITTER),
+                state: State::Pauses,
+                reachable: true,
+                rests: false,
+            }
+        });
+        let instances = instances.collect();
+        Fleet {
+            rng,
+            now: 0,
+            lease,
+            version: 1,
+            instances,
+            timers,
+            calls: 0,
+            bytes: 0,
+        }
+    }
+
+    fn contest(&self, at: usize) -> Contest<'_> {
+        let instance = &self.instances[at];
+        Contest {
+            lease: Some(&self.lease),
+            name: "other",
+            share: instance.share,
+            age: self.now - instance.since,
+            watched: instance.turn.watched(self.now),
+            tenure: self.now,
+            jitter: instance.jitter,
+        }
+    }
+
+    /// Has an instance ask for changes.
+    fn ask(&mut self, at: usize) {
+        if self.instances[at].rests {
+            self.instances[at].rests = false;
+            self.instances[at].turn = Turn::new(self.now);
+        }
+        if !self.instances[at].reachable {
+            return;
+        }
+        self.calls += 1;
+        let wait = self.contest(at).remaining().clamp(10, 600);
+        let version = self.version;
+        let instance = &mut self.instances[at];
+        instance.state = State::Asks(instance.seen);
+        let until = match instance.seen < version {
+            true => self.now + ANSWER,
+            false => self.now + wait,
+        };
+        self.timers.push(Reverse((until, at, instance.seen)));
+    }
+
+    /// Answers an instance's question; true if it takes the lease.
+    fn answer(&mut self, at: usize) -> bool {
+        let version = self.version;
+        let instance = &mut self.instances[at];
+        let new = instance.seen < version;
+        if new {
+            (instance.seen, instance.since) = (version, self.now);
+        }
+        self.bytes += if new { BYTES.0 } else { BYTES.1 };
+        if !self.instances[at].reachable {
+            return false;
+        }
+        let contest = self.contest(at);
+        if contest.is_won() {
+            return true;
+        }
+        let (alike, pause) = (contest.alike(), contest.pause());
+        let chance = self.rng.random();
+        let instance = &mut self.instances[at];
+        let rest = instance.turn.rest(self.now, alike, chance);
+        instance.rests = rest.is_some();
+        instance.state = State::Pauses;
+        let then = self.now + rest.unwrap_or(pause);
+        self.timers.push(Reverse((then, at, u64::MAX)));
+        false
+    }
+
+    /// Renews the lease: each question that waits is answered.
+    fn renew(&mut self) {
+        self.version += 1;
+        for at in 0..self.instances.len() {
+            if let State::Asks(seen) = self.instances[at].state {
+                self.timers.push(Reverse((self.now + ANSWER, at, seen)));
+            }
+        }
+    }
+
+    /// Goes on until `end`, with renewals if there is an owner; returns when the lease is taken.
+    fn run(&mut self, end: u64, owned: bool) -> Option<u64> {
+        let mut renewal = self.now;
+        loop {
+            let next = self.timers.peek().map_or(u64::MAX, |t| t.0.0);
+            if owned && renewal <= next.min(end) {
+                self.now = renewal;
+                renewal += RENEW;
+                self.renew();
+                continue;
+            }
+            if next > end {
+                self.now = end;
+                return None;
+            }
+            let Reverse((at, who, seen)) = self.timers.pop().expect("peeked");
+            self.now = at;
+            let state = self.instances[who].state;
+            match state {
+                State::Pauses if seen == u64::MAX || at < 300 => self.ask(who),
+                // The first of a renewal and the end of the wait answers a question.
+                State::Asks(asked) if asked == seen && self.answer(who) => {
+                    return Some(self.now);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn lose(&mut self, loss: Loss) {
+        let large = self.lease.census.large as usize;
+        for (at, instance) in self.instances.iter_mut().enumerate() {
+            let lost = match loss {
+                Loss::Owner => at == 0,
+                Loss::Followers => at == 0 || !instance.rests,
+                Loss::Zone => at % ZONES == 0,
+                Loss::Third => at % 3 == 0,
+                Loss::Large => at < large,
+            };
+            instance.reachable &= !lost;
+        }
+    }
+}
+
+#[test_case(9, Loss::Owner)]
+#[test_case(9, Loss::Zone)]
+#[test_case(9, Loss::Third)]
+#[test_case(100, Loss::Owner)]
+#[test_case(100, Loss::Followers)]
+#[test_case(100, Loss::Zone)]
+#[test_case(100, Loss::Third)]
+#[test_case(100, Loss::Large)]
+#[test_case(600, Loss::Owner)]
+#[test_case(600, Loss::Followers)]
+#[test_case(600, Loss::Zone)]
+#[test_case(600, Loss::Third)]
+#[test_case(600, Loss::Large)]
+#[test_case(1200, Loss::Owner)]
+#[test_case(1200, Loss::Followers)]
+#[test_case(1200, Loss::Zone)]
+#[test_case(1200, Loss::Third)]
+#[test_case(1200, Loss::Large)]
+#[test_case(7000, Loss::Owner)]
+#[test_case(7000, Loss::Followers)]
+#[test_case(7000, Loss::Zone)]
+#[test_case(7000, Loss::Third)]
+#[test_case(7000, Loss::Large)]
+fn a_lost_owner_is_noticed_in_time(count: usize, loss: Loss) {
+    let mut times = Vec::new();
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(count, seed);
+        assert_eq!(
+            fleet.run(LOST, true),
+            None,
+            "nobody takes a lease that is renewed"
+        );
+        fleet.lose(loss);
+        let taken = fleet.run(LOST + 20_000, false).expect("another takes it");
+        times.push(taken - LOST);
+    }
+    println!("{count} instances, lost {loss:?}: taken after {times:?} ms");
+    let worst = *times.iter().max().expect("five plays");
+    assert!(worst <= TAKEN, "{worst}");
+}
+
+/// Calls to the store of all that watch the lease: a few a second, however many instances there
+/// are; with each of them following, 600 asked 500 times a second.
+#[test_case(9)]
+#[test_case(100)]
+#[test_case(600)]
+#[test_case(1200)]
+#[test_case(7000)]
+fn calls_for_the_lease_do_not_grow_with_the_instances(count: usize) {
+    let mut fleet = Fleet::new(count, 1);
+    fleet.run(LOST / 2, true);
+    (fleet.calls, fleet.bytes) = (0, 0);
+    fleet.run(LOST, true);
+    let seconds = LOST / 2 / 1000;
+    let wait = question::wait(Duration::from_secs(5)).as_millis() as u64;
+    println!(
+        "{count} instances: {} calls and {} bytes a second for the lease, {} calls for the configuration",
+        fleet.calls / seconds,
+        fleet.bytes / seconds,
+        count as u64 * 1000 / wait
+    );
+    assert!(fleet.calls / seconds <= 100, "{}", fleet.calls / seconds);
+}
