--- a/crates/node/src/census.rs
+++ b/crates/node/src/census.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use gorsespur_core::retry::Backoff;
 use gorsespur_runtime::{cancel::Cancel, clock::wall_ms};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -23,13 +24,13 @@
 /// the store takes some hundred writes a second.
 const SPREAD: u64 = 10_000;
 
-/// An instance announces itself anew after this long, in milliseconds.
+/// An instance announces itself anew after this long at the most, in milliseconds.
 const PERIOD: u64 = 6 * 3_600_000;
 
 /// An announcement of this age is of an instance that is gone, in milliseconds.
 const EXPIRED: u64 = 4 * PERIOD;
 
-/// First pause after a failure, in milliseconds; it doubles.
+/// First pause after a failure, in milliseconds.
 const FIRST_PAUSE: u64 = 2000;
 
 /// Longest such pause, in milliseconds.
@@ -74,21 +75,19 @@
 /// Announces the instance until cancelled.
 pub(crate) fn announce(shared: &std::sync::Arc<Shared>, cancel: &Cancel) {
     let mut rng = rand::rng();
-    let mut pause = FIRST_PAUSE;
+    let mut backoff = Backoff::new(FIRST_PAUSE, LAST_PAUSE, rng.random());
     let mut wait = rng.random_range(0..SPREAD);
     while !cancel.wait(Duration::from_millis(wait)) {
         wait = match write(shared) {
             Ok(()) => {
-                pause = FIRST_PAUSE;
-                PERIOD
+                backoff.reset();
+                rng.random_range(PERIOD / 2..PERIOD)
             }
             Err(err) => {
                 log::debug!(err = err.to_string().as_str(); "census: not announced");
-                pause = (pause * 2).min(LAST_PAUSE);
-                pause
+                backoff.next_delay()
             }
         };
-        wait = rng.random_range(wait / 2..wait);
     }
 }
 
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use gorsespur_core::retry::Backoff;
 use gorsespur_runtime::cancel::Cancel;
 
 use crate::{
@@ -10,8 +11,12 @@
     store::{Row, StoreError},
 };
 
-/// Pause after a failure.
-const PAUSE: Duration = Duration::from_millis(100);
+/// First pause after a failure, in milliseconds.
+const FIRST_PAUSE: u64 = 100;
+
+/// Longest such pause, in milliseconds: a store that refuses hundreds of instances is not to be
+/// asked by each of them ten times a second, and is found to answer again within a second.
+const LAST_PAUSE: u64 = 1000;
 
 /// Puts the newest configuration in force for a caller who waits.
 ///
@@ -45,10 +50,11 @@
     let (table, _) = shared.protocol.config_row();
     let mut version = None;
     let mut lost = false;
+    let mut backoff = Backoff::new(FIRST_PAUSE, LAST_PAUSE, rand::random());
     while !cancel.is_cancelled() {
         let step = match version {
             None => refresh_at(shared, Duty::Config),
-            Some(after) => changes(shared, Duty::Config, table, after, shared.config_wait()),
+            Some(after) => changes(shared, Duty::Config, table, after, wait(shared)),
         };
         match step {
             Ok(next) => {
@@ -57,6 +63,7 @@
                     log::info!("store: answers again");
                 }
                 lost = false;
+                backoff.reset();
             }
             Err(err) => {
                 if !lost {
@@ -66,12 +73,21 @@
                 shared.untouched();
                 shared.metrics.count(Count::StoreErrors);
                 version = version.filter(|_| err != StoreError::Forgotten);
-                cancel.wait(PAUSE);
+                cancel.wait(Duration::from_millis(backoff.next_delay()));
             }
         }
     }
 }
 
+/// Returns how long a question waits: not at all while the store is lost, so that it is found to
+/// answer as soon as it does.
+fn wait(shared: &Shared) -> Duration {
+    match shared.store_is_lost() {
+        true => Duration::ZERO,
+        false => shared.config_wait(),
+    }
+}
+
 /// Reads the configuration and the evacuated zones, whole; returns the store's version.
 pub(crate) fn refresh_at(shared: &Shared, duty: Duty) -> Result<u64, StoreError> {
     let (table, _) = shared.protocol.config_row();
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use gorsespur_core::retry::Backoff;
 use gorsespur_jobs::Takeover;
 use gorsespur_runtime::cancel::Cancel;
 use rand::Rng;
@@ -30,8 +31,12 @@
 /// Time for an answer to a claim, as for writes of the journal.
 const LIMIT: Duration = Duration::from_millis(2500);
 
-/// Pause after a failure.
-const PAUSE: Duration = Duration::from_millis(150);
+/// First pause after a failure, in milliseconds.
+const FIRST_PAUSE: u64 = 150;
+
+/// Longest such pause, in milliseconds: a lease whose owner was lost with the store is taken soon
+/// after that answers again.
+const LAST_PAUSE: u64 = 600;
 
 /// Pause after a claim that failed: a slow store refuses claims while more than a second of
 /// writes waits, and each one more makes the others wait longer.
@@ -79,6 +84,7 @@
     let mut rng = rand::rng();
     let mut jitter = rng.random_range(0..JITTER);
     let mut turn = Turn::new(shared.clock.now());
+    let mut backoff = Backoff::new(FIRST_PAUSE, LAST_PAUSE, rng.random());
     while !cancel.is_cancelled() {
         let odds = |turn: &Turn| Odds {
             watched: turn.watched(shared.clock.now()),
@@ -88,10 +94,12 @@
             Ok(seen) => seen,
             Err(err) => {
                 log::debug!(err = err.to_string().as_str(); "lease: not seen");
-                cancel.wait(PAUSE);
+                shared.untouched();
+                cancel.wait(Duration::from_millis(backoff.next_delay()));
                 continue;
             }
         };
+        backoff.reset();
         let now = shared.clock.now();
         let contest = seen.contest(shared, now, odds(&turn));
         if shared.is_leaving() || !contest.is_won() {
@@ -125,7 +133,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Watch {
     /// The lease as it was last seen. It outlasts failures of the store and of claims: seen
-    /// anew, its age would begin anew, and with it the wait for its owner's leases.
+    /// anew, its age would begin anew, and with it the wait for its owner's leases. Only an
+    /// answer of the store lets it be claimed.
     seen: Option<Seen>,
 }
 
@@ -146,8 +155,7 @@
     let wait = Duration::from_millis(remaining.clamp(LEAST_WAIT, WAIT));
     let changes = match shared.store(Duty::Lease).changes(LEASE, old.version, wait) {
         Err(StoreError::Forgotten) => return read_again(shared, old),
-        Err(err) => return keep(shared, old, &err),
-        Ok(changes) => changes,
+        changes => changes?,
     };
     shared.touched();
     let mut seen = Seen {
@@ -167,15 +175,6 @@
     Ok(seen)
 }
 
-/// After a failure what was seen is still true, and its age goes on counting,
-/// but only the store's answer lets it be claimed.
-fn keep(shared: &Shared, old: &Seen, err: &StoreError) -> Result<Seen, StoreError> {
-    log::debug!(err = err.to_string().as_str(); "lease: changes not seen");
-    shared.untouched();
-    std::thread::sleep(PAUSE);
-    read_again(shared, old)
-}
-
 fn read_again(shared: &Shared, old: &Seen) -> Result<Seen, StoreError> {
     let new = read(shared)?;
     let version = |s: &Seen| s.row.as_ref().map(|r| r.version);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,8 @@
 #[cfg(test)]
 mod fakes_tests;
 mod follow;
+#[cfg(test)]
+mod follow_tests;
 mod front;
 mod lease;
 #[cfg(test)]
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -7,8 +7,8 @@
 use std::{sync::Arc, thread, time::Duration};
 
 use flume::{Receiver, RecvTimeoutError};
+use gorsespur_core::retry::Backoff;
 use gorsespur_jobs::JobId;
-use rand::Rng;
 
 use super::{
     Tenure,
@@ -41,11 +41,11 @@
 /// found to answer.
 const SILENT_LIMIT: Duration = Duration::from_millis(700);
 
-/// First pause after a failure; it doubles.
-const FIRST_PAUSE: Duration = Duration::from_millis(20);
+/// First pause after a failure, in milliseconds.
+const FIRST_PAUSE: u64 = 20;
 
-/// Longest pause after a failure.
-const LAST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause after a failure, in milliseconds.
+const LAST_PAUSE: u64 = 300;
 
 /// What the journal is told.
 pub(crate) enum Entry {
@@ -143,7 +143,7 @@
         self.lease.earlier = self.inherited.saturating_sub(sent);
         let tx = self.tx(records, sent);
         let renews = tx.writes.iter().any(|w| w.table == LEASE);
-        let mut pause = FIRST_PAUSE;
+        let mut backoff = Backoff::new(FIRST_PAUSE, LAST_PAUSE, rand::random());
         let mut failing = false;
         let asked = loop {
             let tried = self.shared.clock.now();
@@ -173,9 +173,7 @@
                     }
                 }
             }
-            let jitter = rand::rng().random_range(50..100);
-            thread::sleep(pause * jitter / 100);
-            pause = (pause * 2).min(LAST_PAUSE);
+            thread::sleep(Duration::from_millis(backoff.next_delay()));
         };
         if renews {
             self.renewed = asked;
