--- a/crates/jobs/benches/decide.rs
+++ b/crates/jobs/benches/decide.rs
@@ -8,6 +8,10 @@
 #[expect(dead_code, reason = "the tests use more of it")]
 mod site;
 
+#[path = "../tests/all/ledger.rs"]
+#[expect(dead_code, reason = "the tests use more of it")]
+mod ledger;
+
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion};
--- a/crates/jobs/benches/site.rs
+++ b/crates/jobs/benches/site.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::BinaryHeap,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -12,6 +12,8 @@
     Running, Settings, Spec, StartOrder, Started, Step, Stopped, Takeover, TaskId, WorkerInfo,
 };
 
+use crate::ledger::Ledger;
+
 /// Milliseconds between two wake-ups of the owner.
 const TURN: u64 = 2;
 
@@ -76,7 +78,7 @@
     /// What was accepted.
     accepted: Vec<Arc<Job>>,
     /// What was committed of jobs.
-    records: BTreeMap<JobId, Vec<u8>>,
+    ledger: Ledger,
 }
 
 impl Site {
@@ -115,7 +117,7 @@
             owed: [0; 2],
             spent: Duration::ZERO,
             accepted: Vec::new(),
-            records: BTreeMap::new(),
+            ledger: Ledger::default(),
         };
         site.join(workers);
         // Four tasks of 6.4 cores to a worker of 32.
@@ -179,9 +181,9 @@
         self.submit("wide", steps);
     }
 
-    /// What the store holds: the jobs that were accepted, and their records.
-    pub fn kept(&self) -> (&[Arc<Job>], &BTreeMap<JobId, Vec<u8>>) {
-        (&self.accepted, &self.records)
+    /// What the store holds: the jobs that were accepted, and what was committed of them.
+    pub fn kept(&self) -> (&[Arc<Job>], &Ledger) {
+        (&self.accepted, &self.ledger)
     }
 
     /// What the machine counted.
@@ -376,8 +378,8 @@
                 self.due.push(Reverse((until, due)));
                 return;
             }
-            Action::Commit(records) => {
-                self.records.extend(records);
+            Action::Commit(batch) => {
+                self.ledger.apply(batch);
                 self.due.push(Reverse((sent + WRITE, Due::Committed)));
                 return;
             }
--- a/crates/jobs/benches/takeover.rs
+++ b/crates/jobs/benches/takeover.rs
@@ -1,4 +1,4 @@
-//! What a takeover costs a new owner: reading jobs and their records into a machine.
+//! What a takeover costs a new owner: reading jobs, their records and the log into a machine.
 //!
 //! Each job has two steps of forty tasks, all of the first one placed on workers. The
 //! store and the network cost nothing here.
@@ -7,12 +7,16 @@
 
 use cap::Cap;
 use criterion::{BenchmarkId, Criterion};
-use gorsespur_jobs::{Event, Job, Machine, Record, Settings, Step, Takeover};
+use gorsespur_jobs::{Event, Job, Machine, Settings, Step, Takeover};
 
 #[expect(dead_code, reason = "the other benchmark uses more of it")]
 mod site;
 
-use crate::site::Site;
+#[path = "../tests/all/ledger.rs"]
+#[expect(dead_code, reason = "the tests use more of it")]
+mod ledger;
+
+use crate::{ledger::Ledger, site::Site};
 
 #[global_allocator]
 static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
@@ -20,13 +24,19 @@
 /// Numbers of open jobs.
 const SIZES: [usize; 3] = [500, 2000, 8000];
 
-/// A job's row and its record's, as the store gives them.
+/// What the store holds: rows of jobs, and what was committed of them.
 struct Rows {
-    job: Vec<u8>,
-    record: Option<Vec<u8>>,
+    jobs: Vec<Vec<u8>>,
+    ledger: Ledger,
 }
 
-fn rows(count: usize) -> Vec<Rows> {
+impl Rows {
+    fn bytes(&self) -> usize {
+        self.jobs.iter().map(Vec::len).sum::<usize>() + self.ledger.log_size().1
+    }
+}
+
+fn rows(count: usize) -> Rows {
     // One worker holds the first step of one job.
     let mut site = Site::new(count as u64, 0);
     site.play(200);
@@ -44,19 +54,20 @@
         };
         site.hand_in(vec![step, next]);
     }
-    while site.kept().1.len() < count {
+    site.play(500);
+    while site.pending("wide") > 0 {
         site.play(500);
     }
-    let (jobs, records) = site.kept();
-    let row = |job: &Arc<Job>| Rows {
-        job: rmp_serde::to_vec(&**job).expect("plain data"),
-        record: records.get(&job.id).cloned(),
-    };
-    jobs.iter().rev().take(count).map(row).collect()
+    let (jobs, ledger) = site.kept();
+    let row = |job: &Arc<Job>| rmp_serde::to_vec(&**job).expect("plain data");
+    Rows {
+        jobs: jobs.iter().map(row).collect(),
+        ledger: ledger.clone(),
+    }
 }
 
 /// Does what an owner does with the rows that it has read.
-fn take_over(rows: &[Rows]) -> Machine {
+fn take_over(rows: &Rows) -> Machine {
     let now = 3_600_000;
     let mut machine = Machine::new(
         Settings::default(),
@@ -66,13 +77,13 @@
             inherited: now,
         },
     );
-    for row in rows {
-        let job: Job = rmp_serde::from_slice(&row.job).expect("own row");
-        let job = Arc::new(job);
-        if let Some(record) = &row.record {
-            let record = Record::decode(record).expect("own record");
-            machine.restore(job.clone(), &record);
-        }
+    let jobs = rows.jobs.iter().map(|row| {
+        let job: Job = rmp_serde::from_slice(row).expect("own row");
+        Arc::new(job)
+    });
+    let jobs: Vec<Arc<Job>> = jobs.collect();
+    rows.ledger.restore(&mut machine, &jobs);
+    for job in jobs {
         machine.handle(now, now, Event::Accepted(job));
     }
     machine
@@ -84,10 +95,7 @@
     group.sample_size(10);
     for count in SIZES {
         let rows = rows(count);
-        let bytes = rows
-            .iter()
-            .map(|r| r.job.len() + r.record.as_ref().map_or(0, Vec::len));
-        let bytes: usize = bytes.sum();
+        let bytes = rows.bytes();
         let before = ALLOCATOR.allocated();
         let machine = take_over(&rows);
         let memory = ALLOCATOR.allocated() - before;
--- a/crates/jobs/src/action.rs
+++ b/crates/jobs/src/action.rs
@@ -22,6 +22,24 @@
     pub saved: Arc<str>,
 }
 
+/// What is made durable together.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Records of jobs, in place of those that were written before.
+    pub records: Vec<(JobId, Vec<u8>)>,
+    /// Rows that are appended to the log.
+    pub log: Vec<Vec<u8>>,
+    /// How many of the log's oldest rows are dropped.
+    pub dropped: usize,
+}
+
+impl Batch {
+    /// Tells whether there is nothing to be made durable.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.log.is_empty() && self.dropped == 0
+    }
+}
+
 /// What the machine wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -58,8 +76,8 @@
         /// Share in percent.
         percent: u32,
     },
-    /// Make records durable, all or none; one batch at a time.
-    Commit(Vec<(JobId, Vec<u8>)>),
+    /// Make a batch durable, all of it or none; one at a time.
+    Commit(Batch),
     /// Another owner has taken over: stop at once.
     Depose,
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -41,7 +41,7 @@
 mod summary;
 mod takeover;
 
-pub use action::{Action, StartOrder};
+pub use action::{Action, Batch, StartOrder};
 pub use event::{Answer, End, Ending, Event, Look, Running, Started, Stopped};
 pub use figures::Figures;
 pub use machine::Machine;
--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -10,21 +10,21 @@
         ids::{JobId, TaskId},
         job::JobState,
         policy::QueuePolicy,
-        record::{Outcome, Record},
+        record::{Outcome, Record, RecordError},
         spec::Job,
     },
     order::times::Guesses,
     place::{aging::Aging, window::Window},
-    runs::fleet::Fleet,
+    runs::{fleet::Fleet, log::Log},
     settings::Settings,
     share::{pairs::Pairs, sample::Image, season::Season},
     sorted::Sorted,
     takeover::Takeover,
 };
 
-/// A batch of records on its way to the store.
+/// What waits for a batch that is on its way to the store.
 #[derive(Debug, Default)]
-pub(crate) struct Batch {
+pub(crate) struct Flight {
     /// Runs whose place it makes durable.
     pub(crate) starts: Vec<(TaskId, u32)>,
     /// Ends of workers that it makes durable.
@@ -65,7 +65,10 @@
     pub(crate) guesses: Sorted<Arc<str>, Guesses>,
     /// Numbers of images.
     pub(crate) images: Sorted<Arc<str>, Image>,
-    pub(crate) batch: Option<Batch>,
+    /// What waits for the batch in flight, if there is one.
+    pub(crate) flight: Option<Flight>,
+    /// Rows that tell of jobs' tasks.
+    pub(crate) log: Log,
     /// When the store was last asked for a confirmation of the lease that it gave.
     pub(crate) contact: u64,
     /// Whether something changed that may let tasks be placed.
@@ -107,7 +110,8 @@
             season: Season::default(),
             guesses: Sorted::default(),
             images: Sorted::default(),
-            batch: None,
+            flight: None,
+            log: Log::default(),
             contact: takeover.asked,
             moved: true,
             placed: 0,
@@ -121,18 +125,36 @@
         }
     }
 
-    /// Takes over a job that an earlier owner had a record of.
+    /// Takes the next row of the log that earlier owners wrote, the oldest one first. All rows
+    /// come before [`Machine::recorded`] and [`Machine::restore`].
+    ///
+    /// Errors: the row can't be read; what it told is lost.
+    pub fn replay(&mut self, row: &[u8]) -> Result<(), RecordError> {
+        self.log.replay(row)
+    }
+
+    /// Returns the record of a job, brought up to date by the log; nothing if earlier owners wrote
+    /// nothing of it.
+    pub fn recorded(&self, id: JobId, record: Option<Record>) -> Option<Record> {
+        self.log.recorded(id, record)
+    }
+
+    /// Takes over a job that earlier owners wrote of, with its record as
+    /// [`Machine::recorded`] returns it.
     pub fn restore(&mut self, job: Arc<Job>, record: &Record) {
         let id = job.id;
         let images = self.number_images(&job);
         let mut state = JobState::new(job, images, self.now);
+        let replayed = self.log.take_replayed(id);
+        let mut is_logged = true;
         if !record.outcome.is_final() {
             let fleet = &mut self.fleet;
             state.restore(record, |name| fleet.slot(name));
+            is_logged = state.note_logged(replayed);
             self.open.push(id);
             self.scheduled.push(id);
         }
-        state.outcome = record.outcome;
+        (state.outcome, state.written) = (record.outcome, record.outcome);
         let mut suspects = Vec::new();
         for id in state.task_ids() {
             let Some(task) = state.task(id) else {
@@ -156,6 +178,10 @@
         for id in suspects {
             self.suspect(id);
         }
+        // A record of an earlier version tells of tasks: the log has to, before it is replaced.
+        if !is_logged {
+            self.mark(id);
+        }
     }
 
     /// Takes an event at `now` on the own steady clock, and `wall` since 1970,
--- a/crates/jobs/src/model/job.rs
+++ b/crates/jobs/src/model/job.rs
@@ -4,12 +4,13 @@
 
 use crate::{
     model::{
+        changes::Replayed,
         checkpoint::Checkpoint,
         ids::TaskId,
-        record::{Outcome, Record, TaskRecord},
+        record::{Outcome, Record},
         spec::Job,
         step::StepState,
-        task::Task,
+        task::{Run, Stage, Task},
     },
     order::times::Guesses,
     share::sample::Image,
@@ -46,7 +47,9 @@
     pub(crate) times: Vec<Vec<StepState>>,
     /// When the machine learned of it.
     pub(crate) seen: u64,
-    /// Whether its record changed since it was last sent to be committed.
+    /// The outcome that was last sent to be committed.
+    pub(crate) written: Outcome,
+    /// Whether something of it changed since that was last sent to be committed.
     pub(crate) dirty: bool,
     /// The longest chain of its steps as it was last worked out, and when.
     pub(crate) chain: Option<(Chain, u64)>,
@@ -60,6 +63,7 @@
             outcome: Outcome::Pending,
             times: Vec::new(),
             seen: now,
+            written: Outcome::Pending,
             dirty: false,
             chain: None,
         }
@@ -171,32 +175,9 @@
         out
     }
 
-    /// Returns what is to be kept; `name` gives the name of a worker's slot.
-    pub(crate) fn record(&self, name: impl Fn(u32) -> Arc<str>) -> Record {
-        let mut record = Record {
-            outcome: self.outcome,
-            steps: Vec::new(),
-            tasks: Vec::new(),
-        };
-        if self.outcome.is_final() {
-            return record;
-        }
-        for (time, steps) in self.times.iter().enumerate() {
-            for (step, state) in steps.iter().enumerate() {
-                let at = (time as u32, step as u32);
-                if state.is_done() {
-                    record.steps.push(at);
-                    continue;
-                }
-                tasks(state, at, &name, &mut record.tasks);
-            }
-        }
-        record
-    }
-
     /// Takes over what was kept; `slot` gives the slot of a worker's name.
     pub(crate) fn restore(&mut self, record: &Record, mut slot: impl FnMut(&Arc<str>) -> u32) {
-        self.outcome = record.outcome;
+        (self.outcome, self.written) = (record.outcome, record.outcome);
         let times = record.steps.iter().map(|s| s.0);
         let times = times.chain(record.tasks.iter().map(|t| t.at.0)).max();
         while times.is_some_and(|t| self.times.len() <= t as usize) {
@@ -220,38 +201,29 @@
             task.failed = kept.failed.clone();
             task.saved = Checkpoint::kept(&kept.saved);
             task.crashes = kept.crashes.clone();
-            let run = kept.worker.as_ref().map(|w| {
-                crate::model::task::Run::new(
-                    slot(w),
-                    crate::model::task::Stage::Inherited,
-                    self.seen,
-                )
-            });
+            let run = kept.worker.as_ref();
+            let run = run.map(|w| Run::new(slot(w), Stage::Inherited, self.seen));
             if let Some(run) = run {
                 state.set_run(index as usize, run);
             }
         }
     }
-}
 
-fn tasks(
-    state: &StepState,
-    at: (u32, u32),
-    name: &impl Fn(u32) -> Arc<str>,
-    out: &mut Vec<TaskRecord>,
-) {
-    for (index, task) in state.tasks.iter().enumerate() {
-        if task.last == 0 {
-            continue;
+    /// Takes note of where the log tells of it; true if it tells of all that was kept.
+    pub(crate) fn note_logged(&mut self, replayed: Replayed) -> bool {
+        for (&(time, step), &row) in replayed.steps.iter() {
+            if let Some(state) = self.step_mut(time, step) {
+                state.logged = Some(row);
+            }
+        }
+        for (&(time, step, index), &(row, _)) in replayed.tasks.iter() {
+            let state = self.step_mut(time, step).filter(|s| s.logged.is_none());
+            let task = state.and_then(|s| s.tasks.get_mut(index as usize));
+            if let Some(task) = task {
+                task.note_logged(row);
+            }
         }
-        out.push(TaskRecord {
-            at: (at.0, at.1, index as u32),
-            done: task.done,
-            run: task.last,
-            worker: task.run.as_ref().map(|r| name(r.worker)),
-            failed: task.failed.clone(),
-            saved: task.saved_text(),
-            crashes: task.crashes.clone(),
-        });
+        let mut steps = self.times.iter().flatten().filter(|s| s.logged.is_none());
+        steps.all(|s| !s.is_done() && s.tasks.iter().all(|t| t.last == 0 || t.logged.is_some()))
     }
 }
--- a/crates/jobs/src/model/mod.rs
+++ b/crates/jobs/src/model/mod.rs
@@ -1,8 +1,9 @@
 //! Jobs, steps, tasks and runs, and the records that are kept of them.
 //!
-//! Nothing is decided here. Limits: a job has 4,000 tasks at most, so that its record fits
-//! a row of the store.
+//! Nothing is decided here. Limits: a job has 4,000 tasks at most, so that what is kept of it
+//! fits a few rows of the store.
 
+pub(crate) mod changes;
 pub(crate) mod checkpoint;
 pub(crate) mod crash;
 #[cfg(test)]
--- a/crates/jobs/src/model/record.rs
+++ b/crates/jobs/src/model/record.rs
@@ -1,4 +1,5 @@
-//! What is kept of a job beside what was handed in.
+//! What is kept of a job beside what was handed in: its outcome in a row of its own, its tasks in
+//! the log.
 
 use std::sync::Arc;
 
@@ -9,6 +10,7 @@
 
 /// Why a record can't be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum RecordError {
     /// It can't be read.
     #[snafu(display("malformed record"))]
@@ -18,6 +20,12 @@
     },
 }
 
+/// Bytes of what is kept of a task without its texts and lists, at the most.
+const FIXED_BYTES: usize = 24;
+
+/// Bytes of a crash that is kept, about.
+const CRASH_BYTES: usize = 40;
+
 /// What became of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -63,18 +71,42 @@
     pub(crate) crashes: Crashes,
 }
 
+impl TaskRecord {
+    /// Returns about how many bytes it takes up.
+    pub(crate) fn size(&self) -> usize {
+        let worker = self.worker.as_ref().map_or(0, |w| w.len());
+        let lists = self.failed.len() * 4 + self.crashes.count() * CRASH_BYTES;
+        FIXED_BYTES + worker + self.saved.len() + lists
+    }
+}
+
 /// What is kept of a job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Record {
     /// What became of it.
     pub outcome: Outcome,
-    /// Steps that are done whole, as repetition and step.
+    /// Steps that are done whole, as repetition and step; none as it is written, since the log
+    /// tells of them.
     pub(crate) steps: Vec<(u32, u32)>,
-    /// Tasks of the other steps that ran.
+    /// Tasks of the other steps that ran; none as it is written.
     pub(crate) tasks: Vec<TaskRecord>,
 }
 
 impl Record {
+    /// Makes the record of a job with this outcome, as it is written.
+    pub(crate) fn new(outcome: Outcome) -> Record {
+        Record {
+            outcome,
+            steps: Vec::new(),
+            tasks: Vec::new(),
+        }
+    }
+
+    /// Makes the record of a job of which nothing was written.
+    pub(crate) fn pending() -> Record {
+        Record::new(Outcome::Pending)
+    }
+
     /// Writes the record.
     pub fn encode(&self) -> Vec<u8> {
         // Writing plain data to a vector can't fail.
--- a/crates/jobs/src/model/spec.rs
+++ b/crates/jobs/src/model/spec.rs
@@ -7,7 +7,7 @@
 
 use crate::model::ids::JobId;
 
-/// Tasks that one job may have in all, so that its record fits a row.
+/// Tasks that one job may have in all, so that what is kept of it fits a few rows.
 const MAX_TASKS: u64 = 4000;
 
 /// Why a job is refused.
--- a/crates/jobs/src/model/step.rs
+++ b/crates/jobs/src/model/step.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     model::{
+        changes::RowNumber,
         checkpoint::Origin,
         task::{Run, Stage, Task},
     },
@@ -26,6 +27,8 @@
     pub(crate) history: History,
     /// Times of tasks that ran from their start at full pace.
     pub(crate) seen: Seen,
+    /// The row of the log that tells that it is done whole.
+    pub(crate) logged: Option<RowNumber>,
     /// The last checkpoint that a worker rejected: members of a gang that began with it on other
     /// workers still list it.
     pub(crate) rejected: Option<Arc<str>>,
@@ -40,6 +43,7 @@
             headroom: Headroom::default(),
             history: History::default(),
             seen: Seen::default(),
+            logged: None,
             rejected: None,
         }
     }
@@ -49,6 +53,13 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Forgets what the log tells of its tasks, which it tells of the step.
+    pub(crate) fn forget_logged(&mut self) {
+        for task in &mut self.tasks {
+            task.logged = None;
+        }
+    }
+
     /// Marks a task done.
     pub(crate) fn finish(&mut self, index: usize) {
         if !self.tasks[index].done {
--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use crate::model::{
+    changes::RowNumber,
     checkpoint::{Checkpoint, Origin},
     crash::Crashes,
+    record::TaskRecord,
 };
 
 /// A figure below this share of its target is below it, whatever it is off by.
@@ -169,6 +171,23 @@
     pub(crate) avoid: Option<u32>,
     /// When it last lost its run; 0 if it had none.
     pub(crate) cleared: u64,
+    /// What the log tells of it; apart, since most tasks of waiting jobs never ran.
+    pub(crate) logged: Option<Box<Logged>>,
+    /// The row of the log that does.
+    pub(crate) row: RowNumber,
+}
+
+/// What the log tells of a task, as far as it is needed to see that the task has changed since.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Logged {
+    done: bool,
+    run: u32,
+    /// The slot of the run's worker.
+    worker: Option<u32>,
+    /// How many of its runs failed.
+    failed: u32,
+    saved: Option<Arc<str>>,
+    crashes: Option<Box<Crashes>>,
 }
 
 impl Task {
@@ -177,6 +196,47 @@
         !self.done && self.run.is_none() && self.pause <= now
     }
 
+    /// Tells whether it has changed since it was logged.
+    pub(crate) fn has_changed(&self) -> bool {
+        let unchanged = self.logged.as_ref().is_some_and(|l| {
+            let crashes = l.crashes.as_deref();
+            l.done == self.done
+                && l.run == self.last
+                && l.worker == self.run.as_ref().map(|r| r.worker)
+                && l.failed as usize == self.failed.len()
+                && l.saved.as_ref() == self.saved.as_ref().map(|c| &c.text)
+                && crashes.map_or(self.crashes.is_empty(), |c| *c == self.crashes)
+        });
+        !unchanged
+    }
+
+    /// Takes note that a row of the log tells of it as it is now.
+    pub(crate) fn note_logged(&mut self, row: RowNumber) {
+        let crashes = Some(&self.crashes).filter(|c| !c.is_empty());
+        self.row = row;
+        self.logged = Some(Box::new(Logged {
+            done: self.done,
+            run: self.last,
+            worker: self.run.as_ref().map(|r| r.worker),
+            failed: self.failed.len() as u32,
+            saved: self.saved.as_ref().map(|c| c.text.clone()),
+            crashes: crashes.map(|c| Box::new(c.clone())),
+        }));
+    }
+
+    /// Returns what is kept of it; `name` gives the name of a worker's slot.
+    pub(crate) fn record(&self, at: (u32, u32, u32), name: impl Fn(u32) -> Arc<str>) -> TaskRecord {
+        TaskRecord {
+            at,
+            done: self.done,
+            run: self.last,
+            worker: self.run.as_ref().map(|r| name(r.worker)),
+            failed: self.failed.clone(),
+            saved: self.saved_text(),
+            crashes: self.crashes.clone(),
+        }
+    }
+
     /// Returns the text that its next run goes on from; empty for none.
     pub(crate) fn saved_text(&self) -> Arc<str> {
         let text = self.saved.as_ref().map(|c| c.text.clone());
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -1,68 +1,209 @@
 //! What is made durable, and what waits for it: starts, and ends that may be dropped.
 
 use crate::{
-    action::{Action, StartOrder},
-    machine::{Batch, Machine},
-    model::{checkpoint::shown, ids::TaskId, task::Stage},
-    runs::look::IDLE_WAIT,
+    action::{Action, Batch, StartOrder},
+    machine::{Flight, Machine},
+    model::{
+        checkpoint::shown,
+        ids::{JobId, TaskId},
+        record::Record,
+        task::Stage,
+    },
+    runs::{
+        log::{Appender, TASK_BYTES},
+        look::IDLE_WAIT,
+    },
 };
 
-/// Bytes of records that one commit carries at most; a transaction holds 1 MB,
-/// a third more when written as text.
-const BATCH_BYTES: usize = 500_000;
-
 /// A start with a shorter lease is not sent, in milliseconds: the look at an idle worker goes
 /// on waiting, and the run would lapse before its lease is renewed.
 const LEAST_LEASE: u64 = IDLE_WAIT + 1000;
 
+/// A batch as it is made.
+struct Writer {
+    records: Vec<(JobId, Vec<u8>)>,
+    rows: Appender,
+    flight: Flight,
+}
+
+impl Writer {
+    fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.rows.is_empty()
+    }
+}
+
 impl Machine {
-    /// Sends the next batch of records, if none is under way.
+    /// Sends the next batch, if none is under way.
     pub(crate) fn commit(&mut self) {
-        if self.batch.is_some() {
+        if self.flight.is_some() {
             return;
         }
-        let mut batch = Batch::default();
-        let mut records = Vec::new();
-        let mut bytes = 0;
-        while records.len() < self.settings.batch && bytes < BATCH_BYTES {
-            if records.len() == self.dirty.len() {
-                break;
-            }
-            let id = self.dirty[records.len()];
-            let workers = &self.fleet;
-            let Some(state) = self.jobs.get_mut(&id) else {
+        let mut writer = Writer {
+            records: Vec::new(),
+            rows: Appender::new(&self.log),
+            flight: Flight::default(),
+        };
+        let mut written = 0;
+        while written < self.dirty.len() && writer.records.len() < self.settings.batch {
+            if !self.write_job(self.dirty[written], &mut writer) {
                 break;
-            };
-            state.dirty = false;
-            let record = state.record(|slot| workers.get(slot).name.clone()).encode();
-            bytes += record.len();
-            records.push((id, record));
-            for task in state.task_ids() {
-                let planned = state.task(task).filter(|t| {
-                    let run = t.run.as_ref();
-                    run.is_some_and(|r| r.stage == Stage::Planned)
-                });
-                if let Some(planned) = planned {
-                    batch.starts.push((task, planned.last));
-                }
             }
+            written += 1;
+        }
+        self.dirty.drain(..written);
+        // Shortening alone is worth no write.
+        if !writer.is_empty() {
+            self.shorten_log(&mut writer.rows);
         }
-        self.dirty.drain(..records.len());
         let whole = self.dirty.is_empty();
+        let mut flight = writer.flight;
         if whole {
-            self.collect_observed(&mut batch);
+            self.collect_observed(&mut flight);
         }
-        if !records.is_empty() {
+        let batch = Batch {
+            records: writer.records,
+            dropped: writer.rows.dropped(),
+            log: writer.rows.finish(&mut self.log),
+        };
+        if !batch.is_empty() {
             self.figures.commits += 1;
-            self.batch = Some(batch);
-            self.out.push(Action::Commit(records));
+            self.flight = Some(flight);
+            self.out.push(Action::Commit(batch));
         } else if whole {
             // Nothing is left to be made durable: ends may be dropped at once.
-            self.observe(&batch);
+            self.observe(&flight);
+        }
+    }
+
+    /// Writes what changed of a job; true if all of it found room in the batch.
+    fn write_job(&mut self, id: JobId, writer: &mut Writer) -> bool {
+        let Some(state) = self.jobs.get(&id) else {
+            return true;
+        };
+        if !state.outcome.is_final() && !self.log_tasks(id, writer) {
+            return false;
+        }
+        let Some(state) = self.jobs.get_mut(&id) else {
+            return true;
+        };
+        if state.written != state.outcome {
+            state.written = state.outcome;
+            let record = Record::new(state.outcome);
+            writer.records.push((id, record.encode()));
+        }
+        state.dirty = false;
+        true
+    }
+
+    /// Logs the tasks of a job that changed; true if all of them found room.
+    fn log_tasks(&mut self, id: JobId, writer: &mut Writer) -> bool {
+        let (jobs, fleet) = (&mut self.jobs, &self.fleet);
+        let Some(state) = jobs.get_mut(&id) else {
+            return true;
+        };
+        for (time, steps) in (0..).zip(&mut state.times) {
+            for (step, state) in (0..).zip(steps) {
+                if state.is_done() {
+                    state.forget_logged();
+                    let row = state.logged;
+                    state.logged = row.or_else(|| Some(writer.rows.step(id, (time, step))));
+                    continue;
+                }
+                for (index, task) in (0..).zip(&mut state.tasks) {
+                    if task.last == 0 {
+                        continue;
+                    }
+                    if task.has_changed() {
+                        if writer.rows.is_full() {
+                            return false;
+                        }
+                        let name = |slot| fleet.get(slot).name.clone();
+                        let record = task.record((time, step, index), name);
+                        task.note_logged(writer.rows.task(id, record));
+                    }
+                    let run = task.run.as_ref();
+                    if run.is_some_and(|r| r.stage == Stage::Planned) {
+                        let id = TaskId {
+                            job: id,
+                            time,
+                            step,
+                            index,
+                        };
+                        writer.flight.starts.push((id, task.last));
+                    }
+                }
+            }
+        }
+        true
+    }
+
+    /// Drops the log's oldest rows while it is too long; what of them still holds is logged anew.
+    fn shorten_log(&mut self, rows: &mut Appender) {
+        let live = if self.log.is_large() {
+            self.live_bytes()
+        } else {
+            0
+        };
+        while !rows.has_dropped() && !rows.is_full() {
+            let long = self.log.len() > self.settings.log_rows;
+            let Some((number, jobs)) = self.log.oldest() else {
+                return;
+            };
+            if !long && !self.log.is_too_large(live) {
+                return;
+            }
+            let jobs = jobs.to_vec();
+            for id in jobs {
+                if !self.log_again(id, number, rows) {
+                    return;
+                }
+            }
+            self.log.drop_oldest();
+            rows.note_dropped();
+        }
+    }
+
+    /// Returns how many bytes of the log still hold, about.
+    fn live_bytes(&self) -> usize {
+        let jobs = self.open.iter().filter_map(|id| self.jobs.get(id));
+        let steps = jobs.flat_map(|j| j.times.iter().flatten());
+        let tasks = steps.flat_map(|s| &s.tasks).filter(|t| t.logged.is_some());
+        tasks.count() * TASK_BYTES
+    }
+
+    /// Logs anew what a row tells of a job and still holds; true if all of it found room.
+    fn log_again(&mut self, id: JobId, number: u64, rows: &mut Appender) -> bool {
+        let (jobs, fleet) = (&mut self.jobs, &self.fleet);
+        let Some(state) = jobs.get_mut(&id) else {
+            return true;
+        };
+        if state.outcome.is_final() {
+            // Its record says so, once that is written.
+            return state.written == state.outcome;
+        }
+        for (time, steps) in (0..).zip(&mut state.times) {
+            for (step, state) in (0..).zip(steps) {
+                if state.logged == Some(number) {
+                    state.logged = Some(rows.step(id, (time, step)));
+                }
+                for (index, task) in (0..).zip(&mut state.tasks) {
+                    if task.logged.is_none() || task.row != number {
+                        continue;
+                    }
+                    if rows.is_full() {
+                        return false;
+                    }
+                    // As it is now: what waits for that to be durable waits for its own batch.
+                    let name = |slot| fleet.get(slot).name.clone();
+                    let record = task.record((time, step, index), name);
+                    task.note_logged(rows.task(id, record));
+                }
+            }
         }
+        true
     }
 
-    fn collect_observed(&mut self, batch: &mut Batch) {
+    fn collect_observed(&mut self, flight: &mut Flight) {
         let mut left = std::mem::take(&mut self.counted);
         left.sort_unstable();
         left.dedup();
@@ -70,12 +211,12 @@
         let rows = left
             .iter()
             .map(|&slot| (slot, self.fleet.get(slot).counted));
-        batch.observed.extend(rows);
+        flight.observed.extend(rows);
         self.counted = left;
     }
 
-    fn observe(&mut self, batch: &Batch) {
-        for &(slot, number) in &batch.observed {
+    fn observe(&mut self, flight: &Flight) {
+        for &(slot, number) in &flight.observed {
             let worker = self.fleet.get_mut(slot);
             worker.observed = worker.observed.max(number);
             worker.next_look = worker.next_look.min(self.now);
@@ -84,11 +225,11 @@
 
     /// The batch in flight is durable: its starts may be sent, its ends dropped.
     pub(crate) fn committed(&mut self) {
-        let Some(batch) = self.batch.take() else {
+        let Some(flight) = self.flight.take() else {
             return;
         };
-        self.observe(&batch);
-        for (id, run) in batch.starts {
+        self.observe(&flight);
+        for (id, run) in flight.starts {
             self.send_start(id, run);
         }
     }
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -20,6 +20,7 @@
 mod lives;
 #[cfg(test)]
 mod lives_tests;
+pub(crate) mod log;
 pub(crate) mod look;
 pub(crate) mod loose;
 mod lost;
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -28,8 +28,10 @@
     /// Nothing is placed while the workers' announcements are known less recently than
     /// this: one of them may leave.
     pub stale: u64,
-    /// Records that one commit carries.
+    /// Records that one commit carries beside rows of the log; a transaction holds 100 entries.
     pub batch: usize,
+    /// Rows of the log beyond which its oldest ones are dropped.
+    pub log_rows: usize,
 }
 
 /// Slowest rate of a worker's clock against ours, in percent.
@@ -63,7 +65,9 @@
             // The users allow 3 s from the announcement to the last start; a start is given
             // up after 0.7 s.
             stale: 2000,
-            batch: 90,
+            batch: 75,
+            // One page of the users' store holds them.
+            log_rows: 400,
         }
     }
 }
--- a/crates/jobs/tests/all/common/orders.rs
+++ b/crates/jobs/tests/all/common/orders.rs
@@ -5,7 +5,7 @@
 use gorsespur_jobs::{Action, Answer, Event, Started, Stopped, TaskId};
 use rand::Rng;
 
-use super::{Mode, World, crash::refused, world::WRITE};
+use super::{Mode, World, crash::refused};
 
 /// Milliseconds after which an order without an answer is given up.
 const ORDER_LIMIT: u64 = 700;
@@ -41,8 +41,8 @@
     pub(super) fn act(&mut self, at: usize, action: Action) {
         let now = self.now;
         let worker = match &action {
-            Action::Commit(records) => {
-                self.owners[at].commit = Some((now + WRITE, records.clone()));
+            Action::Commit(batch) => {
+                self.owners[at].commit = Some((now + self.write, batch.clone()));
                 return;
             }
             Action::Depose => {
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -3,11 +3,13 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use gorsespur_jobs::{
-    Event, Figures, Job, JobId, Machine, Outcome, QueuePolicy, Record, Settings, Spec, Takeover,
+    Batch, Event, Figures, Job, JobId, Machine, Outcome, QueuePolicy, Settings, Spec, Takeover,
     TaskId, WorkerInfo,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+use crate::ledger::Ledger;
+
 use super::{
     Judge, Restart, SimWorker,
     clock::OwnerClock,
@@ -19,8 +21,11 @@
 /// Milliseconds of one step of the world.
 pub const TICK: u64 = 5;
 
-/// Milliseconds that a write takes.
-pub(super) const WRITE: u64 = 10;
+/// Milliseconds that a write usually takes.
+const WRITE: u64 = 10;
+
+/// Rows of the log beyond which it is shortened: so few that it always is.
+const LOG_ROWS: usize = 6;
 
 /// Availability zones, to which workers belong in turn.
 pub const ZONES: usize = 2;
@@ -50,7 +55,7 @@
 }
 
 /// Records on their way to the store, and when they are there.
-pub(super) type Write = (u64, Vec<(JobId, Vec<u8>)>);
+pub(super) type Write = (u64, Batch);
 
 /// One owner's machine and what is on its way to and from it.
 pub(super) struct Owner {
@@ -114,11 +119,13 @@
     pub unaware: u64,
     /// Whether a new owner is given what the last one learned.
     pub remembers: bool,
+    /// Milliseconds that a write takes.
+    pub write: u64,
     /// The workers' rows, as the store has them.
     pub(super) rows: Vec<Option<WorkerInfo>>,
     /// Rows of new lives that are to be told at a time.
     pub(super) arrivals: Vec<(u64, usize, Option<u64>)>,
-    pub(super) records: BTreeMap<JobId, Vec<u8>>,
+    pub ledger: Ledger,
     pub(super) jobs: BTreeMap<JobId, Arc<Job>>,
     pub(super) cancelled: Vec<JobId>,
     /// Zones that are evacuated, sorted, and since when.
@@ -155,9 +162,10 @@
             claim: 0,
             unaware: 0,
             remembers: true,
+            write: WRITE,
             rows: Vec::new(),
             arrivals: Vec::new(),
-            records: BTreeMap::new(),
+            ledger: Ledger::default(),
             jobs: BTreeMap::new(),
             cancelled: Vec::new(),
             evacuated: BTreeMap::new(),
@@ -184,14 +192,11 @@
         let learned = self.owners.last().map(|o| o.machine.learned());
         let asked = self.now - self.claim;
         let takeover = Takeover { asked, inherited };
-        let mut machine = Machine::new(Settings::default(), self.now, takeover);
+        let mut machine = Machine::new(settings(), self.now, takeover);
         if let Some(learned) = learned.filter(|_| self.remembers) {
             machine.recall(&learned);
         }
-        for (id, record) in &self.records {
-            let record = Record::decode(record).expect("own record");
-            machine.restore(self.jobs[id].clone(), &record);
-        }
+        self.ledger.restore(&mut machine, self.jobs.values());
         let mut owner = Owner {
             machine,
             epoch: self.epoch,
@@ -325,10 +330,7 @@
 
     /// What the store says became of a job.
     pub fn outcome(&self, id: JobId) -> Outcome {
-        let record = self.records.get(&id);
-        record.map_or(Outcome::Pending, |r| {
-            Record::decode(r).expect("own record").outcome
-        })
+        self.ledger.outcome(id)
     }
 
     pub fn all_done(&self) -> bool {
@@ -404,9 +406,9 @@
         let owner = &mut self.owners[at];
         if owner.paused && self.unaware > 0 && !down && owner.epoch == epoch {
             let due = owner.commit.take_if(|(due, _)| *due <= now);
-            if let Some((due, records)) = due {
+            if let Some((due, batch)) = due {
                 owner.landed = Some(due);
-                self.records.extend(records);
+                self.ledger.apply(batch);
                 self.renewed = now;
             }
         }
@@ -415,7 +417,7 @@
         }
         let at_owner = owner.clock.read(now);
         if let Some(due) = owner.landed.take() {
-            let asked = due - WRITE;
+            let asked = due - self.write;
             owner
                 .machine
                 .handle(at_owner, now, Event::Committed { asked });
@@ -437,14 +439,12 @@
                 .machine
                 .handle(at_owner, now, Event::Current { asked: at_owner });
         }
-        let Some((due, records)) = owner.commit.take_if(|(due, _)| *due <= now) else {
+        let Some((due, batch)) = owner.commit.take_if(|(due, _)| *due <= now) else {
             return;
         };
-        for (id, record) in records {
-            self.records.insert(id, record);
-        }
+        self.ledger.apply(batch);
         self.renewed = now;
-        let asked = due - WRITE;
+        let asked = due - self.write;
         owner
             .machine
             .handle(at_owner, now, Event::Committed { asked });
@@ -465,3 +465,11 @@
         }
     }
 }
+
+/// Settings of the machine.
+fn settings() -> Settings {
+    Settings {
+        log_rows: LOG_ROWS,
+        ..Settings::default()
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/all/log.rs
@@ -0,0 +1,312 @@
+//! What commits carry, and what of it a later owner reads.
+
+use std::sync::Arc;
+
+use crate::{
+    common::{World, WorldSettings, chain, lasting, short},
+    ledger::Ledger,
+};
+use gorsespur_jobs::{
+    Action, Answer, Batch, Capacity, End, Ending, Event, Job, JobId, Look, Machine, Outcome,
+    QueuePolicy, Record, Running, Settings, Spec, Started, Step, Takeover, WorkerInfo,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use test_case::test_case;
+
+/// Milliseconds of a write to a store at a sixtieth of its speed.
+const SLOW_WRITE: u64 = 480;
+
+const NOW: u64 = 1_000_000;
+
+fn info(id: &str) -> WorkerInfo {
+    WorkerInfo {
+        id: id.into(),
+        born: None,
+        addr: "127.0.0.1:9".parse().expect("address"),
+        service: "s".into(),
+        zone: "z".into(),
+        labels: Vec::new(),
+        rack: "r".into(),
+        capacity: Capacity {
+            cpu: 1_000_000,
+            memory: 1_000_000,
+            gpu: 0,
+        },
+        ready: true,
+        remaining: 0,
+    }
+}
+
+/// An owner of one large worker that does at once what it is told.
+struct Owner {
+    machine: Machine,
+    ledger: Ledger,
+    now: u64,
+    /// Bytes that commits have appended to the log.
+    logged: usize,
+    /// What the worker runs.
+    running: Vec<Running>,
+    /// What ended there.
+    finished: Vec<End>,
+    /// Commits that are still done.
+    commits: usize,
+}
+
+impl Owner {
+    fn new(ledger: Ledger, jobs: &[Arc<Job>], settings: Settings) -> Owner {
+        let mut machine = Machine::new(settings, NOW, takeover());
+        ledger.restore(&mut machine, jobs);
+        let mut owner = Owner {
+            machine,
+            ledger,
+            now: NOW,
+            logged: 0,
+            running: Vec::new(),
+            finished: Vec::new(),
+            commits: usize::MAX,
+        };
+        owner.tell(Event::Queues(vec![QueuePolicy {
+            queue: "q".into(),
+            service: "s".into(),
+            priority: 0,
+            attempts: 3,
+            stretch: 1.5,
+            latency: 250,
+        }]));
+        owner.tell(Event::Worker(info("w")));
+        owner.tell(Event::Current { asked: NOW });
+        for job in jobs {
+            owner.tell(Event::Accepted(job.clone()));
+        }
+        owner
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.machine.handle(self.now, self.now, event);
+    }
+
+    /// Decides for a while; commits are done at once, and no run ends.
+    fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 50;
+            self.tell(Event::Current { asked: self.now });
+            self.tell(Event::Renewed { asked: self.now });
+            for action in self.machine.settle(self.now, self.now) {
+                self.act(action);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let sent = self.now;
+        let (worker, answer) = match action {
+            Action::Commit(_) if self.commits == 0 => return,
+            Action::Commit(batch) => {
+                self.commits -= 1;
+                self.logged += batch.log.iter().map(Vec::len).sum::<usize>();
+                self.ledger.apply(batch);
+                return self.tell(Event::Committed { asked: sent });
+            }
+            Action::Start(worker, order) => {
+                self.running.push(Running {
+                    task: order.task,
+                    run: order.run,
+                    saved: "".into(),
+                    percent: 100,
+                    figure: None,
+                });
+                let started = Answer::Started(order.task, order.run, Started::Done);
+                (worker, started)
+            }
+            Action::Look { worker, .. } => {
+                let look = Look {
+                    born: None,
+                    clock: sent,
+                    running: self.running.clone(),
+                    finished: self.finished.clone(),
+                };
+                (worker, Answer::Looked(look))
+            }
+            Action::Stop { .. } | Action::Pace { .. } | Action::Depose => return,
+        };
+        self.tell(Event::Answer {
+            worker,
+            sent,
+            answer,
+        });
+    }
+}
+
+fn takeover() -> Takeover {
+    Takeover {
+        asked: NOW,
+        inherited: NOW,
+    }
+}
+
+fn job(id: u64, count: u32) -> Arc<Job> {
+    Arc::new(Job {
+        id: JobId(id),
+        queue: "q".into(),
+        accepted: 0,
+        spec: Arc::new(Spec {
+            steps: vec![Step {
+                count,
+                cpu: 10,
+                memory: 1,
+                ..lasting(count)
+            }],
+            ..Spec::default()
+        }),
+    })
+}
+
+/// A storm of short jobs while the store takes half a second for a write: all of them begin with
+/// the next two writes.
+#[test_case(30; "once")]
+#[test_case(300; "ten times")]
+#[test_case(3000; "a hundred times")]
+fn a_storm_of_jobs_begins_with_the_next_writes(count: u64) {
+    let mut world = World::new(WorldSettings {
+        workers: count.div_ceil(20) as usize,
+        ..WorldSettings::default()
+    });
+    world.write = SLOW_WRITE;
+    world.run(3000);
+    let commits = world.figures().commits;
+    for id in 1..=count {
+        world.submit(
+            id,
+            chain(vec![Step {
+                cpu: 300,
+                memory: 300,
+                ..lasting(1)
+            }]),
+        );
+    }
+    world.run(2 * SLOW_WRITE + 200);
+    assert!(
+        world.figures().starts >= count,
+        "{}",
+        world.figures().starts
+    );
+    assert!(world.figures().commits <= commits + 3);
+}
+
+/// One of the tasks of a wide job changes: no more is written than for a job of one task.
+#[test]
+fn a_change_of_one_task_costs_the_same_in_a_wide_job() {
+    let mut owner = Owner::new(Ledger::default(), &[job(1, 1000)], Settings::default());
+    owner.run(500);
+    assert_eq!(owner.machine.figures().starts, 1000);
+    let before = owner.logged;
+    owner.running.remove(17);
+    owner.run(2500);
+    assert_eq!(owner.machine.figures().starts, 1001);
+    assert!(owner.logged - before < 500, "{}", owner.logged - before);
+}
+
+/// Owners follow each other while jobs come and go, and each shortens the log: it grows with what
+/// still holds and not with what was ever written.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn the_log_is_as_long_as_what_still_holds(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = World::new(WorldSettings {
+        workers: 10,
+        seed,
+        ..WorldSettings::default()
+    });
+    world.submit(1, chain(vec![lasting(20)]));
+    for id in 2..300 {
+        let step = short(rng.random_range(1..6), rng.random_range(100..1500));
+        world.submit(id, chain(vec![step.clone(), step]));
+        world.run(200);
+        if id % 60 == 0 {
+            world.take_over(world.lease_end());
+        }
+    }
+    world.run_until_done(30_000);
+    assert!(world.judge.wrong.is_empty(), "{:?}", world.judge.wrong);
+    let (rows, bytes) = world.ledger.log_size();
+    assert!(rows <= 16, "{rows}");
+    assert!(bytes < 60_000, "{bytes}");
+}
+
+/// The log is shortened by a write that has no room for the record of a job that has just ended:
+/// what the log tells of the job stays until its record is written.
+#[test]
+fn what_the_log_tells_of_a_job_outlasts_its_end() {
+    let short = Settings {
+        batch: 1,
+        log_rows: 0,
+        ..Settings::default()
+    };
+    let jobs = [job(1, 1), job(2, 1)];
+    let mut owner = Owner::new(Ledger::default(), &jobs, short);
+    owner.run(500);
+    for running in std::mem::take(&mut owner.running) {
+        owner.finished.push(End {
+            number: owner.finished.len() as u64 + 1,
+            task: running.task,
+            run: running.run,
+            ending: Ending::Failed,
+            saved: "".into(),
+        });
+    }
+    for id in [1, 2] {
+        owner.tell(Event::Cancelled(JobId(id)));
+    }
+    owner.commits = 1;
+    owner.run(500);
+    let done = |id| owner.ledger.outcome(JobId(id)) == Outcome::Cancelled;
+    assert!(done(1) != done(2), "one record is written");
+    let open = if done(1) { 2 } else { 1 };
+    let mut machine = Machine::new(short, NOW, takeover());
+    for row in owner.ledger.log() {
+        machine.replay(row).expect("own row");
+    }
+    let record = machine.recorded(JobId(open), None).expect("logged");
+    assert!(record.fits(&job(open, 1).spec));
+}
+
+/// A record of an earlier version tells of the job's tasks itself. Its owner's successor reads
+/// them, and so does the next one, once the record is replaced.
+#[test]
+fn tasks_in_a_record_of_an_earlier_version_are_kept() {
+    let task = ((0, 0, 0), false, 4, Some("w"), Vec::<u32>::new(), "saved");
+    let steps: Vec<(u32, u32)> = Vec::new();
+    let old = rmp_serde::to_vec(&("Pending", steps, vec![task])).expect("plain data");
+    let mut ledger = Ledger::default();
+    ledger.apply(Batch {
+        records: vec![(JobId(1), old)],
+        ..Default::default()
+    });
+    let jobs = [job(1, 1)];
+    let mut first = Owner::new(ledger, &jobs, Settings::default());
+    // The run is gone: the next one goes on from what was saved.
+    first.run(500);
+    assert_eq!(first.ledger.outcome(JobId(1)), Outcome::Active);
+    let mut second = Owner::new(first.ledger, &jobs, Settings::default());
+    second.run(500);
+    assert_eq!(second.running.len(), 1);
+    assert_eq!(second.running[0].run, 6);
+}
+
+/// A row that somebody else wrote, or that is broken, takes nothing from the others.
+#[test]
+fn a_row_that_cannot_be_read_harms_no_other() {
+    let mut owner = Owner::new(Ledger::default(), &[job(1, 3)], Settings::default());
+    owner.run(500);
+    let mut machine = Machine::new(Settings::default(), NOW, takeover());
+    assert!(machine.replay(b"what is this").is_err());
+    for row in owner.ledger.log() {
+        machine.replay(row).expect("own row");
+    }
+    let record = machine.recorded(JobId(1), None).expect("logged");
+    assert!(record.fits(&job(1, 3).spec));
+    assert!(!record.fits(&job(1, 2).spec));
+    assert_eq!(machine.recorded(JobId(2), None), None::<Record>);
+}
--- a/crates/jobs/tests/all/records/mod.rs
+++ b/crates/jobs/tests/all/records/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use crate::records::play::Play;
-use gorsespur_jobs::{Ending, Event, Job, JobId, Outcome, Record, Schedule, Spec, Step};
+use gorsespur_jobs::{Ending, Event, Job, JobId, Outcome, Schedule, Spec, Step};
 use test_case::test_case;
 
 /// A job of two steps, the second one after the first, at several times.
@@ -104,8 +104,8 @@
     }
     assert_eq!(tasks, expected);
     assert_eq!(play.brought, 0);
-    let record = Record::decode(&play.records[&JobId(1)]).expect("own record");
-    assert_eq!(record.outcome == Outcome::Complete, ended);
+    let outcome = play.ledger.outcome(JobId(1));
+    assert_eq!(outcome == Outcome::Complete, ended);
 }
 
 /// A gang goes on from one checkpoint: that of any member is good for it, and all members bring
--- a/crates/jobs/tests/all/records/play.rs
+++ b/crates/jobs/tests/all/records/play.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use crate::records::life::Life;
+use crate::{ledger::Ledger, records::life::Life};
 use gorsespur_jobs::{
-    Action, Answer, Ending, Event, Job, JobId, Machine, QueuePolicy, Record, Settings, StartOrder,
+    Action, Answer, Batch, Ending, Event, Job, JobId, Machine, QueuePolicy, Settings, StartOrder,
     Started, Takeover, TaskId,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
@@ -22,8 +22,8 @@
     Answer(u64, u32, u64, Answer),
     /// A start that its sender has given up.
     Start(Arc<str>, u64, StartOrder),
-    /// Records of the owner of an epoch.
-    Records(u64, Vec<(JobId, Vec<u8>)>),
+    /// A batch of the owner of an epoch.
+    Batch(u64, Batch),
 }
 
 /// Owners, one after another, with workers, a store, and a judge of the starts.
@@ -36,7 +36,7 @@
     /// Texts that were made so far.
     made: u64,
     jobs: BTreeMap<JobId, Arc<Job>>,
-    pub records: BTreeMap<JobId, Vec<u8>>,
+    pub ledger: Ledger,
     parcels: Vec<(u64, Parcel)>,
     /// What each task has listed to an owner that read it.
     listed: BTreeMap<TaskId, Vec<Arc<str>>>,
@@ -59,7 +59,7 @@
             lives: (0..WORKERS).map(|at| Life::new(format!("w{at}"))).collect(),
             made: 0,
             jobs: jobs.collect(),
-            records: BTreeMap::new(),
+            ledger: Ledger::default(),
             parcels: Vec::new(),
             listed: BTreeMap::new(),
             brought: 0,
@@ -76,16 +76,11 @@
         self.machine = machine(self.now);
         let mut ids: Vec<JobId> = self.jobs.keys().copied().collect();
         ids.shuffle(&mut self.rng);
+        let jobs = ids.iter().map(|id| &self.jobs[id]);
+        self.ledger.restore(&mut self.machine, jobs);
         for id in ids {
             let job = self.jobs[&id].clone();
-            match self.records.get(&id) {
-                Some(record) => {
-                    let record = Record::decode(record).expect("own record");
-                    assert!(record.fits(&job.spec));
-                    self.machine.restore(job, &record);
-                }
-                None => self.tell(Event::Accepted(job)),
-            }
+            self.tell(Event::Accepted(job));
         }
         self.tell(Event::Queues(vec![QueuePolicy {
             queue: "q".into(),
@@ -183,8 +178,8 @@
                 }
             }
             // Each write is on condition that no other owner has written since.
-            Parcel::Records(epoch, records) if epoch == self.epoch => {
-                self.records.extend(records);
+            Parcel::Batch(epoch, batch) if epoch == self.epoch => {
+                self.ledger.apply(batch);
                 // Its answer may be lost, and with it what the owner knows of it.
                 if !self.calm && self.rng.random_range(0..40) == 0 {
                     return self.take_over();
@@ -192,7 +187,7 @@
                 let asked = self.now;
                 self.tell(Event::Committed { asked });
             }
-            Parcel::Answer(..) | Parcel::Records(..) => {}
+            Parcel::Answer(..) | Parcel::Batch(..) => {}
         }
     }
 
@@ -215,10 +210,9 @@
                 });
                 (worker, answer)
             }
-            Action::Commit(records) => {
+            Action::Commit(batch) => {
                 let due = self.now + self.delay();
-                self.parcels
-                    .push((due, Parcel::Records(self.epoch, records)));
+                self.parcels.push((due, Parcel::Batch(self.epoch, batch)));
                 return;
             }
             Action::Pace { .. } | Action::Depose => panic!("not expected"),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! | a job is accepted | `jobs`/hash/ID | a write on condition that the row is absent |
 //! | a job is cancelled | `jobs`/hash/ID.c | a write |
 //! | what became of a job | `records`/all/ID | the owner's journal |
+//! | which tasks run, and which are done | `log`/all/EPOCH.NUMBER.INDEX | the owner's journal |
 //! | who decides | `lease`/all/owner | a write on condition of the version seen |
 //! | the journal's end | `journal`/all/head | each write of the journal, and a takeover |
 //!
--- a/crates/node/src/owner/inbox.rs
+++ b/crates/node/src/owner/inbox.rs
@@ -23,8 +23,8 @@
 pub(crate) struct Written {
     /// When it was asked for: the lease counts from then.
     pub(crate) asked: u64,
-    /// Whether it held records.
-    pub(crate) records: bool,
+    /// Whether it held a batch.
+    pub(crate) batch: bool,
 }
 
 /// The sending end of the ring to the thread that decides.
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -1,14 +1,14 @@
-//! Writes the journal: batches of records, and renewals of the lease.
+//! Writes the journal: batches of records and rows of the log, and renewals of the lease.
 //!
 //! Each write is conditional on the journal's end and moves it, so that a write
 //! whose answer was lost can be sent again: one of the two takes effect, and the
 //! number in the end tells which write that was.
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{collections::VecDeque, sync::Arc, thread, time::Duration};
 
 use flume::{Receiver, RecvTimeoutError};
 use gorsespur_core::retry::Backoff;
-use gorsespur_jobs::JobId;
+use gorsespur_jobs::Batch;
 
 use super::{
     Tenure,
@@ -18,8 +18,8 @@
 use crate::{
     metrics::{Count, Duty},
     rows::{
-        HEAD, HeadRow, JOURNAL, LEARNED, LEASE, LeaseRow, OWNER, OWNER_PART, RECORDS, decode,
-        encode,
+        HEAD, HeadRow, JOURNAL, LEARNED, LEASE, LOG, LeaseRow, OWNER, OWNER_PART, RECORDS, decode,
+        encode, log_key,
     },
     shared::Shared,
     store::{Commit, Expect, Row, StoreError, Tx, Write},
@@ -49,8 +49,11 @@
 
 /// What the journal is told.
 pub(crate) enum Entry {
-    /// Make records durable.
-    Records(Vec<(JobId, Vec<u8>)>),
+    /// The keys of the log's rows that earlier owners wrote, the oldest one first; before the first
+    /// batch.
+    Log(Vec<String>),
+    /// Make a batch durable.
+    Batch(Batch),
     /// What the lease tells others from now on.
     Pending(Vec<(Arc<str>, u64)>),
     /// What was learned, for a later owner.
@@ -70,6 +73,8 @@
     pulse: Pulse,
     /// What was learned and is not written yet.
     learned: Option<Vec<u8>>,
+    /// Keys of the log's rows, the oldest one first.
+    log: VecDeque<String>,
 }
 
 /// Writes until the lease is lost, given back, or the ring is closed.
@@ -93,6 +98,7 @@
         renewed: tenure.takeover.asked,
         pulse: Pulse::default(),
         learned: None,
+        log: VecDeque::new(),
     };
     loop {
         let due = (journal.renewed + RENEW).saturating_sub(shared.clock.now());
@@ -101,7 +107,7 @@
             Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => return,
         };
-        let (records, release) = match entry {
+        let (batch, release) = match entry {
             Some(Entry::Pending(pending)) => {
                 journal.lease.pending = pending;
                 continue;
@@ -110,13 +116,17 @@
                 journal.learned = Some(learned);
                 continue;
             }
-            Some(Entry::Records(records)) => (records, false),
-            Some(Entry::Release) => (Vec::new(), true),
-            None => (Vec::new(), false),
+            Some(Entry::Log(keys)) => {
+                journal.log = keys.into();
+                continue;
+            }
+            Some(Entry::Batch(batch)) => (Some(batch), false),
+            Some(Entry::Release) => (None, true),
+            None => (None, false),
         };
         journal.lease.released = release;
-        let has_records = !records.is_empty();
-        let Some(asked) = journal.append(records, ring) else {
+        let has_batch = batch.is_some();
+        let Some(asked) = journal.append(batch, ring) else {
             input.deposed();
             return;
         };
@@ -125,7 +135,7 @@
         }
         input.durable(Written {
             asked,
-            records: has_records,
+            batch: has_batch,
         });
     }
 }
@@ -133,7 +143,7 @@
 impl Journal<'_> {
     /// Writes one batch and returns the contact with the store that this was; nothing if the
     /// lease is lost.
-    fn append(&mut self, records: Vec<(JobId, Vec<u8>)>, ring: &Receiver<Entry>) -> Option<u64> {
+    fn append(&mut self, batch: Option<Batch>, ring: &Receiver<Entry>) -> Option<u64> {
         self.number += 1;
         // Before it is settled whether the write renews the lease: a pause between the two
         // would let the owner's contact be newer than its renewals by more than is allowed for.
@@ -141,7 +151,7 @@
         self.lease.term = self.pulse.term();
         self.lease.census = self.shared.census().unwrap_or(self.lease.census);
         self.lease.earlier = self.inherited.saturating_sub(sent);
-        let tx = self.tx(records, sent);
+        let tx = self.tx(batch, sent);
         let renews = tx.writes.iter().any(|w| w.table == LEASE);
         let mut backoff = Backoff::new(FIRST_PAUSE, LAST_PAUSE, rand::random());
         let mut failing = false;
@@ -211,7 +221,7 @@
         }
     }
 
-    fn tx(&mut self, records: Vec<(JobId, Vec<u8>)>, now: u64) -> Tx {
+    fn tx(&mut self, batch: Option<Batch>, now: u64) -> Tx {
         let head = HeadRow {
             epoch: self.lease.epoch,
             number: self.number,
@@ -222,7 +232,7 @@
             value: encode(&head),
         }];
         let due = now >= self.renewed + RENEW;
-        if due || records.is_empty() || self.lease.released {
+        if due || batch.is_none() || self.lease.released {
             writes.push(Write {
                 table: LEASE,
                 key: OWNER.into(),
@@ -235,10 +245,21 @@
             value,
         });
         writes.extend(learned);
-        for (id, value) in records {
+        let batch = batch.unwrap_or_default();
+        let records = batch.records.into_iter().map(|(id, value)| Write {
+            table: RECORDS,
+            key: id.to_string(),
+            value,
+        });
+        writes.extend(records);
+        let dropped = self.log.drain(..batch.dropped.min(self.log.len()));
+        let removes = dropped.map(|key| (LOG, key)).collect();
+        for (index, value) in batch.log.into_iter().enumerate() {
+            let key = log_key(self.lease.epoch, self.number, index);
+            self.log.push_back(key.clone());
             writes.push(Write {
-                table: RECORDS,
-                key: id.to_string(),
+                table: LOG,
+                key,
                 value,
             });
         }
@@ -250,7 +271,7 @@
                 version: self.head,
             }],
             writes,
-            removes: Vec::new(),
+            removes,
         }
     }
 }
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gorsespur_jobs::{Event, Learned, Machine, Record, Sorted};
+use gorsespur_jobs::{Event, JobId, Learned, Machine, Record, Sorted};
 use gorsespur_runtime::clock::wall_ms;
 
 use super::{
@@ -12,7 +12,7 @@
 use crate::{
     follow::refresh_at,
     metrics::{Count, Duty},
-    rows::{LEARNED, OWNER, OWNER_PART, RECORDS, decode},
+    rows::{LEARNED, LOG, OWNER, OWNER_PART, RECORDS, decode},
     shared::Shared,
     store::StoreError,
 };
@@ -20,6 +20,8 @@
 /// A machine that knows all jobs, and from where on changes are to be followed.
 pub(crate) struct Loaded {
     pub(crate) machine: Machine,
+    /// Keys of the log's rows, the oldest one first.
+    pub(crate) log: Vec<String>,
     pub(crate) jobs: Follow,
     pub(crate) workers: Follow,
 }
@@ -36,6 +38,7 @@
     let mut unknown: Vec<String> = Vec::new();
     // The jobs first: a record that is newer than its job's row does no harm.
     let (mut rows, version) = feed::all_jobs(shared)?;
+    let log = replay(shared, &mut machine)?;
     for row in store.read_all(RECORDS, OWNER_PART)?.rows {
         match Record::decode(&row.value) {
             Ok(record) => {
@@ -53,7 +56,10 @@
         if unknown.contains(&row.key) {
             return false;
         }
-        let Some(record) = records.get(&row.key) else {
+        let id = row.key.parse::<JobId>().ok();
+        let record = records.get(&row.key).cloned();
+        let record = id.and_then(|id| machine.recorded(id, record));
+        let Some(record) = record else {
             return true;
         };
         let Some(job) = feed::read_job(shared, row) else {
@@ -64,7 +70,7 @@
             log::error!(key = row.key.as_str(); "owner: record of another job, the job is left alone");
             return false;
         }
-        machine.restore(Arc::new(job), record);
+        machine.restore(Arc::new(job), &record);
         // It need not be read and told a second time.
         false
     });
@@ -85,11 +91,24 @@
     machine.tell_unheard();
     Ok(Loaded {
         machine,
+        log,
         jobs,
         workers,
     })
 }
 
+/// Reads the log into a machine; returns the keys of its rows.
+fn replay(shared: &Shared, machine: &mut Machine) -> Result<Vec<String>, StoreError> {
+    let rows = shared.store(Duty::Takeover).read_all(LOG, OWNER_PART)?.rows;
+    for row in &rows {
+        if let Err(err) = machine.replay(&row.value) {
+            shared.metrics.count(Count::BadRows);
+            log::error!(key = row.key.as_str(), err = err.to_string().as_str(); "owner: row of the log can't be read");
+        }
+    }
+    Ok(rows.into_iter().map(|r| r.key).collect())
+}
+
 /// Reads what earlier owners learned; without it all can be done, and is learned anew.
 fn learned(shared: &Shared) -> Option<Learned> {
     match shared
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -85,6 +85,7 @@
             if jobs.is_err() || workers.is_err() || census.is_err() {
                 log::error!("owner: can't start threads");
             } else {
+                send(&batches, Entry::Log(loaded.log));
                 Turn::new(shared, tenure.epoch, loaded.machine, inbox).run(&batches, cancel);
             }
         }
@@ -106,10 +107,14 @@
         }
         Err(err) => {
             log::warn!(epoch = tenure.epoch, err = err.to_string().as_str(); "owner: can't read the jobs");
-            if batches.send(Entry::Release).is_err() {
-                log::debug!("owner: journal has ended");
-            }
+            send(batches, Entry::Release);
             None
         }
     }
 }
+
+fn send(journal: &Sender<Entry>, entry: Entry) {
+    if journal.send(entry).is_err() {
+        log::debug!("owner: journal has ended");
+    }
+}
--- a/crates/node/src/owner/turn.rs
+++ b/crates/node/src/owner/turn.rs
@@ -11,6 +11,7 @@
     inbox::{Inbox, Told, WAKE, Written},
     journal::Entry,
     lines::Lines,
+    send,
 };
 use crate::{config::Config, metrics::Count, protocol::Order, rows::encode, shared::Shared};
 
@@ -97,7 +98,7 @@
             self.turn(journal, &wake);
         }
         if !self.over {
-            self.send(journal, Entry::Release);
+            send(journal, Entry::Release);
         }
     }
 
@@ -178,7 +179,7 @@
         self.keep_learned(now, journal);
         if now >= self.tell_at {
             self.tell_at = now + TELL_PERIOD;
-            self.send(journal, Entry::Pending(self.machine.pending()));
+            send(journal, Entry::Pending(self.machine.pending()));
             self.shared.metrics.decided(self.machine.figures());
             for worker in self.machine.closable() {
                 self.lines.drop_worker(self.inbox.poll.registry(), worker);
@@ -192,7 +193,7 @@
             return;
         }
         self.keep_at = now + LEARNED_PERIOD;
-        self.send(journal, Entry::Learned(encode(&self.machine.learned())));
+        send(journal, Entry::Learned(encode(&self.machine.learned())));
     }
 
     fn take_told(&mut self, now: u64) {
@@ -203,8 +204,8 @@
                         self.machine.handle(now, wall_ms(), event);
                     }
                 }
-                Told::Durable(Written { asked, records }) => {
-                    let event = match records {
+                Told::Durable(Written { asked, batch }) => {
+                    let event = match batch {
                         true => Event::Committed { asked },
                         false => Event::Renewed { asked },
                     };
@@ -264,7 +265,7 @@
                 run,
                 percent,
             } => (worker, Order::Pace(task, run, percent)),
-            Action::Commit(records) => return self.send(journal, Entry::Records(records)),
+            Action::Commit(batch) => return send(journal, Entry::Batch(batch)),
             Action::Depose => {
                 log::warn!("owner: a worker has seen a higher epoch");
                 self.over = true;
@@ -276,10 +277,4 @@
             self.lines.send(registry, worker, target, order);
         }
     }
-
-    fn send(&self, journal: &Sender<Entry>, entry: Entry) {
-        if journal.send(entry).is_err() {
-            log::debug!("owner: journal has ended");
-        }
-    }
 }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -13,6 +13,9 @@
 /// What became of jobs.
 pub(crate) const RECORDS: &str = "records";
 
+/// What changed of the jobs' tasks, in rows whose keys rise.
+pub(crate) const LOG: &str = "log";
+
 /// Who decides.
 pub(crate) const LEASE: &str = "lease";
 
@@ -75,6 +78,12 @@
     }
 }
 
+/// Returns the key of a row of the log: `index` among those of the owner's write `number`. Keys
+/// rise with epochs, and within one with its writes.
+pub(crate) fn log_key(epoch: u64, number: u64, index: usize) -> String {
+    format!("{epoch:010}.{number:010}.{index:02}")
+}
+
 /// The row of the lease.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LeaseRow {
