Wait for answers that keep arriving, and read no configuration for each caller

Cause: the configuration has nearly a megabyte and 35 instances read it at once over links that carry it in more than the 1 s which an answer had in all; given up, it was asked for anew, and each caller of an instance without a configuration had it read as well (log: 'config: not refreshed', 'no answer in time', 'store: lost' on 22 instances while the store was well). Change: an answer has to begin within its limit; what has begun is waited for while it goes on to arrive, a second for each part and 15 s in all. A caller has only changes asked for; without a configuration it is refused at once. Why it holds: nothing is sent twice while it arrives, so that the link's time goes to answers that are used; a peer that stalls is given up as before.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -24,6 +24,13 @@
 /// Time that a read waits at least: what has arrived is read also after the limit.
 const LEAST: Duration = Duration::from_millis(1);
 
+/// An answer that has begun to arrive is no silence: each further part of it is waited for as long
+/// as this ...
+const PART: Duration = Duration::from_secs(1);
+
+/// ... and all of it for no longer than this beyond its limit.
+const WHOLE: Duration = Duration::from_secs(15);
+
 /// Reads after the limit at most: an answer of 1 MB that had arrived, and no peer that
 /// goes on sending a little for ever.
 const LATE_READS: usize = 64;
@@ -50,7 +57,7 @@
         }
     }
 
-    /// Sends a request and returns the whole answer within `limit`.
+    /// Sends a request and returns the whole answer, which begins within `limit`.
     ///
     /// Kept connections that the peer has closed are passed over before anything is
     /// sent; a request is never sent twice.
@@ -140,20 +147,23 @@
     read_response(stream, end, traffic)
 }
 
-/// Reads an answer that has to have arrived by `end`.
+/// Reads an answer that has to have begun to arrive by `end`, and then to go on: a large one
+/// takes seconds on a narrow link, and asked for anew it would take the link from others.
 ///
 /// A process that was paused meanwhile finds it later: what has arrived is read, and only
 /// then is the call given up.
 pub(crate) fn read_response(
     stream: &mut TcpStream,
-    end: Instant,
+    mut end: Instant,
     traffic: &Traffic,
 ) -> Result<Response, HttpError> {
+    let last = end + WHOLE;
     let mut buf = Vec::new();
     let mut chunk = vec![0; CHUNK];
     let mut late = 0;
     loop {
-        late += usize::from(Instant::now() >= end);
+        let is_late = Instant::now() >= end;
+        late += usize::from(is_late);
         if late > LATE_READS {
             return Err(HttpError::Timeout);
         }
@@ -169,6 +179,9 @@
             response.keep &= size == buf.len();
             return Ok(response);
         }
+        if !is_late {
+            end = end.max(Instant::now() + PART).min(last);
+        }
     }
 }
 
--- a/crates/http/tests/contract.rs
+++ b/crates/http/tests/contract.rs
@@ -52,6 +52,35 @@
     assert_eq!(heads.load(Ordering::SeqCst), 1, "a request is sent once");
 }
 
+/// A peer that sends an answer of five bytes one by one, each after a pause, and then no more.
+fn drip(count: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let addr = listener.local_addr().expect("address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accept");
+        let _ = stream.read(&mut [0; 4096]).expect("read");
+        let head = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
+        stream.write_all(head).expect("write");
+        for _ in 0..count {
+            thread::sleep(Duration::from_millis(100));
+            stream.write_all(b"x").expect("write");
+        }
+        thread::sleep(LIMIT);
+    });
+    addr
+}
+
+/// A large answer on a narrow link takes longer than an answer may take to begin.
+#[test]
+fn an_answer_that_keeps_arriving_is_waited_for() {
+    let request = Request::new(Method::Get, "/", Vec::new());
+    let limit = Duration::from_millis(150);
+    let answer = Client::new(drip(5)).call(&request, limit);
+    assert_eq!(answer.expect("whole").body, b"xxxxx");
+    let stalled = Client::new(drip(3)).call(&request, limit);
+    assert_eq!(stalled, Err(HttpError::Timeout));
+}
+
 #[test_case(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"; "chunked")]
 #[test_case(b"HTTP/1.1 200 OK\r\n\r\nabc"; "no length")]
 #[test_case(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab"; "two lengths")]
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -20,20 +20,31 @@
 
 /// Puts the newest configuration in force for a caller who waits.
 ///
-/// Of one that is known already nothing is read anew: it has tens of kilobytes, and any caller
-/// who asks for what is not there has it looked for.
+/// A configuration may have a megabyte. So none is read whole for a caller: of one that is known
+/// what has changed is asked for, and the first one is read by the thread that follows it. Read
+/// for each caller by each of 35 instances that had just started, it took their links for 10 s.
 pub(crate) fn refresh(shared: &Shared) -> Result<(), StoreError> {
     let (table, _) = shared.protocol.config_row();
-    let step = match shared.config_known() {
-        None => refresh_at(shared, Duty::Callers),
-        Some(after) => changes(shared, Duty::Callers, table, after, Duration::ZERO),
-    };
-    match step {
-        Err(StoreError::Forgotten) => refresh_at(shared, Duty::Callers).map(drop),
+    let after = shared
+        .config_known()
+        .ok_or_else(|| StoreError::Unavailable {
+            reason: "the configuration is not read yet".into(),
+        })?;
+    match changes(shared, Duty::Callers, table, after, Duration::ZERO) {
+        Err(StoreError::Forgotten) => read_anew(shared),
         step => step.map(drop),
     }
 }
 
+/// Reads the configuration whole, if no other caller does.
+fn read_anew(shared: &Shared) -> Result<(), StoreError> {
+    let busy = |_| StoreError::Unavailable {
+        reason: "the configuration is read already".into(),
+    };
+    let _reading = shared.reading.try_lock().map_err(busy)?;
+    refresh_at(shared, Duty::Callers).map(drop)
+}
+
 fn take(shared: &Shared, row: &Row) {
     let (_, key) = shared.protocol.config_row();
     if row.key != key || row.removed {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -82,8 +82,13 @@
     fn route(&self, request: &Request, start: u64) -> Response {
         let host = request.header("host").unwrap_or_default();
         let path = request.path.split('?').next().unwrap_or_default();
-        let Some(queue) = self.queue(host, path) else {
-            return self.no_queue();
+        let queue = match self.queue(host, path) {
+            Ok(Some(queue)) => queue,
+            Ok(None) => return self.no_queue(),
+            Err(err) => {
+                log::warn!(err = err.to_string().as_str(); "config: not refreshed");
+                return self.refuse();
+            }
         };
         let rest = &path[queue.prefix.len()..];
         if rest.is_empty() && request.method == Method::Get {
@@ -100,25 +105,19 @@
         }
     }
 
-    /// Finds the queue; before a caller is told that there is none, the newest
-    /// configuration is read.
-    fn queue(&self, host: &str, path: &str) -> Option<Queue> {
+    /// Finds the queue; before a caller is told that there is none, it is asked whether the
+    /// configuration has changed.
+    fn queue(&self, host: &str, path: &str) -> Result<Option<Queue>, StoreError> {
         let find = || self.shared.config()?.find(host, path).cloned();
         let fresh = !self.shared.is_silent();
         if let Some(queue) = find().filter(|_| fresh) {
-            return Some(queue);
+            return Ok(Some(queue));
         }
-        if let Err(err) = refresh(&self.shared) {
-            log::warn!(err = err.to_string().as_str(); "config: not refreshed");
-        }
-        find()
+        refresh(&self.shared)?;
+        Ok(find())
     }
 
     fn no_queue(&self) -> Response {
-        let known = self.shared.config().is_some() && !self.shared.is_silent();
-        if !known {
-            return self.refuse();
-        }
         self.shared.metrics.count(Count::Missing);
         Response::new(404, Vec::new())
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -58,6 +58,8 @@
     evacuated: Mutex<Evacuated>,
     /// The instances as this one counted them when it last was the owner.
     census: Mutex<Option<Census>>,
+    /// Held by a caller who reads the configuration whole.
+    pub(crate) reading: Mutex<()>,
     /// When the store last answered, in milliseconds.
     contact: AtomicU64,
     /// For how long nothing comes from a store that answers, in milliseconds.
@@ -94,6 +96,7 @@
             config: Mutex::new(None),
             evacuated: Mutex::default(),
             census: Mutex::default(),
+            reading: Mutex::new(()),
             contact: AtomicU64::new(0),
             longest_silence: AtomicU64::new(0),
             lost: AtomicU64::new(0),
