Spread accepted jobs over more parts, and read side by side after a takeover

Cause: accepted jobs lie in 16 parts, each of which takes two writes a second then; 17 jobs a second meet in them, and each that is sent again lengthens the queue. The number was kept small since a new owner read the parts one after another, 16 answers of a quarter of a second. Change: 64 parts; a new owner reads parts, records, log and workers side by side, eight parts at a time. The number of answers that a new owner waits for one after another is 8 in place of 16.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -47,6 +47,8 @@
 #[cfg(test)]
 mod question_tests;
 mod rows;
+#[cfg(test)]
+mod rows_tests;
 mod settings;
 mod shared;
 mod store;
--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -5,10 +5,13 @@
 use gorsespur_jobs::{Event, Job};
 use gorsespur_runtime::cancel::Cancel;
 
-use super::inbox::Input;
+use super::{
+    gather::{Listing, all_jobs, list_workers},
+    inbox::Input,
+};
 use crate::{
     metrics::{Count, Duty},
-    rows::{JOBS, JobKey, decode, job_key, job_parts},
+    rows::{JOBS, JobKey, decode, job_key},
     shared::Shared,
     store::{Changes, Row, StoreError},
 };
@@ -70,19 +73,6 @@
     }
 }
 
-/// Reads the rows of all accepted jobs, and the version before the first read.
-pub(crate) fn all_jobs(shared: &Shared) -> Result<(Vec<Row>, u64), StoreError> {
-    let store = shared.store(Duty::Takeover);
-    let mut rows = Vec::new();
-    let mut version = None;
-    for part in job_parts() {
-        let page = store.read_all(JOBS, &part)?;
-        version.get_or_insert(page.version);
-        rows.extend(page.rows);
-    }
-    Ok((rows, version.unwrap_or(0)))
-}
-
 fn list_jobs(
     shared: &Shared,
     follow: &mut Follow,
@@ -129,7 +119,10 @@
         let mut events = Vec::new();
         let asked = shared.clock.now();
         let step = match follow.version {
-            None => list_workers(shared, &mut follow, &mut events).map(|()| WORKERS_PAUSE),
+            None => list_workers(shared).map(|listing| {
+                take_listing(shared, &mut follow, &listing, &mut events);
+                WORKERS_PAUSE
+            }),
             Some(after) => {
                 let changes = shared
                     .store(Duty::Workers)
@@ -170,26 +163,25 @@
     }
 }
 
-/// Reads all announcements; those that are no longer there are told as gone.
-pub(crate) fn list_workers(
+/// Takes all announcements; those that are no longer there are told as gone.
+pub(super) fn take_listing(
     shared: &Shared,
     follow: &mut Follow,
+    listing: &Listing,
     events: &mut Vec<Event>,
-) -> Result<(), StoreError> {
-    let asked = shared.clock.now();
-    let page = shared
-        .store(Duty::Workers)
-        .read_all(shared.protocol.workers_table(), "")?;
+) {
+    let rows = &listing.page.rows;
     for key in &follow.keys {
-        if !page.rows.iter().any(|r| r.key == *key) {
+        if !rows.iter().any(|r| r.key == *key) {
             events.push(Event::Unlisted(key.as_str().into()));
         }
     }
     follow.keys.clear();
-    take_workers(shared, follow, &page.rows, events);
-    events.push(Event::Current { asked });
-    follow.version = Some(page.version);
-    Ok(())
+    take_workers(shared, follow, rows, events);
+    events.push(Event::Current {
+        asked: listing.asked,
+    });
+    follow.version = Some(listing.page.version);
 }
 
 fn take_workers(shared: &Shared, follow: &mut Follow, rows: &[Row], events: &mut Vec<Event>) {
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -8,13 +8,14 @@
 use super::{
     Tenure,
     feed::{self, Follow},
+    gather::gather,
 };
 use crate::{
     follow::refresh_at,
     metrics::{Count, Duty},
-    rows::{LEARNED, LOG, OWNER, OWNER_PART, RECORDS, decode},
+    rows::{LEARNED, OWNER, OWNER_PART, decode},
     shared::Shared,
-    store::StoreError,
+    store::{Row, StoreError},
 };
 
 /// A machine that knows all jobs, and from where on changes are to be followed.
@@ -28,7 +29,6 @@
 
 /// Reads all jobs, their records and the workers.
 pub(crate) fn load(shared: &Arc<Shared>, tenure: &Tenure) -> Result<Loaded, StoreError> {
-    let store = shared.store(Duty::Takeover);
     let now = shared.clock.now();
     let mut machine = Machine::new(shared.settings.jobs, now, tenure.takeover);
     if let Some(learned) = learned(shared) {
@@ -36,10 +36,11 @@
     }
     let mut records: Sorted<String, Record> = Sorted::default();
     let mut unknown: Vec<String> = Vec::new();
-    // The jobs first: a record that is newer than its job's row does no harm.
-    let (mut rows, version) = feed::all_jobs(shared)?;
-    let log = replay(shared, &mut machine)?;
-    for row in store.read_all(RECORDS, OWNER_PART)?.rows {
+    // No other owner writes records or the log any more: they fit each other, whichever was read
+    // first.
+    let holdings = gather(shared)?;
+    let log = replay(shared, &mut machine, holdings.log);
+    for row in holdings.records {
         match Record::decode(&row.value) {
             Ok(record) => {
                 records.insert(row.key, record);
@@ -51,6 +52,7 @@
             }
         }
     }
+    let mut rows = holdings.jobs;
     rows.retain(|row| {
         // What has run of such a job is not known: begun anew it might run twice.
         if unknown.contains(&row.key) {
@@ -74,7 +76,7 @@
         // It need not be read and told a second time.
         false
     });
-    let jobs = Follow::new(version);
+    let jobs = Follow::new(holdings.version);
     let mut workers = Follow::anew();
     let mut events = Vec::new();
     feed::take_jobs(shared, &rows, &mut events);
@@ -84,7 +86,7 @@
     // What this instance followed so far may be old: it may have been cut off. The first turn
     // tells the machine which zones are evacuated then, before anything is placed.
     refresh_at(shared, Duty::Takeover)?;
-    feed::list_workers(shared, &mut workers, &mut events)?;
+    feed::take_listing(shared, &mut workers, &holdings.workers, &mut events);
     for event in events {
         machine.handle(shared.clock.now(), wall_ms(), event);
     }
@@ -97,16 +99,15 @@
     })
 }
 
-/// Reads the log into a machine; returns the keys of its rows.
-fn replay(shared: &Shared, machine: &mut Machine) -> Result<Vec<String>, StoreError> {
-    let rows = shared.store(Duty::Takeover).read_all(LOG, OWNER_PART)?.rows;
+/// Has a machine take the log; returns the keys of its rows.
+fn replay(shared: &Shared, machine: &mut Machine, rows: Vec<Row>) -> Vec<String> {
     for row in &rows {
         if let Err(err) = machine.replay(&row.value) {
             shared.metrics.count(Count::BadRows);
             log::error!(key = row.key.as_str(), err = err.to_string().as_str(); "owner: row of the log can't be read");
         }
     }
-    Ok(rows.into_iter().map(|r| r.key).collect())
+    rows.into_iter().map(|r| r.key).collect()
 }
 
 /// Reads what earlier owners learned; without it all can be done, and is learned anew.
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -8,6 +8,7 @@
 mod feed;
 #[cfg(test)]
 mod feed_tests;
+mod gather;
 mod inbox;
 pub(crate) mod journal;
 #[cfg(test)]
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -40,9 +40,9 @@
 /// Key of the journal's end.
 pub(crate) const HEAD: &str = "head";
 
-/// Parts of the accepted jobs. A part takes its transactions one after another, and
-/// two a second while the store is slow; reading more of them makes takeovers slow.
-const JOB_PARTS: u64 = 16;
+/// Parts of the accepted jobs. A part takes its transactions one after another, and two a second
+/// while the store is slow: callers who wait for one of hundreds of instances meet in few parts.
+const JOB_PARTS: u64 = 64;
 
 /// What follows a job's name in the key of its cancellation.
 const CANCEL: &str = ".c";
--- /dev/null
+++ b/crates/node/src/rows_tests.rs
@@ -0,0 +1,43 @@
+//! How long callers wait for their part of the jobs while the store is slow.
+
+use std::collections::BTreeMap;
+
+use gorsespur_jobs::JobId;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use test_case::test_case;
+
+use crate::rows::{job_part, job_parts};
+
+/// Milliseconds of a write at a sixtieth of the store's speed.
+const WRITE: u64 = 480;
+
+/// Milliseconds that a caller's write may take before its answer is unclear.
+const LIMIT: u64 = 1200;
+
+/// Jobs come from hundreds of instances for half a minute. Each part takes its writes one after
+/// another; of twenty callers at most one is left unclear.
+#[test_case(17; "the fleet")]
+#[test_case(34; "twice the fleet")]
+fn few_callers_wait_for_each_other_while_the_store_is_slow(jobs: u64) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut free: BTreeMap<String, u64> = BTreeMap::new();
+    let (mut asked, mut late) = (0, 0);
+    for ms in 0..30_000 {
+        if rng.random_range(0..1000) >= jobs {
+            continue;
+        }
+        let part = free.entry(job_part(JobId(rng.random()))).or_default();
+        *part = ms.max(*part) + WRITE;
+        asked += 1;
+        late += u64::from(*part > ms + LIMIT);
+    }
+    assert!(late * 20 <= asked, "{late} of {asked}");
+}
+
+#[test]
+fn each_job_is_in_one_of_the_parts() {
+    let parts: Vec<String> = job_parts().collect();
+    for id in [0, 1, 63, 64, u64::MAX] {
+        assert!(parts.contains(&job_part(JobId(id))), "{id}");
+    }
+}
