Hold starts that a later life of a worker may have taken

Callers saw a task run on two workers at once. A worker that starts again under its name takes a start meant for the life before, and is cut off, or another worker answers at the old address, before a list shows it. The owner gave the run up by the leases of the life that it knew; the later life cuts the lease to the longest one, counted from the arrival.

A run whose start no list has shown is held until a list attributes it to a life, or until the longest lease has passed since the last order that named the end of one. That bound is the platform's: longer leases are cut to holdMaxMs. The clock in an answer to a start shows whether the lease may outlast the promise, so that only starts without an answer, or from another life, wait. Silent workers are asked without a lease, which a later life would count from each look anew.

--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -182,7 +182,10 @@
         if worker.dead || worker.looking || worker.info.is_none() || !wanted {
             return;
         }
+        // A later life would take it for a lease of the longest length, at each try anew.
+        let renews = worker.born.is_none() || worker.silent.is_none();
         let deadline = worker.deadline(&settings, self.contact);
+        let deadline = deadline.filter(|_| renews);
         let at = worker.look_due(deadline, &settings);
         if now < at {
             if worker.reminded != at {
@@ -193,7 +196,10 @@
         }
         let wait = worker.look_wait(&settings);
         let observed = worker.droppable();
-        worker.promised = worker.promised.max(deadline.unwrap_or(0));
+        if let Some(end) = deadline {
+            worker.promised = worker.promised.max(end);
+            worker.note_lease_order(now, &settings);
+        }
         worker.looking = true;
         worker.looked = now;
         self.figures.looks += 1;
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -75,8 +75,10 @@
 /// What came of a start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Started {
-    /// The run is there.
+    /// The run is there; the worker's clock was not told.
     Done,
+    /// The run is there, and the worker's steady clock shows this, in milliseconds.
+    DoneAt(u64),
     /// It does not fit; nothing was started.
     NoRoom,
     /// The run, or a later one, ended there before.
--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -51,6 +51,9 @@
     pub(crate) sent: Option<u64>,
     /// Whether its start was answered, so that it can't be carried out any more.
     pub(crate) answered: bool,
+    /// Whether an answer to its start tells which life of its worker's name has it, or that none
+    /// does.
+    pub(crate) attributed: bool,
     /// Progress in percent, as last listed.
     pub(crate) percent: u32,
     /// When it was first listed, on the worker's clock.
@@ -87,6 +90,7 @@
             since: now,
             sent: None,
             answered: false,
+            attributed: false,
             percent: 0,
             listed: None,
             moved: None,
--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -32,7 +32,12 @@
     pub(crate) fn started(&mut self, slot: u32, id: TaskId, number: u32, started: Started) {
         let now = self.now;
         match started {
-            Started::Dead => return self.worker_dead(slot),
+            Started::Dead => {
+                if let Some(run) = self.run_on(slot, id, number) {
+                    run.attributed = true;
+                }
+                return self.worker_dead(slot);
+            }
             Started::Fenced => return self.out.push(Action::Depose),
             _ => {}
         }
@@ -40,12 +45,14 @@
         if let Some(Stage::Sent(at)) = stage {
             self.window.answered(now - at);
         }
+        let attributed = self.is_attributed(slot, id, started);
         let Some(run) = self.run_on(slot, id, number) else {
             return;
         };
+        run.attributed |= attributed;
         run.answered |= started != Started::Unknown;
         match started {
-            Started::Done => {
+            Started::Done | Started::DoneAt(_) => {
                 if matches!(run.stage, Stage::Sent(_) | Stage::Unclear(_)) {
                     run.stage = Stage::There(now);
                 }
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -262,6 +262,7 @@
         run.sent = Some(now);
         run.partial = !saved.is_empty();
         worker.promised = worker.promised.max(deadline);
+        worker.note_lease_order(now, &settings);
         let (slot, waited) = (run.worker, now - run.since);
         self.figures.starts += 1;
         let order = StartOrder {
--- a/crates/jobs/src/runs/lost.rs
+++ b/crates/jobs/src/runs/lost.rs
@@ -4,7 +4,10 @@
 //! on it are over and it gave no answer. Its machine may have lost its power, it may be cut off,
 //! or its process may have ended; only of the last one does its address refuse connections.
 
-use crate::{machine::Machine, model::crash::Blame};
+use crate::{
+    machine::Machine,
+    model::{crash::Blame, ids::TaskId},
+};
 
 /// How a worker was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,7 +30,9 @@
         let worker = self.fleet.get_mut(slot);
         worker.dead = true;
         worker.looking = false;
-        self.forget_runs(slot, Loss::Ended);
+        self.account(slot, Loss::Ended);
+        let ended = self.ended_runs(slot);
+        self.drop_runs(slot, &ended);
     }
 
     /// Gives up the runs of silent workers whose leases are over.
@@ -35,22 +40,23 @@
         for slot in 0..self.fleet.workers.len() as u32 {
             let worker = self.fleet.get(slot);
             let idle = worker.runs.is_empty() && worker.strays.is_empty();
-            if idle || worker.dead || !worker.is_given_up(self.now) {
+            if idle || !worker.dead && !worker.is_given_up(self.now) {
                 continue;
             }
-            let count = worker.runs.len();
-            log::warn!(worker = &*worker.id, runs = count, absent = worker.absent; "worker: its leases are over");
-            self.figures.lapsed += count as u64;
-            self.forget_runs(slot, Loss::Lapsed);
+            let ended = self.ended_runs(slot);
+            if ended.is_empty() && worker.strays.is_empty() {
+                continue;
+            }
+            let (runs, held) = (ended.len(), worker.runs.len() - ended.len());
+            log::warn!(worker = &*worker.id, runs, held, absent = worker.absent; "worker: its leases are over");
+            self.figures.lapsed += runs as u64;
+            if !worker.dead {
+                self.account(slot, Loss::Lapsed);
+            }
+            self.drop_runs(slot, &ended);
         }
     }
 
-    /// Gives up all runs on a worker; none of them can be there any more.
-    fn forget_runs(&mut self, slot: u32, loss: Loss) {
-        self.account(slot, loss);
-        self.drop_runs(slot);
-    }
-
     /// Takes note of what the loss of a worker tells of the tasks there.
     pub(super) fn account(&mut self, slot: u32, loss: Loss) {
         let worker = self.fleet.get(slot);
@@ -64,12 +70,12 @@
         }
     }
 
-    /// Clears all runs on a worker that is lost.
-    pub(super) fn drop_runs(&mut self, slot: u32) {
-        self.tell_lost(slot);
+    /// Clears runs on a worker that is lost.
+    pub(super) fn drop_runs(&mut self, slot: u32, runs: &[TaskId]) {
+        self.tell_lost(slot, runs);
         let worker = self.fleet.get_mut(slot);
         worker.drop_strays(|_| true);
-        for id in worker.runs.clone() {
+        for &id in runs {
             self.clear(id);
             self.mark(id.job);
         }
@@ -77,11 +83,11 @@
 
     /// Logs the runs that are lost with a worker, and for how long each was there when the
     /// worker was last heard.
-    fn tell_lost(&mut self, slot: u32) {
+    fn tell_lost(&mut self, slot: u32, runs: &[TaskId]) {
         let worker = self.fleet.get(slot);
-        self.figures.lost += worker.runs.len() as u64;
+        self.figures.lost += runs.len() as u64;
         let end = worker.silent.unwrap_or(self.now);
-        for &id in &worker.runs {
+        for &id in runs {
             let Some(task) = self.jobs.get(&id.job).and_then(|j| j.task(id)) else {
                 continue;
             };
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -30,4 +30,5 @@
 pub(crate) mod stray;
 pub(crate) mod trust;
 mod unheard;
+mod unlisted;
 pub(crate) mod worker;
--- a/crates/jobs/src/runs/replaced.rs
+++ b/crates/jobs/src/runs/replaced.rs
@@ -15,14 +15,12 @@
         loose::Loose,
         lost::Loss,
         stray::Stray,
+        unlisted::HELD_UP,
         worker::{Capacity, size},
     },
     settings::longest_lease,
 };
 
-/// A renewal of a lease is carried out within this time or not at all, in milliseconds.
-const HELD_UP: u64 = 3000;
-
 impl Machine {
     /// Returns the slot of the life that a list is of; nothing if it does not count. Earlier
     /// lives are over.
@@ -91,7 +89,8 @@
         for start in &loose {
             self.bar(old, new, *start);
         }
-        self.drop_runs(old);
+        let left = self.fleet.get(old).runs.clone();
+        self.drop_runs(old, &left);
         unlisted.len() + loose.len()
     }
 
--- a/crates/jobs/src/runs/replaced_tests.rs
+++ b/crates/jobs/src/runs/replaced_tests.rs
@@ -286,6 +286,42 @@
     );
 }
 
+/// Has a worker be silent from now on; returns for how many milliseconds its run is held.
+fn hold(mut owner: Owner) -> u64 {
+    let since = owner.now;
+    while owner
+        .machine
+        .jobs
+        .get(&TASK.job)
+        .is_some_and(|j| j.has_runs())
+    {
+        let sent = owner.now;
+        owner.answer(0, sent, Answer::Silent);
+        assert!(owner.now < since + 60_000, "held for good");
+    }
+    owner.now - since
+}
+
+/// A start that a later life may have taken holds its run for the longest lease, though looks
+/// that get no answer follow; one that its own life has taken does not.
+#[test]
+fn a_start_without_a_list_is_waited_for_as_long_as_a_later_life_may_run_it() {
+    let longest = Settings::default().longest;
+    let mut own = Owner::new();
+    own.started(0, 1, Started::DoneAt(own.now - 1));
+    let own = hold(own);
+    assert!(own < longest - 2000, "{own}");
+    for started in [Started::Done, Started::DoneAt(10), Started::Unknown] {
+        let mut other = Owner::new();
+        other.started(0, 1, started);
+        let other = hold(other);
+        assert!(
+            (longest..longest + 4500).contains(&other),
+            "{started:?} {other}"
+        );
+    }
+}
+
 #[test]
 fn a_look_tells_of_ends_only_where_they_are_kept_and_its_reader_is_known() {
     let mut owner = Owner::new();
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -90,6 +90,9 @@
     pub(crate) inherited: u64,
     /// When leases are over that it took from orders meant for an earlier life.
     pub(crate) foreign: u64,
+    /// When leases are over that a later life of its name may have taken from orders for this
+    /// one.
+    pub(crate) successor_lease: u64,
     /// Highest end that was counted.
     pub(crate) counted: u64,
     /// Highest end whose count is durable.
@@ -175,6 +178,7 @@
             promised: 0,
             inherited,
             foreign: 0,
+            successor_lease: 0,
             counted: 0,
             observed: 0,
             first_end: None,
@@ -283,7 +287,7 @@
         self.clock = Some((reading, now));
     }
 
-    /// Tells whether its runs are over without its word: its leases are, and it was
+    /// Tells whether its runs are over without its word: its life's leases are, and it was
     /// asked just before and gave no answer.
     ///
     /// Time alone tells nothing: a worker that an owner had not asked yet listed runs
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -41,6 +41,12 @@
 /// timers are late.
 const LEASE_MARGIN: u64 = 60;
 
+/// Returns how much a worker's clock goes on at least while ours goes on by `ms`, both in
+/// milliseconds.
+pub(crate) fn slowest_clock(ms: u64) -> u64 {
+    ms * CLOCK_RATE / 100
+}
+
 /// Returns how long a lease may last by our clock that lasts `ms` by a worker's, both in
 /// milliseconds.
 pub fn longest_lease(ms: u64) -> u64 {
