Count tries of a worker that failed only for runs that keep their place

A worker with a failure gets six runs, and another one two seconds after the last of them was placed. A gang that could not be placed whole counted as such tries in each pass, so that the two seconds never passed; and its members counted against each other, so that a gang wider than the tries never began.

Tries are counted for a gang once all of it has a place, so what is taken back leaves no trace. tasks_running is 0 beside jobs_still above 0 wherever such a guard keeps work from all workers.

--- a/crates/jobs/src/figures.rs
+++ b/crates/jobs/src/figures.rs
@@ -31,6 +31,9 @@
     pub unheard: u64,
     /// Jobs of which nothing has run for seconds though a task could.
     pub still: u64,
+    /// Tasks that have a run. None beside jobs that stand still: a guard keeps work from all
+    /// workers.
+    pub running: u64,
     /// Looks that were sent.
     pub looks: u64,
     /// Passes of placement over the open jobs.
--- a/crates/jobs/src/place/aging.rs
+++ b/crates/jobs/src/place/aging.rs
@@ -132,7 +132,7 @@
         let Some(slot) = self.choose(&request, &mut None, pass) else {
             return;
         };
-        self.plan(task, slot, request.step, None);
+        self.plan(task, slot, request.step);
         pass.starts -= 1;
         pass.note_room(slot, &self.fleet);
         let planned = self.jobs.get(&id).and_then(|j| j.task(task));
--- a/crates/jobs/src/place/apart.rs
+++ b/crates/jobs/src/place/apart.rs
@@ -120,7 +120,7 @@
         let Some(slot) = self.find_apart(id, request, pass) else {
             return false;
         };
-        self.plan(id, slot, request.step, None);
+        self.plan(id, slot, request.step);
         self.keep_apart(id, slot, pass);
         pass.starts -= 1;
         true
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -28,6 +28,14 @@
 /// to one that others failed on, in milliseconds.
 const AVOID: u64 = 2500;
 
+/// A place that was chosen in this pass, and what its task was like before.
+struct Assigned {
+    id: TaskId,
+    slot: u32,
+    /// When it last lost its run.
+    cleared: u64,
+}
+
 /// What became of a gang.
 pub(super) enum Placed {
     /// All that waited are placed.
@@ -151,7 +159,7 @@
                 return;
             };
             request.starved = false;
-            self.plan(id, slot, step, None);
+            self.plan(id, slot, step);
             pass.starts -= 1;
             pass.note_room(slot, &self.fleet);
         }
@@ -196,7 +204,7 @@
         let starts = pass.starts;
         pass.starts = starts.saturating_sub(step.count as usize);
         let mut ranking: Option<Ranking> = None;
-        let mut planned = Vec::new();
+        let mut placed = Vec::new();
         for (beside, index) in members {
             let id = TaskId { index, ..first };
             let apart = match beside {
@@ -212,54 +220,68 @@
             let Some(slot) = slot else {
                 break;
             };
-            self.plan(id, slot, step, Some(run));
+            placed.extend(self.assign(id, slot, step, Some(run)));
             if apart.is_some() {
                 self.keep_apart(id, slot, pass);
             }
             pass.note_room(slot, &self.fleet);
-            planned.push((id, slot));
         }
-        if planned.len() == step.count as usize {
+        if placed.len() == step.count as usize {
+            for member in placed {
+                self.fleet.get_mut(member.slot).note_try(self.now);
+            }
             self.share_checkpoint(first);
             return Placed::All;
         }
         pass.starts = starts;
-        for (id, slot) in planned {
-            self.unplan(id);
-            pass.reopen(slot);
-            pass.note_room(slot, &self.fleet);
+        for member in placed {
+            pass.reopen(member.slot);
+            self.unassign(&member);
+            pass.note_room(member.slot, &self.fleet);
         }
         Placed::Short
     }
 
-    /// Takes a place back that was chosen in this pass: its task has waited all the while.
-    fn unplan(&mut self, id: TaskId) {
-        let cleared = self
-            .jobs
-            .get(&id.job)
-            .and_then(|j| j.task(id))
-            .map(|t| t.cleared);
-        self.clear(id);
-        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
-        if let (Some(task), Some(cleared)) = (task, cleared) {
-            task.cleared = cleared;
+    /// Places a task on a worker, as one of those that it is tried with.
+    pub(super) fn plan(&mut self, id: TaskId, slot: u32, step: &Step) {
+        if self.assign(id, slot, step, None).is_some() {
+            self.fleet.get_mut(slot).note_try(self.now);
         }
     }
 
-    pub(super) fn plan(&mut self, id: TaskId, slot: u32, step: &Step, number: Option<u32>) {
+    /// Places a task on a worker, as the next run or as that with a number; returns what takes
+    /// this back.
+    fn assign(
+        &mut self,
+        id: TaskId,
+        slot: u32,
+        step: &Step,
+        number: Option<u32>,
+    ) -> Option<Assigned> {
         let now = self.now;
-        let state = self.jobs.get_mut(&id.job);
-        let Some(runs) = state.and_then(|j| j.step_mut(id.time, id.step)) else {
-            return;
-        };
+        let state = self.jobs.get_mut(&id.job)?;
+        let runs = state.step_mut(id.time, id.step)?;
         let task = &mut runs.tasks[id.index as usize];
+        let assigned = Assigned {
+            id,
+            slot,
+            cleared: task.cleared,
+        };
         task.last = number.unwrap_or(task.last + 1);
         runs.set_run(id.index as usize, Run::new(slot, Stage::Planned, now));
-        let worker = self.fleet.get_mut(slot);
-        worker.reserve(id, step);
-        worker.probes += 1;
-        worker.probed = now;
+        self.fleet.get_mut(slot).reserve(id, step);
         self.mark(id.job);
+        Some(assigned)
+    }
+
+    /// Takes a place back that was chosen in this pass: its task has waited all the while.
+    fn unassign(&mut self, assigned: &Assigned) {
+        let id = assigned.id;
+        self.clear(id);
+        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
+        if let Some(task) = task {
+            task.cleared = assigned.cleared;
+        }
     }
 
     /// Returns the best worker for a task of a step, if any can take it; `ranking` serves
--- a/crates/jobs/src/runs/trust.rs
+++ b/crates/jobs/src/runs/trust.rs
@@ -30,6 +30,12 @@
         self.probes = 0;
     }
 
+    /// Takes note that a run is placed here.
+    pub(crate) fn note_try(&mut self, now: u64) {
+        self.probes += 1;
+        self.probed = now;
+    }
+
     /// Tells whether its last runs failed and enough others are to show why.
     pub(crate) fn is_on_trial(&self, now: u64) -> bool {
         let recent = now < self.probed + PROBE_AGAIN;
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -27,7 +27,7 @@
             filling += worker.filling;
             serving += worker.serving_cpu;
         }
-        let (mut waiting, mut running, mut slowed) = (0, 0, 0);
+        let (mut waiting, mut running, mut slowed) = (0, 0_u32, 0);
         for id in &self.open {
             let Some(state) = self.jobs.get(id) else {
                 continue;
@@ -41,6 +41,7 @@
                 slowed += u32::from(run.wanted < 100);
             }
         }
+        self.figures.running = u64::from(running);
         log::info!(
             workers = open, cpu = room.cpu, cpu_used = used.cpu, serving, filling,
             age_ms = self.fleet.age(self.now), memory = room.memory, memory_used = used.memory,
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod checkpoints;
 mod common;
 mod crashing;
+mod empty;
 mod evacuation;
 mod gangs;
 mod guards;
--- a/crates/jobs/tests/all/waits.rs
+++ b/crates/jobs/tests/all/waits.rs
@@ -380,3 +380,54 @@
     let wait = longest_wait(&mut world, id, 20_000);
     assert!(wait < LOST, "{wait} ms");
 }
+
+/// A world whose workers all failed of late, and that have nothing to do.
+fn failed_world() -> World {
+    let mut world = world(WORKERS);
+    for worker in &mut world.workers {
+        worker.mode = Mode::FailsAll;
+    }
+    let once = Step {
+        spread: 1,
+        ..short(WORKERS as u32, 200)
+    };
+    world.submit(100, chain(vec![once]));
+    world.run(120);
+    world.cancel(JobId(100));
+    for worker in &mut world.workers {
+        worker.mode = Mode::Well;
+    }
+    world.run(1000);
+    assert!(world.workers.iter().all(|w| w.runs.is_empty()));
+    world
+}
+
+/// A gang that no room can hold is tried again and again: that uses up no trial of a worker that
+/// failed, so that a task behind it begins.
+#[test]
+fn a_gang_that_fits_nowhere_uses_up_no_trials() {
+    let mut world = failed_world();
+    let gang = Step {
+        gang: true,
+        image: Some("wide".into()),
+        ..short(9 * WORKERS as u32, 1000)
+    };
+    world.submit(FIRST, chain(vec![gang]));
+    world.run(500);
+    let id = world.submit(LAST, chain(vec![short(2, 500)]));
+    let wait = longest_wait(&mut world, id, 20_000);
+    assert!(wait < LOST, "{wait} ms");
+}
+
+/// A gang with more tasks than workers are tried with after a failure begins there.
+#[test]
+fn a_gang_that_is_wider_than_a_trial_begins() {
+    let mut world = failed_world();
+    let gang = Step {
+        gang: true,
+        ..short(7 * WORKERS as u32, 1000)
+    };
+    let id = world.submit(LAST, chain(vec![gang]));
+    let wait = longest_wait(&mut world, id, 20_000);
+    assert!(wait < LOST, "{wait} ms");
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -166,6 +166,7 @@
             ("jobs_given_up", decided.given_up),
             ("runs_unheard", decided.unheard),
             ("jobs_still", decided.still),
+            ("tasks_running", decided.running),
             ("looks", decided.looks),
             ("tasks", decided.tasks),
             ("passes", decided.passes),
