Pass over nothing for the room that a gang has given back

Callers' tasks waited beside free room: after a gang that could not be placed whole, tasks of its image and its size or larger were passed over for the rest of the pass, and so in each pass as long as the gang waited before them.

Cause: a task that no worker can take is remembered for the pass. That was found out while members of the gang held the room, and kept when they gave it back.

What was found out beside members that gave up their places is forgotten; what did not fit before any member was placed still holds.

--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -203,6 +203,7 @@
         members.sort_unstable();
         let starts = pass.starts;
         pass.starts = starts.saturating_sub(step.count as usize);
+        let misfits = pass.misfits.len();
         let mut ranking: Option<Ranking> = None;
         let mut placed = Vec::new();
         for (beside, index) in members {
@@ -234,6 +235,10 @@
             return Placed::All;
         }
         pass.starts = starts;
+        if !placed.is_empty() {
+            // What did not fit beside its members may fit without them.
+            pass.misfits.truncate(misfits);
+        }
         for member in placed {
             pass.reopen(member.slot);
             self.unassign(&member);
--- a/crates/jobs/tests/all/waits.rs
+++ b/crates/jobs/tests/all/waits.rs
@@ -431,3 +431,23 @@
     let wait = longest_wait(&mut world, id, 20_000);
     assert!(wait < LOST, "{wait} ms");
 }
+
+/// Room that a gang would have taken counts as free again for tasks of its size.
+#[test]
+fn a_gang_that_fits_nowhere_holds_back_no_task_of_its_size() {
+    let mut world = world(WORKERS);
+    // Both are in time for long, so that the gang comes first.
+    let step = Step {
+        cpu: 5000,
+        ..short(1, 60_000)
+    };
+    let gang = Step {
+        gang: true,
+        count: 2 * WORKERS as u32,
+        ..step.clone()
+    };
+    world.submit(FIRST, chain(vec![gang]));
+    let id = world.submit(LAST, chain(vec![step]));
+    let wait = longest_wait(&mut world, id, 4000);
+    assert!(wait < LOST, "{wait} ms");
+}
