Write no records of a gang that could not be placed

The store was written to ten times a second for each gang that waited for room, though nothing had happened.

Cause: a pass numbers the runs of a gang's members before it knows whether all of them find a place, and did not give the numbers back, so that the log told of the change.

--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -32,6 +32,8 @@
 struct Assigned {
     id: TaskId,
     slot: u32,
+    /// Number of its last run.
+    last: u32,
     /// When it last lost its run.
     cleared: u64,
 }
@@ -270,6 +272,7 @@
         let assigned = Assigned {
             id,
             slot,
+            last: task.last,
             cleared: task.cleared,
         };
         task.last = number.unwrap_or(task.last + 1);
@@ -279,12 +282,14 @@
         Some(assigned)
     }
 
-    /// Takes a place back that was chosen in this pass: its task has waited all the while.
+    /// Takes a place back that was chosen in this pass: its task has waited all the while, and
+    /// nothing of it has to be made durable.
     fn unassign(&mut self, assigned: &Assigned) {
         let id = assigned.id;
         self.clear(id);
         let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
         if let Some(task) = task {
+            task.last = assigned.last;
             task.cleared = assigned.cleared;
         }
     }
--- a/crates/jobs/tests/all/waits.rs
+++ b/crates/jobs/tests/all/waits.rs
@@ -451,3 +451,19 @@
     let wait = longest_wait(&mut world, id, 4000);
     assert!(wait < LOST, "{wait} ms");
 }
+
+/// A gang that fits nowhere changes nothing that would have to be made durable.
+#[test]
+fn a_gang_that_fits_nowhere_is_not_written_again() {
+    let mut world = world(WORKERS);
+    let gang = Step {
+        gang: true,
+        cpu: 5000,
+        ..short(2 * WORKERS as u32, 1000)
+    };
+    world.submit(FIRST, chain(vec![gang]));
+    world.run(1000);
+    let before = world.figures().commits;
+    world.run(5000);
+    assert_eq!(world.figures().commits, before);
+}
