Let the first task of a shape speak for the others that wait

Callers' small tasks never ran while eight larger ones of the same team and priority waited before them, beside free room.

Cause: a round looked at eight tasks of a lane, and those that were known to fit nowhere counted.

Tasks of one class and size that found no room stand in a line of their own; its first is tried in each round, the rest is not walked. A task that avoids workers no longer marks its size as one that fits nowhere.

--- a/crates/core/src/shard/mod.rs
+++ b/crates/core/src/shard/mod.rs
@@ -46,7 +46,7 @@
 pub use exchanges::checkpoint_key;
 pub use job::{Job, JobKey, JobSpec, JobState};
 pub use machine::{Machine, ShardPlace, Takeover};
-pub use queue::{Queue, Ready, TaskRef};
+pub use queue::{Queue, Ready, Shape, TaskRef};
 pub use record::{End, Record};
 pub use resident::{Resident, StopWhy};
 pub use settings::ShardSettings;
--- a/crates/core/src/shard/place_tasks.rs
+++ b/crates/core/src/shard/place_tasks.rs
@@ -3,7 +3,8 @@
 use rand::Rng;
 
 use super::{
-    AttemptId, Job, Machine, Ready, Record, Reserve, StopWhy, Task, TaskRef, TaskState, Worker,
+    AttemptId, Job, Machine, Ready, Record, Reserve, Shape, StopWhy, Task, TaskRef, TaskState,
+    Worker,
 };
 use crate::{
     Millis,
@@ -18,9 +19,13 @@
 /// Shards up to this many workers compare all of them.
 const FULL: usize = 48;
 
-/// Tasks of a lane that may be passed over in one round.
+/// Tasks of a lane that may be passed over in one round, of those that stand for themselves
+/// alone: others of their shape may find room where they don't.
 const LOOKAHEAD: usize = 8;
 
+/// Tasks of a shape for which room is made at a time.
+const PREEMPTING: usize = 8;
+
 /// Time after which placement is tried although nothing changed.
 const RETRY: Millis = 200;
 
@@ -55,6 +60,18 @@
     pub avoid: Vec<crate::name::Name>,
 }
 
+impl Wanted {
+    /// Returns what it has in common with the tasks that find room where it does; nothing if it
+    /// stands for itself alone.
+    fn shape(&self) -> Option<Shape> {
+        let alone = self.service || !self.avoid.is_empty();
+        (!alone).then_some(Shape {
+            class: self.class,
+            size: self.size,
+        })
+    }
+}
+
 /// The first task of a lane that has a place.
 struct Head {
     team: u16,
@@ -64,14 +81,30 @@
     score: f32,
 }
 
+/// A shape of a team's tasks.
+#[derive(PartialEq)]
+struct Passed {
+    team: u16,
+    shape: Shape,
+}
+
 /// What is left over while a priority is placed.
 #[derive(Default)]
 struct Leftover {
     tasks: Vec<(u16, Ready)>,
+    /// Shapes that found no room in this round.
+    passed: Vec<Passed>,
     /// Sizes that fit nowhere.
     stuck: Vec<Size>,
 }
 
+impl Leftover {
+    fn is_passed(&self, team: u16, shape: &Shape) -> bool {
+        let mut passed = self.passed.iter();
+        passed.any(|p| p.team == team && p.shape == *shape)
+    }
+}
+
 impl Machine {
     /// Gives queued tasks to workers: urgent first.
     pub(super) fn place_tasks(&mut self, now: Millis) {
@@ -141,13 +174,11 @@
         team: u16,
         over: &mut Leftover,
     ) -> Option<Head> {
-        let passed = over.tasks.iter().filter(|t| t.0 == team).count();
-        for _ in passed..LOOKAHEAD {
-            let (ready, wanted) = loop {
-                let ready = self.queue.pop(priority, team)?;
-                if let Some(wanted) = self.wanted(ready.task) {
-                    break (ready, wanted);
-                }
+        while over.tasks.iter().filter(|t| t.0 == team).count() < LOOKAHEAD {
+            let is_passed = |shape: &Shape| over.is_passed(team, shape);
+            let ready = self.queue.pop_oldest(priority, team, is_passed)?;
+            let Some(wanted) = self.wanted(ready.task) else {
+                continue;
             };
             if !self.teams[usize::from(team)].allows(&wanted.size) {
                 over.tasks.push((team, ready));
@@ -168,15 +199,36 @@
                     score,
                 });
             }
-            if !wanted.service && !stuck {
+            self.consider_preempting(now, &wanted, ready.since);
+            let Some(shape) = wanted.shape() else {
+                over.tasks.push((team, ready));
+                continue;
+            };
+            if !stuck {
                 over.stuck.push(wanted.size);
             }
-            self.consider_preempting(now, &wanted, ready.since);
-            over.tasks.push((team, ready));
+            self.queue.hold(priority, team, ready, shape);
+            if !over.is_passed(team, &shape) {
+                over.passed.push(Passed { team, shape });
+                self.preempt_line(now, team, priority, &shape);
+            }
         }
         None
     }
 
+    /// Makes room for urgent tasks that are held up behind the first of their shape.
+    fn preempt_line(&mut self, now: Millis, team: u16, priority: Priority, shape: &Shape) {
+        if priority != Priority::Urgent {
+            return;
+        }
+        let held = self.queue.first_held(priority, team, shape, PREEMPTING);
+        for ready in held.into_iter().skip(1) {
+            if let Some(wanted) = self.wanted(ready.task) {
+                self.consider_preempting(now, &wanted, ready.since);
+            }
+        }
+    }
+
     /// Returns the head to be placed next.
     ///
     /// The baselines go by the teams' use and then by age. The learning policy
--- a/crates/core/src/shard/queue.rs
+++ b/crates/core/src/shard/queue.rs
@@ -1,10 +1,16 @@
 //! Queued tasks, by priority and fair between teams.
+//!
+//! The load pattern that this answers: thousands of tasks that fit nowhere, before others that
+//! do. Tasks of one shape find room alike, so that those that were held up stand in a line for
+//! each shape, and the first of a line speaks for all of it.
+//!
+//! Limits: there is a line for each shape that waits, and each is tried in each round.
 
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
 
-use crate::template::Priority;
+use crate::{size::Size, template::Priority};
 
 /// A task of a job in a shard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -24,12 +30,75 @@
     pub since: u64,
 }
 
+impl Ready {
+    /// Returns what ready tasks are ordered by: the oldest comes first.
+    fn age(&self) -> (u64, TaskRef) {
+        (self.since, self.task)
+    }
+}
+
+/// What tasks have in common that find room alike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shape {
+    /// Number of their class.
+    pub class: u16,
+    /// What each of them asks for.
+    pub size: Size,
+}
+
+/// Tasks of one shape that found no room when they were last tried, the oldest first.
+#[derive(Debug, Clone)]
+struct Line {
+    shape: Shape,
+    tasks: VecDeque<Ready>,
+}
+
 /// Tasks of one team and priority.
 #[derive(Debug, Clone)]
 struct Lane {
     priority: Priority,
     team: u16,
+    /// Those that were not held up.
     tasks: VecDeque<Ready>,
+    held: Vec<Line>,
+}
+
+impl Lane {
+    fn new(priority: Priority, team: u16) -> Lane {
+        Lane {
+            priority,
+            team,
+            tasks: VecDeque::new(),
+            held: Vec::new(),
+        }
+    }
+
+    fn len(&self) -> usize {
+        let held: usize = self.held.iter().map(|l| l.tasks.len()).sum();
+        self.tasks.len() + held
+    }
+
+    fn line(&self, shape: &Shape) -> Option<usize> {
+        self.held.iter().position(|l| l.shape == *shape)
+    }
+
+    /// Returns the line with the oldest first task, of those that are not passed over.
+    fn oldest_line(&self, is_passed: impl Fn(&Shape) -> bool) -> Option<(usize, Ready)> {
+        let lines = self.held.iter().enumerate();
+        let firsts = lines
+            .filter(|(_, l)| !is_passed(&l.shape))
+            .filter_map(|(at, l)| l.tasks.front().map(|f| (at, *f)));
+        firsts.min_by_key(|(_, first)| first.age())
+    }
+
+    /// Takes the first task of a line.
+    fn pop_line(&mut self, at: usize) -> Option<Ready> {
+        let first = self.held[at].tasks.pop_front();
+        if self.held[at].tasks.is_empty() {
+            self.held.swap_remove(at);
+        }
+        first
+    }
 }
 
 /// Tasks that wait until a time.
@@ -54,12 +123,14 @@
 impl Queue {
     /// Adds a task at the end of its lane.
     pub fn push(&mut self, priority: Priority, team: u16, task: TaskRef, since: u64) {
-        self.lane(priority, team).push_back(Ready { task, since });
+        self.lane(priority, team)
+            .tasks
+            .push_back(Ready { task, since });
     }
 
     /// Puts a task back at the front of its lane.
     pub fn push_front(&mut self, priority: Priority, team: u16, ready: Ready) {
-        self.lane(priority, team).push_front(ready);
+        self.lane(priority, team).tasks.push_front(ready);
     }
 
     /// Adds a task that becomes ready at `until`.
@@ -86,7 +157,7 @@
 
     /// Returns the number of entries, stale ones included.
     pub fn len(&self) -> usize {
-        let ready: usize = self.lanes.iter().map(|l| l.tasks.len()).sum();
+        let ready: usize = self.lanes.iter().map(Lane::len).sum();
         ready + self.delayed.len()
     }
 
@@ -99,37 +170,74 @@
     pub fn teams(&self, priority: Priority) -> Vec<u16> {
         let mut teams = Vec::new();
         for lane in &self.lanes {
-            if lane.priority == priority && !lane.tasks.is_empty() {
+            if lane.priority == priority && lane.len() > 0 {
                 teams.push(lane.team);
             }
         }
         teams
     }
 
-    /// Takes the first ready task of a lane.
+    /// Takes the first ready task of a lane, of those that are not held up.
     pub fn pop(&mut self, priority: Priority, team: u16) -> Option<Ready> {
-        self.lane(priority, team).pop_front()
+        self.lane(priority, team).tasks.pop_front()
+    }
+
+    /// Takes the oldest ready task of a lane, held up or not, but for those that are held up and
+    /// whose shape is passed over.
+    pub fn pop_oldest(
+        &mut self,
+        priority: Priority,
+        team: u16,
+        is_passed: impl Fn(&Shape) -> bool,
+    ) -> Option<Ready> {
+        let lane = self.lane(priority, team);
+        let line = lane.oldest_line(is_passed);
+        match (lane.tasks.front(), line) {
+            (Some(first), Some((at, held))) if held.age() < first.age() => lane.pop_line(at),
+            (None, Some((at, _))) => lane.pop_line(at),
+            _ => lane.tasks.pop_front(),
+        }
+    }
+
+    /// Has a task that found no room wait behind older ones of its shape.
+    pub fn hold(&mut self, priority: Priority, team: u16, ready: Ready, shape: Shape) {
+        let lane = self.lane(priority, team);
+        let Some(at) = lane.line(&shape) else {
+            let tasks = VecDeque::from([ready]);
+            lane.held.push(Line { shape, tasks });
+            return;
+        };
+        let tasks = &mut lane.held[at].tasks;
+        match tasks.front().is_some_and(|f| ready.age() < f.age()) {
+            true => tasks.push_front(ready),
+            false => tasks.push_back(ready),
+        }
+    }
+
+    /// Returns the first tasks of a shape that are held up, `most` at most.
+    pub fn first_held(
+        &mut self,
+        priority: Priority,
+        team: u16,
+        shape: &Shape,
+        most: usize,
+    ) -> Vec<Ready> {
+        let lane = self.lane(priority, team);
+        let tasks = lane.line(shape).map(|at| &lane.held[at].tasks);
+        tasks.map_or(Vec::new(), |t| t.iter().take(most).copied().collect())
     }
 
-    fn lane(&mut self, priority: Priority, team: u16) -> &mut VecDeque<Ready> {
+    fn lane(&mut self, priority: Priority, team: u16) -> &mut Lane {
         let found = self
             .lanes
             .binary_search_by_key(&(priority, team), |l| (l.priority, l.team));
         let i = match found {
             Ok(i) => i,
             Err(i) => {
-                let tasks = VecDeque::new();
-                self.lanes.insert(
-                    i,
-                    Lane {
-                        priority,
-                        team,
-                        tasks,
-                    },
-                );
+                self.lanes.insert(i, Lane::new(priority, team));
                 i
             }
         };
-        &mut self.lanes[i].tasks
+        &mut self.lanes[i]
     }
 }
--- a/crates/core/tests/waits.rs
+++ b/crates/core/tests/waits.rs
@@ -3,7 +3,12 @@
 mod common;
 
 use common::{World, WorldSettings, check_promises, spec};
-use gorsespur_core::{place::PlacePolicy, shard::JobState, size::Size, template::Priority};
+use gorsespur_core::{
+    place::PlacePolicy,
+    shard::{JobState, Queue, Shape, TaskRef},
+    size::Size,
+    template::Priority,
+};
 use test_case::test_case;
 
 /// Tasks that are larger than what is free on any worker wait before a small one of the same team.
@@ -25,3 +30,59 @@
     assert_eq!(status.state, JobState::Done, "20 s after it was submitted");
     check_promises(&w);
 }
+
+/// Tasks of many sizes that are larger than what is free on any worker wait before a small one of
+/// the same team.
+#[test]
+fn tasks_of_many_sizes_that_fit_nowhere_hold_back_no_smaller_one() {
+    let mut settings = WorldSettings::default();
+    settings.shard.policy = PlacePolicy::LeastLoaded;
+    let mut w = World::new(settings);
+    w.submit(spec("long", 4, 600_000, Priority::Normal));
+    w.run(3_000);
+    for i in 0..12 {
+        let mut large = spec(&format!("large{i}"), 2, 1_000, Priority::Normal);
+        large.size = Size::new(29_000 - 100 * i, (1 + i) << 28, 0);
+        w.submit(large);
+    }
+    w.run(2_000);
+    w.submit(spec("small", 1, 500, Priority::Normal));
+    w.run(20_000);
+    let status = w.status(&w.submitted[13].0).expect("known");
+    assert_eq!(status.state, JobState::Done, "20 s after it was submitted");
+    check_promises(&w);
+}
+
+/// Tasks that were held up wait by shape, and in each shape and over all by age.
+#[test]
+fn held_tasks_come_by_age() {
+    let mut queue = Queue::default();
+    let (lane, team) = (Priority::Normal, 0);
+    let shapes = [1, 2].map(|class| Shape {
+        class,
+        size: Size::new(1000, 1 << 20, 0),
+    });
+    for task in 0..6 {
+        queue.push(lane, team, TaskRef { job: 1, task }, 10 + u64::from(task));
+    }
+    for at in [0, 1, 0, 1] {
+        let ready = queue.pop(lane, team).expect("ready");
+        queue.hold(lane, team, ready, shapes[at]);
+    }
+    // The first of a shape was tried and is held again.
+    let first = queue.pop_oldest(lane, team, |_| false).expect("held");
+    assert_eq!(first.task.task, 0);
+    queue.hold(lane, team, first, shapes[0]);
+    let held = queue.first_held(lane, team, &shapes[0], 8);
+    assert_eq!(held.iter().map(|r| r.task.task).collect::<Vec<_>>(), [0, 2]);
+    assert_eq!((queue.len(), queue.teams(lane)), (6, vec![team]));
+    let passed = |s: &Shape| *s == shapes[0];
+    let mut taken = Vec::new();
+    while let Some(ready) = queue.pop_oldest(lane, team, passed) {
+        taken.push(ready.task.task);
+    }
+    assert_eq!(taken, [1, 3, 4, 5]);
+    let rest = queue.pop_oldest(lane, team, |_| false);
+    assert_eq!(rest.map(|r| r.task.task), Some(0));
+    assert_eq!(queue.len(), 1);
+}
