Let a task fill beside tails that are over their targets by themselves

Callers' filling jobs never ran where all services were overloaded for good, though nearly all room was free.

Cause: a tail over its target closed its worker to all that fills, and halted what filled there, also where the tail was over its target with nothing beside it.

A tail that stays over its target for the time that users count as harm while nothing fills is so by its own load. What fills there is halted after half of that time until a figure shows the tail over without it, so that what counts as harm never lasts without a break, whenever the load falls.

--- a/crates/jobs/src/place/rank.rs
+++ b/crates/jobs/src/place/rank.rs
@@ -115,7 +115,7 @@
             let share = worker.share(step.cpu);
             let slack = self.slack(slot);
             let excess = slack.excess(takes, share);
-            if slack.over {
+            if slack.over && !self.may_fill_beside(slot, request) {
                 return Err(Refusal::Tail);
             }
             if excess > 0.0 && !request.starved {
@@ -126,6 +126,12 @@
         Ok(points)
     }
 
+    /// Tells whether a task may begin to fill beside a tail that is over its target.
+    fn may_fill_beside(&self, slot: u32, request: &Request<'_>) -> bool {
+        let worker = self.fleet.get(slot);
+        request.starved && worker.filling == 0 && worker.own_load.may_fill(self.now)
+    }
+
     /// Tells whether a worker has as many tasks of a step as it may have.
     pub(super) fn is_spread(&self, slot: u32, request: &Request<'_>) -> bool {
         let (first, spread) = (request.first, request.step.spread);
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -277,7 +277,11 @@
         };
         task.last = number.unwrap_or(task.last + 1);
         runs.set_run(id.index as usize, Run::new(slot, Stage::Planned, now));
-        self.fleet.get_mut(slot).reserve(id, step);
+        let worker = self.fleet.get_mut(slot);
+        worker.reserve(id, step);
+        if step.fill {
+            worker.own_load.note_filling(true, now);
+        }
         self.mark(id.job);
         Some(assigned)
     }
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -6,7 +6,7 @@
     model::{ids::TaskId, life::Life, spec::Step},
     runs::{loose::Loose, stray::Stray},
     settings::{Settings, longest_lease},
-    share::{slack::Slack, spare::unused},
+    share::{own_load::OwnLoad, slack::Slack, spare::unused},
 };
 
 /// A look without an answer tells something for this long after it was sent, in
@@ -157,6 +157,8 @@
     pub(crate) figured: u64,
     /// Whether a tail on it was over its target then, and something filled.
     pub(crate) over: bool,
+    /// What its figures tell of the load of what serves there.
+    pub(crate) own_load: OwnLoad,
     /// What its serving tasks bear; nothing if that has to be worked out anew.
     pub(crate) slack: Option<Slack>,
 }
@@ -211,6 +213,7 @@
             spare: 0,
             figured: 0,
             over: false,
+            own_load: OwnLoad::default(),
             slack: None,
         }
     }
--- a/crates/jobs/src/share/mod.rs
+++ b/crates/jobs/src/share/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod foresee;
 pub(crate) mod headroom;
 pub(crate) mod learned;
+pub(crate) mod own_load;
 pub(crate) mod pace;
 pub(crate) mod pairs;
 pub(crate) mod sample;
--- a/crates/jobs/src/share/pace.rs
+++ b/crates/jobs/src/share/pace.rs
@@ -76,7 +76,7 @@
     pub(crate) fn choose_paces(&mut self, slot: u32) {
         let (served, fillers) = self.residents(slot);
         let mut paces = vec![100; fillers.len()];
-        for s in &served {
+        for s in served.iter().filter(|s| !s.is_own) {
             self.protect(s, &fillers, &mut paces);
         }
         for (filler, pace) in fillers.iter().zip(paces) {
@@ -112,7 +112,8 @@
     pub(crate) fn escalate(&mut self, slot: u32) {
         let (served, fillers) = self.residents(slot);
         for filler in &fillers {
-            let most = served.iter().map(|s| {
+            let bounding = served.iter().filter(|s| !s.is_own);
+            let most = bounding.map(|s| {
                 let harms = self.pairs.harms(filler.image, s.image);
                 let (harmful, others) = s.caps();
                 if harms { harmful } else { others }
@@ -145,7 +146,12 @@
             run.wanted = pace;
             self.pacing.push(id);
         }
-        if pace >= MOVE_BELOW {
+        let worker = self.fleet.get_mut(run.worker);
+        if pace > 0 {
+            worker.own_load.note_filling(true, now);
+        }
+        // A halt for a proof is short.
+        if pace >= MOVE_BELOW || worker.own_load.is_proven(now) {
             run.slowed = None;
             return;
         }
--- a/crates/jobs/src/share/slack.rs
+++ b/crates/jobs/src/share/slack.rs
@@ -29,6 +29,8 @@
     pub(crate) headroom: Headroom,
     /// For how long it is over its target, in milliseconds.
     pub(crate) over: u64,
+    /// Whether that is by its own load, and something may fill for now.
+    pub(crate) is_own: bool,
 }
 
 /// A filling run on a worker.
@@ -91,6 +93,7 @@
                     image,
                     headroom: runs.headroom,
                     over: run.over.map_or(0, |since| (self.now - since).max(1)),
+                    is_own: run.over.is_some() && worker.own_load.may_fill(self.now),
                 });
             } else if step.fill {
                 fillers.push(Filler {
--- a/crates/jobs/src/share/watch.rs
+++ b/crates/jobs/src/share/watch.rs
@@ -7,6 +7,7 @@
     machine::Machine,
     share::{
         forecast::Point,
+        own_load::OwnLoad,
         sample::{Group, Press},
     },
 };
@@ -30,8 +31,9 @@
             return;
         }
         worker.figured = now;
+        let is_working = self.fills_at_work(slot);
         let press: Arc<[Press]> = self.press(slot, look, ended).into();
-        let mut over = false;
+        let (mut over, mut is_above) = (false, false);
         for row in &look.running {
             let Some(state) = self.jobs.get_mut(&row.task.job) else {
                 continue;
@@ -58,12 +60,15 @@
                 step: row.task.step,
             };
             let share = ms as f64 / target as f64;
+            is_above |= share >= 1.0;
             self.pairs.note(group, image, 1.0 / share, &press);
             let worst = lowest - self.pairs.taken(image, &press);
             run.note_tail(share, worst, now);
             over |= run.over.is_some();
         }
         let worker = self.fleet.get_mut(slot);
+        worker.own_load.note_filling(is_working, now);
+        worker.own_load.note_tails(is_above, now);
         worker.over = over && worker.filling > 0;
         worker.slack = None;
         if worker.filling > 0 {
@@ -76,6 +81,7 @@
     fn watch_fillers(&mut self, slot: u32) {
         let worker = self.fleet.get_mut(slot);
         worker.over = false;
+        worker.own_load = OwnLoad::default();
         if worker.filling > 0 {
             self.choose_paces(slot);
         }
@@ -118,6 +124,21 @@
         }
     }
 
+    /// Tells whether something that fills on a worker may be at work.
+    fn fills_at_work(&self, slot: u32) -> bool {
+        let worker = self.fleet.get(slot);
+        if worker.filling == 0 {
+            return false;
+        }
+        let (_, fillers) = self.residents(slot);
+        let runs = fillers.iter().filter_map(|f| {
+            let task = self.jobs.get(&f.task.job)?.task(f.task)?;
+            task.run.as_ref()
+        });
+        let mut working = runs.filter(|r| r.pace > 0 || r.wanted > 0);
+        working.next().is_some()
+    }
+
     /// Returns what filled on a worker for the last half second, with its share of the
     /// processors.
     ///
--- a/crates/jobs/tests/all/sharing.rs
+++ b/crates/jobs/tests/all/sharing.rs
@@ -441,3 +441,53 @@
     );
     assert!(with > 1.15 * without, "{with} s, {without} s without");
 }
+
+/// The tail is over its target by its own load; what was halted beside it can't move.
+#[test]
+fn what_is_halted_goes_on_beside_a_tail_that_is_over_by_itself() {
+    let mut world = World::new(WorldSettings {
+        workers: 1,
+        ..WorldSettings::default()
+    });
+    world.run(100);
+    world.submit(1, chain(vec![serving(1)]));
+    world.workers[0].tails = vec![60];
+    world.run(1000);
+    let id = world.submit(2, chain(vec![filling("light", 1)]));
+    world.run(200);
+    world.workers[0].tails = vec![120];
+    world.run(30_000);
+    assert_eq!(world.outcome(id), Outcome::Complete, "{:?}", paces(&world));
+}
+
+/// The load that took the tail over its target by itself falls, and from then on the tail is
+/// over because of what fills: not for as long as users count as harm.
+#[test]
+fn what_fills_beside_a_tail_that_was_over_by_itself_does_no_harm() {
+    for phase in (0..4000).step_by(100) {
+        let mut world = World::new(WorldSettings {
+            workers: 1,
+            ..WorldSettings::default()
+        });
+        world.run(100);
+        world.submit(1, chain(vec![serving(1)]));
+        world.workers[0].tails = vec![120];
+        world.run(7000);
+        for job in 0..60 {
+            world.submit(100 + job, chain(vec![filling("light", 3)]));
+        }
+        world.run(2000 + phase);
+        let (mut harmed, mut longest) = (0, 0);
+        for _ in 0..400 {
+            let fills = world.workers[0].runs.iter().any(|r| r.fill && r.pace > 0);
+            world.workers[0].tails = vec![if fills { 110 } else { 90 }];
+            harmed = if fills { harmed + 50 } else { 0 };
+            longest = longest.max(harmed);
+            world.run(50);
+        }
+        assert!(
+            longest < 3500,
+            "{phase}: {longest} ms, and half a second for a pace"
+        );
+    }
+}
