Hold a worker for a task whose room lies in pieces

Callers' tasks waited for good beside much free room that lay in pieces on all workers: a lasting task that needs most of a worker's memory, and a short one where less than half of the memory was taken.

Cause: only lasting tasks had a worker kept free, one that had enough memory as if what ran there never ended, which what fills might take all the same; and it was chosen anew in each pass. For other tasks each free piece went to the next smaller one.

A task that has waited holds the worker where enough runs end soonest, over passes, until it has a place or for as long as users let a lasting task wait. Of tasks that don't last one at a time holds a worker, and only while half of the room is free, which is when users count its job as lost.

--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -14,7 +14,7 @@
         spec::Job,
     },
     order::times::Guesses,
-    place::{aging::Aging, window::Window},
+    place::{aging::Aging, hold::Hold, window::Window},
     runs::{fleet::Fleet, log::Log},
     settings::Settings,
     share::{pairs::Pairs, sample::Image, season::Season},
@@ -52,6 +52,8 @@
     pub(crate) window: Window,
     /// How many of the open jobs, the last ones, can't be in time.
     pub(crate) late: usize,
+    /// Workers that are kept free for tasks that have waited for long.
+    pub(crate) holds: Vec<Hold>,
     /// Jobs that stand still.
     pub(crate) aging: Aging,
     /// Jobs whose records changed.
@@ -102,6 +104,7 @@
             counted: Vec::new(),
             window: Window::default(),
             late: 0,
+            holds: Vec::new(),
             aging: Aging::default(),
             dirty: Vec::new(),
             fleet,
--- /dev/null
+++ b/crates/jobs/src/place/hold.rs
@@ -0,0 +1,189 @@
+//! Keeps a worker free for a task that fits nowhere yet.
+//!
+//! The load pattern that this answers: room that lies in pieces. Smaller tasks take each piece
+//! as soon as it is free, so that a large task never finds enough of them on one worker, however
+//! much room there is in all.
+//!
+//! Limits: a lasting task holds a worker once it has waited for long; of the others one at a
+//! time does, and only while half of the room is free. What fills goes on there as far as it
+//! leaves enough memory.
+
+use crate::{
+    machine::Machine,
+    model::{ids::TaskId, job::JobState, task::Run},
+    place::{pass::Pass, request::Request},
+    runs::worker::{Capacity, Worker, size},
+};
+
+/// A job of which nothing has run for this long may hold a worker, in milliseconds: users count
+/// it as lost after 3 s, and what runs there takes its time to end.
+const HELD_UP: u64 = 1000;
+
+/// A worker is held for this long at the most, in milliseconds: users count a lasting task as
+/// lost that waits for as long beside room.
+const LONGEST: u64 = 6000;
+
+/// A worker that is kept free of others for a task of a step.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Hold {
+    /// The step's first task.
+    first: TaskId,
+    slot: u32,
+    /// What the task asks for.
+    size: Capacity,
+    lasting: bool,
+    /// When it ends.
+    until: u64,
+}
+
+impl Hold {
+    /// Tells whether a worker that takes something of this size as well has too little memory or
+    /// too few accelerators for the task.
+    fn is_short(&self, worker: &Worker, more: Capacity) -> bool {
+        let (room, used) = (worker.capacity(), worker.used);
+        room.memory < used.memory + more.memory + self.size.memory
+            || room.gpu < used.gpu + more.gpu + self.size.gpu
+    }
+}
+
+impl Machine {
+    /// Returns the workers that are held at the beginning of a pass.
+    pub(super) fn note_holds(&mut self) -> Vec<Hold> {
+        let mut holds = std::mem::take(&mut self.holds);
+        holds.retain(|h| self.is_wanted(h));
+        self.holds = holds;
+        self.holds.clone()
+    }
+
+    /// Tells whether a worker is still to be held.
+    fn is_wanted(&self, hold: &Hold) -> bool {
+        let first = hold.first;
+        let state = self.jobs.get(&first.job);
+        let Some(state) = state.filter(|s| !s.outcome.is_final()) else {
+            return false;
+        };
+        let waits = state.times[first.time as usize][first.step as usize].idle > 0;
+        let held_up = hold.lasting || !state.has_runs();
+        let open = self.fleet.get(hold.slot).is_open(self.now);
+        waits && held_up && open && self.now < hold.until
+    }
+
+    /// Tells whether a worker is held for a task of another step.
+    pub(super) fn is_held(&self, slot: u32, request: &Request<'_>, pass: &Pass) -> bool {
+        let others = pass.held.iter().filter(|h| h.slot == slot);
+        let mut others = others.filter(|h| h.first != request.first);
+        let step = request.step;
+        let worker = self.fleet.get(slot);
+        others.any(|h| !step.fill || h.is_short(worker, size(step)))
+    }
+
+    /// Holds a worker for a task that fits nowhere, if it has waited for long.
+    pub(super) fn hold_room(&mut self, request: &Request<'_>, pass: &mut Pass) {
+        let first = request.first;
+        if pass.held.iter().any(|h| h.first == first) {
+            return;
+        }
+        let Some(state) = self.jobs.get(&first.job) else {
+            return;
+        };
+        let lasting = request.step.lasting;
+        let due = match lasting {
+            true => self.is_overdue(state),
+            false => self.is_held_up(state, request, pass),
+        };
+        if !due {
+            return;
+        }
+        let Some(slot) = self.find_room(request, pass) else {
+            return;
+        };
+        let hold = Hold {
+            first,
+            slot,
+            size: size(request.step),
+            lasting,
+            until: self.now + LONGEST,
+        };
+        log::info!(task = first.to_string().as_str(), worker = &*self.fleet.get(slot).id, lasting; "worker: kept free");
+        self.holds.push(hold);
+        pass.held.push(hold);
+    }
+
+    /// Tells whether a job stands still beside much room, and may hold a worker.
+    fn is_held_up(&self, state: &JobState, request: &Request<'_>, pass: &Pass) -> bool {
+        let since = state.still_since();
+        let long = since.is_some_and(|at| self.now > at + HELD_UP);
+        long && !pass.is_half_full(request.service) && pass.held.iter().all(|h| h.lasting)
+    }
+
+    /// Finds the worker that soonest has room for a task of a step, of those that have none now
+    /// and are not held already.
+    fn find_room(&self, request: &Request<'_>, pass: &Pass) -> Option<u32> {
+        let step = request.step;
+        let mut best: Option<(u64, u64, u32)> = None;
+        for (slot, worker) in (0..).zip(&self.fleet.workers) {
+            let kept = pass.held.iter().any(|h| h.slot == slot);
+            if kept
+                || self.is_spread(slot, request)
+                || self.may_take(worker, step, request.service).is_err()
+            {
+                continue;
+            }
+            let wait = self.time_to_room(worker, size(step));
+            // Else it is not for want of room that the task waits, or it would wait for too long.
+            let wait = wait.filter(|w| step.lasting || (1..LONGEST).contains(w));
+            let Some(wait) = wait else {
+                continue;
+            };
+            let used = worker.used.cpu;
+            if best.is_none_or(|b| (wait, used, slot) < b) {
+                best = Some((wait, used, slot));
+            }
+        }
+        best.map(|(_, _, slot)| slot)
+    }
+
+    /// Returns in how many milliseconds enough of a worker's runs are likely to have ended for
+    /// something of a size; nothing if those that last leave too little.
+    fn time_to_room(&self, worker: &Worker, wanted: Capacity) -> Option<u64> {
+        let room = worker.capacity();
+        let mut ends: Vec<(u64, Capacity)> = Vec::new();
+        for &id in &worker.runs {
+            let Some(state) = self.jobs.get(&id.job) else {
+                continue;
+            };
+            let step = &state.job.spec.steps[id.step as usize];
+            let Some(run) = state.task(id).and_then(|t| t.run.as_ref()) else {
+                continue;
+            };
+            if !step.lasting || !run.is_wanted() {
+                ends.push((time_left(run, step.estimate), size(step)));
+            }
+        }
+        ends.sort_unstable_by_key(|(at, _)| *at);
+        let mut used = worker.used;
+        let fits = |used: Capacity| {
+            used.cpu + wanted.cpu <= room.cpu
+                && used.memory + wanted.memory <= room.memory
+                && used.gpu + wanted.gpu <= room.gpu
+        };
+        if fits(used) {
+            return Some(0);
+        }
+        for (at, ended) in ends {
+            used.free(ended);
+            if fits(used) {
+                return Some(at);
+            }
+        }
+        None
+    }
+}
+
+/// Returns how long a run is likely to take yet, in milliseconds, with its task's `estimate`.
+fn time_left(run: &Run, estimate: u64) -> u64 {
+    if !run.is_wanted() {
+        return 0;
+    }
+    estimate * u64::from(100 - run.percent.min(100)) / 100
+}
--- a/crates/jobs/src/place/mod.rs
+++ b/crates/jobs/src/place/mod.rs
@@ -11,6 +11,7 @@
 
 pub(crate) mod aging;
 mod apart;
+pub(crate) mod hold;
 pub(crate) mod misfit;
 pub(crate) mod pass;
 pub(crate) mod rank;
--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    place::{misfit::Misfit, room::Room},
+    place::{hold::Hold, misfit::Misfit, room::Room},
     runs::{fleet::Fleet, worker::Capacity},
 };
 
@@ -45,9 +45,12 @@
     /// What fills takes up no processors: users count a job as lost of which nothing runs while
     /// half of the room is free, however much fills there.
     fn is_crowded(&self) -> bool {
+        self.is_half_full() && self.filling > self.left
+    }
+
+    fn is_half_full(&self) -> bool {
         let (all, used) = (self.all, self.used);
-        let is_full = used.cpu * 2 > all.cpu || used.memory * 2 > all.memory;
-        is_full && self.filling > self.left
+        used.cpu * 2 > all.cpu || used.memory * 2 > all.memory
     }
 }
 
@@ -70,8 +73,8 @@
     rooms: Vec<Room>,
     /// Tasks that no worker can take.
     pub(crate) misfits: Vec<Misfit>,
-    /// Workers that are kept free for overdue tasks.
-    pub(crate) held: Vec<u32>,
+    /// Workers that are kept free for tasks that have waited for long.
+    pub(crate) held: Vec<Hold>,
     /// Whether a worker is kept free for a suspect that found none.
     pub(crate) cleared: bool,
     /// Workers that were rated.
@@ -123,6 +126,12 @@
         at.is_ok_and(|at| self.loads[at].is_crowded())
     }
 
+    /// Tells whether more than half of the room of a service's workers is taken.
+    pub(crate) fn is_half_full(&self, service: &Arc<str>) -> bool {
+        let at = self.loads.binary_search_by(|l| l.service.cmp(service));
+        at.is_ok_and(|at| self.loads[at].is_half_full())
+    }
+
     /// Returns what a worker has left.
     pub(crate) fn room(&self, slot: u32) -> Room {
         self.rooms[slot as usize]
--- a/crates/jobs/src/place/rank.rs
+++ b/crates/jobs/src/place/rank.rs
@@ -100,7 +100,7 @@
         if request.avoid == Some(slot) || request.avoid.is_some() && worker.failures > 0 {
             return Err(Refusal::Avoided);
         }
-        if !step.fill && pass.held.contains(&slot) {
+        if self.is_held(slot, request, pass) {
             return Err(Refusal::Held);
         }
         if self.is_spread(slot, request) {
--- a/crates/jobs/src/place/room.rs
+++ b/crates/jobs/src/place/room.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     machine::Machine,
-    model::{spec::Step, step::StepState},
-    place::{refusal::Refusal, request::Request},
+    model::spec::Step,
+    place::refusal::Refusal,
     runs::worker::{Capacity, Worker, size},
 };
 
@@ -64,7 +64,12 @@
 
 impl Machine {
     /// Says why a worker may not run a task of a step, whatever room it has.
-    fn may_take(&self, worker: &Worker, step: &Step, service: &Arc<str>) -> Result<(), Refusal> {
+    pub(super) fn may_take(
+        &self,
+        worker: &Worker,
+        step: &Step,
+        service: &Arc<str>,
+    ) -> Result<(), Refusal> {
         let info = worker.info.as_ref().filter(|_| worker.is_open(self.now));
         let info = info.ok_or(Refusal::Closed)?;
         let label = step.label.as_ref();
@@ -88,33 +93,4 @@
         Room::of(worker).check(step, starved)?;
         self.may_take(worker, step, service)
     }
-
-    /// Finds a worker to be kept free of other tasks for one of a step that fits nowhere
-    /// yet: the one with the most room, of those that have enough once short tasks have
-    /// ended and are not among `held` already.
-    pub(crate) fn find_room(
-        &self,
-        runs: &StepState,
-        request: &Request<'_>,
-        held: &[u32],
-    ) -> Option<u32> {
-        let (step, service) = (request.step, request.service);
-        let mut best: Option<(u64, u32)> = None;
-        for (slot, worker) in (0..).zip(&self.fleet.workers) {
-            let (room, size) = (worker.capacity(), size(step));
-            let enough = room.cpu >= worker.lasting_cpu + size.cpu
-                && room.memory >= worker.used.memory + size.memory
-                && room.gpu >= worker.used.gpu + size.gpu;
-            let spread = step.spread > 0 && runs.on_worker(slot) >= step.spread;
-            let kept = held.contains(&slot);
-            if spread || kept || !enough || self.may_take(worker, step, service).is_err() {
-                continue;
-            }
-            let free = room.cpu.saturating_sub(worker.used.cpu);
-            if best.is_none_or(|(b, _)| free > b) {
-                best = Some((free, slot));
-            }
-        }
-        best.map(|(_, slot)| slot)
-    }
 }
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -57,6 +57,7 @@
         }
         self.sort_open();
         let mut pass = Pass::begin(&self.fleet, self.now);
+        pass.held = self.note_holds();
         if let Some(bound) = self.window.bound() {
             pass.starts = bound.saturating_sub(self.starting());
         }
@@ -157,7 +158,7 @@
             let id = TaskId { index, ..first };
             request.avoid = self.avoided(id);
             let Some(slot) = self.choose(&request, &mut ranking, pass) else {
-                self.hold_overdue(&request, pass);
+                self.hold_room(&request, pass);
                 return;
             };
             request.starved = false;
@@ -174,18 +175,6 @@
         task.avoid.filter(|_| recent)
     }
 
-    /// Keeps a worker free for a lasting task that has waited for long.
-    fn hold_overdue(&self, request: &Request<'_>, pass: &mut Pass) {
-        let first = request.first;
-        let state = self.jobs.get(&first.job).filter(|j| self.is_overdue(j));
-        let Some(state) = state.filter(|_| request.step.lasting) else {
-            return;
-        };
-        let runs = &state.times[first.time as usize][first.step as usize];
-        let held = self.find_room(runs, request, &pass.held);
-        pass.held.extend(held);
-    }
-
     /// Places all tasks of a gang, or none.
     pub(super) fn place_gang(&mut self, request: Request<'_>, pass: &mut Pass) -> Placed {
         let (step, first) = (request.step, request.first);
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -32,6 +32,13 @@
         self.memory += other.memory;
         self.gpu += other.gpu;
     }
+
+    /// Takes another one off; stops at zero.
+    pub(crate) fn free(&mut self, other: Capacity) {
+        self.cpu -= other.cpu.min(self.cpu);
+        self.memory -= other.memory.min(self.memory);
+        self.gpu -= other.gpu.min(self.gpu);
+    }
 }
 
 /// What a worker announces.
@@ -135,8 +142,6 @@
     pub(crate) serving: u32,
     /// Tasks on it that last.
     pub(crate) lasting: u32,
-    /// Thousandths of a core that these take up.
-    pub(crate) lasting_cpu: u64,
     /// Runs that failed or hung on it since one did well.
     pub(crate) failures: u32,
     /// When the last of them did.
@@ -202,7 +207,6 @@
             filling: 0,
             serving: 0,
             lasting: 0,
-            lasting_cpu: 0,
             failures: 0,
             failed: 0,
             probes: 0,
@@ -313,7 +317,6 @@
         self.filling += filling(step);
         self.serving += u32::from(step.target > 0);
         self.lasting += u32::from(step.lasting);
-        self.lasting_cpu += lasting(step);
         self.serving_cpu += serving(step);
         self.spare += unused(step);
     }
@@ -325,11 +328,10 @@
         };
         self.runs.remove(at);
         self.slack = None;
-        self.free(size(step));
+        self.used.free(size(step));
         self.filling -= filling(step).min(self.filling);
         self.serving -= u32::from(step.target > 0).min(self.serving);
         self.lasting -= u32::from(step.lasting).min(self.lasting);
-        self.lasting_cpu -= lasting(step).min(self.lasting_cpu);
         self.serving_cpu -= serving(step).min(self.serving_cpu);
         self.spare -= unused(step).min(self.spare);
     }
@@ -349,15 +351,9 @@
                 continue;
             }
             let stray = self.strays.remove(at);
-            self.free(stray.size);
+            self.used.free(stray.size);
         }
     }
-
-    fn free(&mut self, size: Capacity) {
-        self.used.cpu -= size.cpu.min(self.used.cpu);
-        self.used.memory -= size.memory.min(self.used.memory);
-        self.used.gpu -= size.gpu.min(self.used.gpu);
-    }
 }
 
 /// Returns the room that a task of a step takes up.
@@ -373,10 +369,6 @@
     if step.target > 0 { step.cpu } else { 0 }
 }
 
-fn lasting(step: &Step) -> u64 {
-    if step.lasting { size(step).cpu } else { 0 }
-}
-
 fn filling(step: &Step) -> u64 {
     if step.fill { step.cpu } else { 0 }
 }
