Bound what looking for a worker to be held costs

Each job that stands still looked at the runs of all workers in each pass, so that an owner of thousands of workers would have spent its time on jobs that wait for another reason than room. Found by reading.

Workers without room for good, by the sums of what lasts there, and those that lack nothing are left out; of the rest those that lack the least are looked at, ten times a second for one job that does not last. A job that found none lets others have their turn.

--- a/crates/jobs/src/machine.rs
+++ b/crates/jobs/src/machine.rs
@@ -54,6 +54,8 @@
     pub(crate) late: usize,
     /// Workers that are kept free for tasks that have waited for long.
     pub(crate) holds: Vec<Hold>,
+    /// When a worker was last looked for that a job that stands still may hold.
+    pub(crate) sought: u64,
     /// Jobs that stand still.
     pub(crate) aging: Aging,
     /// Jobs whose records changed.
@@ -105,6 +107,7 @@
             window: Window::default(),
             late: 0,
             holds: Vec::new(),
+            sought: 0,
             aging: Aging::default(),
             dirty: Vec::new(),
             fleet,
--- a/crates/jobs/src/model/job.rs
+++ b/crates/jobs/src/model/job.rs
@@ -53,6 +53,8 @@
     pub(crate) dirty: bool,
     /// The longest chain of its steps as it was last worked out, and when.
     pub(crate) chain: Option<(Chain, u64)>,
+    /// When no worker was found that it may hold; 0 if that did not happen.
+    pub(crate) sought: u64,
 }
 
 impl JobState {
@@ -66,6 +68,7 @@
             written: Outcome::Pending,
             dirty: false,
             chain: None,
+            sought: 0,
         }
     }
 
--- a/crates/jobs/src/place/hold.rs
+++ b/crates/jobs/src/place/hold.rs
@@ -23,6 +23,15 @@
 /// lost that waits for as long beside room.
 const LONGEST: u64 = 6000;
 
+/// A worker is looked for this often, in milliseconds ...
+const SEEK_PERIOD: u64 = 100;
+
+/// ... and a job that found none waits for this long, so that others get their turn.
+const SEEK_AGAIN: u64 = 2000;
+
+/// Workers whose runs are looked at to find one: those that lack the least room.
+const MOST_LOOKED: usize = 32;
+
 /// A worker that is kept free of others for a task of a step.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Hold {
@@ -94,7 +103,13 @@
         if !due {
             return;
         }
+        if !lasting {
+            self.sought = self.now;
+        }
         let Some(slot) = self.find_room(request, pass) else {
+            if let Some(state) = self.jobs.get_mut(&first.job) {
+                state.sought = self.now;
+            }
             return;
         };
         let hold = Hold {
@@ -111,36 +126,53 @@
 
     /// Tells whether a job stands still beside much room, and may hold a worker.
     fn is_held_up(&self, state: &JobState, request: &Request<'_>, pass: &Pass) -> bool {
+        let early = self.now < self.sought + SEEK_PERIOD || self.now < state.sought + SEEK_AGAIN;
+        let is_kept = pass.held.iter().any(|h| !h.lasting);
+        if early || is_kept || pass.is_half_full(request.service) {
+            return false;
+        }
         let since = state.still_since();
-        let long = since.is_some_and(|at| self.now > at + HELD_UP);
-        long && !pass.is_half_full(request.service) && pass.held.iter().all(|h| h.lasting)
+        since.is_some_and(|at| self.now > at + HELD_UP)
     }
 
     /// Finds the worker that soonest has room for a task of a step, of those that have none now
     /// and are not held already.
     fn find_room(&self, request: &Request<'_>, pass: &Pass) -> Option<u32> {
         let step = request.step;
-        let mut best: Option<(u64, u64, u32)> = None;
+        let mut short = self.short_workers(request, pass);
+        let most = MOST_LOOKED.min(short.len());
+        if most < short.len() {
+            short.select_nth_unstable(most);
+        }
+        let waits = short[..most].iter().filter_map(|&(_, slot)| {
+            let worker = self.fleet.get(slot);
+            let wait = self.time_to_room(worker, size(step))?;
+            // Else it would wait for too long.
+            (step.lasting || wait < LONGEST).then_some((wait, worker.used.cpu, slot))
+        });
+        waits.min().map(|(_, _, slot)| slot)
+    }
+
+    /// Returns the workers that may have room for a task of a step once others have ended, with
+    /// how much is short, in thousandths of what they can hold.
+    fn short_workers(&self, request: &Request<'_>, pass: &Pass) -> Vec<(u64, u32)> {
+        let (step, wanted) = (request.step, size(request.step));
+        let mut short = Vec::new();
         for (slot, worker) in (0..).zip(&self.fleet.workers) {
-            let kept = pass.held.iter().any(|h| h.slot == slot);
-            if kept
-                || self.is_spread(slot, request)
-                || self.may_take(worker, step, request.service).is_err()
-            {
+            let room = worker.capacity();
+            let lacks = shortage(worker, wanted);
+            // One that lacks nothing is refused for another reason than room.
+            if lacks == 0 && !step.lasting || !room.holds(worker.lasting_size, wanted) {
                 continue;
             }
-            let wait = self.time_to_room(worker, size(step));
-            // Else it is not for want of room that the task waits, or it would wait for too long.
-            let wait = wait.filter(|w| step.lasting || (1..LONGEST).contains(w));
-            let Some(wait) = wait else {
+            let is_kept = pass.held.iter().any(|h| h.slot == slot);
+            let may_take = self.may_take(worker, step, request.service).is_ok();
+            if is_kept || !may_take || self.is_spread(slot, request) {
                 continue;
-            };
-            let used = worker.used.cpu;
-            if best.is_none_or(|b| (wait, used, slot) < b) {
-                best = Some((wait, used, slot));
             }
+            short.push((lacks, slot));
         }
-        best.map(|(_, _, slot)| slot)
+        short
     }
 
     /// Returns in how many milliseconds enough of a worker's runs are likely to have ended for
@@ -162,17 +194,12 @@
         }
         ends.sort_unstable_by_key(|(at, _)| *at);
         let mut used = worker.used;
-        let fits = |used: Capacity| {
-            used.cpu + wanted.cpu <= room.cpu
-                && used.memory + wanted.memory <= room.memory
-                && used.gpu + wanted.gpu <= room.gpu
-        };
-        if fits(used) {
+        if room.holds(used, wanted) {
             return Some(0);
         }
         for (at, ended) in ends {
             used.free(ended);
-            if fits(used) {
+            if room.holds(used, wanted) {
                 return Some(at);
             }
         }
@@ -180,6 +207,18 @@
     }
 }
 
+/// Returns how much a worker lacks for something of a size, in thousandths of what it can hold.
+fn shortage(worker: &Worker, wanted: Capacity) -> u64 {
+    let (room, used) = (worker.capacity(), worker.used);
+    let lacks = |room: u64, used: u64, wanted: u64| {
+        let lacks = (used + wanted).saturating_sub(room);
+        (lacks * 1000).div_ceil(room.max(1))
+    };
+    lacks(room.cpu, used.cpu, wanted.cpu)
+        + lacks(room.memory, used.memory, wanted.memory)
+        + lacks(room.gpu, used.gpu, wanted.gpu)
+}
+
 /// Returns how long a run is likely to take yet, in milliseconds, with its task's `estimate`.
 fn time_left(run: &Run, estimate: u64) -> u64 {
     if !run.is_wanted() {
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -33,6 +33,13 @@
         self.gpu += other.gpu;
     }
 
+    /// Tells whether it has room for another one beside what is `used` of it.
+    pub(crate) fn holds(&self, used: Capacity, other: Capacity) -> bool {
+        self.cpu >= used.cpu + other.cpu
+            && self.memory >= used.memory + other.memory
+            && self.gpu >= used.gpu + other.gpu
+    }
+
     /// Takes another one off; stops at zero.
     pub(crate) fn free(&mut self, other: Capacity) {
         self.cpu -= other.cpu.min(self.cpu);
@@ -142,6 +149,8 @@
     pub(crate) serving: u32,
     /// Tasks on it that last.
     pub(crate) lasting: u32,
+    /// Room that these take up.
+    pub(crate) lasting_size: Capacity,
     /// Runs that failed or hung on it since one did well.
     pub(crate) failures: u32,
     /// When the last of them did.
@@ -207,6 +216,7 @@
             filling: 0,
             serving: 0,
             lasting: 0,
+            lasting_size: Capacity::default(),
             failures: 0,
             failed: 0,
             probes: 0,
@@ -316,7 +326,10 @@
         self.used.add(size(step));
         self.filling += filling(step);
         self.serving += u32::from(step.target > 0);
-        self.lasting += u32::from(step.lasting);
+        if step.lasting {
+            self.lasting += 1;
+            self.lasting_size.add(size(step));
+        }
         self.serving_cpu += serving(step);
         self.spare += unused(step);
     }
@@ -331,7 +344,10 @@
         self.used.free(size(step));
         self.filling -= filling(step).min(self.filling);
         self.serving -= u32::from(step.target > 0).min(self.serving);
-        self.lasting -= u32::from(step.lasting).min(self.lasting);
+        if step.lasting {
+            self.lasting -= self.lasting.min(1);
+            self.lasting_size.free(size(step));
+        }
         self.serving_cpu -= serving(step).min(self.serving_cpu);
         self.spare -= unused(step).min(self.spare);
     }
