Leave half of the workers to others while suspects run apart

Cause: the bound on the workers that run suspects left out the one that was asked for, so that three of four had one; and one more worker was kept free for the next suspect, where none may follow.

Half of the workers, rounded down, may run suspects, and one is kept free only while one more may.

--- a/crates/jobs/src/place/apart.rs
+++ b/crates/jobs/src/place/apart.rs
@@ -141,8 +141,7 @@
             true => LIKELY_SHARE,
             false => UNLIKELY_SHARE,
         };
-        let hosts = self.fleet.workers.iter().filter(|w| w.is_hosting()).count();
-        if hosts > (hosts + pass.open.len()) / share {
+        if !self.may_host(share, pass) {
             return None;
         }
         let empty = self.best_apart(request, pass, |w| w.runs.is_empty() && w.strays.is_empty());
@@ -153,6 +152,13 @@
         self.best_apart(request, pass, |w| self.now > w.probed + YOUNG)
     }
 
+    /// Tells whether one more worker may run a suspect, of those of which one in `share` may.
+    fn may_host(&self, share: usize, pass: &Pass) -> bool {
+        let hosts = self.fleet.workers.iter().filter(|w| w.is_hosting()).count();
+        let most = (hosts + pass.open.len()) / share;
+        hosts < most.max(1)
+    }
+
     /// Tells whether a member of a gang has waited in vain for a worker of its own.
     pub(super) fn has_waited_apart(&self, id: TaskId) -> bool {
         let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
@@ -162,7 +168,7 @@
     /// Keeps new tasks from the worker that a suspect will soon run on beside others, so that
     /// fewer are there then; from one at a time, whatever number of suspects waits.
     fn clear_way(&self, request: &Request<'_>, pass: &mut Pass) {
-        if std::mem::replace(&mut pass.cleared, true) {
+        if !self.may_host(LIKELY_SHARE, pass) || std::mem::replace(&mut pass.cleared, true) {
             return;
         }
         if let Some(slot) = self.best_apart(request, pass, |_| true) {
--- /dev/null
+++ b/crates/jobs/tests/all/crashing/crowds.rs
@@ -0,0 +1,109 @@
+//! One crash that makes suspects of many tasks: what did it is found, and the others go on.
+
+use crate::common::{Crasher, World, WorldSettings, chain, check_seed, short};
+use gorsespur_jobs::{JobId, Outcome, Step, TaskId};
+use test_case::test_case;
+
+/// Suspects of the crash.
+const SUSPECTS: u64 = 51;
+
+/// Milliseconds after which users ask after all jobs.
+const FINISH: u64 = 60_000;
+
+/// Milliseconds after which users count a job as lost of which nothing runs.
+const LOST: u64 = 3000;
+
+/// How a crash among many suspects went out.
+#[derive(Debug)]
+struct Found {
+    /// Milliseconds until no job was left.
+    after: u64,
+    /// Jobs of other tasks that failed.
+    wronged: usize,
+}
+
+/// A world of so many workers, one of which crashes under `SUSPECTS` tasks that have just begun. Some
+/// of them crash whatever starts them.
+fn world_of_suspects(workers: usize, culprits: u64, seed: u64) -> World {
+    let mut world = World::new(WorldSettings {
+        workers,
+        seed,
+        ..WorldSettings::default()
+    });
+    for worker in &mut world.workers[1..] {
+        worker.cut = true;
+    }
+    world.run(2000);
+    for id in 0..SUSPECTS {
+        let step = Step {
+            cpu: 100,
+            memory: 100,
+            ..short(1, 1000)
+        };
+        let job = world.submit(id, chain(vec![step]));
+        let task = TaskId {
+            job,
+            time: 0,
+            step: 0,
+            index: 0,
+        };
+        let apart = SUSPECTS / culprits;
+        if id % apart == 0 && id / apart < culprits {
+            world.crashers.push(Crasher { task, after: 200 });
+        }
+    }
+    world.run(100);
+    assert_eq!(world.workers[0].runs.len(), SUSPECTS as usize);
+    for worker in &mut world.workers[1..] {
+        worker.cut = false;
+    }
+    world
+}
+
+/// Plays on until no job is left.
+fn find(workers: usize, culprits: u64, seed: u64) -> Found {
+    let mut world = world_of_suspects(workers, culprits, seed);
+    let since = world.now;
+    world.run_until_done(4 * FINISH);
+    check_seed(&world, seed);
+    let guilty: Vec<JobId> = world.crashers.iter().map(|c| c.task.job).collect();
+    let jobs = (0..SUSPECTS).map(JobId);
+    let failed = jobs.filter(|&j| world.outcome(j) == Outcome::Failed);
+    let wronged = failed.filter(|j| !guilty.contains(j)).count();
+    let found = guilty.iter().all(|&j| world.outcome(j) == Outcome::Failed);
+    assert!(found, "a culprit was not found");
+    Found {
+        after: world.now - since,
+        wronged,
+    }
+}
+
+#[test_case(4, 1)]
+#[test_case(4, 3)]
+#[test_case(12, 1)]
+#[test_case(12, 3)]
+#[test_case(100, 1)]
+#[test_case(100, 3)]
+fn many_suspects_of_one_crash_do_not_wait_for_each_other(workers: usize, culprits: u64) {
+    for seed in 0..3 {
+        let found = find(workers, culprits, seed);
+        assert_eq!(found.wronged, 0, "jobs failed that did nothing");
+        assert!(found.after < FINISH, "{found:?}");
+    }
+}
+
+/// Many suspects run apart, one after the other, and take no more than half of the workers from
+/// others meanwhile.
+#[test_case(4)]
+#[test_case(5)]
+#[test_case(12)]
+fn others_go_on_beside_many_suspects(workers: usize) {
+    let mut world = world_of_suspects(workers, 1, 0);
+    // The worker is back, and all that ran there are suspects.
+    world.run(6000);
+    for id in 0..12 {
+        let id = world.submit(1000 + id, chain(vec![short(2, 300)]));
+        world.run(LOST);
+        assert_eq!(world.outcome(id), Outcome::Complete, "{id} after {LOST} ms");
+    }
+}
--- a/crates/jobs/tests/all/crashing/mod.rs
+++ b/crates/jobs/tests/all/crashing/mod.rs
@@ -13,6 +13,7 @@
 //! 29.890 start: sent  run 7, worker i-b1f8f34693, beside 9 others; silent at 29.903
 //! ```
 
+mod crowds;
 mod culprits;
 mod losses;
 mod owners;
