--- a/crates/jobs/src/place/hold.rs
+++ b/crates/jobs/src/place/hold.rs
@@ -59,13 +59,13 @@
     /// Returns the workers that are held at the beginning of a pass.
     pub(super) fn note_holds(&mut self) -> Vec<Hold> {
         let mut holds = std::mem::take(&mut self.holds);
-        holds.retain(|h| self.is_wanted(h));
+        holds.retain(|h| self.is_hold_needed(h));
         self.holds = holds;
         self.holds.clone()
     }
 
-    /// Tells whether a worker is still to be held.
-    fn is_wanted(&self, hold: &Hold) -> bool {
+    /// Tells whether a task still waits for the worker that is held for it.
+    fn is_hold_needed(&self, hold: &Hold) -> bool {
         let first = hold.first;
         let state = self.jobs.get(&first.job);
         let Some(state) = state.filter(|s| !s.outcome.is_final()) else {
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -28,7 +28,16 @@
 /// to one that others failed on, in milliseconds.
 const AVOID: u64 = 2500;
 
+/// A member of a gang, in the order in which they are placed: those that run apart come first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Member {
+    /// Whether it may run beside others.
+    beside: bool,
+    index: u32,
+}
+
 /// A place that was chosen in this pass, and what its task was like before.
+#[derive(Debug)]
 struct Assigned {
     id: TaskId,
     slot: u32,
@@ -187,37 +196,17 @@
         }
         let run = tasks.iter().map(|t| t.last).max().unwrap_or(0) + 1;
         // Suspects come first, while there are empty workers.
-        let mut members: Vec<(bool, u32)> = (0..)
+        let mut members: Vec<Member> = (0..)
             .zip(tasks)
-            .map(|(at, t)| (!t.is_apart(self.now), at))
+            .map(|(index, task)| Member {
+                beside: !task.is_apart(self.now),
+                index,
+            })
             .collect();
         members.sort_unstable();
-        let starts = pass.starts;
+        let (starts, misfits) = (pass.starts, pass.misfits.len());
         pass.starts = starts.saturating_sub(step.count as usize);
-        let misfits = pass.misfits.len();
-        let mut ranking: Option<Ranking> = None;
-        let mut placed = Vec::new();
-        for (beside, index) in members {
-            let id = TaskId { index, ..first };
-            let apart = match beside {
-                true => None,
-                false => self.find_apart(id, &request, pass),
-            };
-            let slot = match apart {
-                None if beside || self.has_waited_apart(id) => {
-                    self.choose(&request, &mut ranking, pass)
-                }
-                slot => slot,
-            };
-            let Some(slot) = slot else {
-                break;
-            };
-            placed.extend(self.assign(id, slot, step, Some(run)));
-            if apart.is_some() {
-                self.keep_apart(id, slot, pass);
-            }
-            pass.note_room(slot, &self.fleet);
-        }
+        let placed = self.assign_members(&request, &members, run, pass);
         if placed.len() == step.count as usize {
             for member in placed {
                 self.fleet.get_mut(member.slot).note_try(self.now);
@@ -238,6 +227,43 @@
         Placed::Short
     }
 
+    /// Places members of a gang as its next run, until one finds no worker.
+    fn assign_members(
+        &mut self,
+        request: &Request<'_>,
+        members: &[Member],
+        run: u32,
+        pass: &mut Pass,
+    ) -> Vec<Assigned> {
+        let mut ranking: Option<Ranking> = None;
+        let mut placed = Vec::new();
+        for &Member { beside, index } in members {
+            let id = TaskId {
+                index,
+                ..request.first
+            };
+            let apart = match beside {
+                true => None,
+                false => self.find_apart(id, request, pass),
+            };
+            let slot = match apart {
+                None if beside || self.has_waited_apart(id) => {
+                    self.choose(request, &mut ranking, pass)
+                }
+                slot => slot,
+            };
+            let Some(slot) = slot else {
+                break;
+            };
+            placed.extend(self.assign(id, slot, request.step, Some(run)));
+            if apart.is_some() {
+                self.keep_apart(id, slot, pass);
+            }
+            pass.note_room(slot, &self.fleet);
+        }
+        placed
+    }
+
     /// Places a task on a worker, as one of those that it is tried with.
     pub(super) fn plan(&mut self, id: TaskId, slot: u32, step: &Step) {
         if self.assign(id, slot, step, None).is_some() {
