Let suspects run on workers that nobody else needs

Cause: the bound that leaves half of the workers to others held also where no others waited.

Once a pass has placed all others suspects take empty workers, but for an eighth of them.

--- a/crates/jobs/src/place/apart.rs
+++ b/crates/jobs/src/place/apart.rs
@@ -32,6 +32,9 @@
 /// ... and one in so many a suspect that chance alone may speak against.
 const UNLIKELY_SHARE: usize = 8;
 
+/// Where nothing else waits suspects take all empty workers but one in so many, at least one.
+const SPARE_SHARE: usize = 8;
+
 impl Task {
     /// Tells whether its next run has to be apart from others.
     ///
@@ -71,6 +74,15 @@
         self.suspects = left;
     }
 
+    /// Places suspects on workers that nobody else has a use for, once all others have places.
+    pub(super) fn place_on_idle(&mut self, pass: &mut Pass) {
+        if pass.is_spent() || !pass.misfits.is_empty() {
+            return;
+        }
+        pass.idle = true;
+        self.place_suspects(pass);
+    }
+
     /// Tells whether a task is a suspect and not done.
     fn is_open_suspect(&self, id: TaskId) -> bool {
         let state = self.jobs.get(&id.job).filter(|j| !j.outcome.is_final());
@@ -145,7 +157,7 @@
             return None;
         }
         let empty = self.best_apart(request, pass, |w| w.runs.is_empty() && w.strays.is_empty());
-        if empty.is_some() || self.now <= task.cleared + PATIENCE {
+        if empty.is_some() || pass.idle || self.now <= task.cleared + PATIENCE {
             return empty;
         }
         // Whatever else had just begun there might be blamed as well.
@@ -155,8 +167,12 @@
     /// Tells whether one more worker may run a suspect, of those of which one in `share` may.
     fn may_host(&self, share: usize, pass: &Pass) -> bool {
         let hosts = self.fleet.workers.iter().filter(|w| w.is_hosting()).count();
-        let most = (hosts + pass.open.len()) / share;
-        hosts < most.max(1)
+        let all = hosts + pass.open.len();
+        let most = match pass.idle {
+            true => all - all.div_ceil(SPARE_SHARE),
+            false => (all / share).max(1),
+        };
+        hosts < most
     }
 
     /// Tells whether a member of a gang has waited in vain for a worker of its own.
@@ -168,7 +184,10 @@
     /// Keeps new tasks from the worker that a suspect will soon run on beside others, so that
     /// fewer are there then; from one at a time, whatever number of suspects waits.
     fn clear_way(&self, request: &Request<'_>, pass: &mut Pass) {
-        if !self.may_host(LIKELY_SHARE, pass) || std::mem::replace(&mut pass.cleared, true) {
+        if pass.idle
+            || !self.may_host(LIKELY_SHARE, pass)
+            || std::mem::replace(&mut pass.cleared, true)
+        {
             return;
         }
         if let Some(slot) = self.best_apart(request, pass, |_| true) {
--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -75,6 +75,8 @@
     pub(crate) misfits: Vec<Misfit>,
     /// Workers that are kept free for tasks that have waited for long.
     pub(crate) held: Vec<Hold>,
+    /// Whether all others have their places, so that suspects may take what is empty.
+    pub(crate) idle: bool,
     /// Whether a worker is kept free for a suspect that found none.
     pub(crate) cleared: bool,
     /// Workers that were rated.
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -87,6 +87,7 @@
             let id = self.open[at];
             self.place_job(id, &mut pass);
         }
+        self.place_on_idle(&mut pass);
         self.figures.ratings += pass.ratings as u64;
         match pass.is_spent() {
             true => Coverage::Partial,
--- a/crates/jobs/tests/all/crashing/crowds.rs
+++ b/crates/jobs/tests/all/crashing/crowds.rs
@@ -107,3 +107,16 @@
         assert_eq!(world.outcome(id), Outcome::Complete, "{id} after {LOST} ms");
     }
 }
+
+/// Only suspects wait, and half of the workers have nothing to do: they get those as well.
+#[test]
+fn suspects_take_workers_that_nobody_else_needs() {
+    let mut world = world_of_suspects(4, 1, 0);
+    world.run(6000);
+    let mut busy = 0;
+    for _ in 0..50 {
+        world.run(100);
+        busy += world.workers.iter().filter(|w| !w.runs.is_empty()).count();
+    }
+    assert!(busy > 2 * 50, "{busy} of {} looks at a worker", 4 * 50);
+}
