--- a/crates/jobs/benches/site.rs
+++ b/crates/jobs/benches/site.rs
@@ -8,7 +8,7 @@
 };
 
 use gorsespur_jobs::{
-    Action, Answer, Capacity, Ending, Event, Job, JobId, QueuePolicy, ReportedRun, RunEnd,
+    Action, Answer, Capacity, Ending, Event, Job, JobId, Paced, QueuePolicy, ReportedRun, RunEnd,
     Scheduler, Settings, Spec, StartOrder, Started, Stats, Step, Stopped, Takeover, TaskId,
     WorkerInfo, WorkerReport,
 };
@@ -57,8 +57,8 @@
     runs: Vec<RunIndex>,
     finished: Vec<RunEnd>,
     last_end: u64,
-    /// A waiting poll: its number and when it was sent.
-    poll: Option<(u64, u64)>,
+    /// A waiting poll: its number, its generation and when it was sent.
+    poll: Option<(u64, u32, u64)>,
 }
 
 /// A scheduler, its workers, and messages in flight.
@@ -315,7 +315,7 @@
     fn answer_poll(&mut self, worker: u32) {
         let now = self.now;
         let at = &mut self.workers[worker as usize];
-        let Some((_, sent)) = at.poll.take() else {
+        let Some((_, generation, sent)) = at.poll.take() else {
             return;
         };
         let row = |r: &Run| ReportedRun {
@@ -339,6 +339,7 @@
         };
         self.answers.push(Event::Answer {
             worker,
+            generation,
             sent,
             answer: Answer::Report(report),
         });
@@ -362,6 +363,7 @@
 
     fn act(&mut self, action: Action) {
         let sent = self.now;
+        let generation = action.generation().unwrap_or_default();
         let answer = match action {
             Action::Poll {
                 worker,
@@ -372,7 +374,7 @@
                 self.polls += 1;
                 let at = &mut self.workers[worker as usize];
                 at.finished.retain(|e| e.number > observed);
-                at.poll = Some((self.polls, sent));
+                at.poll = Some((self.polls, generation, sent));
                 let until = match at.finished.is_empty() {
                     true => sent + ROUND_TRIP_MS + wait,
                     false => sent + ROUND_TRIP_MS,
@@ -391,7 +393,9 @@
                 self.start(worker, &order);
                 (worker, done)
             }
-            Action::Stop { worker, task, run } => {
+            Action::Stop {
+                worker, task, run, ..
+            } => {
                 let found = self.workers[worker as usize].runs.iter().copied();
                 let found = found.into_iter().find(|&r| self.runs[r].task == task);
                 if let Some(found) = found {
@@ -401,12 +405,13 @@
             }
             Action::Pace {
                 worker, task, run, ..
-            } => (worker, Answer::Paced(task, run, true)),
+            } => (worker, Answer::Paced(task, run, Paced::Done)),
             Action::StepDown => return,
         };
         let (worker, answer) = answer;
         self.answers.push(Event::Answer {
             worker,
+            generation,
             sent,
             answer,
         });
--- a/crates/jobs/src/action.rs
+++ b/crates/jobs/src/action.rs
@@ -20,6 +20,8 @@
     pub deadline: u64,
     /// Checkpoint to resume from; empty for none.
     pub checkpoint: Arc<str>,
+    /// Generation of the order.
+    pub generation: u32,
 }
 
 /// Changes that are committed atomically.
@@ -41,12 +43,18 @@
 }
 
 /// An action for the caller to carry out.
+///
+/// The orders to a worker carry a generation, which the caller sends as the lower part of the
+/// fencing token, below the epoch of the lease. Once a worker has carried out an order, it refuses
+/// all orders of lower generations, however late they arrive.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Poll a worker for its running and ended runs, and renew its lease.
     Poll {
         /// The worker.
         worker: u32,
+        /// Generation of the order.
+        generation: u32,
         /// The worker may drop ends up to this number.
         observed: u64,
         /// End of the lease on the worker's clock, in milliseconds; `None` leaves the lease
@@ -61,6 +69,8 @@
     Stop {
         /// The worker.
         worker: u32,
+        /// Generation of the order.
+        generation: u32,
         /// The task.
         task: TaskId,
         /// Number of the run.
@@ -70,6 +80,8 @@
     Pace {
         /// The worker.
         worker: u32,
+        /// Generation of the order.
+        generation: u32,
         /// The task.
         task: TaskId,
         /// Number of the run.
@@ -79,6 +91,19 @@
     },
     /// Commit a batch atomically. At most one batch is in flight.
     Commit(Batch),
-    /// Another owner has taken over: stop immediately.
+    /// Another owner has taken over, or the generations of a worker are used up: stop immediately.
     StepDown,
 }
+
+impl Action {
+    /// Returns the generation of an order, or `None` if the action is no order.
+    pub fn generation(&self) -> Option<u32> {
+        match self {
+            Action::Poll { generation, .. }
+            | Action::Stop { generation, .. }
+            | Action::Pace { generation, .. } => Some(*generation),
+            Action::Start(_, order) => Some(order.generation),
+            Action::Commit(_) | Action::StepDown => None,
+        }
+    }
+}
--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -203,9 +203,13 @@
         }
         worker.poll_in_flight = true;
         worker.polled_at = now;
+        worker.poll_generation = worker.generation;
+        worker.poll_has_effect = observed > 0 || deadline.is_some() && worker.start_time.is_some();
+        let generation = worker.generation;
         self.stats.polls += 1;
         self.actions.push(Action::Poll {
             worker: slot,
+            generation,
             observed,
             deadline,
             wait,
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -84,7 +84,7 @@
     NoRoom,
     /// This run or a later one of the task has already ended on the worker.
     Old,
-    /// The worker has seen a higher epoch of the lease; nothing was started.
+    /// The worker has seen a higher fencing token; nothing was started.
     Fenced,
     /// The worker refuses the start for now; nothing was started.
     Refused,
@@ -107,12 +107,23 @@
     Done,
     /// The worker's incarnation has ended.
     Dead,
-    /// The worker has seen a higher epoch of the lease.
+    /// The worker has seen a higher fencing token.
     Fenced,
     /// No answer, or a refusal.
     Unknown,
 }
 
+/// The result of a change of a run's pace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Paced {
+    /// The run has the pace.
+    Done,
+    /// The worker refused the order.
+    Refused,
+    /// No answer: the pace may have changed, or may change later.
+    Unknown,
+}
+
 /// The answer to an action, or the failure to get one.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
@@ -123,7 +134,7 @@
     /// A poll got no answer because the worker's machine refused the connection: no process
     /// listens on the port.
     ConnectionRefused,
-    /// The worker has seen a higher epoch of the lease.
+    /// The worker has seen a higher fencing token.
     Fenced,
     /// The worker's incarnation has ended.
     Dead,
@@ -131,8 +142,8 @@
     Started(TaskId, u32, Started),
     /// The result of a stop, by task and number of the run.
     Stopped(TaskId, u32, Stopped),
-    /// Whether a change of a run's pace took effect, by task and number of the run.
-    Paced(TaskId, u32, bool),
+    /// The result of a change of a run's pace, by task and number of the run.
+    Paced(TaskId, u32, Paced),
 }
 
 /// An event for the scheduler to handle.
@@ -161,6 +172,8 @@
     Answer {
         /// The worker.
         worker: u32,
+        /// Generation of the order.
+        generation: u32,
         /// When the action was sent, on the local monotonic clock in milliseconds.
         sent: u64,
         /// The answer.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 //!   the start is sent. A task is placed again only after its worker reported the
 //!   end of the run, or after a report to a poll sent later than the last order
 //!   does not include the run, or after every lease on that worker has expired.
+//!   A start without an answer is fenced off by the generation of later orders.
 //! - *An end counts once.* A worker is allowed to drop an end only after the record
 //!   that counts the end is durable. A failed run is counted by its number.
 //! - *A worker is never overcommitted.* Capacity is released when an end is
@@ -42,14 +43,19 @@
 mod takeover;
 
 pub use action::{Action, Batch, StartOrder};
-pub use event::{Answer, Ending, Event, ReportedRun, RunEnd, Started, Stopped, WorkerReport};
+pub use event::{
+    Answer, Ending, Event, Paced, ReportedRun, RunEnd, Started, Stopped, WorkerReport,
+};
 pub use model::{
     ids::{IdError, JobId, TaskId},
     policy::QueuePolicy,
     record::{Outcome, Record, RecordError},
     spec::{Job, Schedule, Spec, SpecError, Step},
 };
-pub use runs::worker::{Capacity, WorkerInfo};
+pub use runs::{
+    fencing::MAX_GENERATION,
+    worker::{Capacity, WorkerInfo},
+};
 pub use scheduler::Scheduler;
 pub use settings::{Settings, lease_upper_bound};
 pub use share::learned::Learned;
--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -2,11 +2,14 @@
 
 use std::sync::Arc;
 
-use crate::model::{
-    changes::RowNumber,
-    checkpoint::{Checkpoint, Origin},
-    crash::Crashes,
-    record::TaskRecord,
+use crate::{
+    model::{
+        changes::RowNumber,
+        checkpoint::{Checkpoint, Origin},
+        crash::Crashes,
+        record::TaskRecord,
+    },
+    runs::fencing::INHERITED_GENERATION,
 };
 
 /// A tail latency below this share of its target is below it, whatever its error.
@@ -48,6 +51,8 @@
     pub(crate) placed_at: u64,
     /// When the start was sent; `None` before, and if an earlier owner sent it.
     pub(crate) sent_at: Option<u64>,
+    /// Generation of the start, or [`INHERITED_GENERATION`].
+    pub(crate) generation: u32,
     /// Whether the start was answered, so that it can't be carried out later.
     pub(crate) answered: bool,
     /// Whether the answer to the start shows which incarnation of the worker has the run, or
@@ -88,6 +93,7 @@
             stage,
             placed_at: now,
             sent_at: None,
+            generation: INHERITED_GENERATION,
             answered: false,
             attributed: false,
             percent: 0,
@@ -142,11 +148,11 @@
         self.was_below = true;
     }
 
-    /// Returns when the start was sent, if the worker has not reported the run. The run may not
-    /// have begun yet, or may have begun in another incarnation than intended; the answer to the
-    /// start does not show which.
-    pub(crate) fn unreported_since(&self) -> Option<u64> {
-        self.sent_at.filter(|_| self.reported_at.is_none())
+    /// Returns whether the start was sent and the worker has not reported the run to this owner.
+    /// The run may not have begun yet, or may have begun in another incarnation than intended; the
+    /// answer to the start does not show which.
+    pub(crate) fn is_unreported(&self) -> bool {
+        self.sent_at.is_some() && self.reported_at.is_none()
     }
 
     /// Returns whether the run is to go on.
--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -32,15 +32,11 @@
 
     pub(crate) fn handle_started(&mut self, slot: u32, id: TaskId, number: u32, started: Started) {
         let now = self.now;
-        match started {
-            Started::Dead => {
-                if let Some(run) = self.run_on(slot, id, number) {
-                    run.attributed = true;
-                }
-                return self.worker_lost(slot);
+        if started == Started::Dead {
+            if let Some(run) = self.run_on(slot, id, number) {
+                run.attributed = true;
             }
-            Started::Fenced => return self.actions.push(Action::StepDown),
-            _ => {}
+            return self.worker_lost(slot);
         }
         let stage = self.run_on(slot, id, number).map(|r| r.stage);
         if let Some(Stage::Sent(at)) = stage {
@@ -60,10 +56,14 @@
                 return self.mark_job_active(id);
             }
             Started::Unknown | Started::Old => {
+                let generation = run.generation;
                 if matches!(run.stage, Stage::Sent(_)) {
                     run.stage = Stage::Unanswered(now);
                 }
                 self.stats.unanswered_starts += 1;
+                if started == Started::Unknown {
+                    self.fence_off(slot, generation);
+                }
                 log::warn!(task = id.to_string().as_str(), run = number, worker = &*self.fleet.get(slot).id, started:?; "start: unclear");
                 return;
             }
@@ -88,10 +88,8 @@
 
     pub(crate) fn handle_stopped(&mut self, slot: u32, id: TaskId, number: u32, stopped: Stopped) {
         let now = self.now;
-        match stopped {
-            Stopped::Dead => return self.worker_lost(slot),
-            Stopped::Fenced => return self.actions.push(Action::StepDown),
-            _ => {}
+        if stopped == Stopped::Dead {
+            return self.worker_lost(slot);
         }
         let done = stopped == Stopped::Done;
         if let Some(run) = self.run_on(slot, id, number) {
@@ -128,6 +126,10 @@
             worker.silent_since = Some(now);
             log::warn!(worker = &*worker.id, runs = worker.runs.len(); "worker: silent");
         }
+        let worker = self.fleet.get(slot);
+        if worker.poll_has_effect {
+            self.fence_off(slot, worker.poll_generation);
+        }
     }
 
     /// Sends the stops that are due.
@@ -150,7 +152,9 @@
         if !self.fleet.get(slot).can_take_orders() {
             return;
         }
-        for orphan in &mut self.fleet.get_mut(slot).orphans {
+        let worker = self.fleet.get_mut(slot);
+        let generation = worker.generation;
+        for orphan in &mut worker.orphans {
             if orphan.sent_at.is_some() || orphan.stopped_at.is_some() || orphan.retry_at > now {
                 continue;
             }
@@ -158,6 +162,7 @@
             let (task, run) = (orphan.task, orphan.run);
             self.actions.push(Action::Stop {
                 worker: slot,
+                generation,
                 task,
                 run,
             });
@@ -190,6 +195,7 @@
         log::info!(task = id.to_string().as_str(), run = number, worker = &*worker.id; "stop: sent");
         self.actions.push(Action::Stop {
             worker: slot,
+            generation: worker.generation,
             task: id,
             run: number,
         });
--- a/crates/jobs/src/runs/close.rs
+++ b/crates/jobs/src/runs/close.rs
@@ -48,12 +48,10 @@
             return;
         };
         let job = state.job.clone();
-        let now = self.now;
         let Some(task) = state.task_mut(id) else {
             return;
         };
-        task.idle_since = now;
-        let number = task.last_run;
+        task.idle_since = self.now;
         let step = state.step_mut(id.repetition, id.step);
         let Some(run) = step.and_then(|s| s.take_run(id.index as usize)) else {
             return;
@@ -61,7 +59,6 @@
         let step = &job.spec.steps[id.step as usize];
         let worker = self.fleet.get_mut(run.worker);
         worker.release(id, step);
-        worker.record_late_start(id, number, &run, now);
         // A lost worker keeps its suspect, which explains the loss of the other runs there.
         if !worker.dead && !worker.process_ended {
             worker.isolated_task = worker.isolated_task.filter(|&g| g != id);
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -265,6 +265,8 @@
         run.stage = Stage::Sent(now);
         run.sent_at = Some(now);
         run.partial = !checkpoint.is_empty();
+        run.generation = worker.generation;
+        let generation = worker.generation;
         worker.granted_until = worker.granted_until.max(deadline);
         worker.record_lease_order(now, &settings);
         let (slot, waited) = (run.worker, now - run.placed_at);
@@ -275,6 +277,7 @@
             spec,
             deadline,
             checkpoint,
+            generation,
         };
         self.log_start(slot, &order, waited);
         self.actions.push(Action::Start(slot, order));
--- a/crates/jobs/src/runs/incarnations.rs
+++ b/crates/jobs/src/runs/incarnations.rs
@@ -74,12 +74,12 @@
 
     fn add(&mut self, incarnation: Incarnation) -> u32 {
         let slot = self.workers.len() as u32;
-        self.incarnations
-            .or_default(&incarnation.id)
-            .slots
-            .push(slot);
+        let id = incarnation.id.clone();
+        let generation = self.next_generation(&id);
+        self.incarnations.or_default(&id).slots.push(slot);
         self.workers
             .push(Worker::new(incarnation, self.prior_leases_end));
+        self.set_generation(&id, generation);
         slot
     }
 
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -12,11 +12,11 @@
 mod close;
 pub(crate) mod commit;
 pub(crate) mod crashes;
+pub(crate) mod fencing;
 pub(crate) mod fleet;
 mod incarnations;
 #[cfg(test)]
 mod incarnations_tests;
-pub(crate) mod late_start;
 pub(crate) mod log;
 mod lost;
 pub(crate) mod orphan;
--- a/crates/jobs/src/runs/poll.rs
+++ b/crates/jobs/src/runs/poll.rs
@@ -54,7 +54,10 @@
             return 0;
         };
         let was_late = at.saturating_sub(self.polled_at) > LATE_ANSWER_MS;
-        if was_late || self.has_pending_ends() || self.silent_since.is_some() || self.contested {
+        // The report settles which of the orders that were fenced off have been carried out.
+        let is_fencing = self.answered_generation < self.generation;
+        let is_uncertain = self.silent_since.is_some() || self.contested || is_fencing;
+        if was_late || self.has_pending_ends() || is_uncertain {
             return 0;
         }
         if self.runs.is_empty() {
--- a/crates/jobs/src/runs/replaced.rs
+++ b/crates/jobs/src/runs/replaced.rs
@@ -2,22 +2,15 @@
 //!
 //! All runs that the earlier incarnation has reported have ended, whatever clocks and leases show.
 //! Starts whose runs it has not reported may be carried out by the next incarnation, which has seen
-//! no epoch and whose clock is behind. Their tasks wait until the next incarnation reports them, or
-//! until a stop prevents them there.
+//! no fencing token and whose clock is behind. Their tasks wait until it answers a poll of a higher
+//! generation: it then reports the run, or never starts it.
 
 use crate::{
     model::{
         ids::TaskId,
-        task::{Run, Stage, UNKNOWN_PACE},
-    },
-    runs::{
-        incarnations::Attribution,
-        late_start::LateStart,
-        lost::Loss,
-        orphan::Orphan,
-        unreported::MAX_ORDER_DELAY_MS,
-        worker::{Capacity, demand},
+        task::{Stage, UNKNOWN_PACE},
     },
+    runs::{incarnations::Attribution, lost::Loss, unreported::MAX_ORDER_DELAY_MS},
     scheduler::Scheduler,
     settings::lease_upper_bound,
 };
@@ -48,6 +41,7 @@
             false => self.supersede(old, new),
         };
         self.fleet.retire(old);
+        self.check_generation(new);
         self.placement_due = true;
         let (worker, old) = (self.fleet.get(new), self.fleet.get(old));
         if old.clock.is_none() && runs == 0 {
@@ -91,17 +85,13 @@
         if !was_dead {
             self.record_loss(old, Loss::Ended);
         }
-        let late_starts = self.fleet.get_mut(old).take_late_starts(now);
         let unreported = self.unreported_runs(old);
         for &id in &unreported {
-            self.move_run(id, new, successor_stage);
-        }
-        for start in &late_starts {
-            self.block_late_start(old, new, *start);
+            self.move_run(id, new, |stage| successor_stage(stage, now));
         }
         let remaining = self.fleet.get(old).runs.clone();
         self.drop_runs(old, &remaining);
-        unreported.len() + late_starts.len()
+        unreported.len()
     }
 
     /// Returns the runs on a worker whose starts were sent and that it has not reported.
@@ -110,7 +100,7 @@
         let unreported = runs.filter(|&id| {
             let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
             let run = task.and_then(|t| t.run.as_ref());
-            run.is_some_and(|r| r.unreported_since().is_some())
+            run.is_some_and(|r| r.is_unreported())
         });
         unreported.collect()
     }
@@ -140,67 +130,13 @@
         worker.isolated_task = worker.isolated_task.or(isolated);
         self.mark_dirty(id.job);
     }
-
-    /// Makes the next incarnation stop a run that was given up and that it may still start. A task
-    /// that needs a run now waits until the start is prevented.
-    fn block_late_start(&mut self, old: u32, new: u32, start: LateStart) {
-        let id = start.task;
-        self.fleet.get_mut(new).add_late_start(start, self.now);
-        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
-        let Some(task) = task.filter(|t| !t.done) else {
-            return self.add_late_orphan(new, start);
-        };
-        let last = task.last_run;
-        match &task.run {
-            None => self.hold_for_stop(new, id),
-            Some(run) if run.worker == old => self.move_run(id, new, |_| Stage::Stopping(None)),
-            Some(_) => return self.add_late_orphan(new, start),
-        }
-        if last != start.run {
-            self.add_late_orphan(new, start);
-        }
-    }
-
-    /// Adds a run that a worker may still start, and that is not wanted, to its orphans.
-    fn add_late_orphan(&mut self, slot: u32, start: LateStart) {
-        let id = start.task;
-        let state = self.jobs.get(&id.job);
-        let step = state.and_then(|j| j.job.spec.steps.get(id.step as usize));
-        let size = step.map_or(Capacity::default(), demand);
-        self.fleet.get_mut(slot).add_orphan(Orphan {
-            task: id,
-            run: start.run,
-            size,
-            sent_at: None,
-            stopped_at: None,
-            retry_at: 0,
-        });
-    }
-
-    /// Makes a task without a run wait by giving it one that is to be stopped.
-    fn hold_for_stop(&mut self, slot: u32, id: TaskId) {
-        let now = self.now;
-        let Some(state) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        let job = state.job.clone();
-        let Some(step) = state.step_mut(id.repetition, id.step) else {
-            return;
-        };
-        let run = Run::new(slot, Stage::Stopping(None), now);
-        step.set_run(id.index as usize, run);
-        let worker = self.fleet.get_mut(slot);
-        worker.reserve(id, &job.spec.steps[id.step as usize]);
-        self.stopping.push(id);
-        self.mark_dirty(id.job);
-    }
 }
 
 /// Returns the stage in the next incarnation of a run that it may or may not start: its first
-/// report decides, or else a stop.
-fn successor_stage(stage: Stage) -> Stage {
+/// report to a poll of a higher generation decides.
+fn successor_stage(stage: Stage, now: u64) -> Stage {
     match stage {
         Stage::Stopping(_) | Stage::StopConfirmed(_) => Stage::Stopping(None),
-        _ => Stage::Unanswered(0),
+        _ => Stage::Unanswered(now),
     }
 }
--- a/crates/jobs/src/runs/replaced_tests.rs
+++ b/crates/jobs/src/runs/replaced_tests.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use super::worker::{Capacity, WorkerInfo};
+use super::{
+    fencing::MAX_GENERATION,
+    worker::{Capacity, WorkerInfo},
+};
 use crate::{
     action::Action,
     event::{Answer, Event, ReportedRun, Started, Stopped, WorkerReport},
@@ -81,9 +84,21 @@
         self.scheduler.handle(self.now, self.now, event);
     }
 
+    /// Returns the generation of the next order to a worker.
+    fn generation(&self, worker: u32) -> u32 {
+        self.scheduler.fleet.get(worker).generation
+    }
+
+    /// Handles the answer to an order of the worker's present generation.
     fn answer(&mut self, worker: u32, sent: u64, answer: Answer) {
+        let generation = self.generation(worker);
+        self.answer_order(worker, generation, sent, answer);
+    }
+
+    fn answer_order(&mut self, worker: u32, generation: u32, sent: u64, answer: Answer) {
         self.handle_event(Event::Answer {
             worker,
+            generation,
             sent,
             answer,
         });
@@ -130,6 +145,12 @@
 
     /// Handles a report of an incarnation with these runs of the task, to a poll sent just before.
     fn report(&mut self, worker: u32, start_time: u64, runs: &[u32]) {
+        let generation = self.generation(worker);
+        self.report_to(worker, generation, start_time, runs);
+    }
+
+    /// Handles a report like [`Owner::report`], to a poll of a generation.
+    fn report_to(&mut self, worker: u32, generation: u32, start_time: u64, runs: &[u32]) {
         let running = runs.iter().map(|&run| ReportedRun {
             task: TASK,
             run,
@@ -145,7 +166,7 @@
         };
         let sent = self.now;
         self.now += 5;
-        self.answer(worker, sent, Answer::Report(report));
+        self.answer_order(worker, generation, sent, Answer::Report(report));
     }
 
     fn started(&mut self, worker: u32, run: u32, started: Started) {
@@ -189,20 +210,64 @@
     assert_eq!(owner.starts(), [(1, 2)]);
 }
 
-/// An answer does not show which incarnation gave it.
+/// A start that was meant for the old incarnation may be on its way to the next one. Only a report
+/// to a poll of a higher generation shows that it comes too late.
 #[test]
-fn an_unreported_start_is_stopped_in_the_next_incarnation() {
-    for answer in [None, Some(Started::Unknown), Some(Started::Done)] {
+fn an_unanswered_start_is_waited_for_until_it_is_fenced_off() {
+    for answer in [None, Some(Started::Unknown)] {
         let mut owner = Owner::new();
+        let generation = owner.generation(0);
         if let Some(started) = answer {
             owner.started(0, 1, started);
         }
-        owner.announce(2);
-        owner.report(0, 2, &[]);
-        assert_eq!(owner.stops(), [(1, 1)]);
-        owner.stopped(1, 1);
+        owner.report_to(0, generation, 2, &[]);
+        assert!(owner.sent.is_empty(), "{answer:?}");
         owner.report(1, 2, &[]);
-        assert_eq!(owner.starts(), [(1, 2)]);
+        owner.announce(2);
+        assert_eq!(owner.starts(), [(1, 2)], "{answer:?}");
+    }
+}
+
+/// An answer does not show which incarnation gave it. The report that shows the next one may be
+/// older than the run.
+#[test]
+fn an_answered_start_is_waited_for_until_the_next_report() {
+    let mut owner = Owner::new();
+    owner.started(0, 1, Started::Done);
+    owner.announce(2);
+    owner.report(0, 2, &[]);
+    assert!(owner.sent.is_empty());
+    owner.report(1, 2, &[]);
+    assert_eq!(owner.starts(), [(1, 2)]);
+}
+
+/// Both the report and the refusal of the start show that a worker has overtaken it.
+#[test]
+fn a_start_that_is_overtaken_is_sent_again() {
+    let mut owner = Owner::new();
+    let generation = owner.generation(0);
+    owner.report(0, 1, &[1]);
+    let sent = owner.now;
+    owner.answer(0, sent, Answer::NoReply);
+    owner.report(0, 1, &[]);
+    assert_eq!(owner.starts(), [(0, 2)]);
+    let refused = Answer::Started(TASK, 2, Started::Fenced);
+    owner.answer_order(0, generation, sent, refused);
+    assert_eq!(owner.starts(), [(0, 3)]);
+}
+
+/// Another owner has a higher fencing token than any of this owner.
+#[test]
+fn an_owner_whose_newest_orders_are_refused_steps_down() {
+    for refused in [
+        Answer::Fenced,
+        Answer::Started(TASK, 1, Started::Fenced),
+        Answer::Stopped(TASK, 1, Stopped::Fenced),
+    ] {
+        let mut owner = Owner::new();
+        let sent = owner.now;
+        owner.answer(0, sent, refused);
+        assert_eq!(owner.sent, [Action::StepDown]);
     }
 }
 
@@ -217,34 +282,29 @@
     assert_eq!(owner.starts(), [(1, 2)]);
 }
 
+/// The next fencing tokens belong to the successor.
 #[test]
-fn a_stop_confirmed_by_the_old_incarnation_does_not_bind_the_next() {
+fn an_owner_without_generations_left_steps_down() {
     let mut owner = Owner::new();
-    owner.started(0, 1, Started::Unknown);
+    owner.scheduler.fleet.set_generation("w", MAX_GENERATION);
     owner.report(0, 1, &[]);
-    assert_eq!(owner.stops(), [(0, 1)]);
-    owner.stopped(0, 1);
-    owner.announce(2);
-    owner.report(0, 2, &[]);
-    assert_eq!(owner.stops(), [(1, 1)]);
+    assert_eq!(owner.starts(), [(0, 2)]);
+    owner.started(0, 2, Started::Unknown);
+    assert_eq!(owner.sent, [Action::StepDown]);
 }
 
-/// Run 1 was given up and run 2 was lost with the old incarnation. The start of run 1 may still
-/// reach the next incarnation.
+/// Run 1 was given up and run 2 was lost with the old incarnation. The start of run 1 reaches the
+/// next incarnation, which has seen no fencing token.
 #[test]
-fn a_task_waits_until_its_late_starts_are_stopped() {
+fn a_task_waits_until_its_late_start_is_stopped() {
     let mut owner = Owner::new();
     owner.started(0, 1, Started::Unknown);
     owner.report(0, 1, &[]);
-    assert_eq!(owner.stops(), [(0, 1)]);
-    owner.stopped(0, 1);
-    owner.report(0, 1, &[]);
     assert_eq!(owner.starts(), [(0, 2)]);
     owner.report(0, 1, &[2]);
     owner.announce(2);
-    owner.report(0, 2, &[]);
-    assert_eq!(owner.stops(), [(1, 1), (1, 2)]);
-    owner.stopped(1, 2);
+    owner.report(0, 2, &[1]);
+    assert_eq!(owner.stops(), [(1, 1)]);
     owner.report(1, 2, &[1]);
     owner.stopped(1, 1);
     owner.report(1, 2, &[1]);
@@ -253,6 +313,22 @@
     assert_eq!(owner.starts(), [(1, 3)]);
 }
 
+/// A run that was fenced off in the old incarnation may begin in the next one until that has
+/// answered a poll.
+#[test]
+fn a_start_fenced_off_in_the_old_incarnation_is_stopped_in_the_next() {
+    let mut owner = Owner::new();
+    owner.started(0, 1, Started::Unknown);
+    owner.report(0, 1, &[]);
+    assert_eq!(owner.starts(), [(0, 2)]);
+    owner.announce(2);
+    owner.report(0, 2, &[1]);
+    assert_eq!(owner.stops(), [(1, 1)]);
+    owner.stopped(1, 1);
+    owner.report(1, 2, &[]);
+    assert_eq!(owner.starts(), [(1, 3)]);
+}
+
 /// The clock of the next incarnation is behind, so that it grants the longest lease to orders that
 /// were meant for the old one.
 #[test]
--- a/crates/jobs/src/runs/report.rs
+++ b/crates/jobs/src/runs/report.rs
@@ -20,8 +20,14 @@
 const MAX_BACKOFF_DOUBLINGS: usize = 6;
 
 impl Scheduler {
-    /// Handles a worker's report, the answer to a poll sent at `sent`.
-    pub(crate) fn handle_report(&mut self, slot: u32, sent: u64, report: WorkerReport) {
+    /// Handles a worker's report, the answer to a poll of a generation sent at `sent`.
+    pub(crate) fn handle_report(
+        &mut self,
+        slot: u32,
+        generation: u32,
+        sent: u64,
+        report: WorkerReport,
+    ) {
         let (now, settings) = (self.now, self.settings);
         self.fleet.get_mut(slot).poll_in_flight = false;
         let Some(slot) = self.reporting_slot(slot, sent, report.start_time) else {
@@ -32,6 +38,7 @@
             return;
         }
         worker.record_clock(report.clock, now, &settings);
+        worker.answered_generation = worker.answered_generation.max(generation);
         worker.first_end = report.finished.first().map(|e| e.number);
         let was_absent = worker.process_ended;
         if let Some(since) = worker.silent_since.take() {
@@ -47,7 +54,7 @@
             self.handle_reported_run(slot, row, report.clock);
         }
         if report.finished.len() < MAX_REPORTED_ENDS {
-            self.check_unreported(slot, sent, &report);
+            self.check_unreported(slot, generation, sent, &report);
         }
         self.check_stalled(slot);
         let ended = report.finished.iter().filter(|e| e.number > counted);
--- a/crates/jobs/src/runs/reported.rs
+++ b/crates/jobs/src/runs/reported.rs
@@ -153,8 +153,14 @@
         self.mark_dirty(id.job);
     }
 
-    /// Handles the runs that are missing from a report to a poll sent at `sent`.
-    pub(super) fn check_unreported(&mut self, slot: u32, sent: u64, report: &WorkerReport) {
+    /// Handles the runs that are missing from a report to a poll of a generation sent at `sent`.
+    pub(super) fn check_unreported(
+        &mut self,
+        slot: u32,
+        generation: u32,
+        sent: u64,
+        report: &WorkerReport,
+    ) {
         let is_reported = |id: TaskId, run: u32| {
             let running = &report.running;
             running.iter().any(|r| r.task == id && r.run == run)
@@ -178,16 +184,13 @@
             }
             // An orphan of the same task may be running, or may start.
             let has_no_orphan = !orphans.contains(&id);
-            match run.stage {
-                Stage::Unanswered(at) if sent > at => {
-                    run.stage = Stage::Stopping(None);
-                    self.stopping.push(id);
-                }
-                Stage::Confirmed(at) | Stage::StopConfirmed(at) if sent > at && has_no_orphan => {
-                    self.drop_missing(id)
-                }
-                Stage::Inherited if has_no_orphan => self.drop_missing(id),
-                _ => {}
+            let is_over = match run.stage {
+                Stage::Confirmed(at) | Stage::StopConfirmed(at) => sent > at,
+                Stage::Unanswered(at) if run.answered => sent > at,
+                _ => run.is_fenced(generation),
+            };
+            if is_over && has_no_orphan {
+                self.drop_missing(id);
             }
         }
     }
--- a/crates/jobs/src/runs/unreported.rs
+++ b/crates/jobs/src/runs/unreported.rs
@@ -28,7 +28,7 @@
     /// Returns whether the start was sent and it is unknown which incarnation of the worker, if
     /// any, has carried it out.
     fn is_unattributed(&self) -> bool {
-        self.unreported_since().is_some() && !self.attributed
+        self.is_unreported() && !self.attributed
     }
 }
 
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     model::{ids::TaskId, incarnation::Incarnation, spec::Step},
-    runs::{late_start::LateStart, orphan::Orphan},
+    runs::{fencing::FIRST_GENERATION, orphan::Orphan},
     settings::{Settings, lease_upper_bound},
     share::{own_load::OwnLoad, slack::Slack, spare_cpu::unused_cpu},
 };
@@ -110,6 +110,8 @@
     /// When every lease has expired that a later incarnation may have taken from orders for this
     /// one.
     pub(crate) successor_lease_end: u64,
+    /// Generation of the next orders.
+    pub(crate) generation: u32,
     /// Highest number of an end that was counted.
     pub(crate) counted_end: u64,
     /// Highest number of an end whose count is durable.
@@ -120,6 +122,12 @@
     pub(crate) poll_in_flight: bool,
     /// When the last poll was sent.
     pub(crate) polled_at: u64,
+    /// Generation of the last poll.
+    pub(crate) poll_generation: u32,
+    /// Generation of the last poll that was answered.
+    pub(crate) answered_generation: u32,
+    /// Whether the last poll would change the state of a later incarnation that carried it out.
+    pub(crate) poll_has_effect: bool,
     /// No poll is sent before this time.
     pub(crate) next_poll_at: u64,
     /// In how many milliseconds the first run counts as stalled, if it makes no progress.
@@ -142,8 +150,6 @@
     pub(crate) isolated_task: Option<TaskId>,
     /// Runs on the worker that are not wanted.
     pub(crate) orphans: Vec<Orphan>,
-    /// Starts of abandoned runs that this incarnation or the next one may still carry out.
-    pub(crate) late_starts: Vec<LateStart>,
     /// Used capacity; `cpu` excludes best-effort tasks.
     pub(crate) used: Capacity,
     /// CPU that best-effort tasks request, in thousandths of a core.
@@ -198,11 +204,15 @@
             prior_leases_end,
             misdirected_lease_end: 0,
             successor_lease_end: 0,
+            generation: FIRST_GENERATION,
             counted_end: 0,
             durable_end: 0,
             first_end: None,
             poll_in_flight: false,
             polled_at: 0,
+            poll_generation: 0,
+            answered_generation: 0,
+            poll_has_effect: false,
             next_poll_at: 0,
             stall_due: None,
             timer_at: 0,
@@ -214,7 +224,6 @@
             runs: Vec::new(),
             isolated_task: None,
             orphans: Vec::new(),
-            late_starts: Vec::new(),
             used: Capacity::default(),
             best_effort_cpu: 0,
             serving_tasks: 0,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     action::Action,
-    event::{Answer, Event},
+    event::{Answer, Event, Paced, Started, Stopped},
     model::{
         ids::{JobId, TaskId},
         job::JobState,
@@ -216,9 +216,10 @@
             }
             Event::Answer {
                 worker,
+                generation,
                 sent,
                 answer,
-            } => self.handle_answer(worker, sent, answer),
+            } => self.handle_answer(worker, generation, sent, answer),
             Event::Committed { asked_at } => {
                 self.handle_renewed(asked_at);
                 self.handle_committed();
@@ -325,19 +326,33 @@
         }
     }
 
-    fn handle_answer(&mut self, worker: u32, sent: u64, answer: Answer) {
+    fn handle_answer(&mut self, worker: u32, generation: u32, sent: u64, answer: Answer) {
         match answer {
-            Answer::Report(report) => self.handle_report(worker, sent, report),
+            Answer::Report(report) => self.handle_report(worker, generation, sent, report),
             Answer::NoReply => self.handle_no_reply(worker, sent),
             Answer::ConnectionRefused => {
                 self.handle_no_reply(worker, sent);
                 self.fleet.get_mut(worker).process_ended = true;
             }
-            Answer::Fenced => self.actions.push(Action::StepDown),
+            Answer::Fenced => self.handle_fenced_poll(worker, generation),
             Answer::Dead => self.worker_lost(worker),
+            Answer::Started(task, run, Started::Fenced) => {
+                self.handle_fenced_start(worker, generation, task, run)
+            }
             Answer::Started(task, run, started) => self.handle_started(worker, task, run, started),
-            Answer::Stopped(task, run, stopped) => self.handle_stopped(worker, task, run, stopped),
-            Answer::Paced(task, run, done) => self.handle_paced(worker, task, run, done),
+            Answer::Stopped(task, run, stopped) => {
+                if stopped == Stopped::Fenced {
+                    self.handle_fenced(worker, generation);
+                }
+                self.handle_stopped(worker, task, run, stopped)
+            }
+            Answer::Paced(task, run, paced) => {
+                // A pace that is set later would undo newer ones.
+                if paced == Paced::Unknown {
+                    self.fence_off(worker, generation);
+                }
+                self.handle_paced(worker, task, run, paced == Paced::Done)
+            }
         }
     }
 
--- a/crates/jobs/src/share/pace.rs
+++ b/crates/jobs/src/share/pace.rs
@@ -221,6 +221,7 @@
         log::info!(task = id.to_string().as_str(), worker = &*worker.id, from = run.pace, to = run.wanted_pace; "pace: changed");
         self.actions.push(Action::Pace {
             worker: slot,
+            generation: worker.generation,
             task: id,
             run: run_number,
             percent: run.wanted_pace,
--- a/crates/jobs/src/stats.rs
+++ b/crates/jobs/src/stats.rs
@@ -21,6 +21,8 @@
     pub rejected: u64,
     /// Starts without an answer.
     pub unanswered_starts: u64,
+    /// How often the generation of a worker's orders was raised.
+    pub raised_generations: u64,
     /// Runs given up because their leases had expired.
     pub lapsed: u64,
     /// Runs lost with their workers for any reason, including expired leases.
--- a/crates/jobs/tests/all/common/checker.rs
+++ b/crates/jobs/tests/all/common/checker.rs
@@ -32,6 +32,8 @@
     last_read: BTreeMap<(Arc<str>, Option<u64>), u64>,
     /// Runs that some incarnation was ordered never to start.
     blocked_runs: BTreeSet<(TaskId, u32)>,
+    /// The highest fencing token that each incarnation has seen.
+    fences: BTreeMap<(Arc<str>, Option<u64>), u64>,
     /// The epoch of the last owner that read a report of each incarnation, and when it first did
     /// so.
     first_read: BTreeMap<(Arc<str>, Option<u64>), (u64, u64)>,
@@ -159,17 +161,35 @@
         self.blocked_runs.insert((task, run));
     }
 
-    /// Returns the time until which the run of a late start may overlap other runs, or 0. No owner
-    /// can prevent a late start that it had blocked in an earlier incarnation if it has not
-    /// read of the new one yet.
+    /// Records that an incarnation refuses all orders with lower fencing tokens from now on.
+    pub fn record_fence(&mut self, worker: &SimWorker, fence: u64) {
+        let incarnation = (worker.id.clone(), worker.start_time);
+        let highest = self.fences.entry(incarnation).or_insert(0);
+        *highest = fence.max(*highest);
+    }
+
+    /// Returns whether an order with a fencing token can't be carried out any more by an earlier
+    /// incarnation of a worker.
+    fn is_fenced_off(&self, worker: &SimWorker, fence: u64) -> bool {
+        let mut others = self
+            .fences
+            .iter()
+            .filter(|((id, start_time), _)| *id == worker.id && *start_time != worker.start_time);
+        others.any(|(_, highest)| *highest > fence)
+    }
+
+    /// Returns the time until which the run of a late start with a fencing token may overlap other
+    /// runs, or 0. No owner can prevent a late start that it had blocked or fenced off in an
+    /// earlier incarnation if it has not read of the new one yet.
     pub fn exempt_until(
         &self,
         now: u64,
         epoch: u64,
         worker: &SimWorker,
-        order: &StartOrder,
+        (fence, order): (u64, &StartOrder),
     ) -> u64 {
-        if !self.blocked_runs.contains(&(order.task, order.run)) {
+        let is_blocked = self.blocked_runs.contains(&(order.task, order.run));
+        if !is_blocked && !self.is_fenced_off(worker, fence) {
             return 0;
         }
         let first_read = self.first_read.get(&(worker.id.clone(), worker.start_time));
@@ -180,19 +200,19 @@
         }
     }
 
-    /// Records that a worker may drop ends up to a number. A late order may have been meant for
-    /// an earlier incarnation.
-    pub fn record_observed(&mut self, now: u64, worker: &SimWorker, number: u64, late: bool) {
+    /// Records that a worker may drop ends up to a number. No owner may have let it drop an end
+    /// that none has read, not even by an order that was meant for an earlier incarnation.
+    pub fn record_observed(&mut self, now: u64, worker: &SimWorker, number: u64) {
         let read = self.last_read.get(&(worker.id.clone(), worker.start_time));
         let read = read.copied().unwrap_or(0);
         for end in worker.finished.iter().filter(|e| e.number <= number) {
+            if end.number > read {
+                let (id, task) = (&worker.id, end.task);
+                self.violations
+                    .push(format!("{now}: {id} drops the unread end of {task}"));
+            }
             match end.ending {
                 Ending::Done => {
-                    if !late && end.number > read {
-                        let (id, task) = (&worker.id, end.task);
-                        self.violations
-                            .push(format!("{now}: {id} drops the unread end of {task}"));
-                    }
                     self.counted_done.entry(end.task).or_insert(now);
                 }
                 Ending::Failed => *self.counted_failed.entry(end.task).or_insert(0) += 1,
--- a/crates/jobs/tests/all/common/crash.rs
+++ b/crates/jobs/tests/all/common/crash.rs
@@ -1,6 +1,6 @@
 //! Workers whose process ends, and tasks that crash them.
 
-use gorsespur_jobs::{Action, Answer, Event, Started, Stopped, TaskId};
+use gorsespur_jobs::{Action, Answer, Event, Paced, Started, Stopped, TaskId};
 
 use super::World;
 
@@ -89,7 +89,7 @@
             Some(Answer::Started(order.task, order.run, started))
         }
         Action::Stop { task, run, .. } => Some(Answer::Stopped(*task, *run, Stopped::Unknown)),
-        Action::Pace { task, run, .. } => Some(Answer::Paced(*task, *run, false)),
+        Action::Pace { task, run, .. } => Some(Answer::Paced(*task, *run, Paced::Refused)),
         Action::Commit(_) | Action::StepDown => None,
     }
 }
--- a/crates/jobs/tests/all/common/mod.rs
+++ b/crates/jobs/tests/all/common/mod.rs
@@ -13,6 +13,7 @@
 pub use checkpoints::Resumed;
 pub use crash::Crasher;
 pub use incarnations::Restart;
+pub use orders::{Held, fencing_token};
 pub use sim::{Mode, SimWorker};
 pub use world::{World, WorldSettings};
 
--- a/crates/jobs/tests/all/common/orders.rs
+++ b/crates/jobs/tests/all/common/orders.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gorsespur_jobs::{Action, Answer, Event, Started, Stopped, TaskId};
+use gorsespur_jobs::{Action, Answer, Event, MAX_GENERATION, Paced, Started, Stopped, TaskId};
 use rand::Rng;
 
 use super::{Mode, World, crash::refusal_answer};
@@ -22,7 +22,8 @@
 #[derive(Debug, Clone)]
 pub(super) enum Message {
     Order(Order),
-    Answer(u32, u64, Answer),
+    /// Slot of the worker, generation of the order and when it was sent, and the answer.
+    Answer(u32, u32, u64, Answer),
 }
 
 /// An order in flight to a worker.
@@ -38,6 +39,35 @@
     overdue: bool,
 }
 
+/// A kind of order that a test holds back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Held {
+    Start,
+    Pace,
+    /// A poll that lets the worker drop ends.
+    Confirmation,
+}
+
+impl Held {
+    fn includes(self, action: &Action) -> bool {
+        match self {
+            Held::Start => matches!(action, Action::Start(..)),
+            Held::Pace => matches!(action, Action::Pace { .. }),
+            Held::Confirmation => {
+                matches!(action, Action::Poll { observed, .. } if *observed > 0)
+            }
+        }
+    }
+}
+
+/// An order that is held back, with the index of its owner.
+#[derive(Debug)]
+pub(super) struct HeldOrder {
+    owner: usize,
+    kind: Held,
+    order: Order,
+}
+
 impl World {
     pub(super) fn act(&mut self, at: usize, action: Action) {
         let now = self.now;
@@ -78,10 +108,16 @@
         owner.link_until = owner.link_until.max(now) + cost;
         let extra = if is_poll(&action) { 0 } else { delay } + (owner.link_until - now);
         let due = now + 2 + extra;
-        let overdue = extra > timeout(&action);
+        let hold = self
+            .holds
+            .iter()
+            .position(|&(at, kind)| at == index && kind.includes(&action));
+        let overdue = hold.is_some() || extra > timeout(&action);
+        let owner = &mut self.owners[at];
         if overdue {
             let (slot, answer) = timeout_answer(&action);
-            let timed_out = (now + timeout(&action), Message::Answer(slot, now, answer));
+            let message = Message::Answer(slot, generation(&action), now, answer);
+            let timed_out = (now + timeout(&action), message);
             owner.messages.push(timed_out);
         }
         let order = Order {
@@ -92,7 +128,41 @@
             sent_at: now,
             overdue,
         };
-        owner.messages.push((due, Message::Order(order)));
+        match hold.map(|hold| self.holds.remove(hold)) {
+            Some((_, kind)) => self.held.push(HeldOrder {
+                owner: at,
+                kind,
+                order,
+            }),
+            None => owner.messages.push((due, Message::Order(order))),
+        }
+    }
+
+    /// Holds back the next order of a kind to a worker. Its sender gets no answer.
+    pub fn hold(&mut self, at: usize, kind: Held) {
+        self.holds.push((at, kind));
+    }
+
+    /// Returns the number of orders of a kind that are held back.
+    pub fn held(&self, kind: Held) -> usize {
+        self.held.iter().filter(|h| h.kind == kind).count()
+    }
+
+    /// Delivers the held orders of a kind within the next step, in the order of their sending.
+    pub fn release(&mut self, kind: Held) {
+        while self.held(kind) > 0 {
+            self.release_first(kind);
+        }
+    }
+
+    /// Delivers the held order of a kind that was sent first within the next step.
+    pub fn release_first(&mut self, kind: Held) {
+        let Some(first) = self.held.iter().position(|h| h.kind == kind) else {
+            return;
+        };
+        let held = self.held.remove(first);
+        let message = (self.now, Message::Order(held.order));
+        self.owners[held.owner].messages.push(message);
     }
 
     pub(super) fn deliver(&mut self, at: usize) {
@@ -113,7 +183,7 @@
         });
         for message in due {
             match message {
-                Message::Answer(worker, sent, answer) => {
+                Message::Answer(worker, generation, sent, answer) => {
                     let owner = &mut self.owners[at];
                     if !owner.stepped_down {
                         if let Answer::Report(report) = &answer {
@@ -125,6 +195,7 @@
                         }
                         let event = Event::Answer {
                             worker,
+                            generation,
                             sent,
                             answer,
                         };
@@ -138,7 +209,8 @@
 
     fn carry_out(&mut self, at: usize, order: Order) {
         let now = self.now;
-        let fence = self.owners[at].epoch;
+        let generation = generation(&order.action);
+        let fence = fencing_token(self.owners[at].epoch, generation);
         let sent = order.sent_at;
         let listener = match order.overdue {
             true => Some(order.at),
@@ -149,10 +221,8 @@
             None => refusal_answer(&order.action),
         };
         if let Some(answer) = refusal {
-            let message = (
-                now + 2,
-                Message::Answer(worker_slot(&order.action), sent, answer),
-            );
+            let slot = worker_slot(&order.action);
+            let message = (now + 2, Message::Answer(slot, generation, sent, answer));
             if !order.overdue {
                 self.owners[at].messages.push(message);
             }
@@ -169,6 +239,9 @@
         let action = order.action;
         let worker = &mut self.workers[index];
         let reached = worker.alive && !worker.partitioned;
+        if reached {
+            self.checker.record_fence(worker, fence);
+        }
         let (slot, silence) = timeout_answer(&action);
         let answer = match &action {
             Action::Poll {
@@ -177,8 +250,7 @@
                 let report = reached
                     .then(|| {
                         if fence >= worker.fence {
-                            self.checker
-                                .record_observed(now, worker, *observed, is_late);
+                            self.checker.record_observed(now, worker, *observed);
                         }
                         let report = worker.report(now, fence, *observed, *deadline)?;
                         if !is_late {
@@ -206,7 +278,9 @@
                     let progress = self.checker.checkpoints.progress(&order.checkpoint);
                     started = worker.start(now, fence, order, progress);
                     let exempt_until = match is_late {
-                        true => self.checker.exempt_until(now, self.epoch, worker, order),
+                        true => self
+                            .checker
+                            .exempt_until(now, self.epoch, worker, (fence, order)),
                         false => 0,
                     };
                     if let Some(run) = worker.runs.get_mut(before) {
@@ -242,8 +316,11 @@
             Action::Pace {
                 task, run, percent, ..
             } => {
-                let done = reached && worker.pace(*task, *run, *percent);
-                Answer::Paced(*task, *run, done)
+                let mut paced = Paced::Unknown;
+                if reached {
+                    paced = worker.pace(fence, *task, *run, *percent);
+                }
+                Answer::Paced(*task, *run, paced)
             }
             Action::Commit(_) | Action::StepDown => return,
         };
@@ -264,11 +341,17 @@
         let message = match reached && !is_lost {
             // A real worker answers a waiting poll as soon as a run ends; this one is polled again
             // after 100 ms.
-            true if is_waiting && is_idle => (now + 100 + lag, Message::Answer(slot, sent, answer)),
-            true => (now + 2 + lag, Message::Answer(slot, sent, answer)),
+            true if is_waiting && is_idle => (
+                now + 100 + lag,
+                Message::Answer(slot, generation, sent, answer),
+            ),
+            true => (
+                now + 2 + lag,
+                Message::Answer(slot, generation, sent, answer),
+            ),
             false => {
                 let due = (sent + ORDER_TIMEOUT_MS).max(now);
-                (due, Message::Answer(slot, sent, silence))
+                (due, Message::Answer(slot, generation, sent, silence))
             }
         };
         self.owners[at].messages.push(message);
@@ -287,7 +370,8 @@
         let due = self.now + self.rng.random_range(0..self.max_delay_ms.max(1));
         order.overdue = true;
         let messages = &mut self.owners[at].messages;
-        messages.push((timed_out, Message::Answer(slot, order.sent_at, answer)));
+        let answer = Message::Answer(slot, generation(&order.action), order.sent_at, answer);
+        messages.push((timed_out, answer));
         messages.push((due, Message::Order(order)));
     }
 
@@ -314,6 +398,16 @@
     matches!(action, Action::Poll { .. })
 }
 
+/// Returns the generation of an order.
+fn generation(action: &Action) -> u32 {
+    action.generation().expect("an order")
+}
+
+/// Returns the fencing token of an order of a generation, sent by the owner of an epoch.
+pub fn fencing_token(epoch: u64, generation: u32) -> u64 {
+    epoch * u64::from(MAX_GENERATION) + u64::from(generation)
+}
+
 /// Returns the slot of the worker that an order is for.
 fn worker_slot(action: &Action) -> u32 {
     timeout_answer(action).0
@@ -335,12 +429,12 @@
             let answer = Answer::Started(order.task, order.run, Started::Unknown);
             (*worker, answer)
         }
-        Action::Stop { worker, task, run } => {
-            (*worker, Answer::Stopped(*task, *run, Stopped::Unknown))
-        }
+        Action::Stop {
+            worker, task, run, ..
+        } => (*worker, Answer::Stopped(*task, *run, Stopped::Unknown)),
         Action::Pace {
             worker, task, run, ..
-        } => (*worker, Answer::Paced(*task, *run, false)),
+        } => (*worker, Answer::Paced(*task, *run, Paced::Unknown)),
         Action::Commit(_) | Action::StepDown => unreachable!("not an order"),
     }
 }
--- a/crates/jobs/tests/all/common/sim.rs
+++ b/crates/jobs/tests/all/common/sim.rs
@@ -4,7 +4,7 @@
 
 use super::checkpoints::Checkpoint;
 use gorsespur_jobs::{
-    Ending, ReportedRun, RunEnd, StartOrder, Started, Stopped, TaskId, WorkerReport,
+    Ending, Paced, ReportedRun, RunEnd, StartOrder, Started, Stopped, TaskId, WorkerReport,
 };
 
 /// Maximum number of ended runs in one report.
@@ -449,16 +449,26 @@
         Stopped::Done
     }
 
-    pub fn pace(&mut self, task: TaskId, run: u32, percent: u32) -> bool {
+    pub fn pace(&mut self, fence: u64, task: TaskId, run: u32, percent: u32) -> Paced {
         if self.mode == Mode::IgnoresPace {
             self.ignored_paces += 1;
-            return false;
+            return Paced::Refused;
         }
+        if fence < self.fence {
+            return Paced::Refused;
+        }
+        self.fence = fence;
         let found = self
             .runs
             .iter_mut()
             .find(|r| r.task == task && r.run == run);
-        found.map(|r| r.pace = percent).is_some()
+        match found {
+            Some(run) => {
+                run.pace = percent;
+                Paced::Done
+            }
+            None => Paced::Refused,
+        }
     }
 }
 
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -14,7 +14,7 @@
     Checker, Restart, SimWorker,
     clock::OwnerClock,
     crash::{Crasher, RESTART_MS},
-    orders::Message,
+    orders::{Held, HeldOrder, Message},
     sim::SimRun,
 };
 
@@ -122,6 +122,9 @@
     pub keeps_learned: bool,
     /// Duration of a write to the store, in milliseconds.
     pub write_ms: u64,
+    /// Orders to hold back, each with the index of its worker.
+    pub(super) holds: Vec<(usize, Held)>,
+    pub(super) held: Vec<HeldOrder>,
     /// The workers' rows in the store.
     pub(super) rows: Vec<Option<WorkerInfo>>,
     /// Rows of new incarnations: when to publish each, its worker and its start time.
@@ -164,6 +167,8 @@
             unaware_ms: 0,
             keeps_learned: true,
             write_ms: WRITE_MS,
+            holds: Vec::new(),
+            held: Vec::new(),
             rows: Vec::new(),
             pending_rows: Vec::new(),
             ledger: Ledger::default(),
--- a/crates/jobs/tests/all/gangs.rs
+++ b/crates/jobs/tests/all/gangs.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use gorsespur_jobs::{
-    Action, Answer, Capacity, Ending, Event, Job, JobId, QueuePolicy, ReportedRun, RunEnd,
+    Action, Answer, Capacity, Ending, Event, Job, JobId, Paced, QueuePolicy, ReportedRun, RunEnd,
     Scheduler, Settings, StartOrder, Started, Step, Stopped, Takeover, TaskId, WorkerInfo,
     WorkerReport,
 };
@@ -104,6 +104,7 @@
 
     fn act(&mut self, action: Action) {
         let sent = self.now;
+        let generation = action.generation().unwrap_or_default();
         let (worker, answer) = match action {
             Action::Commit(_) => return self.notify(Event::Committed { asked_at: sent }),
             Action::StepDown => panic!("unexpected step-down"),
@@ -136,15 +137,16 @@
                 self.starts.push(order);
                 (worker, answer)
             }
-            Action::Stop { worker, task, run } => {
-                (worker, Answer::Stopped(task, run, Stopped::Done))
-            }
+            Action::Stop {
+                worker, task, run, ..
+            } => (worker, Answer::Stopped(task, run, Stopped::Done)),
             Action::Pace {
                 worker, task, run, ..
-            } => (worker, Answer::Paced(task, run, true)),
+            } => (worker, Answer::Paced(task, run, Paced::Done)),
         };
         self.notify(Event::Answer {
             worker,
+            generation,
             sent,
             answer,
         });
--- a/crates/jobs/tests/all/log.rs
+++ b/crates/jobs/tests/all/log.rs
@@ -101,6 +101,7 @@
 
     fn act(&mut self, action: Action) {
         let sent = self.now;
+        let generation = action.generation().unwrap_or_default();
         let (worker, answer) = match action {
             Action::Commit(_) if self.commits_left == 0 => return,
             Action::Commit(batch) => {
@@ -133,6 +134,7 @@
         };
         self.notify(Event::Answer {
             worker,
+            generation,
             sent,
             answer,
         });
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod gangs;
 mod guards;
 mod inherited_starts;
+mod late_orders;
 mod ledger;
 mod lives;
 mod load;
--- a/crates/jobs/tests/all/records/simulation.rs
+++ b/crates/jobs/tests/all/records/simulation.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use crate::{ledger::Ledger, records::incarnation::Incarnation};
+use crate::{common::fencing_token, ledger::Ledger, records::incarnation::Incarnation};
 use gorsespur_jobs::{
     Action, Answer, Batch, Ending, Event, Job, JobId, QueuePolicy, Scheduler, Settings, StartOrder,
     Started, Takeover, TaskId,
@@ -18,8 +18,8 @@
 /// A message in flight.
 #[derive(Debug)]
 enum Message {
-    /// An answer to the owner of an epoch.
-    Answer(u64, u32, u64, Answer),
+    /// An answer to the owner of an epoch: worker, generation of the order, when it was sent.
+    Answer(u64, u32, u32, u64, Answer),
     /// A start that has timed out at its sender.
     Start(Arc<str>, u64, StartOrder),
     /// A batch of the owner of an epoch.
@@ -163,7 +163,7 @@
 
     fn deliver(&mut self, message: Message) {
         match message {
-            Message::Answer(epoch, worker, sent, answer) if epoch == self.epoch => {
+            Message::Answer(epoch, worker, generation, sent, answer) if epoch == self.epoch => {
                 if let Answer::Report(report) = &answer {
                     let running = report.running.iter().map(|r| (r.task, &r.checkpoint));
                     let ended = report.finished.iter().map(|e| (e.task, &e.checkpoint));
@@ -176,6 +176,7 @@
                 }
                 self.notify(Event::Answer {
                     worker,
+                    generation,
                     sent,
                     answer,
                 });
@@ -200,18 +201,21 @@
     }
 
     fn act(&mut self, action: Action) {
+        let generation = action.generation().unwrap_or_default();
+        let fence = fencing_token(self.epoch, generation);
         let (worker, answer) = match action {
             Action::Poll {
                 worker, observed, ..
             } => {
-                let (clock, fence) = (self.now, self.epoch);
+                let clock = self.now;
                 let incarnation = self.incarnation(worker);
                 let answer = incarnation.map_or(Answer::Dead, |i| i.report(clock, observed, fence));
                 (worker, answer)
             }
             Action::Start(worker, order) => (worker, self.start(worker, order)),
-            Action::Stop { worker, task, run } => {
-                let fence = self.epoch;
+            Action::Stop {
+                worker, task, run, ..
+            } => {
                 let incarnation = self.incarnation(worker);
                 let answer = incarnation.map_or(Answer::Dead, |i| {
                     Answer::Stopped(task, run, i.stop(task, run, fence))
@@ -226,7 +230,7 @@
             Action::Pace { .. } | Action::StepDown => panic!("unexpected action"),
         };
         let due = self.now + self.random_delay();
-        let message = Message::Answer(self.epoch, worker, self.now, answer);
+        let message = Message::Answer(self.epoch, worker, generation, self.now, answer);
         self.messages.push((due, message));
     }
 
@@ -260,7 +264,7 @@
                 order.checkpoint
             );
         }
-        let fence = self.epoch;
+        let fence = fencing_token(self.epoch, order.generation);
         if !self.no_faults && self.rng.random_range(0..20) == 0 {
             // The start is not answered, and carried out later.
             let (_, id) = self
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use gorsespur_core::retry::Backoff;
-use gorsespur_jobs::Takeover;
+use gorsespur_jobs::{MAX_GENERATION, Takeover};
 use gorsespur_runtime::cancel::CancelToken;
 use rand::Rng;
 
@@ -27,6 +27,10 @@
 /// Shortest such long poll, in milliseconds: the store is always read before a claim.
 const MIN_WAIT_MS: u64 = 10;
 
+/// Difference between the epochs of an owner and its predecessor. The owner's fencing tokens are
+/// the numbers in between and its epoch, so that a successor of any version has higher ones.
+const EPOCH_STEP: u64 = MAX_GENERATION as u64;
+
 /// Time limit of a claim, the same as for writes of the journal.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -245,13 +249,18 @@
     })
 }
 
+/// Returns the fencing token of an order of a generation, sent by the owner of an epoch.
+pub(crate) fn fencing_token(epoch: u64, generation: u32) -> u64 {
+    epoch.saturating_sub(EPOCH_STEP) + u64::from(generation)
+}
+
 /// Tries to become the owner; returns `None` if another instance was faster.
 pub(crate) fn claim(
     shared: &Arc<Shared>,
     seen: &ObservedLease,
 ) -> Result<Option<Tenure>, StoreError> {
     let version = seen.row.as_ref().map_or(0, |r| r.version);
-    let epoch = seen.lease.epoch + 1;
+    let epoch = seen.lease.epoch + EPOCH_STEP;
     let asked_at = shared.clock.now();
     let candidate = seen.candidate(shared, asked_at, FollowTiming::default());
     let prior_leases_end = candidate.prior_leases_end(asked_at, &shared.settings.jobs);
--- a/crates/node/src/lease_tests.rs
+++ b/crates/node/src/lease_tests.rs
@@ -3,9 +3,11 @@
 
 use std::sync::atomic::Ordering;
 
+use gorsespur_jobs::MAX_GENERATION;
+
 use crate::{
     fakes_tests::{LeaseStore, shared},
-    lease::{FollowTiming, LeaseWatch, claim},
+    lease::{FollowTiming, LeaseWatch, claim, fencing_token},
     rows::LeaseRow,
 };
 
@@ -65,5 +67,21 @@
         store.newest().earlier,
         takeover.prior_leases_end - takeover.asked_at
     );
-    assert_eq!(store.newest().epoch, 4);
+}
+
+/// An owner of any version continues from the epoch in the lease, and workers refuse lower fencing
+/// tokens. So those of an owner are above the epoch of its predecessor, and not above its own.
+#[test]
+fn the_fencing_tokens_of_owners_do_not_overlap() {
+    let store = LeaseStore::new(lease());
+    let shared = shared(store.clone());
+    let mut watch = LeaseWatch::default();
+    let seen = watch
+        .refresh(&shared, FollowTiming::default())
+        .expect("an answer");
+    let tenure = claim(&shared, seen).expect("an answer").expect("claimed");
+    let epoch = store.newest().epoch;
+    assert_eq!(tenure.epoch, epoch);
+    assert!(fencing_token(epoch, 1) > lease().epoch);
+    assert_eq!(fencing_token(epoch, MAX_GENERATION), epoch);
 }
--- a/crates/node/src/owner/connections.rs
+++ b/crates/node/src/owner/connections.rs
@@ -8,11 +8,13 @@
 };
 
 use gorsespur_http::{Connection, HttpError, Readiness, Response};
-use gorsespur_jobs::{Answer, Started};
+use gorsespur_jobs::{Answer, StartOrder, Started};
 use mio::{Registry, Token};
 
-use super::worker_connections::{Call, CallDeadline, QueuedOrder, SLOTS, WorkerConnections};
-use crate::{protocol::Order, shared::Shared};
+use super::worker_connections::{
+    Call, CallDeadline, OrderResult, QueuedOrder, SLOTS, WorkerConnections,
+};
+use crate::{lease::fencing_token, protocol::Order, shared::Shared};
 
 /// Time limit of a poll beyond the wait requested of the worker, in milliseconds. Longer than for
 /// orders, since little depends on a single poll.
@@ -40,8 +42,7 @@
     /// Deadlines of the calls, the earliest first. Checking every connection instead took a tenth
     /// of the owner's time with 1,100 workers.
     deadlines: BinaryHeap<Reverse<CallDeadline>>,
-    /// Results of orders, with the worker and the time when they were sent.
-    answers: Vec<(u32, u64, Answer)>,
+    answers: Vec<OrderResult>,
 }
 
 impl Connections {
@@ -56,17 +57,18 @@
     }
 
     /// Returns the results of orders since the last call.
-    pub(crate) fn take_answers(&mut self) -> Vec<(u32, u64, Answer)> {
+    pub(crate) fn take_answers(&mut self) -> Vec<OrderResult> {
         std::mem::take(&mut self.answers)
     }
 
-    /// Sends an order to a worker, or queues it until a connection is free.
+    /// Sends an order of a generation to a worker, or queues it until a connection is free.
     pub(crate) fn send(
         &mut self,
         registry: &Registry,
         worker: u32,
         target: (SocketAddr, Arc<str>),
         order: Order,
+        generation: u32,
     ) {
         let index = worker as usize;
         while self.workers.len() <= index {
@@ -85,9 +87,10 @@
             _ => connections.free_slot(),
         };
         match slot {
-            Some(slot) => self.call(registry, worker, slot, order),
+            Some(slot) => self.call(registry, worker, slot, order, generation),
             None => connections.waiting.push_back(QueuedOrder {
                 order,
+                generation,
                 queued_at: now,
             }),
         }
@@ -205,20 +208,26 @@
         if connections.slots[slot].call.is_some() {
             return;
         }
-        while let Some(QueuedOrder { order, queued_at }) = connections.waiting.pop_front() {
-            let Order::Start(start) = &order else {
-                return self.call(registry, worker, slot, order);
+        while let Some(queued) = connections.waiting.pop_front() {
+            let Order::Start(start) = &queued.order else {
+                return self.call(registry, worker, slot, queued.order, queued.generation);
             };
-            if now < queued_at + MAX_START_WAIT_MS {
-                return self.call(registry, worker, slot, order);
+            if now < queued.queued_at + MAX_START_WAIT_MS {
+                return self.call(registry, worker, slot, queued.order, queued.generation);
             }
-            log::info!(task = start.task.to_string().as_str(), worker = &*connections.id, waited_ms = now - queued_at; "order: taken back");
-            let withdrawn = Answer::Started(start.task, start.run, Started::Withdrawn);
-            self.answers.push((worker, queued_at, withdrawn));
+            log::info!(task = start.task.to_string().as_str(), worker = &*connections.id, waited_ms = now - queued.queued_at; "order: taken back");
+            self.answers.push(withdraw(worker, &queued, start));
         }
     }
 
-    fn call(&mut self, registry: &Registry, worker: u32, slot: usize, mut order: Order) {
+    fn call(
+        &mut self,
+        registry: &Registry,
+        worker: u32,
+        slot: usize,
+        mut order: Order,
+        generation: u32,
+    ) {
         let now = self.shared.clock.now();
         let Some(Some(connections)) = self.workers.get_mut(worker as usize) else {
             return;
@@ -230,10 +239,8 @@
         if target_slot.connection.is_none() {
             keep_ended_runs(&mut order);
         }
-        let request = self
-            .shared
-            .protocol
-            .order(&order, self.epoch, &connections.id);
+        let fence = fencing_token(self.epoch, generation);
+        let request = self.shared.protocol.order(&order, fence, &connections.id);
         let timeout = match &order {
             Order::Poll { wait, .. } => wait + POLL_MARGIN_MS,
             _ => ORDER_TIMEOUT_MS,
@@ -241,6 +248,7 @@
         let deadline = now + timeout;
         target_slot.call = Some(Call {
             order,
+            generation,
             sent_at: now,
             deadline,
             is_extended: false,
@@ -284,24 +292,34 @@
             log::info!(worker = &*connections.id, order = order_name(&call.order), err = err.to_string().as_str(), took_ms = self.shared.clock.now() - call.sent_at; "order: no answer");
         }
         let answer = self.shared.protocol.answer(&call.order, result);
-        self.answers.push((worker, call.sent_at, answer));
+        self.answers.push(OrderResult {
+            worker,
+            generation: call.generation,
+            sent_at: call.sent_at,
+            answer,
+        });
     }
 }
 
 /// Withdraws a queued start; returns whether the order was one.
-fn withdraw_start(
-    worker: u32,
-    waiting: &QueuedOrder,
-    answers: &mut Vec<(u32, u64, Answer)>,
-) -> bool {
-    let Order::Start(start) = &waiting.order else {
+fn withdraw_start(worker: u32, queued: &QueuedOrder, answers: &mut Vec<OrderResult>) -> bool {
+    let Order::Start(start) = &queued.order else {
         return false;
     };
-    let withdrawn = Answer::Started(start.task, start.run, Started::Withdrawn);
-    answers.push((worker, waiting.queued_at, withdrawn));
+    answers.push(withdraw(worker, queued, start));
     true
 }
 
+/// Returns the result of a queued start that is withdrawn.
+fn withdraw(worker: u32, queued: &QueuedOrder, start: &StartOrder) -> OrderResult {
+    OrderResult {
+        worker,
+        generation: queued.generation,
+        sent_at: queued.queued_at,
+        answer: Answer::Started(start.task, start.run, Started::Withdrawn),
+    }
+}
+
 /// Makes a poll acknowledge no ended runs: on a new connection, another incarnation may receive it,
 /// which counts its ended runs anew. The worker then reports them once more.
 fn keep_ended_runs(order: &mut Order) {
--- a/crates/node/src/owner/connections_tests.rs
+++ b/crates/node/src/owner/connections_tests.rs
@@ -16,7 +16,7 @@
 use gorsespur_jobs::{Answer, JobId, StartOrder, Started, TaskId};
 use mio::{Events, Poll};
 
-use super::connections::Connections;
+use super::{connections::Connections, worker_connections::OrderResult};
 use crate::{
     fakes_tests::{UnavailableStore, shared},
     protocol::Order,
@@ -45,6 +45,9 @@
     addr
 }
 
+/// Generation of all orders.
+const GENERATION: u32 = 1;
+
 /// Longest wait of one [`Fixture::turn`].
 const TICK: Duration = Duration::from_millis(25);
 
@@ -68,6 +71,7 @@
         spec: Arc::default(),
         deadline: 0,
         checkpoint: "".into(),
+        generation: GENERATION,
     })
 }
 
@@ -95,14 +99,14 @@
         let target = (addr, "w".into());
         fixture
             .connections
-            .send(fixture.poll.registry(), 0, target, order);
+            .send(fixture.poll.registry(), 0, target, order, GENERATION);
     }
     fixture
 }
 
 impl Fixture {
     /// Reads until an answer has arrived.
-    fn read(&mut self) -> Vec<(u32, u64, Answer)> {
+    fn read(&mut self) -> Vec<OrderResult> {
         let mut events = Events::with_capacity(16);
         loop {
             let waited = self.poll.poll(&mut events, None);
@@ -119,7 +123,7 @@
     }
 
     /// Reads once as the owner does, and abandons calls that are due.
-    fn turn(&mut self) -> Vec<(u32, u64, Answer)> {
+    fn turn(&mut self) -> Vec<OrderResult> {
         let mut events = Events::with_capacity(16);
         let read = self.shared.clock.now();
         let waited = self.poll.poll(&mut events, Some(TICK));
@@ -136,7 +140,7 @@
     fn expire(&mut self, at: u64, late: bool) -> Vec<Answer> {
         self.connections.expire(self.poll.registry(), at, late);
         let answers = self.connections.take_answers();
-        answers.into_iter().map(|a| a.2).collect()
+        answers.into_iter().map(|a| a.answer).collect()
     }
 }
 
@@ -144,7 +148,14 @@
 fn answered_calls_are_not_abandoned() {
     let mut fixture = send_poll(true);
     let answers = fixture.read();
-    assert!(matches!(answers[..], [(0, _, Answer::Report(_))]));
+    assert!(matches!(
+        answers[..],
+        [OrderResult {
+            worker: 0,
+            answer: Answer::Report(_),
+            ..
+        }]
+    ));
     assert!(fixture.expire(fixture.sent_at + 60_000, false).is_empty());
 }
 
@@ -289,14 +300,18 @@
         for (worker, (addr, id)) in (0..).zip(incarnations) {
             for job in (round * 6..round * 6 + 6).map(|j| j * 3 + u64::from(worker)) {
                 let target = (addr, id.into());
-                fixture
-                    .connections
-                    .send(fixture.poll.registry(), worker, target, start(job));
+                fixture.connections.send(
+                    fixture.poll.registry(),
+                    worker,
+                    target,
+                    start(job),
+                    GENERATION,
+                );
                 unanswered += 1;
             }
         }
         while unanswered > 0 {
-            for (worker, _, answer) in fixture.turn() {
+            for OrderResult { worker, answer, .. } in fixture.turn() {
                 let Answer::Started(task, 1, started) = answer else {
                     panic!("{answer:?}");
                 };
@@ -361,9 +376,16 @@
         let target = (addr, "w".into());
         fixture
             .connections
-            .send(fixture.poll.registry(), 0, target, poll);
+            .send(fixture.poll.registry(), 0, target, poll, GENERATION);
         let answers = fixture.read();
-        assert!(matches!(answers[..], [(0, _, Answer::Report(_))]));
+        assert!(matches!(
+            answers[..],
+            [OrderResult {
+                worker: 0,
+                answer: Answer::Report(_),
+                ..
+            }]
+        ));
         if observed == 2 {
             closed.recv().expect("closed");
         }
@@ -378,7 +400,7 @@
     let mut fixture = send_orders(false, (1..=3).map(start).collect());
     fixture.connections.drop_worker(fixture.poll.registry(), 0);
     let answers = fixture.connections.take_answers();
-    let withdrawn: Vec<_> = answers.iter().map(|a| &a.2).collect();
+    let withdrawn: Vec<_> = answers.iter().map(|a| &a.answer).collect();
     assert!(matches!(
         withdrawn[..],
         [
@@ -398,7 +420,7 @@
     let target = (addr, "w".into());
     fixture
         .connections
-        .send(fixture.poll.registry(), 0, target, start(1));
+        .send(fixture.poll.registry(), 0, target, start(1), GENERATION);
     // The connection is open, and the order is sent.
     let (mut late, _) = listener.accept().expect("a connection");
     let mut events = Events::with_capacity(16);
@@ -418,7 +440,7 @@
     let target = (addr, "w".into());
     fixture
         .connections
-        .send(fixture.poll.registry(), 0, target, start(2));
+        .send(fixture.poll.registry(), 0, target, start(2), GENERATION);
     // The sender may have closed that connection already.
     let written = late.write_all(answer_to(0).0.as_bytes());
     let worker = thread::spawn(move || {
@@ -432,6 +454,10 @@
     assert!(read.path.ends_with('2') && answered.is_ok(), "{written:?}");
     assert!(matches!(
         answers[..],
-        [(0, _, Answer::Started(task, 1, Started::NoRoom))] if task.job == JobId(2)
+        [OrderResult {
+            worker: 0,
+            answer: Answer::Started(task, 1, Started::NoRoom),
+            ..
+        }] if task.job == JobId(2)
     ));
 }
--- a/crates/node/src/owner/decision_loop.rs
+++ b/crates/node/src/owner/decision_loop.rs
@@ -168,11 +168,12 @@
         self.apply_evacuated(now);
         // Sending may fail at once, which yields another answer.
         loop {
-            for (worker, sent, answer) in self.connections.take_answers() {
+            for result in self.connections.take_answers() {
                 let event = Event::Answer {
-                    worker,
-                    sent,
-                    answer,
+                    worker: result.worker,
+                    generation: result.generation,
+                    sent: result.sent_at,
+                    answer: result.answer,
                 };
                 self.scheduler.handle(now, wall_ms(), event);
             }
@@ -261,12 +262,14 @@
         if self.is_over {
             return;
         }
+        let generation = action.generation().unwrap_or_default();
         let (worker, order) = match action {
             Action::Poll {
                 worker,
                 observed,
                 deadline,
                 wait,
+                ..
             } => {
                 let order = Order::Poll {
                     observed,
@@ -276,23 +279,27 @@
                 (worker, order)
             }
             Action::Start(worker, start) => (worker, Order::Start(start)),
-            Action::Stop { worker, task, run } => (worker, Order::Stop(task, run)),
+            Action::Stop {
+                worker, task, run, ..
+            } => (worker, Order::Stop(task, run)),
             Action::Pace {
                 worker,
                 task,
                 run,
                 percent,
+                ..
             } => (worker, Order::Pace(task, run, percent)),
             Action::Commit(batch) => return send(journal, JournalInput::Batch(batch)),
             Action::StepDown => {
-                log::warn!("owner: a worker has seen a higher epoch");
+                log::warn!("owner: a worker refuses its orders");
                 self.is_over = true;
                 return;
             }
         };
         if let Some(target) = self.scheduler.worker_address(worker) {
             let registry = self.inbox.poll.registry();
-            self.connections.send(registry, worker, target, order);
+            self.connections
+                .send(registry, worker, target, order, generation);
         }
     }
 }
--- a/crates/node/src/owner/worker_connections.rs
+++ b/crates/node/src/owner/worker_connections.rs
@@ -3,6 +3,7 @@
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
 
 use gorsespur_http::Connection;
+use gorsespur_jobs::Answer;
 
 use crate::protocol::Order;
 
@@ -13,13 +14,24 @@
 #[derive(Debug)]
 pub(super) struct QueuedOrder {
     pub(super) order: Order,
+    pub(super) generation: u32,
     pub(super) queued_at: u64,
 }
 
+/// The result of an order.
+#[derive(Debug)]
+pub(crate) struct OrderResult {
+    pub(crate) worker: u32,
+    pub(crate) generation: u32,
+    pub(crate) sent_at: u64,
+    pub(crate) answer: Answer,
+}
+
 /// An order under way.
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) order: Order,
+    pub(super) generation: u32,
     pub(super) sent_at: u64,
     pub(super) deadline: u64,
     /// Whether the deadline was extended after a late wake-up.
--- a/crates/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -60,8 +60,8 @@
     /// Decodes a worker's announcement.
     fn worker(&self, row: &Row) -> Result<WorkerInfo, ProtocolError>;
 
-    /// Encodes an order to a worker's incarnation, sent by the owner of an epoch.
-    fn order(&self, order: &Order, epoch: u64, worker: &Arc<str>) -> Request;
+    /// Encodes an order with a fencing token to a worker's incarnation.
+    fn order(&self, order: &Order, fence: u64, worker: &Arc<str>) -> Request;
 
     /// Decodes the result of an order.
     fn answer(&self, order: &Order, result: Result<Response, HttpError>) -> Answer;
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -91,7 +91,7 @@
 pub(crate) struct LeaseRow {
     /// Name of the owner.
     pub(crate) owner: String,
-    /// Incremented by each claim; the fencing token that workers check.
+    /// Raised by each claim; the highest fencing token that the owner may send to workers.
     pub(crate) epoch: u64,
     /// Whether the owner has released the lease and sends no more orders.
     pub(crate) released: bool,
