jobs: a new owner waits for starts that a later incarnation may have taken

Cause: records name the worker of a run, but not whether a report ever included the run. A new owner took another worker's answer at the address, or the end of the leases that its predecessor had granted, for the end of all runs that it inherited there. A later incarnation may have accepted the start a moment before, under the longest lease that the worker grants, as the predecessor knew. Change: such runs wait as those of the owner's own starts do: until a report of any incarnation of the name settles them, or the longest lease after the takeover and the delay of an order are over. Long-running tasks wait for the leases that were granted only, since users are promised that they are back by then; there the case is open. Workers without start times decide as before.

--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -152,7 +152,8 @@
     /// The run may not have begun yet, or may have begun in another incarnation than intended; the
     /// answer to the start does not show which.
     pub(crate) fn is_unreported(&self) -> bool {
-        self.sent_at.is_some() && self.reported_at.is_none()
+        let was_sent = self.sent_at.is_some() || self.stage == Stage::Inherited;
+        was_sent && self.reported_at.is_none()
     }
 
     /// Returns whether the run is to go on.
--- a/crates/jobs/src/runs/unreported.rs
+++ b/crates/jobs/src/runs/unreported.rs
@@ -15,7 +15,10 @@
 
 use crate::{
     event::Started,
-    model::{ids::TaskId, task::Run},
+    model::{
+        ids::TaskId,
+        task::{Run, Stage},
+    },
     runs::worker::Worker,
     scheduler::Scheduler,
     settings::{Settings, lease_upper_bound, min_clock_advance},
@@ -69,11 +72,24 @@
     }
 
     /// Returns whether a run may be in progress in a later incarnation of its worker.
+    ///
+    /// Records don't show whether a report has included a run of an earlier owner. A long-running
+    /// task does not wait longer than the leases that were granted, since users are promised that
+    /// it is back by then.
     fn may_run_in_successor(&self, slot: u32, id: TaskId) -> bool {
         let worker = self.fleet.get(slot);
-        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
-        let run = task.and_then(|t| t.run.as_ref());
-        self.now <= worker.successor_lease_end && run.is_some_and(|r| r.is_unattributed())
+        let Some(state) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let long_running = state.job.spec.steps[id.step as usize].long_running;
+        let Some(run) = state.task(id).and_then(|t| t.run.as_ref()) else {
+            return false;
+        };
+        let end = match run.stage {
+            Stage::Inherited if long_running => worker.prior_leases_end,
+            _ => worker.successor_lease_end,
+        };
+        worker.start_time.is_some() && self.now <= end && run.is_unattributed()
     }
 
     /// Returns the runs on a worker that end with its incarnation or its leases.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -176,6 +176,8 @@
             let step = &state.job.spec.steps[id.step as usize];
             let worker = self.fleet.get_mut(run.worker);
             worker.reserve(id, step);
+            // The earlier owner may have sent the start just before the takeover.
+            worker.record_lease_order(self.now, &self.settings);
             // After power failures, other suspects may run on the same worker.
             if task.crashes.is_likely_cause() {
                 worker.isolated_task = Some(id);
--- a/crates/jobs/tests/all/inherited_starts.rs
+++ b/crates/jobs/tests/all/inherited_starts.rs
@@ -62,6 +62,59 @@
     );
 }
 
+/// The worker restarts, and another one answers at its address before the new incarnation has
+/// announced itself. The new owner must not take this as proof that the start is not carried out.
+#[test]
+fn a_new_owner_waits_for_a_start_where_another_worker_answers() {
+    let mut failures = Vec::new();
+    for delay in [800, 1500, 2500] {
+        for take_over_after in [0, 300, 700] {
+            let mut world = world_with_start(delay);
+            world.restart.row_delay_ms = 3000;
+            world.restart_ms = 50;
+            world.crash(0);
+            world.crash(1);
+            world.run(45);
+            world.swap_ports(0, 1);
+            world.run(take_over_after);
+            replace_owner(&mut world);
+            failures.extend(failure(
+                &mut world,
+                format!("start after {delay} ms, owner after {take_over_after} ms"),
+            ));
+        }
+    }
+    check(&failures);
+}
+
+/// The new incarnation accepts the start, whose end of the lease is far ahead of its clock, so that
+/// it takes the longest lease. It is cut off before the new owner has polled it. The run outlasts
+/// the leases that the earlier owner granted.
+#[test]
+fn a_new_owner_waits_for_the_lease_of_an_unannounced_incarnation() {
+    let mut failures = Vec::new();
+    for delay in [100, 800, 2500] {
+        let mut world = world_with_start(delay);
+        world.restart.row_delay_ms = 60_000;
+        world.restart_ms = 20;
+        world.run(delay.saturating_sub(60));
+        world.lose_power(0);
+        let end = world.now + 300;
+        while world.workers[0].runs.is_empty() && world.now < end {
+            world.run(5);
+        }
+        assert_eq!(world.workers[0].runs.len(), 1, "the start was not accepted");
+        world.workers[0].partitioned = true;
+        world.workers[0].task_ms = Some(60_000);
+        for worker in &mut world.workers {
+            worker.runs.iter_mut().for_each(|r| r.work = 60_000);
+        }
+        replace_owner(&mut world);
+        failures.extend(failure(&mut world, format!("start after {delay} ms")));
+    }
+    check(&failures);
+}
+
 /// The first report to the new owner does not include the run, whose start is still on its way: the
 /// incarnation that reports refuses it from then on, because of the new owner's epoch. The next one
 /// does not, and accepts the start before the new owner has polled it.
