Log the bound on starts in flight beside the owner's load

Cause: logs told that a job stands still though no worker refuses it, and not that starts were held back. Change: owner: load has the late jobs, the bound, the starts in flight and the passes that were held back or stale; job: stands still tells whether the job is late and counts workers kept free or avoided after a failure, which no field had.

--- a/crates/jobs/src/place/starvation.rs
+++ b/crates/jobs/src/place/starvation.rs
@@ -99,13 +99,16 @@
         let refusals = self.count_refusals(&request, pass);
         let is_crowded = pass.is_crowded(&service);
         let position = self.open_jobs.iter().position(|&o| o == id);
+        let is_late =
+            position.is_some_and(|p| p >= self.open_jobs.len().saturating_sub(self.late_jobs));
         let count = |r| refusals.get(r);
         log::info!(
             task = task.to_string().as_str(), still_ms = self.now - since,
-            order:? = position, jobs = self.open_jobs.len(), crowded = is_crowded, apart = needs_isolation,
+            order:? = position, jobs = self.open_jobs.len(), late = is_late, crowded = is_crowded, apart = needs_isolation,
             closed = count(Refusal::Closed), guest = count(Refusal::Isolating),
             trial = count(Refusal::OnProbation), label = count(Refusal::Label),
             room = count(Refusal::NoRoom), share = count(Refusal::BestEffortShare),
+            kept = count(Refusal::Reserved), failed = count(Refusal::FailedBefore),
             spread = count(Refusal::StepLimit), tail = count(Refusal::OverTarget),
             excess = count(Refusal::Interference),
             open = pass.open_workers.len();
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -99,7 +99,7 @@
     }
 
     /// Returns the number of placed runs whose start has not been answered.
-    fn unanswered_starts(&self) -> usize {
+    pub(crate) fn unanswered_starts(&self) -> usize {
         let runs = self.fleet.workers.iter().flat_map(|w| &w.runs);
         let stages = runs.filter_map(|&id| {
             let run = self.jobs.get(&id.job)?.task(id)?.run.as_ref();
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -45,7 +45,10 @@
             workers = open, cpu = capacity.cpu, cpu_used = used.cpu, serving = serving_cpu,
             filling = best_effort_cpu, age_ms = self.fleet.age(self.now),
             memory = capacity.memory, memory_used = used.memory,
-            jobs = self.open_jobs.len(), waiting, running, slowed;
+            jobs = self.open_jobs.len(), waiting, running, slowed,
+            late = self.late_jobs, window:? = self.window.limit(),
+            unanswered = self.unanswered_starts(), held = self.stats.throttled_passes,
+            stale = self.stats.skipped_passes, passes = self.stats.passes;
             "owner: load"
         );
         self.log_starved_jobs();
