Test that starts held back leave no job without a run

Cause: on the small twins of the fleet an owner's link carries 110 starts a second. Change: two tests in virtual time.

--- a/crates/jobs/tests/all/waits.rs
+++ b/crates/jobs/tests/all/waits.rs
@@ -473,3 +473,74 @@
     world.run(5000);
     assert_eq!(world.stats().commits, before);
 }
+
+/// Milliseconds for which a start of a large payload occupies a link of 2 Mbit/s.
+const SLOW_LINK_MS: u64 = 9;
+
+/// An owner's link carries 110 starts a second, and 125 tasks a second arrive for 10 s. More than
+/// half of the capacity stays free, and each job could have a run at all times.
+#[test]
+fn no_late_job_stalls_while_starts_are_throttled() {
+    let mut world = world(48);
+    world.link_ms = SLOW_LINK_MS;
+    let small = Step {
+        cpu: 200,
+        memory: 200,
+        ..short(50, 1700)
+    };
+    let mut last_run = Vec::new();
+    let (mut longest, mut most_used) = (0, 0);
+    for round in 0..200 {
+        if round < 100 && round % 4 == 0 {
+            let id = world.submit(1 + round, chain(vec![small.clone()]));
+            last_run.push((id, world.now));
+        }
+        world.run(SAMPLE_MS);
+        for (id, at) in &mut last_run {
+            if is_running(&world, *id) || world.outcome(*id).is_final() {
+                *at = world.now;
+            }
+            longest = longest.max(world.now - *at);
+        }
+        let used: u64 = world.workers.iter().map(|w| w.used().1).sum();
+        most_used = most_used.max(used);
+    }
+    let (throttled, capacity) = (world.stats().throttled_passes, 48 * 16_000);
+    assert!(throttled > 0, "starts were not throttled");
+    assert!(
+        most_used * 2 < capacity,
+        "{most_used} of {capacity} MB used"
+    );
+    assert!(
+        longest < MAX_WAIT_MS,
+        "a job had no run for {longest} ms, {throttled} throttled passes"
+    );
+}
+
+/// An owner whose link carries 110 starts a second takes over jobs with 2,000 waiting tasks, and
+/// capacity for all of them. Its polls queue behind its starts.
+#[test]
+fn a_new_owner_does_not_fill_its_link_with_starts() {
+    let mut world = world(48);
+    world.link_ms = SLOW_LINK_MS;
+    world.pause(true);
+    let small = Step {
+        cpu: 200,
+        memory: 200,
+        ..short(50, 1700)
+    };
+    for id in 1..=40 {
+        world.submit(id, chain(vec![small.clone()]));
+    }
+    let inherited = world.lease_end();
+    world.take_over(inherited);
+    world.run(4000);
+    let stats = world.stats();
+    let unanswered = stats.unanswered_starts;
+    assert!(stats.starts > 200, "{} starts in 4 s", stats.starts);
+    assert!(
+        unanswered * 10 < stats.starts,
+        "{unanswered} of {} starts had no answer in time",
+        stats.starts
+    );
+}
