jobs: an overtaken order to a replaced incarnation is no reason to step down

Cause: the generation of a refused order was compared with that of its own slot. The slot of a replaced incarnation keeps its last one, while orders to the next incarnation carry higher ones. Change: it is compared with the highest generation of the name.

--- a/crates/jobs/src/runs/fencing.rs
+++ b/crates/jobs/src/runs/fencing.rs
@@ -14,7 +14,7 @@
         ids::TaskId,
         task::{Run, Stage},
     },
-    runs::{fleet::Fleet, worker::Worker},
+    runs::fleet::Fleet,
     scheduler::Scheduler,
 };
 
@@ -43,13 +43,6 @@
     }
 }
 
-impl Worker {
-    /// Returns whether the worker was sent orders of a higher generation than this.
-    pub(crate) fn is_outdated(&self, generation: u32) -> bool {
-        generation < self.generation
-    }
-}
-
 impl Fleet {
     /// Returns the generation of the next orders to a new incarnation of a name.
     pub(super) fn next_generation(&self, id: &str) -> u32 {
@@ -58,6 +51,12 @@
         highest.map_or(FIRST_GENERATION, |g| g + 1)
     }
 
+    /// Returns whether any incarnation of a worker's name was sent orders of a higher generation.
+    fn is_outdated(&self, slot: u32, generation: u32) -> bool {
+        let worker = self.get(slot);
+        generation < worker.generation || generation + 1 < self.next_generation(&worker.id)
+    }
+
     /// Sets the generation of the orders to all incarnations of a name.
     pub(super) fn set_generation(&mut self, id: &str, generation: u32) {
         for slot in self.incarnations(id).to_vec() {
@@ -91,7 +90,7 @@
     /// Raises the generation after an order without an answer, unless that has been done since it
     /// was sent.
     pub(crate) fn fence_off(&mut self, slot: u32, generation: u32) {
-        if !self.fleet.get(slot).is_outdated(generation) {
+        if !self.fleet.is_outdated(slot, generation) {
             self.raise_generation(slot);
         }
     }
@@ -99,7 +98,7 @@
     /// Handles the refusal of an order because the worker has seen a higher fencing token: either
     /// one of this owner, or one of its successor. Returns whether it was one of this owner.
     pub(crate) fn handle_fenced(&mut self, slot: u32, generation: u32) -> bool {
-        let is_outdated = self.fleet.get(slot).is_outdated(generation);
+        let is_outdated = self.fleet.is_outdated(slot, generation);
         if !is_outdated {
             self.actions.push(Action::StepDown);
         }
--- a/crates/jobs/src/runs/replaced_tests.rs
+++ b/crates/jobs/src/runs/replaced_tests.rs
@@ -20,7 +20,7 @@
 };
 
 /// The only task.
-const TASK: TaskId = TaskId {
+pub(super) const TASK: TaskId = TaskId {
     job: JobId(1),
     repetition: 0,
     step: 0,
@@ -28,17 +28,17 @@
 };
 
 /// An owner with one job of one task, and with one worker whose answers the test gives.
-struct Owner {
-    scheduler: Scheduler,
-    now: u64,
+pub(super) struct Owner {
+    pub(super) scheduler: Scheduler,
+    pub(super) now: u64,
     /// Actions since the last check, without polls.
-    sent: Vec<Action>,
+    pub(super) sent: Vec<Action>,
 }
 
 impl Owner {
     /// Returns an owner whose worker has reported in its first incarnation and was sent the start
     /// of run 1.
-    fn new() -> Owner {
+    pub(super) fn new() -> Owner {
         let now = 100_000;
         let takeover = Takeover {
             asked_at: now,
@@ -80,22 +80,22 @@
         owner
     }
 
-    fn handle_event(&mut self, event: Event) {
+    pub(super) fn handle_event(&mut self, event: Event) {
         self.scheduler.handle(self.now, self.now, event);
     }
 
     /// Returns the generation of the next order to a worker.
-    fn generation(&self, worker: u32) -> u32 {
+    pub(super) fn generation(&self, worker: u32) -> u32 {
         self.scheduler.fleet.get(worker).generation
     }
 
     /// Handles the answer to an order of the worker's present generation.
-    fn answer(&mut self, worker: u32, sent: u64, answer: Answer) {
+    pub(super) fn answer(&mut self, worker: u32, sent: u64, answer: Answer) {
         let generation = self.generation(worker);
         self.answer_order(worker, generation, sent, answer);
     }
 
-    fn answer_order(&mut self, worker: u32, generation: u32, sent: u64, answer: Answer) {
+    pub(super) fn answer_order(&mut self, worker: u32, generation: u32, sent: u64, answer: Answer) {
         self.handle_event(Event::Answer {
             worker,
             generation,
@@ -106,7 +106,7 @@
     }
 
     /// Makes decisions for 250 ms; commits are durable at once.
-    fn run(&mut self) {
+    pub(super) fn run(&mut self) {
         for _ in 0..50 {
             self.now += 5;
             let asked = self.now;
@@ -123,7 +123,7 @@
     }
 
     /// Handles the announcement of an incarnation.
-    fn announce(&mut self, start_time: u64) {
+    pub(super) fn announce(&mut self, start_time: u64) {
         self.handle_event(Event::WorkerUpdated(WorkerInfo {
             id: "w".into(),
             start_time: Some(start_time),
@@ -144,7 +144,7 @@
     }
 
     /// Handles a report of an incarnation with these runs of the task, to a poll sent just before.
-    fn report(&mut self, worker: u32, start_time: u64, runs: &[u32]) {
+    pub(super) fn report(&mut self, worker: u32, start_time: u64, runs: &[u32]) {
         let generation = self.generation(worker);
         self.report_to(worker, generation, start_time, runs);
     }
@@ -169,7 +169,7 @@
         self.answer_order(worker, generation, sent, Answer::Report(report));
     }
 
-    fn started(&mut self, worker: u32, run: u32, started: Started) {
+    pub(super) fn started(&mut self, worker: u32, run: u32, started: Started) {
         let sent = self.now;
         self.answer(worker, sent, Answer::Started(TASK, run, started));
     }
@@ -180,7 +180,7 @@
     }
 
     /// Returns the workers and runs of the starts that were sent; panics on other actions.
-    fn starts(&mut self) -> Vec<(u32, u32)> {
+    pub(super) fn starts(&mut self) -> Vec<(u32, u32)> {
         let sent = std::mem::take(&mut self.sent);
         let starts = sent.into_iter().map(|action| match action {
             Action::Start(worker, order) => (worker, order.run),
@@ -282,6 +282,23 @@
     assert_eq!(owner.starts(), [(1, 2)]);
 }
 
+/// An order to a replaced incarnation is refused for a token that the same owner has sent to the
+/// next one.
+#[test]
+fn an_overtaken_order_to_a_replaced_incarnation_is_no_reason_to_step_down() {
+    for refused in [Answer::Fenced, Answer::Stopped(TASK, 1, Stopped::Fenced)] {
+        let mut owner = Owner::new();
+        owner.announce(2);
+        let (generation, sent) = (owner.generation(0), owner.now);
+        owner.report(1, 2, &[]);
+        assert_eq!(owner.starts(), [(1, 2)]);
+        owner.started(1, 2, Started::Unknown);
+        assert!(owner.generation(1) > generation);
+        owner.answer_order(0, generation, sent, refused);
+        assert!(!owner.sent.contains(&Action::StepDown));
+    }
+}
+
 /// The next fencing tokens belong to the successor.
 #[test]
 fn an_owner_without_generations_left_steps_down() {
