jobs: no planned run is sent beside an orphan of its task

What callers may see: a task runs on two workers (TWICE), where a worker reports an earlier run of it while the placement of the next one is being written. Cause: a task waits for its orphan only if it has no run; a planned run was sent once it was durable. Change: the planned run is dropped, and the task waits.

--- a/crates/jobs/src/runs/reported.rs
+++ b/crates/jobs/src/runs/reported.rs
@@ -140,8 +140,16 @@
             return;
         };
         let job = state.job.clone();
-        if state.task(id).is_none_or(|t| t.done || t.run.is_some()) {
+        let Some(task) = state.task(id).filter(|t| !t.done) else {
             return;
+        };
+        match task.run.as_ref().map(|r| r.stage) {
+            None => {}
+            Some(Stage::Planned) => {
+                self.clear_run(id);
+                return self.hold_task(slot, id);
+            }
+            Some(_) => return,
         }
         let Some(step) = state.step_mut(id.repetition, id.step) else {
             return;
