jobs: held ends are counted before anything is placed

What callers may see: a task starts once more after its done end was read (TWICE, BUDGET), or a job never ends. A report with 500 ends settles no start, and a held end keeps the worker from listing others, so that it was held for good. Change: the owner keeps held ends and counts them as soon as the later run is settled, before it places anything. An unanswered start raises the generation also where its run is gone already.

--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -31,9 +31,11 @@
     /// end interference, so neither may wait for a pass of placement, which takes long when
     /// many tasks wait.
     pub(crate) fn drive(&mut self) {
+        self.count_held_ends();
         if self.now >= self.last_check + CHECK_PERIOD_MS {
             self.last_check = self.now;
             self.check_runs();
+            self.count_held_ends();
         }
         self.send_polls();
         self.update_model();
--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -56,14 +56,10 @@
                 return self.mark_job_active(id);
             }
             Started::Unknown | Started::Old => {
-                let generation = run.generation;
                 if matches!(run.stage, Stage::Sent(_)) {
                     run.stage = Stage::Unanswered(now);
                 }
                 self.stats.unanswered_starts += 1;
-                if started == Started::Unknown {
-                    self.fence_off(slot, generation);
-                }
                 log::warn!(task = id.to_string().as_str(), run = number, worker = &*self.fleet.get(slot).id, started:?; "start: unclear");
                 return;
             }
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -13,6 +13,8 @@
 pub(crate) mod commit;
 pub(crate) mod crashes;
 mod ends;
+#[cfg(test)]
+mod ends_tests;
 pub(crate) mod fencing;
 pub(crate) mod fleet;
 mod incarnations;
--- a/crates/jobs/src/runs/poll.rs
+++ b/crates/jobs/src/runs/poll.rs
@@ -19,7 +19,7 @@
     /// Returns the number up to which all ends are counted, and none is held.
     pub(crate) fn settled_end(&self) -> u64 {
         let first_held = self.held_ends.first();
-        first_held.map_or(self.counted_end, |n| n - 1)
+        first_held.map_or(self.counted_end, |e| e.number - 1)
     }
 
     /// Returns whether the worker reported ends that it may not drop yet, so that it reports them
--- a/crates/jobs/src/runs/report.rs
+++ b/crates/jobs/src/runs/report.rs
@@ -11,7 +11,7 @@
 };
 
 /// Maximum number of ends in one report; a report with this many may be incomplete.
-const MAX_REPORTED_ENDS: usize = 500;
+pub(super) const MAX_REPORTED_ENDS: usize = 500;
 
 /// First delay of a task after a failure, in milliseconds; it doubles with each failure.
 const RETRY_BACKOFF_MS: u64 = 40;
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use crate::{
+    event::RunEnd,
     model::{ids::TaskId, incarnation::Incarnation, spec::Step},
     runs::{fencing::FIRST_GENERATION, orphan::Orphan},
     settings::{Settings, lease_upper_bound},
@@ -114,8 +115,8 @@
     pub(crate) generation: u32,
     /// Highest number of an end that was read.
     pub(crate) counted_end: u64,
-    /// Numbers of ends up to it that wait to be counted, sorted.
-    pub(crate) held_ends: Vec<u64>,
+    /// Ends up to it that wait to be counted, by their numbers.
+    pub(crate) held_ends: Vec<RunEnd>,
     /// Highest number of an end whose count is durable.
     pub(crate) durable_end: u64,
     /// Lowest number of an end in the last report.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -48,6 +48,8 @@
     pub(crate) pacing: Vec<TaskId>,
     /// Workers with counted ends that are not durable yet.
     pub(crate) workers_with_ends: Vec<u32>,
+    /// Workers with ends that wait to be counted.
+    pub(crate) holding_workers: Vec<u32>,
     /// Limits the number of starts in flight.
     pub(crate) window: StartWindow,
     /// Number of jobs at the end of `open_jobs` that can't meet their objective.
@@ -105,6 +107,7 @@
             stopping: Vec::new(),
             pacing: Vec::new(),
             workers_with_ends: Vec::new(),
+            holding_workers: Vec::new(),
             window: StartWindow::default(),
             late_jobs: 0,
             reservations: Vec::new(),
@@ -341,7 +344,12 @@
             Answer::Started(task, run, Started::Fenced) => {
                 self.handle_fenced_start(worker, generation, task, run)
             }
-            Answer::Started(task, run, started) => self.handle_started(worker, task, run, started),
+            Answer::Started(task, run, started) => {
+                if started == Started::Unknown {
+                    self.fence_off(worker, generation);
+                }
+                self.handle_started(worker, task, run, started)
+            }
             Answer::Stopped(task, run, stopped) => {
                 if stopped == Stopped::Fenced {
                     self.handle_fenced(worker, generation);
--- a/crates/jobs/tests/all/common/checker.rs
+++ b/crates/jobs/tests/all/common/checker.rs
@@ -32,7 +32,7 @@
     last_read: BTreeMap<(Arc<str>, Option<u64>), u64>,
     /// Runs that some incarnation was ordered never to start.
     blocked_runs: BTreeSet<(TaskId, u32)>,
-    /// The highest fencing token that each incarnation has seen.
+    /// The highest fencing token of a poll that each incarnation has answered.
     fences: BTreeMap<(Arc<str>, Option<u64>), u64>,
     /// The epoch of the last owner that read a report of each incarnation, and when it first did
     /// so.
@@ -161,10 +161,10 @@
         self.blocked_runs.insert((task, run));
     }
 
-    /// Records that an incarnation refuses all orders with lower fencing tokens from now on.
-    pub fn record_fence(&mut self, worker: &SimWorker, fence: u64) {
-        let incarnation = (worker.id.clone(), worker.start_time);
-        let highest = self.fences.entry(incarnation).or_insert(0);
+    /// Records that an owner has read a report to a poll with a fencing token: the incarnation
+    /// refuses all orders with lower ones.
+    pub fn record_fence(&mut self, id: Arc<str>, start_time: Option<u64>, fence: u64) {
+        let highest = self.fences.entry((id, start_time)).or_insert(0);
         *highest = fence.max(*highest);
     }
 
--- a/crates/jobs/tests/all/common/orders.rs
+++ b/crates/jobs/tests/all/common/orders.rs
@@ -193,6 +193,9 @@
                                 .scheduler
                                 .worker_address(worker)
                                 .expect("announced worker");
+                            let fence = fencing_token(owner.epoch, generation);
+                            self.checker
+                                .record_fence(id.clone(), report.start_time, fence);
                             self.checker.record_report(now, owner.epoch, id, report);
                         }
                         let event = Event::Answer {
@@ -241,9 +244,6 @@
         let action = order.action;
         let worker = &mut self.workers[index];
         let reached = worker.alive && !worker.partitioned;
-        if reached {
-            self.checker.record_fence(worker, fence);
-        }
         let (slot, silence) = timeout_answer(&action);
         let answer = match &action {
             Action::Poll {
--- a/crates/jobs/tests/all/held_ends.rs
+++ b/crates/jobs/tests/all/held_ends.rs
@@ -168,3 +168,43 @@
     });
     is_late
 }
+
+/// A task begins once more after its end was read: the start that the end waits for never arrives,
+/// and a report settles it before the end is counted.
+#[test]
+fn a_settled_start_is_followed_by_no_other_after_the_end() {
+    let late_runs = downtimes().filter(|&ms| has_late_run_and_no_second(ms));
+    assert!(late_runs.count() > 0, "no late run");
+}
+
+/// Returns whether a worker that was down for `downtime` milliseconds carries out the first start,
+/// and asserts that no run begins after its end although the second start is lost.
+fn has_late_run_and_no_second(downtime: u64) -> bool {
+    let mut world = world(2, 3, true);
+    partition(&mut world, &[1], true);
+    world.run(2000);
+    world.hold(0, Held::Start);
+    world.submit(JOB.0, chain(vec![short(1, 60)]));
+    assert!(run_until(&mut world, 1000, |w| w.held(Held::Start) == 1));
+    announce_without_capacity(&mut world);
+    partition(&mut world, &[1], false);
+    world.hold(1, Held::Start);
+    assert!(run_until(&mut world, 9000, |w| w.held(Held::Start) == 2));
+    world.restart.row_delay_ms = 3000;
+    world.restart_ms = downtime;
+    world.crash(0);
+    run_until(&mut world, downtime + 100, |w| w.workers[0].alive);
+    world.release_first(Held::Start);
+    world.run(5);
+    let is_late = world.workers[0].runs.len() == 1;
+    let has_ended = |w: &World| !w.workers[0].finished.is_empty();
+    if is_late {
+        assert!(run_until(&mut world, 1000, has_ended), "{downtime}");
+        let ended_at = world.now;
+        let begins = |w: &World| last_start(w).is_some_and(|at| at > ended_at);
+        assert!(!run_until(&mut world, 6000, begins), "{downtime}");
+    }
+    assert!(world.run_until_done(20_000), "{downtime}");
+    check_invariants(&world, downtime);
+    is_late
+}
