Log what holds suspects, and of which runs crashes are blamed

Seen: suspects wait for a minute beside open workers in the soak, and the lines did not tell whether the bound on isolated runs, a start that is only being stopped or a lack of empty workers held them, nor whether a run that is blamed for a crash was ever reported there.

Decisions are as before. No test checks the new figures.

--- a/crates/jobs/src/place/isolation.rs
+++ b/crates/jobs/src/place/isolation.rs
@@ -48,7 +48,47 @@
     }
 }
 
+/// Numbers of suspects and of the workers that isolate them, for the log.
+#[derive(Debug, Default)]
+pub(crate) struct IsolationLoad {
+    /// Suspects that wait and need isolation.
+    pub(crate) waiting: usize,
+    /// Those of them that are the likely cause of a crash.
+    pub(crate) waiting_likely: usize,
+    /// Workers that isolate a suspect.
+    pub(crate) isolating: usize,
+    /// Those of them whose suspect is being stopped, as after a restart of the worker.
+    pub(crate) held: usize,
+    /// Workers that may isolate a likely cause while other tasks wait.
+    pub(crate) max_isolating: usize,
+}
+
 impl Scheduler {
+    /// Returns the numbers of suspects and of the workers that isolate them.
+    pub(crate) fn isolation_load(&self) -> IsolationLoad {
+        let mut load = IsolationLoad::default();
+        for id in &self.suspects {
+            let state = self.jobs.get(&id.job).filter(|j| !j.outcome.is_final());
+            let task = state.and_then(|j| j.task(*id));
+            let Some(task) = task.filter(|t| t.is_waiting(self.now)) else {
+                continue;
+            };
+            load.waiting += usize::from(task.needs_isolation(self.now));
+            load.waiting_likely += usize::from(task.crashes.is_likely_cause());
+        }
+        let mut workers = Pass::new(&self.fleet, self.now).open_workers.len();
+        for worker in self.fleet.workers.iter().filter(|w| w.is_isolating()) {
+            load.isolating += 1;
+            let task = worker.isolated_task;
+            let task = task.and_then(|id| self.jobs.get(&id.job)?.task(id));
+            let run = task.and_then(|t| t.run.as_ref());
+            load.held += usize::from(run.is_none_or(|r| !r.is_wanted()));
+        }
+        workers += load.isolating;
+        load.max_isolating = (workers / WORKERS_PER_LIKELY_SUSPECT).max(1);
+        load
+    }
+
     /// Records that a task may crash its workers.
     pub(crate) fn add_suspect(&mut self, id: TaskId) {
         if let Err(at) = self.suspects.binary_search(&id) {
--- a/crates/jobs/src/runs/crashes.rs
+++ b/crates/jobs/src/runs/crashes.rs
@@ -120,12 +120,13 @@
         let Some(task) = task else {
             return;
         };
-        if task.run.as_ref().is_none_or(|r| r.stage == Stage::Planned) {
+        let Some(task_run) = task.run.as_ref().filter(|r| r.stage != Stage::Planned) else {
             return;
-        }
+        };
+        let (stage, reported) = (task_run.stage, task_run.reported_at.is_some());
         task.crashes.add(incarnation, blame);
         let (run, crashes) = (task.last_run, task.crashes.count());
-        log::info!(task = id.to_string().as_str(), run, worker = &**incarnation, blame:?, crashes; "task: a worker crashed under it");
+        log::info!(task = id.to_string().as_str(), run, worker = &**incarnation, blame:?, crashes, stage:?, reported; "task: a worker crashed under it");
         if task.crashes.is_suspect() {
             self.add_suspect(id);
         }
--- a/crates/jobs/src/runs/reported.rs
+++ b/crates/jobs/src/runs/reported.rs
@@ -189,14 +189,22 @@
                 Stage::Unanswered(at) if run.answered => sent > at,
                 _ => run.is_fenced(generation),
             };
+            let stage = run.stage;
             if is_over && has_no_orphan {
-                self.drop_missing(id);
+                self.drop_missing(id, slot, sent, stage);
             }
         }
     }
 
-    fn drop_missing(&mut self, id: TaskId) {
-        log::info!(task = id.to_string().as_str(); "run: not there");
+    /// Drops a run at this stage that a poll sent at `sent` does not show.
+    fn drop_missing(&mut self, id: TaskId, slot: u32, sent: u64, stage: Stage) {
+        let worker = &*self.fleet.get(slot).id;
+        let confirmed = match stage {
+            Stage::Confirmed(at) | Stage::StopConfirmed(at) | Stage::Unanswered(at) => at,
+            _ => sent,
+        };
+        let (confirmed_ms, polled_ms) = (self.now - confirmed, self.now - sent);
+        log::info!(task = id.to_string().as_str(), worker, confirmed_ms, polled_ms; "run: not there");
         self.clear_run(id);
         self.mark_dirty(id.job);
     }
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -41,11 +41,14 @@
             }
         }
         self.stats.running = u64::from(running);
+        let isolation = self.isolation_load();
         log::info!(
             workers = open, cpu = capacity.cpu, cpu_used = used.cpu, serving = serving_cpu,
             filling = best_effort_cpu, age_ms = self.fleet.age(self.now),
             memory = capacity.memory, memory_used = used.memory,
-            jobs = self.open_jobs.len(), waiting, running, slowed;
+            jobs = self.open_jobs.len(), waiting, running, slowed,
+            suspects = isolation.waiting, likely = isolation.waiting_likely,
+            apart = isolation.isolating, held = isolation.held, apart_max = isolation.max_isolating;
             "owner: load"
         );
         self.log_starved_jobs();
