Serve the suspects that have waited for longest first

Suspects were served in the order of their ids, so that newer ones with lower ids overtook others for good.

The one that lost its run first comes first, then the lower id; members of a gang stay together. A new owner does not know how long those that it inherits have waited.

--- a/crates/jobs/src/place/isolation.rs
+++ b/crates/jobs/src/place/isolation.rs
@@ -5,9 +5,13 @@
 //! which workers crashed: no other task starts on its worker, so that a crash affects no
 //! others and is attributed to the suspect.
 //!
+//! The suspects that have waited for longest come first: in the order of their ids, newer ones
+//! with lower ids would overtake others for as long as workers crash.
+//!
 //! Limits: an empty worker is preferred; if there is none for a while, the worker that
 //! loses least in a crash is used. A part of the workers is kept free of suspects. Some of
-//! the suspects whose crashes may be chance run beside other tasks.
+//! the suspects whose crashes may be chance run beside other tasks. A new owner does not know for
+//! how long the suspects that it inherits have waited.
 
 use std::cmp::Reverse;
 
@@ -100,8 +104,10 @@
     pub(super) fn place_suspects(&mut self, pass: &mut Pass) {
         let mut suspects = std::mem::take(&mut self.suspects);
         suspects.retain(|&id| self.is_open_suspect(id));
+        let waiting = self.by_waiting_time(&suspects);
+        self.suspects = suspects;
         let mut tried_gang = None;
-        for &id in &suspects {
+        for id in waiting {
             if pass.starts_left == 0 {
                 break;
             }
@@ -113,7 +119,24 @@
             tried_gang = Some(first);
             self.place_suspect(id, pass);
         }
-        self.suspects = suspects;
+    }
+
+    /// Returns the suspects without a run, those that have waited for longest first, and the
+    /// members of a gang next to each other.
+    fn by_waiting_time(&self, suspects: &[TaskId]) -> Vec<TaskId> {
+        let waiting = suspects.iter().filter_map(|&id| {
+            let state = self.jobs.get(&id.job)?;
+            let task = state.task(id).filter(|t| t.run.is_none())?;
+            // Members of a gang wait together, but may have lost their runs one after the other.
+            let first = match state.job.spec.steps[id.step as usize].gang {
+                true => state.task(TaskId { index: 0, ..id })?,
+                false => task,
+            };
+            Some((first.idle_since, id))
+        });
+        let mut waiting: Vec<_> = waiting.collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Places suspects on idle workers once all other tasks are placed.
--- a/crates/jobs/tests/all/crashing/mod.rs
+++ b/crates/jobs/tests/all/crashing/mod.rs
@@ -8,6 +8,7 @@
 mod culprits;
 mod losses;
 mod owners;
+mod returning;
 
 use crate::common::{
     Crasher, World, WorldSettings, chain, check_invariants, long_running, serving, short,
