Charge a start for one incarnation of its worker only

A start that no report has shown moves to the next incarnation, which may yet carry it out, and was charged again when that one ended.

A start is charged for the incarnation that it was sent to. If a later one reports the run or its end, that charge is retracted, and the run may be charged for the one that reported it. For other runs a moved start stays a possible cause as before. The identified incarnation of a worker no longer isolates a suspect that has no run there: nothing ended that. A moved suspect is isolated until it is reported or fenced off, as before (a test pins it).

Evidence: a_start_is_not_blamed_for_later_incarnations, as it was written by its finder, failed before and passes. Of the five new tests in replaced_tests.rs four fail without the change; the one on fencing passes before as well.

--- a/crates/jobs/src/model/task.rs
+++ b/crates/jobs/src/model/task.rs
@@ -60,6 +60,9 @@
     pub(crate) attributed: bool,
     /// Last reported progress in percent.
     pub(crate) percent: u32,
+    /// The incarnation that the start was sent to, while a later one has the run and has not
+    /// reported it.
+    pub(crate) moved_from: Option<Arc<str>>,
     /// When the run was first reported, on the worker's clock.
     pub(crate) reported_at: Option<u64>,
     /// When the progress last changed, on the worker's clock; `None` before the first report.
@@ -97,6 +100,7 @@
             answered: false,
             attributed: false,
             percent: 0,
+            moved_from: None,
             reported_at: None,
             progressed_at: None,
             pace,
--- a/crates/jobs/src/runs/crashes.rs
+++ b/crates/jobs/src/runs/crashes.rs
@@ -3,9 +3,14 @@
 //! A task may crash each worker that starts it, and so bring down one after the other with all
 //! other runs there, among crashes with other causes.
 //!
+//! A start whose run a later incarnation may have is blamed for the crash of the incarnation that it
+//! was sent to, until another one reports the run. Of the crashes of incarnations that did not
+//! report it, it may explain those of the other runs there.
+//!
 //! Limits: a run is a likely cause if it started within a second before the crash. A task is given
 //! up only on evidence of its own (see [`crate::model::crash`]), and where many workers are lost at
-//! once, none of their tasks is the cause.
+//! once, none of their tasks is the cause. A new owner does not know which of the runs that it
+//! inherits were moved to a later incarnation without a report.
 
 use std::sync::Arc;
 
@@ -120,7 +125,9 @@
         let Some(task) = task else {
             return;
         };
-        let Some(task_run) = task.run.as_ref().filter(|r| r.stage != Stage::Planned) else {
+        let task_run = task.run.as_ref().filter(|r| r.stage != Stage::Planned);
+        // A start counts for one incarnation: the one that it was sent to, or one that reported it.
+        let Some(task_run) = task_run.filter(|r| r.moved_from.is_none()) else {
             return;
         };
         let (stage, reported) = (task_run.stage, task_run.reported_at.is_some());
@@ -134,6 +141,23 @@
         self.fail_proven_cause(id);
     }
 
+    /// Retracts the crash of an incarnation that a run was sent to, since a later one has reported
+    /// the run.
+    pub(super) fn retract_moved_crash(&mut self, slot: u32, id: TaskId, incarnation: &Arc<str>) {
+        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
+        let Some(task) = task else {
+            return;
+        };
+        task.crashes.remove(incarnation);
+        let is_suspect = task.crashes.is_suspect();
+        self.mark_dirty(id.job);
+        let worker = self.fleet.get_mut(slot);
+        if !is_suspect && worker.isolated_task == Some(id) {
+            worker.isolated_task = None;
+            self.placement_due = true;
+        }
+    }
+
     /// Returns whether so many other workers crashed at the same time that none of their tasks is
     /// the cause. Workers with an isolated suspect do not count, since the suspect may be the cause
     /// there.
--- a/crates/jobs/src/runs/replaced.rs
+++ b/crates/jobs/src/runs/replaced.rs
@@ -5,6 +5,8 @@
 //! no fencing token and whose clock is behind. Their tasks wait until it answers a poll of a higher
 //! generation: it then reports the run, or never starts it.
 
+use std::sync::Arc;
+
 use crate::{
     model::{
         ids::TaskId,
@@ -55,14 +57,14 @@
     /// returns the number of runs.
     fn merge_identified(&mut self, old: u32, new: u32) -> usize {
         let worker = self.fleet.get(old);
-        let (runs, isolated) = (worker.runs.clone(), worker.isolated_task);
-        let announced = worker.announced;
+        let (runs, announced) = (worker.runs.clone(), worker.announced);
+        let counted_crash = worker
+            .crash_recorded
+            .then(|| worker.incarnation_name.clone());
         for &id in &runs {
-            self.move_run(id, new, |stage| stage);
+            self.move_run(id, new, counted_crash.as_ref(), |stage| stage);
         }
-        let worker = self.fleet.get_mut(new);
-        worker.isolated_task = worker.isolated_task.or(isolated);
-        worker.announced |= announced;
+        self.fleet.get_mut(new).announced |= announced;
         runs.len()
     }
 
@@ -72,6 +74,7 @@
         let (now, settings) = (self.now, self.settings);
         let worker = self.fleet.get_mut(old);
         let was_dead = std::mem::replace(&mut worker.dead, true);
+        let incarnation = worker.incarnation_name.clone();
         let order_delay = if worker.granted_until > 0 {
             MAX_ORDER_DELAY_MS
         } else {
@@ -87,7 +90,9 @@
         }
         let unreported = self.unreported_runs(old);
         for &id in &unreported {
-            self.move_run(id, new, |stage| successor_stage(stage, now));
+            self.move_run(id, new, Some(&incarnation), |stage| {
+                successor_stage(stage, now)
+            });
         }
         let remaining = self.fleet.get(old).runs.clone();
         self.drop_runs(old, &remaining);
@@ -105,8 +110,15 @@
         unreported.collect()
     }
 
-    /// Moves a run to another incarnation, at the stage that `stage` returns.
-    fn move_run(&mut self, id: TaskId, new: u32, stage: impl Fn(Stage) -> Stage) {
+    /// Moves a run to another incarnation, at the stage that `stage` returns. If `from` is an
+    /// incarnation, crashes count for that one until another one reports the run.
+    fn move_run(
+        &mut self,
+        id: TaskId,
+        new: u32,
+        from: Option<&Arc<str>>,
+        stage: impl Fn(Stage) -> Stage,
+    ) {
         let Some(state) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -117,6 +129,7 @@
         let step = &job.spec.steps[id.step as usize];
         let old = std::mem::replace(&mut run.worker, new);
         run.stage = stage(run.stage);
+        run.moved_from = run.moved_from.take().or_else(|| from.cloned());
         run.pace = UNKNOWN_PACE;
         run.next_pace_at = 0;
         if matches!(run.stage, Stage::Stopping(_)) {
--- a/crates/jobs/src/runs/replaced_tests.rs
+++ b/crates/jobs/src/runs/replaced_tests.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use super::{
-    fencing::MAX_GENERATION,
+    fencing::{FIRST_GENERATION, MAX_GENERATION},
     worker::{Capacity, WorkerInfo},
 };
 use crate::{
     action::Action,
-    event::{Answer, Event, ReportedRun, Started, Stopped, WorkerReport},
+    event::{Answer, Ending, Event, ReportedRun, RunEnd, Started, Stopped, WorkerReport},
     model::{
         ids::{JobId, TaskId},
         policy::QueuePolicy,
@@ -124,8 +124,12 @@
 
     /// Handles the announcement of an incarnation.
     fn announce(&mut self, start_time: u64) {
+        self.announce_as("w", start_time);
+    }
+
+    fn announce_as(&mut self, name: &str, start_time: u64) {
         self.handle_event(Event::WorkerUpdated(WorkerInfo {
-            id: "w".into(),
+            id: name.into(),
             start_time: Some(start_time),
             addr: ([127, 0, 0, 1], 1000).into(),
             service: "s".into(),
@@ -151,6 +155,25 @@
 
     /// Handles a report like [`Owner::report`], to a poll of a generation.
     fn report_to(&mut self, worker: u32, generation: u32, start_time: u64, runs: &[u32]) {
+        self.report_ends(worker, generation, start_time, runs, &[]);
+    }
+
+    /// Handles a report like [`Owner::report_to`], with the ends of these runs, which have failed.
+    fn report_ends(
+        &mut self,
+        worker: u32,
+        generation: u32,
+        start_time: u64,
+        runs: &[u32],
+        ends: &[u32],
+    ) {
+        let finished = (1..).zip(ends).map(|(number, &run)| RunEnd {
+            number,
+            task: TASK,
+            run,
+            ending: Ending::Failed,
+            checkpoint: "".into(),
+        });
         let running = runs.iter().map(|&run| ReportedRun {
             task: TASK,
             run,
@@ -162,7 +185,7 @@
             start_time: Some(start_time),
             clock: self.now - start_time,
             running: running.collect(),
-            finished: Vec::new(),
+            finished: finished.collect(),
         };
         let sent = self.now;
         self.now += 5;
@@ -421,3 +444,95 @@
         assert_eq!(worker.droppable_end(), expected);
     }
 }
+
+/// Returns an owner with a start whose incarnation has ended before it reported the run, as one of
+/// a suspect that ran in isolation there.
+fn owner_with_moved_suspect() -> Owner {
+    let mut owner = Owner::new();
+    owner.scheduler.fleet.get_mut(0).isolated_task = Some(TASK);
+    owner.announce(2);
+    owner.report_to(0, FIRST_GENERATION, 2, &[]);
+    assert!(owner.sent.is_empty());
+    assert_eq!(crash_count(&owner), 1);
+    owner
+}
+
+/// Returns the number of crashes that the task is charged with.
+fn crash_count(owner: &Owner) -> usize {
+    let task = owner
+        .scheduler
+        .jobs
+        .get(&TASK.job)
+        .and_then(|j| j.task(TASK));
+    task.expect("task").crashes.count()
+}
+
+/// Returns whether a suspect keeps others off a worker.
+fn is_isolating(owner: &Owner, worker: u32) -> bool {
+    owner.scheduler.fleet.get(worker).isolated_task.is_some()
+}
+
+/// A start whose run no incarnation has reported is charged with one crash, however many end.
+#[test]
+fn a_start_is_charged_once_if_no_incarnation_reports_its_run() {
+    let mut owner = owner_with_moved_suspect();
+    for worker in 1..4 {
+        let next = u64::from(worker) + 2;
+        owner.announce(next);
+        owner.report_to(worker, FIRST_GENERATION, next, &[]);
+        assert!(owner.sent.is_empty(), "incarnation {next}");
+        assert_eq!(crash_count(&owner), 1, "incarnation {next}");
+    }
+}
+
+/// A run that a later incarnation reports did not crash the one that its start was sent to, and
+/// may crash the one that has it.
+#[test]
+fn a_start_is_charged_with_the_crash_of_the_incarnation_that_reports_its_run() {
+    let mut owner = owner_with_moved_suspect();
+    owner.report(1, 2, &[1]);
+    assert_eq!(crash_count(&owner), 0);
+    owner.announce(3);
+    owner.report(1, 3, &[]);
+    assert_eq!(crash_count(&owner), 1);
+}
+
+/// The same where the run has ended by the first report.
+#[test]
+fn a_start_is_not_charged_if_a_later_incarnation_reports_the_end_of_its_run() {
+    let mut owner = owner_with_moved_suspect();
+    let generation = owner.generation(1);
+    owner.report_ends(1, generation, 2, &[], &[1]);
+    let state = owner.scheduler.jobs.get(&TASK.job);
+    let task = state.and_then(|j| j.task(TASK)).expect("task");
+    assert_eq!(task.failed_runs, [1]);
+    assert_eq!(crash_count(&owner), 0);
+}
+
+/// A later incarnation isolates a suspect until its first report to a poll of a higher generation
+/// shows that the run is not there.
+#[test]
+fn an_unreported_suspect_keeps_others_off_no_longer_than_until_it_is_fenced_off() {
+    let mut owner = owner_with_moved_suspect();
+    assert!(is_isolating(&owner, 1));
+    owner.report(1, 2, &[]);
+    assert_eq!(owner.starts(), [(1, 2)]);
+    assert!(!is_isolating(&owner, 1));
+}
+
+/// A worker that was lost keeps its suspect after the run there has ended. The identified
+/// incarnation, which never had the run, does not isolate it: nothing would ever end that.
+#[test]
+fn an_incarnation_does_not_isolate_a_suspect_without_a_run_there() {
+    let mut owner = Owner::new();
+    let unidentified = owner.scheduler.fleet.slot(&"v".into());
+    let worker = owner.scheduler.fleet.get_mut(unidentified);
+    worker.process_ended = true;
+    worker.isolated_task = Some(TASK);
+    owner.announce_as("v", 5);
+    owner.report(unidentified, 5, &[]);
+    let identified = owner.scheduler.fleet.workers.len() as u32 - 1;
+    let worker = owner.scheduler.fleet.get(identified);
+    assert!(worker.is_live() && worker.start_time == Some(5));
+    assert!(!is_isolating(&owner, identified));
+}
--- a/crates/jobs/src/runs/report.rs
+++ b/crates/jobs/src/runs/report.rs
@@ -74,6 +74,7 @@
         let current = run.is_some_and(|r| r.worker == slot) && task.last_run == end.run;
         let elapsed = run.map_or(0, |r| self.now.saturating_sub(r.placed_at));
         let partial = run.is_none_or(|r| r.partial);
+        let moved_from = run.and_then(|r| r.moved_from.clone());
         if current && let Some(step) = state.step_mut(id.repetition, id.step) {
             let origin = Origin {
                 run: end.run,
@@ -84,6 +85,9 @@
         }
         log::info!(task = id.to_string().as_str(), run = end.run, worker = &*self.fleet.get(slot).id, how:? = end.ending, current, ran_ms = elapsed, saved = log_excerpt(&end.checkpoint); "run: ended");
         if current {
+            if let Some(incarnation) = moved_from {
+                self.retract_moved_crash(slot, id, &incarnation);
+            }
             self.clear_run(id);
         }
         self.mark_dirty(id.job);
--- a/crates/jobs/src/runs/reported.rs
+++ b/crates/jobs/src/runs/reported.rs
@@ -82,6 +82,9 @@
         let is_settled = now > run.placed_at + SETTLED_MS && reported.percent == 100;
         let placed_at = run.placed_at;
         run.reported_at.get_or_insert(clock);
+        if let Some(incarnation) = run.moved_from.take() {
+            self.retract_moved_crash(slot, reported.task, &incarnation);
+        }
         let worker = self.fleet.get(slot);
         if is_settled && worker.failures > 0 && placed_at > worker.failed_at {
             self.fleet.get_mut(slot).record_success();
--- a/crates/jobs/tests/all/lives.rs
+++ b/crates/jobs/tests/all/lives.rs
@@ -511,3 +511,25 @@
         assert_eq!(world.outcome(FIRST_JOB), Outcome::Failed, "{downtime}");
     }
 }
+
+/// A start is blamed for the end of the incarnation that it was sent to, and not for the ends of
+/// later ones that never had it: otherwise the job of a task that crashes no worker fails.
+#[test]
+fn a_start_is_not_blamed_for_later_incarnations() {
+    let mut world = world(3);
+    let id = world.submit(1, chain(vec![short(1, 3000)]));
+    let start = |world: &World| world.workers.iter().position(|w| !w.runs.is_empty());
+    while start(&world).is_none() {
+        world.run(10);
+    }
+    let at = start(&world).expect("run");
+    // Each incarnation ends before a report shows that the start is not there.
+    for _ in 0..3 {
+        restart(&mut world, at, 400);
+        world.run(30);
+        assert_eq!(start(&world), None, "started once");
+    }
+    world.run(1500);
+    assert_ne!(world.outcome(id), Outcome::Failed, "one start");
+    check_done(&mut world, 30_000, "one start");
+}
