--- a/crates/jobs/src/place/isolation.rs
+++ b/crates/jobs/src/place/isolation.rs
@@ -5,9 +5,13 @@
 //! which workers crashed: no other task starts on its worker, so that a crash affects no
 //! others and is attributed to the suspect.
 //!
+//! The suspects that have waited for longest come first: in the order of their ids, newer ones
+//! with lower ids would overtake others for as long as workers crash.
+//!
 //! Limits: an empty worker is preferred; if there is none for a while, the worker that
 //! loses least in a crash is used. A part of the workers is kept free of suspects. Some of
-//! the suspects whose crashes may be chance run beside other tasks.
+//! the suspects whose crashes may be chance run beside other tasks. A new owner does not know for
+//! how long the suspects that it inherits have waited.
 
 use std::cmp::Reverse;
 
@@ -48,7 +52,47 @@
     }
 }
 
+/// Numbers of suspects and of the workers that isolate them, for the log.
+#[derive(Debug, Default)]
+pub(crate) struct IsolationLoad {
+    /// Suspects that wait and need isolation.
+    pub(crate) waiting: usize,
+    /// Those of them that are the likely cause of a crash.
+    pub(crate) waiting_likely: usize,
+    /// Workers that isolate a suspect.
+    pub(crate) isolating: usize,
+    /// Those of them whose suspect is being stopped, as after a restart of the worker.
+    pub(crate) held: usize,
+    /// Workers that may isolate a likely cause while other tasks wait.
+    pub(crate) max_isolating: usize,
+}
+
 impl Scheduler {
+    /// Returns the numbers of suspects and of the workers that isolate them.
+    pub(crate) fn isolation_load(&self) -> IsolationLoad {
+        let mut load = IsolationLoad::default();
+        for id in &self.suspects {
+            let state = self.jobs.get(&id.job).filter(|j| !j.outcome.is_final());
+            let task = state.and_then(|j| j.task(*id));
+            let Some(task) = task.filter(|t| t.is_waiting(self.now)) else {
+                continue;
+            };
+            load.waiting += usize::from(task.needs_isolation(self.now));
+            load.waiting_likely += usize::from(task.crashes.is_likely_cause());
+        }
+        let mut workers = Pass::new(&self.fleet, self.now).open_workers.len();
+        for worker in self.fleet.workers.iter().filter(|w| w.is_isolating()) {
+            load.isolating += 1;
+            let task = worker.isolated_task;
+            let task = task.and_then(|id| self.jobs.get(&id.job)?.task(id));
+            let run = task.and_then(|t| t.run.as_ref());
+            load.held += usize::from(run.is_none_or(|r| !r.is_wanted()));
+        }
+        workers += load.isolating;
+        load.max_isolating = (workers / WORKERS_PER_LIKELY_SUSPECT).max(1);
+        load
+    }
+
     /// Records that a task may crash its workers.
     pub(crate) fn add_suspect(&mut self, id: TaskId) {
         if let Err(at) = self.suspects.binary_search(&id) {
@@ -60,8 +104,10 @@
     pub(super) fn place_suspects(&mut self, pass: &mut Pass) {
         let mut suspects = std::mem::take(&mut self.suspects);
         suspects.retain(|&id| self.is_open_suspect(id));
+        let waiting = self.by_waiting_time(&suspects);
+        self.suspects = suspects;
         let mut tried_gang = None;
-        for &id in &suspects {
+        for id in waiting {
             if pass.starts_left == 0 {
                 break;
             }
@@ -73,7 +119,24 @@
             tried_gang = Some(first);
             self.place_suspect(id, pass);
         }
-        self.suspects = suspects;
+    }
+
+    /// Returns the suspects without a run, those that have waited for longest first, and the
+    /// members of a gang next to each other.
+    fn by_waiting_time(&self, suspects: &[TaskId]) -> Vec<TaskId> {
+        let waiting = suspects.iter().filter_map(|&id| {
+            let state = self.jobs.get(&id.job)?;
+            let task = state.task(id).filter(|t| t.run.is_none())?;
+            // Members of a gang wait together, but may have lost their runs one after the other.
+            let first = match state.job.spec.steps[id.step as usize].gang {
+                true => state.task(TaskId { index: 0, ..id })?,
+                false => task,
+            };
+            Some((first.idle_since, id))
+        });
+        let mut waiting: Vec<_> = waiting.collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Places suspects on idle workers once all other tasks are placed.
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -41,6 +41,7 @@
             }
         }
         self.stats.running = u64::from(running);
+        let isolation = self.isolation_load();
         log::info!(
             workers = open, cpu = capacity.cpu, cpu_used = used.cpu, serving = serving_cpu,
             filling = best_effort_cpu, age_ms = self.fleet.age(self.now),
@@ -48,7 +49,9 @@
             jobs = self.open_jobs.len(), waiting, running, slowed,
             late = self.late_jobs, window:? = self.window.limit(),
             unanswered = self.unanswered_starts(), held = self.stats.throttled_passes,
-            stale = self.stats.skipped_passes, passes = self.stats.passes;
+            stale = self.stats.skipped_passes, passes = self.stats.passes,
+            suspects = isolation.waiting, likely = isolation.waiting_likely,
+            apart = isolation.isolating, apart_held = isolation.held, apart_max = isolation.max_isolating;
             "owner: load"
         );
         self.log_starved_jobs();
