--- a/crates/jobs/tests/all/crashing/returning.rs
+++ b/crates/jobs/tests/all/crashing/returning.rs
@@ -159,7 +159,8 @@
 }
 
 /// Jobs that crash nothing are complete a minute after the last one was submitted, while others
-/// crash workers that return within seconds, each no more than five times.
+/// crash workers that return at once or within seconds, each no more than five times.
+#[test_case(true, 20)]
 #[test_case(true, 300)]
 #[test_case(true, 1000)]
 #[test_case(true, 3000)]
@@ -177,7 +178,10 @@
 }
 
 /// The same with ten small tasks a job, so that each crash makes tens of suspects.
+#[test_case(true, 20)]
 #[test_case(true, 1000)]
+#[test_case(true, 3000)]
+#[test_case(false, 3000)]
 fn tens_of_suspects_of_each_crash_are_complete(reuse_names: bool, restart_ms: u64) {
     let small = Step {
         cpu: 100,
@@ -197,6 +201,7 @@
 
 /// A task that crashes its workers is given up before its sixth start, however soon they return
 /// under their names.
+#[test_case(5)]
 #[test_case(100)]
 #[test_case(300)]
 #[test_case(1000)]
@@ -383,6 +388,7 @@
 /// Workers restart one after the other under their names by nobody's fault; no job fails.
 #[test_case(4, 20)]
 #[test_case(4, 1000)]
+#[test_case(4, 3000)]
 #[test_case(10, 20)]
 #[test_case(10, 3000)]
 fn restarts_by_nobodys_fault_fail_no_job(workers: usize, restart_ms: u64) {
@@ -447,7 +453,9 @@
 /// Five of twelve workers crash at once, again and again by nobody's fault, and are back at once or
 /// after seconds; no job fails.
 #[test_case(true, 20)]
+#[test_case(true, 3000)]
 #[test_case(false, 20)]
+#[test_case(false, 3000)]
 fn crashes_of_many_workers_at_once_fail_no_job(reuse_names: bool, restart_ms: u64) {
     let (mut given_up, mut unfinished, mut jobs) = (0, 0, 0);
     for seed in 0..10 {
