--- a/crates/jobs/tests/all/held_ends.rs
+++ b/crates/jobs/tests/all/held_ends.rs
@@ -140,9 +140,10 @@
     assert!(late_runs.count() > 0, "no late run");
 }
 
-/// Returns whether a worker that was down for `downtime` milliseconds carries out the first start,
-/// and asserts that the second one begins no run after its end.
-fn has_late_run_done(downtime: u64) -> bool {
+/// Returns a world in which a worker was down for `downtime` milliseconds, and whether it then
+/// carries out the start of the first run. The start of the second run is held back at the other
+/// worker, as are the orders of `kinds`.
+fn world_with_late_run(downtime: u64, kinds: &[Held]) -> (World, bool) {
     let mut world = world(2, 3, true);
     partition(&mut world, &[1], true);
     world.run(2000);
@@ -151,10 +152,10 @@
     assert!(run_until(&mut world, 1000, |w| w.held(Held::Start) == 1));
     announce_without_capacity(&mut world);
     partition(&mut world, &[1], false);
-    world.hold(1, Held::Stop);
+    for &kind in kinds {
+        world.hold(1, kind);
+    }
     world.hold(1, Held::Start);
-    // Both starts are held now. The first one is delivered after a restart, the second one after
-    // the end of the first run.
     assert!(run_until(&mut world, 9000, |w| w.held(Held::Start) == 2));
     world.restart.row_delay_ms = 3000;
     world.restart_ms = downtime;
@@ -163,6 +164,13 @@
     world.release_first(Held::Start);
     world.run(5);
     let is_late = world.workers[0].runs.len() == 1;
+    (world, is_late)
+}
+
+/// Returns whether a worker that was down for `downtime` milliseconds carries out the first start,
+/// and asserts that the second one begins no run after its end.
+fn has_late_run_done(downtime: u64) -> bool {
+    let (mut world, is_late) = world_with_late_run(downtime, &[Held::Stop]);
     release_after(&mut world, &[], |w| {
         w.checker.counted_done.contains_key(&task(0))
     });
@@ -180,23 +188,7 @@
 /// Returns whether a worker that was down for `downtime` milliseconds carries out the first start,
 /// and asserts that no run begins after its end although the second start is lost.
 fn has_late_run_and_no_second(downtime: u64) -> bool {
-    let mut world = world(2, 3, true);
-    partition(&mut world, &[1], true);
-    world.run(2000);
-    world.hold(0, Held::Start);
-    world.submit(JOB.0, chain(vec![short(1, 60)]));
-    assert!(run_until(&mut world, 1000, |w| w.held(Held::Start) == 1));
-    announce_without_capacity(&mut world);
-    partition(&mut world, &[1], false);
-    world.hold(1, Held::Start);
-    assert!(run_until(&mut world, 9000, |w| w.held(Held::Start) == 2));
-    world.restart.row_delay_ms = 3000;
-    world.restart_ms = downtime;
-    world.crash(0);
-    run_until(&mut world, downtime + 100, |w| w.workers[0].alive);
-    world.release_first(Held::Start);
-    world.run(5);
-    let is_late = world.workers[0].runs.len() == 1;
+    let (mut world, is_late) = world_with_late_run(downtime, &[]);
     let has_ended = |w: &World| !w.workers[0].finished.is_empty();
     if is_late {
         assert!(run_until(&mut world, 1000, has_ended), "{downtime}");
