--- a/crates/jobs/src/place/aging.rs
+++ b/crates/jobs/src/place/aging.rs
@@ -14,7 +14,7 @@
         ids::{JobId, TaskId},
         job::JobState,
     },
-    place::{pass::Pass, request::Request},
+    place::{pass::Pass, request::Request, starvation::PlacementRule},
     scheduler::Scheduler,
 };
 
@@ -137,7 +137,7 @@
         let Some(slot) = self.choose_worker(&request, &mut None, pass) else {
             return;
         };
-        self.place_on(task, slot, request.step);
+        self.place_on(task, slot, request.step, PlacementRule::Age);
         pass.starts_left -= 1;
         pass.update_free_capacity(slot, &self.fleet);
         let planned = self.jobs.get(&id).and_then(|j| j.task(task));
--- a/crates/jobs/src/place/isolation.rs
+++ b/crates/jobs/src/place/isolation.rs
@@ -17,7 +17,10 @@
 
 use crate::{
     model::{ids::TaskId, task::Task},
-    place::{pass::Pass, rank::base_rating, request::Request, tasks::GangPlacement},
+    place::{
+        pass::Pass, rank::base_rating, request::Request, starvation::PlacementRule,
+        tasks::GangPlacement,
+    },
     runs::{crashes::JUST_STARTED_MS, worker::Worker},
     scheduler::Scheduler,
 };
@@ -197,7 +200,7 @@
         let Some(slot) = self.find_isolated_worker(id, request, pass) else {
             return false;
         };
-        self.place_on(id, slot, request.step);
+        self.place_on(id, slot, request.step, PlacementRule::Isolation);
         self.isolate(id, slot, pass);
         pass.starts_left -= 1;
         true
--- a/crates/jobs/src/place/mod.rs
+++ b/crates/jobs/src/place/mod.rs
@@ -21,6 +21,6 @@
 pub(crate) mod start_window;
 #[cfg(test)]
 mod start_window_tests;
-mod starvation;
+pub(crate) mod starvation;
 mod tasks;
 pub(crate) mod unplaceable;
--- a/crates/jobs/src/place/starvation.rs
+++ b/crates/jobs/src/place/starvation.rs
@@ -1,4 +1,4 @@
-//! Logs which jobs are starved and why no worker takes their tasks.
+//! Logs which jobs are starved, why no worker takes their tasks, and what ends their wait.
 //!
 //! Limits: only the few jobs that have been idle for longest are logged, once a second.
 
@@ -17,6 +17,27 @@
 /// Maximum number of jobs that are logged each time.
 const MAX_LOG_LINES: usize = 4;
 
+/// The rule by which a task is placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PlacementRule {
+    /// The order of the jobs.
+    Order,
+    /// The job is starved, and the task may exceed the CPU share of best-effort tasks.
+    BeyondShare,
+    /// The job is late and has been idle for longest.
+    Age,
+    /// The task is a suspect and gets a worker of its own.
+    Isolation,
+}
+
+/// A starved job.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StarvedJob {
+    id: JobId,
+    /// Since when no task of the job has run.
+    since: u64,
+}
+
 /// Number of workers by the reason why they don't take a request.
 #[derive(Debug, Default)]
 struct RefusalCounts([u32; Refusal::COUNT]);
@@ -65,14 +86,37 @@
             let has_waiting_task = state.first_waiting_task(self.now).is_some();
             starved.extend(since.filter(|_| has_waiting_task).map(|at| (at, id)));
         }
-        self.stats.starved_jobs = starved.len() as u64;
         starved.sort_unstable();
+        let longest = starved.first().map_or(0, |&(since, _)| self.now - since);
+        (self.stats.starved_jobs, self.stats.longest_stall_ms) = (starved.len() as u64, longest);
+        let mut jobs: Vec<StarvedJob> = starved
+            .iter()
+            .map(|&(since, id)| StarvedJob { id, since })
+            .collect();
+        jobs.sort_unstable_by_key(|j| j.id);
+        self.starved_jobs = jobs;
         let pass = Pass::new(&self.fleet, self.now);
         for (since, id) in starved.into_iter().take(MAX_LOG_LINES) {
             self.log_refusals(id, since, &pass);
         }
     }
 
+    /// Logs that a task of a starved job is placed on a worker, and by which rule.
+    pub(super) fn log_stall_end(&mut self, id: TaskId, slot: u32, rule: PlacementRule) {
+        let index = self.starved_jobs.binary_search_by_key(&id.job, |j| j.id);
+        let Ok(index) = index else {
+            return;
+        };
+        let job = self.starved_jobs.remove(index);
+        let worker = self.fleet.get(slot);
+        log::info!(
+            task = id.to_string().as_str(), still_ms = self.now - job.since, rule:?,
+            worker = &*worker.id, known_ms = self.now.saturating_sub(worker.announced_at),
+            serving = worker.serving_tasks, filling = worker.best_effort_cpu;
+            "job: runs again"
+        );
+    }
+
     fn log_refusals(&mut self, id: JobId, since: u64, pass: &Pass) {
         let Some(state) = self.jobs.get(&id) else {
             return;
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -10,6 +10,7 @@
         pass::{Coverage, Pass},
         rank::Ranking,
         request::Request,
+        starvation::PlacementRule,
         unplaceable::Unplaceable,
     },
     scheduler::Scheduler,
@@ -176,8 +177,12 @@
                 self.reserve_worker(&request, pass);
                 return;
             };
+            let rule = match request.starved {
+                true => PlacementRule::BeyondShare,
+                false => PlacementRule::Order,
+            };
             request.starved = false;
-            self.place_on(id, slot, step);
+            self.place_on(id, slot, step, rule);
             pass.starts_left -= 1;
             pass.update_free_capacity(slot, &self.fleet);
         }
@@ -215,6 +220,7 @@
         let placed = self.assign_members(&request, &members, run, pass);
         if placed.len() == step.count as usize {
             for member in placed {
+                self.log_stall_end(member.id, member.slot, PlacementRule::Order);
                 self.fleet.get_mut(member.slot).record_probe(self.now);
             }
             self.share_checkpoint(first);
@@ -272,8 +278,9 @@
         placed
     }
 
-    /// Places a task on a worker and counts the run as a probe of the worker.
-    pub(super) fn place_on(&mut self, id: TaskId, slot: u32, step: &Step) {
+    /// Places a task on a worker by a rule and counts the run as a probe of the worker.
+    pub(super) fn place_on(&mut self, id: TaskId, slot: u32, step: &Step, rule: PlacementRule) {
+        self.log_stall_end(id, slot, rule);
         if self.assign(id, slot, step, None).is_some() {
             self.fleet.get_mut(slot).record_probe(self.now);
         }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -13,7 +13,9 @@
         spec::Job,
     },
     order::estimates::EstimateModel,
-    place::{aging::Aging, reservation::Reservation, start_window::StartWindow},
+    place::{
+        aging::Aging, reservation::Reservation, start_window::StartWindow, starvation::StarvedJob,
+    },
     runs::{fleet::Fleet, log::Log},
     settings::Settings,
     share::{interference::Interference, sample::Image, seasonality::Seasonality},
@@ -60,6 +62,8 @@
     pub(crate) last_search: u64,
     /// Late jobs that have had no run for long.
     pub(crate) aging: Aging,
+    /// Jobs that were starved when this was last checked, sorted.
+    pub(crate) starved_jobs: Vec<StarvedJob>,
     /// Jobs whose records changed.
     pub(crate) dirty_jobs: Vec<JobId>,
     pub(crate) fleet: Fleet,
@@ -113,6 +117,7 @@
             reservations: Vec::new(),
             last_search: 0,
             aging: Aging::default(),
+            starved_jobs: Vec::new(),
             dirty_jobs: Vec::new(),
             fleet,
             queues: Vec::new(),
--- a/crates/jobs/src/share/pace.rs
+++ b/crates/jobs/src/share/pace.rs
@@ -185,6 +185,7 @@
             log::info!(task = id.to_string().as_str(), pace; "run: moves, it disturbs");
             run.stage = Stage::Stopping(None);
             self.stopping.push(id);
+            self.stats.moved += 1;
         }
     }
 
--- a/crates/jobs/src/stats.rs
+++ b/crates/jobs/src/stats.rs
@@ -36,6 +36,18 @@
     pub unverified_runs: u64,
     /// Jobs that have had no run for seconds although one of their tasks could run.
     pub starved_jobs: u64,
+    /// For how long the longest starved job has had no run, in milliseconds.
+    pub longest_stall_ms: u64,
+    /// Jobs that can no longer meet their objective.
+    pub late_jobs: u64,
+    /// Suspects that wait for isolation.
+    pub waiting_suspects: u64,
+    /// Workers that isolate a suspect.
+    pub isolating_workers: u64,
+    /// Tasks whose run is to be stopped and has not ended.
+    pub stopping: u64,
+    /// Runs stopped so far because they interfered with serving tasks.
+    pub moved: u64,
     /// Tasks that have a run. Zero together with starved jobs means that a safety check
     /// excludes all workers.
     pub running: u64,
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -42,11 +42,16 @@
         }
         self.stats.running = u64::from(running);
         let isolation = self.isolation_load();
+        self.stats.late_jobs = self.late_jobs as u64;
+        self.stats.waiting_suspects = isolation.waiting as u64;
+        self.stats.isolating_workers = isolation.isolating as u64;
+        self.stats.stopping = self.stopping.len() as u64;
         log::info!(
             workers = open, cpu = capacity.cpu, cpu_used = used.cpu, serving = serving_cpu,
             filling = best_effort_cpu, age_ms = self.fleet.age(self.now),
             memory = capacity.memory, memory_used = used.memory,
             jobs = self.open_jobs.len(), waiting, running, slowed,
+            stopping = self.stopping.len(), moved = self.stats.moved,
             late = self.late_jobs, window:? = self.window.limit(),
             unanswered = self.unanswered_starts(), held = self.stats.throttled_passes,
             stale = self.stats.skipped_passes, passes = self.stats.passes,
