--- a/crates/jobs/tests/all/still.rs
+++ b/crates/jobs/tests/all/still.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::common::{World, WorldSettings, chain, short, with_checkpoints};
+use crate::common::{World, WorldSettings, chain, serving, short, with_checkpoints};
 use gorsespur_jobs::{JobId, Spec, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
@@ -28,6 +28,15 @@
 /// CPU of a serving task that takes most of the capacity, in thousandths of a core.
 const DENSE_CPU: u64 = 1800;
 
+/// Number of waves of crashes.
+const WAVES: usize = 9;
+
+/// Milliseconds between two waves of crashes.
+const WAVE_INTERVAL_MS: u64 = 7000;
+
+/// Number of workers that crash in each wave.
+const CRASHES_PER_WAVE: usize = 3;
+
 /// A job whose ID comes last in all orders by ID.
 const LAST_JOB: u64 = 0x46a7_6c98_01ea_bfcf;
 
@@ -64,17 +73,13 @@
         }
         world.run(SAMPLE_MS);
         for id in 1..4 {
-            let serve = Step {
-                cpu,
-                long_running: true,
-                latency_target: 100,
-                max_per_worker: 1,
-                image: Some("serve".into()),
-                ..short(WORKERS as u32, 0)
-            };
-            world.submit(id, chain(vec![serve]));
+            world.submit(id, chain(vec![serving_step(cpu, WORKERS as u32)]));
         }
         world.run(5000);
+        WatchedWorld::with_world(world, seed)
+    }
+
+    fn with_world(world: World, seed: u64) -> WatchedWorld {
         WatchedWorld {
             world,
             rng: SmallRng::seed_from_u64(seed),
@@ -134,6 +139,20 @@
         }
     }
 
+    /// Returns whether less than half of the capacity of all workers is used.
+    fn is_less_than_half_used(&self) -> bool {
+        let (mut used, mut capacity) = ((0, 0), (0, 0));
+        for worker in &self.world.workers {
+            let (cpu, memory) = worker.used();
+            used = (used.0 + cpu, used.1 + memory);
+            capacity = (
+                capacity.0 + worker.capacity.0,
+                capacity.1 + worker.capacity.1,
+            );
+        }
+        used.0 * 2 < capacity.0 && used.1 * 2 < capacity.1
+    }
+
     /// Returns the jobs that have had no runs for so long that users count them as lost.
     fn stalled(&self) -> Vec<(JobId, Stall)> {
         let now = self.world.now;
@@ -183,6 +202,43 @@
     assert!(stall.longest < MAX_STALL_MS + more, "{stall:?}");
 }
 
+/// Waves of crashes make many tasks suspects, which are then isolated. As long as less than half
+/// of all the capacity is used, each job has runs.
+#[test_case(4)]
+#[test_case(9)]
+#[test_case(14)]
+#[test_case(21)]
+#[test_case(28)]
+fn no_late_job_stalls_after_waves_of_crashes(seed: u64) {
+    let mut watched = WatchedWorld::new(seed, SPARSE_CPU);
+    watched.world.restart_ms = 700;
+    for _ in 0..WAVES {
+        watched.overload(WAVE_INTERVAL_MS, &["light", "thin", "heavy", "heavy"]);
+        let first = watched.rng.random_range(0..WORKERS);
+        for at in first..first + CRASHES_PER_WAVE {
+            watched.world.crash(at % WORKERS);
+        }
+    }
+    watched.run(DRAIN_MS);
+    assert!(watched.is_less_than_half_used());
+    let stalled = watched.stalled();
+    assert!(
+        stalled.is_empty(),
+        "{} of {}: {stalled:?}",
+        stalled.len(),
+        watched.jobs.len()
+    );
+}
+
+/// Returns a step of `count` serving tasks, one per worker.
+fn serving_step(cpu: u64, count: u32) -> Step {
+    Step {
+        cpu,
+        max_per_worker: 1,
+        ..serving(count)
+    }
+}
+
 /// Returns a step of long best-effort tasks with checkpoints.
 fn best_effort(image: &str, count: u32) -> Step {
     with_checkpoints(Step {
