jobs: runs that had long started are not suspected where many workers crash at once

Cause: a loss of many workers at once proves that another cause than a task is at work, which the module said; but each task there was still charged with a shared crash, and three of these make a task a likely cause, which keeps a worker for itself, twice as long with each crash.

Now a crash in a simultaneous loss is charged only to runs that had just started, or that are isolated; the others get the weakest blame, which never makes a likely cause. Tasks that crash their workers at their start are found as before (all tests of crashing tasks give the same results).

The test asks what callers see at the end. Its four new cases (4 of 8 workers crash) failed before: 42, 20, 19 and 11 of 216 jobs (in some order), and pass now. The five cases with 3 of 8 workers, below the bound for simultaneous losses, still fail and stay listed.

Price: of seven tasks that crash their workers 1.5 or 3 s after each start, while 3 others crash at each of these moments, some take 6 or 7 starts in place of 5 (trial, 2 of 12 settings).

--- a/crates/jobs/src/runs/crashes.rs
+++ b/crates/jobs/src/runs/crashes.rs
@@ -9,7 +9,8 @@
 //!
 //! Limits: a run is a likely cause if it started within a second before the crash. A task is given
 //! up only on evidence of its own (see [`crate::model::crash`]), and where many workers are lost at
-//! once, none of their tasks is the cause. A new owner does not know which of the runs that it
+//! once, only the runs that had just started are suspected. A task that crashes its workers later
+//! than that is not found while many workers are lost each time. A new owner does not know which of the runs that it
 //! inherits were moved to a later incarnation without a report.
 
 use std::sync::Arc;
@@ -98,7 +99,9 @@
         }
     }
 
-    /// Attributes the crash of a worker to the tasks there, with `max_blame` as the limit.
+    /// Attributes the crash of a worker to the tasks there, with `max_blame` as the limit. If that is
+    /// below [`Blame::Own`], another cause is known, and runs that had not just started are not
+    /// suspected.
     pub(super) fn attribute_crash(&mut self, slot: u32, max_blame: Blame) {
         let worker = self.fleet.get(slot);
         let (incarnation, runs) = (worker.incarnation_name.clone(), worker.runs.clone());
@@ -112,6 +115,7 @@
             let blame = match just_started.contains(&task) {
                 true if just_started.len() == 1 => Blame::Own,
                 true => Blame::Close,
+                false if max_blame < Blame::Own => Blame::Unseen,
                 false if runs.len() == 1 => Blame::Own,
                 false => Blame::Shared,
             };
--- a/crates/jobs/tests/all/still.rs
+++ b/crates/jobs/tests/all/still.rs
@@ -34,9 +34,6 @@
 /// Milliseconds between two waves of crashes.
 const WAVE_INTERVAL_MS: u64 = 7000;
 
-/// Number of workers that crash in each wave.
-const CRASHES_PER_WAVE: usize = 3;
-
 /// A job whose ID comes last in all orders by ID.
 const LAST_JOB: u64 = 0x46a7_6c98_01ea_bfcf;
 
@@ -202,20 +199,24 @@
     assert!(stall.longest < MAX_STALL_MS + more, "{stall:?}");
 }
 
-/// Waves of crashes make many tasks suspects, which are then isolated. As long as less than half
-/// of all the capacity is used, each job has runs.
-#[test_case(4)]
-#[test_case(9)]
-#[test_case(14)]
-#[test_case(21)]
-#[test_case(28)]
-fn no_late_job_stalls_after_waves_of_crashes(seed: u64) {
+/// Waves of crashes of a part of the workers make many tasks suspects, which are then isolated. As
+/// long as less than half of all the capacity is used, each job has runs.
+#[test_case(4, 3)]
+#[test_case(9, 3)]
+#[test_case(14, 3)]
+#[test_case(21, 3)]
+#[test_case(28, 3)]
+#[test_case(0, 4)]
+#[test_case(14, 4)]
+#[test_case(21, 4)]
+#[test_case(28, 4)]
+fn no_late_job_stalls_after_waves_of_crashes(seed: u64, crashes: usize) {
     let mut watched = WatchedWorld::new(seed, SPARSE_CPU);
     watched.world.restart_ms = 700;
     for _ in 0..WAVES {
         watched.overload(WAVE_INTERVAL_MS, &["light", "thin", "heavy", "heavy"]);
         let first = watched.rng.random_range(0..WORKERS);
-        for at in first..first + CRASHES_PER_WAVE {
+        for at in first..first + crashes {
             watched.world.crash(at % WORKERS);
         }
     }
