jobs: workers that isolate a suspect count as capacity

Cause: a starved job may exceed the share of what fills unless its service is crowded, and `crowded` was measured on the workers that accept runs and isolate nobody.

Now capacity and use are those of all workers that are ready and answer, also while they isolate a suspect, are quarantined or contested. What fills, and what more may, still counts on open workers only.

--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -17,15 +17,17 @@
 /// Number of steps that a pass tries at least, however many workers there are.
 const MIN_STEPS: usize = 30;
 
-/// Capacity and use of a service's workers that accept runs.
+/// Capacity and use of a service's workers.
 #[derive(Debug)]
 struct ServiceLoad {
     service: Arc<str>,
-    /// Thousandths of a core that further best-effort tasks may request.
+    /// Thousandths of a core that further best-effort tasks may request on open workers.
     free_best_effort_cpu: u64,
-    /// Thousandths of a core that best-effort tasks request.
+    /// Thousandths of a core that best-effort tasks request on open workers.
     best_effort_cpu: u64,
+    /// Capacity of all available workers.
     capacity: Capacity,
+    /// Used capacity of all available workers.
     used: Capacity,
 }
 
@@ -43,8 +45,9 @@
     /// Returns whether more than half of the capacity is used and best-effort tasks
     /// request more CPU than is left to them.
     ///
-    /// CPU of best-effort tasks doesn't count as used: users count a job without runs
-    /// as lost while half of the capacity is free, however many best-effort tasks run.
+    /// CPU of best-effort tasks doesn't count as used, and workers that accept no runs for now
+    /// count: users count a job without runs as lost while half of the capacity is free, however
+    /// many best-effort tasks run, and whatever keeps the scheduler from using it.
     fn is_crowded(&self) -> bool {
         self.is_half_full() && self.best_effort_cpu > self.free_best_effort_cpu
     }
@@ -97,16 +100,19 @@
         for (slot, worker) in (0..).zip(&fleet.workers) {
             let free = FreeCapacity::of(worker);
             pass.free_capacities.push(free);
-            let info = worker.info.as_ref().filter(|_| worker.accepts_runs(now));
-            let Some(info) = info.filter(|_| worker.isolated_task.is_none()) else {
+            let info = worker.info.as_ref().filter(|_| worker.is_available());
+            let Some(info) = info else {
                 continue;
             };
-            pass.open_workers.push(slot);
             let load = pass.load_mut(&info.service);
-            load.free_best_effort_cpu += free.free_best_effort_cpu();
-            load.best_effort_cpu += worker.best_effort_cpu;
             load.capacity.add(worker.capacity());
             load.used.add(worker.used);
+            if !worker.accepts_runs(now) || worker.isolated_task.is_some() {
+                continue;
+            }
+            load.free_best_effort_cpu += free.free_best_effort_cpu();
+            load.best_effort_cpu += worker.best_effort_cpu;
+            pass.open_workers.push(slot);
         }
         pass.max_ratings = MAX_RATINGS.max(MIN_STEPS * pass.open_workers.len());
         pass.starts_left = usize::MAX;
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -266,8 +266,13 @@
 
     /// Returns whether new runs may be placed on the worker.
     pub(crate) fn accepts_runs(&self, now: u64) -> bool {
+        self.is_available() && !self.contested && self.closed_until <= now
+    }
+
+    /// Returns whether the worker's capacity counts for its service. It may accept no runs for now.
+    pub(crate) fn is_available(&self) -> bool {
         let ready = self.info.as_ref().is_some_and(|i| i.ready);
-        ready && !self.evacuated && !self.contested && self.is_live() && self.closed_until <= now
+        ready && !self.evacuated && self.is_live()
     }
 
     /// Returns whether the worker is announced and answers.
--- a/crates/jobs/tests/all/still.rs
+++ b/crates/jobs/tests/all/still.rs
@@ -25,6 +25,10 @@
 /// core.
 const SPARSE_CPU: u64 = 1200;
 
+/// CPU of a serving task that takes more than half of the capacity where one of each job runs, and
+/// less than half of that of all workers where half of them run none.
+const MEDIUM_CPU: u64 = 1500;
+
 /// CPU of a serving task that takes most of the capacity, in thousandths of a core.
 const DENSE_CPU: u64 = 1800;
 
@@ -136,6 +140,32 @@
         }
     }
 
+    /// Overloads the workers with jobs of these images while `crashes` of them crash each
+    /// [`WAVE_INTERVAL_MS`].
+    fn crash_in_waves(&mut self, crashes: usize, images: &[&str]) {
+        self.world.restart_ms = 700;
+        for _ in 0..WAVES {
+            self.overload(WAVE_INTERVAL_MS, images);
+            let first = self.rng.random_range(0..WORKERS);
+            for at in first..first + crashes {
+                self.world.crash(at % WORKERS);
+            }
+        }
+    }
+
+    /// Asserts that each job has had runs in the last seconds although less than half of the
+    /// capacity is used.
+    fn check_no_stalls(&self) {
+        assert!(self.is_less_than_half_used());
+        let stalled = self.stalled();
+        assert!(
+            stalled.is_empty(),
+            "{} of {}: {stalled:?}",
+            stalled.len(),
+            self.jobs.len()
+        );
+    }
+
     /// Returns whether less than half of the capacity of all workers is used.
     fn is_less_than_half_used(&self) -> bool {
         let (mut used, mut capacity) = ((0, 0), (0, 0));
@@ -212,23 +242,22 @@
 #[test_case(28, 4)]
 fn no_late_job_stalls_after_waves_of_crashes(seed: u64, crashes: usize) {
     let mut watched = WatchedWorld::new(seed, SPARSE_CPU);
-    watched.world.restart_ms = 700;
-    for _ in 0..WAVES {
-        watched.overload(WAVE_INTERVAL_MS, &["light", "thin", "heavy", "heavy"]);
-        let first = watched.rng.random_range(0..WORKERS);
-        for at in first..first + crashes {
-            watched.world.crash(at % WORKERS);
-        }
-    }
+    watched.crash_in_waves(crashes, &["light", "thin", "heavy", "heavy"]);
     watched.run(DRAIN_MS);
-    assert!(watched.is_less_than_half_used());
-    let stalled = watched.stalled();
-    assert!(
-        stalled.is_empty(),
-        "{} of {}: {stalled:?}",
-        stalled.len(),
-        watched.jobs.len()
-    );
+    watched.check_no_stalls();
+}
+
+/// The workers that isolate suspects are nearly empty, and the others more than half full.
+#[test_case(2)]
+#[test_case(14)]
+#[test_case(32)]
+fn no_late_job_stalls_while_half_of_the_workers_isolate_suspects(seed: u64) {
+    let mut watched = WatchedWorld::new(seed, MEDIUM_CPU);
+    watched.crash_in_waves(3, &["heavy"]);
+    watched.run(DRAIN_MS);
+    let isolating = watched.world.stats().isolating_workers;
+    assert_eq!(isolating as usize, WORKERS / 2);
+    watched.check_no_stalls();
 }
 
 /// Returns a step of `count` serving tasks, one per worker.
