--- a/crates/jobs/tests/all/common/mod.rs
+++ b/crates/jobs/tests/all/common/mod.rs
@@ -7,6 +7,7 @@
 mod incarnations;
 mod orders;
 mod sim;
+mod watched;
 mod world;
 
 pub use checker::Checker;
@@ -15,6 +16,7 @@
 pub use incarnations::Restart;
 pub use orders::{Held, fencing_token};
 pub use sim::{Mode, SimWorker};
+pub use watched::{DRAIN_MS, MAX_STALL_MS, WatchedWorld};
 pub use world::{World, WorldSettings};
 
 use gorsespur_jobs::{Spec, Step};
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod behind;
 mod checkpoints;
 mod common;
+mod crash_waves;
 mod crashing;
 mod empty;
 mod evacuation;
--- a/crates/jobs/tests/all/still.rs
+++ b/crates/jobs/tests/all/still.rs
@@ -1,26 +1,17 @@
 //! Best-effort jobs make progress, however late they are and whatever they interfere with.
 
-use std::collections::BTreeMap;
-
-use crate::common::{World, WorldSettings, chain, short, with_checkpoints};
-use gorsespur_jobs::{JobId, Spec, Step};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use crate::common::{
+    DRAIN_MS, MAX_STALL_MS, WatchedWorld, WorldSettings, chain, short, with_checkpoints,
+};
+use gorsespur_jobs::{JobId, Step};
+use rand::Rng;
 use test_case::test_case;
 
 const WORKERS: usize = 8;
 
-/// Milliseconds between two samples of the runs.
-const SAMPLE_MS: u64 = 100;
-
-/// Milliseconds without a run after which users count a job as lost.
-const MAX_STALL_MS: u64 = 3000;
-
 /// Duration of a long task, in milliseconds.
 const TASK_MS: u64 = 4000;
 
-/// Milliseconds from the last arrival until the check of all jobs.
-const DRAIN_MS: u64 = 14_000;
-
 /// CPU of a serving task that leaves more than half of the capacity free, in thousandths of a
 /// core.
 const SPARSE_CPU: u64 = 1200;
@@ -34,114 +25,29 @@
 /// A job whose ID comes first in all orders by ID.
 const FIRST_JOB: u64 = 0x9345_a9f5_82f4_1895;
 
-/// Time for which a job had no runs.
-#[derive(Debug, Clone, Copy)]
-struct Stall {
-    /// When a task of the job ran last.
-    since: u64,
-    longest: u64,
+/// Returns a world with three serving jobs, each with a task of `cpu` thousandths of a core on each
+/// worker.
+fn world(seed: u64, cpu: u64) -> WatchedWorld {
+    let mut watched = WatchedWorld::new(WorldSettings {
+        workers: WORKERS,
+        seed,
+        ..WorldSettings::default()
+    });
+    watched.serve(cpu);
+    watched
 }
 
-/// A world whose jobs are watched for stalls.
-struct WatchedWorld {
-    world: World,
-    rng: SmallRng,
-    jobs: BTreeMap<JobId, Stall>,
-}
-
-impl WatchedWorld {
-    /// Returns a world with three serving jobs under varying load, each with a task of `cpu`
-    /// thousandths of a core on each worker.
-    fn new(seed: u64, cpu: u64) -> WatchedWorld {
-        let mut world = World::new(WorldSettings {
-            workers: WORKERS,
-            seed,
-            ..WorldSettings::default()
-        });
-        for worker in &mut world.workers {
-            worker.queueing = true;
-            worker.shares_cpu = true;
-        }
-        world.run(SAMPLE_MS);
-        for id in 1..4 {
-            let serve = Step {
-                cpu,
-                long_running: true,
-                latency_target: 100,
-                max_per_worker: 1,
-                image: Some("serve".into()),
-                ..short(WORKERS as u32, 0)
-            };
-            world.submit(id, chain(vec![serve]));
-        }
-        world.run(5000);
-        WatchedWorld {
-            world,
-            rng: SmallRng::seed_from_u64(seed),
-            jobs: BTreeMap::new(),
-        }
-    }
-
-    fn submit(&mut self, id: u64, spec: Spec) {
-        let id = self.world.submit(id, spec);
-        let stall = Stall {
-            since: self.world.now,
-            longest: 0,
-        };
-        self.jobs.insert(id, stall);
-    }
-
-    /// Overloads the workers for `ms` with jobs of two steps of these images.
-    fn overload(&mut self, ms: u64, images: &[&str]) {
-        let end = self.world.now + ms;
-        while self.world.now < end {
-            let (first, second) = (
-                self.random_best_effort(images),
-                self.random_best_effort(images),
-            );
-            let id = self.rng.random_range(1000..u64::MAX);
-            self.submit(id, chain(vec![first, second]));
-            self.run(300);
-        }
-    }
-
-    fn random_best_effort(&mut self, images: &[&str]) -> Step {
-        let image = images[self.rng.random_range(0..images.len())];
-        with_checkpoints(Step {
-            best_effort: true,
-            cpu: self.rng.random_range(1000..2000),
-            memory: 200,
-            image: Some(image.into()),
-            ..short(
-                self.rng.random_range(2..10),
-                self.rng.random_range(1000..3000),
-            )
-        })
-    }
-
-    fn run(&mut self, ms: u64) {
-        let end = self.world.now + ms;
-        while self.world.now < end {
-            self.world.run(SAMPLE_MS);
-            let (world, now) = (&self.world, self.world.now);
-            for (&id, stall) in &mut self.jobs {
-                let mut runs = world.workers.iter().flat_map(|w| &w.runs);
-                if runs.any(|r| r.task.job == id) || world.outcome(id).is_final() {
-                    stall.since = now;
-                }
-                stall.longest = stall.longest.max(now - stall.since);
-            }
-        }
-    }
-
-    /// Returns the jobs that have had no runs for so long that users count them as lost.
-    fn stalled(&self) -> Vec<(JobId, Stall)> {
-        let now = self.world.now;
-        let stalled = self
-            .jobs
-            .iter()
-            .filter(|(_, s)| now >= s.since + MAX_STALL_MS);
-        stalled.map(|(&id, &s)| (id, s)).collect()
+/// Overloads the workers for `ms` with jobs of two steps of these images.
+fn overload(watched: &mut WatchedWorld, ms: u64, images: &[&str]) {
+    let end = watched.world.now + ms;
+    while watched.world.now < end {
+        let (first, second) = (
+            watched.random_best_effort(images),
+            watched.random_best_effort(images),
+        );
+        let id = watched.rng.random_range(1000..u64::MAX);
+        watched.submit(id, chain(vec![first, second]));
+        watched.run(300);
     }
 }
 
@@ -153,8 +59,8 @@
 #[test_case(13)]
 #[test_case(15)]
 fn no_late_job_stalls_after_the_last_arrival(seed: u64) {
-    let mut watched = WatchedWorld::new(seed, SPARSE_CPU);
-    watched.overload(60_000, &["light", "thin", "heavy", "heavy"]);
+    let mut watched = world(seed, SPARSE_CPU);
+    overload(&mut watched, 60_000, &["light", "thin", "heavy", "heavy"]);
     watched.run(DRAIN_MS);
     let stalled = watched.stalled();
     assert!(
@@ -171,7 +77,7 @@
 #[test_case("unknown", SPARSE_CPU, 0; "where it may interfere everywhere")]
 #[test_case("light", DENSE_CPU, TASK_MS; "where most of the capacity is taken")]
 fn a_late_job_progresses_beside_one_that_takes_all(image: &str, cpu: u64, more: u64) {
-    let mut watched = WatchedWorld::new(1, cpu);
+    let mut watched = world(1, cpu);
     for worker in &mut watched.world.workers {
         worker.tail_percents = vec![60];
     }
