jobs tests: list what is lost where suspects of shared crashes are isolated

What callers see after crashes of many workers at once, none of which a task caused: jobs without a run for 7 s and more, long-running tasks without one for 10 to 31 s, and a serving job that is given up, all with more than half of the capacity free.

Causes, from the scheduler's own lines: - Three crashes that many workers shared make a task a likely cause. It then waits for a worker of its own, and half of the workers may isolate (no_job_stalls_after_workers_crashed_together). - Workers with an isolated suspect count neither as capacity nor as use of their service, so that it seems crowded while the callers see 64% of its CPU free (no_job_stalls_while_half_of_the_workers_ isolate_suspects). The guard measures something else than the promise, as before. - Nothing else starts on such a worker for up to 48 s, also where it is the only one left to a step with one task per worker (no_task_of_one_per_worker_waits_for_suspects). - Workers with an isolated suspect don't count as lost at once.

--- a/crates/jobs/tests/all/crash_waves.rs
+++ b/crates/jobs/tests/all/crash_waves.rs
@@ -267,6 +267,14 @@
     check(day);
 }
 
+/// The same after more waves, so that most tasks have lost several workers.
+#[test_case(Day::new(0); "seed 0")]
+#[test_case(Day { workers: 16, kill_after_ms: Some(15_000), load_after_ms: 14_000, ..Day::new(1) }; "seed 1")]
+#[test_case(Day { crash_percent: 60, ..Day::new(0) }; "where most crash")]
+fn no_job_fails_or_stalls_after_six_crash_waves(day: Day) {
+    check(Day { waves: 6, ..day });
+}
+
 /// Random days: those of two seeds, or of the seed in GORSESPUR_WAVES.
 #[test]
 fn random_days_of_crash_waves_lose_no_job() {
--- a/crates/jobs/tests/all/crashing/mod.rs
+++ b/crates/jobs/tests/all/crashing/mod.rs
@@ -6,6 +6,7 @@
 
 mod crowds;
 mod culprits;
+mod isolated;
 mod losses;
 mod owners;
 mod returning;
