jobs tests: a job that interferes everywhere is not complete after a minute

Best-effort tasks that interfere with each serving task run at a low pace, and are moved after 0.3 s at less than half of it. A run gains some 0.2 s that way: one task of 2.5 s is done after 16 to 17 s and 13 or 14 runs, which is less than without checkpoints (30 s, one run). Only one task of a job may start in spite of its interference, and only while the job has no other run, so that six of them take more than a minute with half of the capacity free (4 are done). They are never without a run for more than 1.5 s. The bound is that of the other tests of unfinished jobs.

--- a/crates/jobs/tests/all/still.rs
+++ b/crates/jobs/tests/all/still.rs
@@ -3,7 +3,7 @@
 use crate::common::{
     DRAIN_MS, MAX_STALL_MS, WatchedWorld, WorldSettings, chain, short, with_checkpoints,
 };
-use gorsespur_jobs::{JobId, Step};
+use gorsespur_jobs::{JobId, Outcome, Step};
 use rand::Rng;
 use test_case::test_case;
 
@@ -12,6 +12,9 @@
 /// Duration of a long task, in milliseconds.
 const TASK_MS: u64 = 4000;
 
+/// Milliseconds within which a job has to be complete.
+const COMPLETE_MS: u64 = 60_000;
+
 /// CPU of a serving task that leaves more than half of the capacity free, in thousandths of a
 /// core.
 const SPARSE_CPU: u64 = 1200;
@@ -89,6 +92,25 @@
     assert!(stall.longest < MAX_STALL_MS + more, "{stall:?}");
 }
 
+/// Each task interferes with each serving task, so that its runs are slowed and moved, and half of
+/// the capacity is free. The job is complete a minute later.
+#[test_case(1)]
+#[test_case(6)]
+fn a_job_that_interferes_everywhere_completes(count: u32) {
+    let mut watched = world(1, SPARSE_CPU);
+    watched.heavy_cost = 1.75;
+    let step = Step {
+        cpu: 4800,
+        estimate: 2500,
+        ..best_effort("heavy", count)
+    };
+    watched.submit(LAST_JOB, chain(vec![step]));
+    watched.run(COMPLETE_MS);
+    let done = watched.world.checker.done.len();
+    let outcome = watched.world.outcome(JobId(LAST_JOB));
+    assert_eq!(outcome, Outcome::Complete, "{done} of {count} tasks done");
+}
+
 /// Returns a step of long best-effort tasks with checkpoints.
 fn best_effort(image: &str, count: u32) -> Step {
     with_checkpoints(Step {
