--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod promises;
 mod records;
 mod regression;
+mod reservations;
 mod resizing;
 mod restarts;
 mod sharing;
