jobs: crashes that suggest no task as their cause prolong no isolation

Callers saw long-running tasks of one per worker wait for 10 s and more beside workers that were kept for suspects.

Cause: the time for which a suspect is isolated doubled with each crash, also with those of the weakest blame, which many workers lost at once leave behind. Two of them make a suspect, and on a calm moment it takes an idle worker for 12 to 48 s. Now only crashes of at least a shared blame count for the time.

--- a/crates/jobs/src/model/crash.rs
+++ b/crates/jobs/src/model/crash.rs
@@ -21,7 +21,8 @@
 const MAX_CRASHES: usize = 5;
 
 /// How long a run of a suspect is isolated after its worker first reported it. The time doubles
-/// with each crash, so that a task that crashes its workers later is found as well.
+/// with each crash that suggests the task as its cause, so that a task that crashes its workers
+/// later is found as well.
 const PROBATION_MS: u64 = 1500;
 
 /// How strongly a worker's crash suggests that a task on it was the cause.
@@ -109,7 +110,8 @@
 
     /// Returns how long a run is isolated after its worker first reported it, in milliseconds.
     pub(crate) fn isolation_ms(&self) -> u64 {
-        let doublings = self.list.len().clamp(1, MIN_CRASHES * 2) - 1;
+        let crashes = self.count_at_least(Blame::Shared);
+        let doublings = crashes.clamp(1, MIN_CRASHES * 2) - 1;
         PROBATION_MS << doublings
     }
 }
