jobs: a reservation ends where its step may start no further task

Cause: a worker that was reserved for a step stayed so for 6 s after as many tasks of the step ran there as may, or after a suspect was isolated there: then the step can't use it, and nothing else may. The reservation is dropped now.

--- a/crates/jobs/src/place/rank.rs
+++ b/crates/jobs/src/place/rank.rs
@@ -9,7 +9,7 @@
 use std::{cmp::Reverse, collections::BinaryHeap};
 
 use crate::{
-    model::spec::Step,
+    model::{ids::TaskId, spec::Step},
     place::{pass::Pass, refusal::Refusal, request::Request},
     runs::worker::Worker,
     scheduler::Scheduler,
@@ -150,13 +150,17 @@
 
     /// Returns whether a worker runs as many tasks of a step as it may.
     pub(super) fn is_at_step_limit(&self, slot: u32, request: &Request<'_>) -> bool {
-        let (first, max_per_worker) = (request.first_task, request.step.max_per_worker);
-        if max_per_worker == 0 {
+        request.step.max_per_worker > 0 && self.is_step_limit_reached(slot, request.first_task)
+    }
+
+    /// Returns whether a worker runs as many tasks of the step of a task as it may.
+    pub(super) fn is_step_limit_reached(&self, slot: u32, task: TaskId) -> bool {
+        let Some(state) = self.jobs.get(&task.job) else {
             return false;
-        }
-        let state = self.jobs.get(&first.job);
-        let runs = state.map(|j| &j.repetitions[first.repetition as usize][first.step as usize]);
-        runs.is_some_and(|r| r.runs_on(slot) >= max_per_worker)
+        };
+        let max_per_worker = state.job.spec.steps[task.step as usize].max_per_worker;
+        let runs = &state.repetitions[task.repetition as usize][task.step as usize];
+        max_per_worker > 0 && runs.runs_on(slot) >= max_per_worker
     }
 
     /// Returns the part of the rating for the serving tasks that already run on a
--- a/crates/jobs/src/place/reservation.rs
+++ b/crates/jobs/src/place/reservation.rs
@@ -75,8 +75,11 @@
         let is_waiting =
             state.repetitions[first.repetition as usize][first.step as usize].unassigned > 0;
         let is_blocked = reservation.long_running || !state.has_runs();
-        let accepts_runs = self.fleet.get(reservation.slot).accepts_runs(self.now);
-        is_waiting && is_blocked && accepts_runs && self.now < reservation.expires_at
+        let worker = self.fleet.get(reservation.slot);
+        let is_usable = worker.accepts_runs(self.now)
+            && worker.isolated_task.is_none()
+            && !self.is_step_limit_reached(reservation.slot, first);
+        is_waiting && is_blocked && is_usable && self.now < reservation.expires_at
     }
 
     /// Returns whether a worker is reserved for a task of another step.
