--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
+    model::ids::TaskId,
     place::{free_capacity::FreeCapacity, reservation::Reservation, unplaceable::Unplaceable},
     runs::{fleet::Fleet, worker::Capacity},
 };
@@ -147,6 +148,11 @@
         index.is_ok_and(|index| self.loads[index].is_half_full())
     }
 
+    /// Returns whether a worker is reserved for a step, by its first task.
+    pub(crate) fn has_reservation(&self, first: TaskId) -> bool {
+        self.reservations.iter().any(|r| r.first_task == first)
+    }
+
     /// Returns the free capacity of a worker.
     pub(crate) fn free_capacity(&self, slot: u32) -> FreeCapacity {
         self.free_capacities[slot as usize]
--- a/crates/jobs/src/place/reservation.rs
+++ b/crates/jobs/src/place/reservation.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Reservation {
     /// The first task of the step, which identifies the step.
-    first_task: TaskId,
+    pub(super) first_task: TaskId,
     slot: u32,
     /// The capacity that the task takes up.
     demand: Capacity,
@@ -94,7 +94,7 @@
     /// Reserves a worker for a task that fits nowhere, if the task has waited for long.
     pub(super) fn reserve_worker(&mut self, request: &Request<'_>, pass: &mut Pass) {
         let first = request.first_task;
-        if pass.reservations.iter().any(|r| r.first_task == first) {
+        if pass.has_reservation(first) {
             return;
         }
         let Some(state) = self.jobs.get(&first.job) else {
