jobs: test that waves of crashes end no long-running task

Callers may see a long-running job fail although none of its tasks crashes a worker: where a third to three quarters of the workers crash at once, nine times, each 3 or 7 s.

Cause: is_simultaneous_loss leaves out all workers that isolate a suspect. Where nothing else waits, 7 of 8 workers may isolate one. Of a wave too few workers count then, so that it is taken for single crashes, and each isolated run is charged with one that nothing else explains.

--- a/crates/jobs/tests/all/crashing/losses.rs
+++ b/crates/jobs/tests/all/crashing/losses.rs
@@ -171,3 +171,52 @@
     assert_eq!(world.outcome(id), Outcome::Complete);
     check_invariants(&world, 6);
 }
+
+/// A third to all but a quarter of the workers crash every few seconds, by no task's fault, and
+/// are soon back. The only job is long-running and fits on a part of them: it is not given up, and
+/// seconds after the last crash all its tasks run.
+#[test_case(48, 18, 7000)]
+#[test_case(48, 24, 3000)]
+#[test_case(48, 36, 3000)]
+#[test_case(12, 4, 7000)]
+#[test_case(12, 6, 3000)]
+fn waves_of_crashes_end_no_long_running_task(workers: usize, crashes: usize, interval_ms: u64) {
+    const SEEDS: u64 = 6;
+    const WAVES: usize = 9;
+    let (mut given_up, mut missing) = (0, 0);
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut world = World::new(WorldSettings {
+            workers,
+            seed,
+            ..WorldSettings::default()
+        });
+        world.restart_ms = 700;
+        world.run(100);
+        let count = 6 * workers;
+        let step = Step {
+            cpu: 300,
+            memory: 300,
+            ..long_running(count as u32)
+        };
+        let id = world.submit(1, chain(vec![step]));
+        world.run(3000);
+        for _ in 0..WAVES {
+            let mut sound: Vec<usize> = (0..workers).collect();
+            for _ in 0..crashes {
+                let index = rng.random_range(0..sound.len());
+                world.crash(sound.swap_remove(index));
+            }
+            world.run(interval_ms);
+        }
+        world.run(10_000 - interval_ms.min(3000));
+        check_invariants(&world, seed);
+        let running: usize = world.workers.iter().map(|w| w.runs.len()).sum();
+        given_up += u32::from(world.outcome(id) == Outcome::Failed);
+        missing += count - running;
+    }
+    println!(
+        "{crashes} of {workers} workers each {interval_ms} ms: {given_up} of {SEEDS} jobs given up, {missing} tasks don't run"
+    );
+    assert_eq!((given_up, missing), (0, 0));
+}
