jobs: test that waves of crashes fail no best-effort job

The tests of stalls don't see this, since they count each final outcome as progress. Below the bound for simultaneous losses a task isolated on two of the crashed workers has two crashes of its own; not traced further.

--- a/crates/jobs/tests/all/still.rs
+++ b/crates/jobs/tests/all/still.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::common::{World, WorldSettings, chain, serving, short, with_checkpoints};
-use gorsespur_jobs::{JobId, Spec, Step};
+use gorsespur_jobs::{JobId, Outcome, Spec, Step};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
 
@@ -289,6 +289,23 @@
     watched.check_no_stalls();
 }
 
+/// Of jobs that crash nothing, none is given up.
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+fn waves_of_crashes_fail_no_best_effort_job(crashes: usize) {
+    let mut failed = Vec::new();
+    for seed in 0..24 {
+        let mut watched = WatchedWorld::new(seed, SPARSE_CPU);
+        watched.crash_in_waves(crashes, &["light", "thin", "heavy", "heavy"]);
+        watched.run(DRAIN_MS);
+        let jobs = watched.jobs.keys();
+        let given_up = jobs.filter(|&&id| watched.world.outcome(id) == Outcome::Failed);
+        failed.extend(given_up.map(|&id| (seed, id)));
+    }
+    assert!(failed.is_empty(), "{}: {failed:?}", failed.len());
+}
+
 /// Returns a step of `count` serving tasks, one per worker.
 fn serving_step(cpu: u64, count: u32) -> Step {
     Step {
