jobs: test that a task that crashes workers beside many others is given up

Callers may see a task that crashes its workers late go on for minutes where others crash at each of these moments: each crash is a simultaneous loss, and since a run that had long started is hardly suspected of one.

--- a/crates/jobs/tests/all/crashing/losses.rs
+++ b/crates/jobs/tests/all/crashing/losses.rs
@@ -220,3 +220,62 @@
     );
     assert_eq!((given_up, missing), (0, 0));
 }
+
+/// A task crashes its workers `after_ms` after each start, and some others crash at each of these
+/// moments. It is given up.
+#[test_case(48, 10, 5)]
+#[test_case(48, 1500, 5)]
+#[test_case(12, 1500, 3)]
+#[test_case(12, 3000, 3)]
+fn a_task_that_crashes_workers_beside_many_others_is_given_up(
+    workers: usize,
+    after_ms: u64,
+    others: usize,
+) {
+    const SEEDS: u64 = 6;
+    const LIMIT_MS: u64 = 150_000;
+    let mut starts = Vec::new();
+    let mut remaining = 0;
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut world = World::new(WorldSettings {
+            workers,
+            seed,
+            ..WorldSettings::default()
+        });
+        world.run(100);
+        let beside = Step {
+            cpu: 500,
+            memory: 300,
+            ..long_running(4 * workers as u32)
+        };
+        world.submit(1, chain(vec![beside]));
+        world.run(1500);
+        world.submit(CRASHER.0, chain(vec![short(2, 20_000)]));
+        world.crashers.push(Crasher {
+            task: crasher(),
+            after_ms,
+        });
+        let end = world.now + LIMIT_MS;
+        let mut seen = 0;
+        while world.now < end && !world.outcome(CRASHER).is_final() {
+            world.run(5);
+            let crashes = world.checker.other_runs.len();
+            let mut crashed = 0;
+            while crashes > seen && crashed < others {
+                let at = rng.random_range(0..workers);
+                if world.workers[at].alive {
+                    world.crash(at);
+                    crashed += 1;
+                }
+            }
+            seen = crashes;
+        }
+        starts.push(seen);
+        remaining += u32::from(!world.outcome(CRASHER).is_final());
+    }
+    println!(
+        "crasher after {after_ms} ms beside {others} of {workers}: {remaining} of {SEEDS} remain, starts {starts:?}"
+    );
+    assert_eq!(remaining, 0, "{starts:?}");
+}
