jobs: docs of blame say what simultaneous losses charge

Since runs that had long started are not suspected in a simultaneous loss, the weakest blame is also given where the end of the process was observed, and isolated runs are still charged. No change of behaviour.

--- a/crates/jobs/src/model/crash.rs
+++ b/crates/jobs/src/model/crash.rs
@@ -28,9 +28,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum Blame {
     /// Hardly: the end of the worker's process was not observed, and the machine may have lost
-    /// power.
+    /// power, or many workers crashed at once when the task had run for a while.
     Unseen,
-    /// Weakly: the task had run for a while, or another cause is more likely.
+    /// Weakly: the task had run for a while, or had just begun when many workers crashed at once.
     Shared,
     /// Moderately: the task had just begun, as had others on the worker.
     Close,
--- a/crates/jobs/src/runs/crashes.rs
+++ b/crates/jobs/src/runs/crashes.rs
@@ -9,9 +9,9 @@
 //!
 //! Limits: a run is a likely cause if it started within a second before the crash. A task is given
 //! up only on evidence of its own (see [`crate::model::crash`]), and where many workers are lost at
-//! once, only the runs that had just started are suspected. A task that crashes its workers later
-//! than that is not found while many workers are lost each time. A new owner does not know which of the runs that it
-//! inherits were moved to a later incarnation without a report.
+//! once, only the runs that had just started or are isolated are suspected. A task that crashes its
+//! workers later than that may not be found while many workers are lost each time. A new owner does
+//! not know which of the runs that it inherits were moved to a later incarnation without a report.
 
 use std::sync::Arc;
 
