--- a/crates/jobs/tests/all/still.rs
+++ b/crates/jobs/tests/all/still.rs
@@ -32,6 +32,9 @@
 /// Milliseconds between two waves of crashes.
 const WAVE_INTERVAL_MS: u64 = 7000;
 
+/// Milliseconds from a wave of crashes to the change of the owner after it.
+const TAKEOVER_MS: u64 = 1500;
+
 /// Milliseconds until a crashed worker restarts.
 const RESTART_MS: u64 = 700;
 
@@ -73,10 +76,15 @@
     watched.world.restart_ms = RESTART_MS;
     for _ in 0..WAVES {
         overload(watched, WAVE_INTERVAL_MS, images);
-        let first = watched.rng.random_range(0..WORKERS);
-        for at in first..first + crashes {
-            watched.world.crash(at % WORKERS);
-        }
+        crash(watched, crashes);
+    }
+}
+
+/// Crashes so many of the workers at once.
+fn crash(watched: &mut WatchedWorld, crashes: usize) {
+    let first = watched.rng.random_range(0..WORKERS);
+    for at in first..first + crashes {
+        watched.world.crash(at % WORKERS);
     }
 }
 
@@ -173,6 +181,49 @@
     check_no_stalls(&watched);
 }
 
+/// Owners change after each of the waves. As long as less than half of all the capacity is used,
+/// each job has runs.
+#[test_case(0, 2)]
+#[test_case(8, 2)]
+#[test_case(0, 3)]
+#[test_case(0, 4)]
+fn no_late_job_stalls_after_waves_of_crashes_and_takeovers(seed: u64, crashes: usize) {
+    let mut watched = world(seed, SPARSE_CPU);
+    watched.world.restart_ms = RESTART_MS;
+    for _ in 0..WAVES {
+        overload(
+            &mut watched,
+            WAVE_INTERVAL_MS,
+            &["light", "thin", "heavy", "heavy"],
+        );
+        crash(&mut watched, crashes);
+        watched.run(TAKEOVER_MS);
+        let lease_end = watched.world.lease_end();
+        watched.world.pause(true);
+        watched.world.take_over(lease_end);
+    }
+    watched.run(DRAIN_MS);
+    assert!(!watched.is_half_full());
+    check_no_stalls(&watched);
+}
+
+/// Of jobs that crash nothing, none is given up.
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+fn waves_of_crashes_fail_no_best_effort_job(crashes: usize) {
+    let mut failed = Vec::new();
+    for seed in 0..24 {
+        let mut watched = world(seed, SPARSE_CPU);
+        crash_in_waves(&mut watched, crashes, &["light", "thin", "heavy", "heavy"]);
+        watched.run(DRAIN_MS);
+        let jobs = watched.jobs.keys();
+        let given_up = jobs.filter(|&&id| watched.world.outcome(id) == Outcome::Failed);
+        failed.extend(given_up.map(|&id| (seed, id)));
+    }
+    assert!(failed.is_empty(), "{}: {failed:?}", failed.len());
+}
+
 /// Returns a step of long best-effort tasks with checkpoints.
 fn best_effort(image: &str, count: u32) -> Step {
     with_checkpoints(Step {
