--- a/crates/jobs/src/place/starvation.rs
+++ b/crates/jobs/src/place/starvation.rs
@@ -22,7 +22,8 @@
 pub(super) enum PlacementRule {
     /// The order of the jobs.
     Order,
-    /// The job is starved, and the task may exceed the CPU share of best-effort tasks.
+    /// The order of the jobs, by which the task was also allowed to exceed the CPU share of
+    /// best-effort tasks, since its job is starved.
     BeyondShare,
     /// The job is late and has been idle for longest.
     Age,
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -280,8 +280,8 @@
 
     /// Places a task on a worker by a rule and counts the run as a probe of the worker.
     pub(super) fn place_on(&mut self, id: TaskId, slot: u32, step: &Step, rule: PlacementRule) {
-        self.log_stall_end(id, slot, rule);
         if self.assign(id, slot, step, None).is_some() {
+            self.log_stall_end(id, slot, rule);
             self.fleet.get_mut(slot).record_probe(self.now);
         }
     }
--- a/crates/jobs/src/runs/crashes.rs
+++ b/crates/jobs/src/runs/crashes.rs
@@ -32,7 +32,8 @@
 /// Workers that are lost within this time of each other are lost simultaneously, in milliseconds.
 const SIMULTANEOUS_MS: u64 = 1000;
 
-/// If this many other workers are lost simultaneously, none of their tasks is the cause.
+/// If this many other workers are lost simultaneously, something else than a task is the likely
+/// cause.
 const MIN_SIMULTANEOUS_LOSSES: usize = 3;
 
 /// In a large fleet, the limit is one worker in this many instead, if that is higher.
