Log how full the workers are by which a service counts as crowded

Whether a job without runs may start a task beyond its share is decided by the use of the workers that are open, which leaves out those that isolate a suspect. The logs told the use of all workers (`owner: load`) and the decision (`crowded` of `job: stands still`), but not the use that it was made by, nor how many starts were made so.

`job: stands still` now tells cpu_percent and memory_percent of these workers, `owner: load` tells in `beyond` how many starts of starved jobs went beyond their share since the takeover. Two figures a line of which there are four a second, and one of the other.

--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -53,6 +53,15 @@
         let (capacity, used) = (self.capacity, self.used);
         used.cpu * 2 > capacity.cpu || used.memory * 2 > capacity.memory
     }
+
+    /// Returns the used CPU and memory in percent of the capacity.
+    fn used_percent(&self) -> (u64, u64) {
+        let (capacity, used) = (self.capacity, self.used);
+        (
+            used.cpu * 100 / capacity.cpu.max(1),
+            used.memory * 100 / capacity.memory.max(1),
+        )
+    }
 }
 
 /// Whether a pass of placement tried all waiting steps.
@@ -141,6 +150,15 @@
         index.is_ok_and(|index| self.loads[index].is_half_full())
     }
 
+    /// Returns the used CPU and memory of the workers on which it is decided whether a service
+    /// is crowded, in percent.
+    pub(crate) fn used_percent(&self, service: &Arc<str>) -> (u64, u64) {
+        let index = self
+            .loads
+            .binary_search_by(|load| load.service.cmp(service));
+        index.map_or((0, 0), |index| self.loads[index].used_percent())
+    }
+
     /// Returns the free capacity of a worker.
     pub(crate) fn free_capacity(&self, slot: u32) -> FreeCapacity {
         self.free_capacities[slot as usize]
--- a/crates/jobs/src/place/starvation.rs
+++ b/crates/jobs/src/place/starvation.rs
@@ -98,13 +98,15 @@
         };
         let refusals = self.count_refusals(&request, pass);
         let is_crowded = pass.is_crowded(&service);
+        let (cpu_percent, memory_percent) = pass.used_percent(&service);
         let position = self.open_jobs.iter().position(|&o| o == id);
         let is_late =
             position.is_some_and(|p| p >= self.open_jobs.len().saturating_sub(self.late_jobs));
         let count = |r| refusals.get(r);
         log::info!(
             task = task.to_string().as_str(), still_ms = self.now - since,
-            order:? = position, jobs = self.open_jobs.len(), late = is_late, crowded = is_crowded, apart = needs_isolation,
+            order:? = position, jobs = self.open_jobs.len(), late = is_late, crowded = is_crowded, cpu_percent, memory_percent,
+            apart = needs_isolation,
             closed = count(Refusal::Closed), guest = count(Refusal::Isolating),
             trial = count(Refusal::OnProbation), label = count(Refusal::Label),
             room = count(Refusal::NoRoom), share = count(Refusal::BestEffortShare),
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -176,6 +176,7 @@
                 self.reserve_worker(&request, pass);
                 return;
             };
+            self.stats.starts_beyond_share += u64::from(request.starved);
             request.starved = false;
             self.place_on(id, slot, step);
             pass.starts_left -= 1;
--- a/crates/jobs/src/stats.rs
+++ b/crates/jobs/src/stats.rs
@@ -9,6 +9,9 @@
     pub tasks: u64,
     /// Starts sent.
     pub starts: u64,
+    /// Starts of tasks of starved jobs beyond the CPU share of best-effort tasks, or beside
+    /// serving tasks that they interfere with.
+    pub starts_beyond_share: u64,
     /// Runs that completed their work.
     pub done: u64,
     /// Runs that failed.
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -50,6 +50,7 @@
             late = self.late_jobs, window:? = self.window.limit(),
             unanswered = self.unanswered_starts(), held = self.stats.throttled_passes,
             stale = self.stats.skipped_passes, passes = self.stats.passes,
+            beyond = self.stats.starts_beyond_share,
             suspects = isolation.waiting, likely = isolation.waiting_likely,
             apart = isolation.isolating, apart_held = isolation.held, apart_max = isolation.max_isolating;
             "owner: load"
