jobs: one look-up of a service's load, and reservations asked only of what is ruled out

Whether a step has a reservation was asked for each task that is placed, and is asked only if an earlier refusal rules the task out.

--- a/crates/jobs/src/place/pass.rs
+++ b/crates/jobs/src/place/pass.rs
@@ -141,28 +141,26 @@
         &mut self.loads[index]
     }
 
-    /// Returns whether the workers of a service are crowded.
-    pub(crate) fn is_crowded(&self, service: &Arc<str>) -> bool {
+    fn load(&self, service: &Arc<str>) -> Option<&ServiceLoad> {
         let index = self
             .loads
             .binary_search_by(|load| load.service.cmp(service));
-        index.is_ok_and(|index| self.loads[index].is_crowded())
+        index.ok().map(|index| &self.loads[index])
+    }
+
+    /// Returns whether the workers of a service are crowded.
+    pub(crate) fn is_crowded(&self, service: &Arc<str>) -> bool {
+        self.load(service).is_some_and(ServiceLoad::is_crowded)
     }
 
     /// Returns whether more than half of the capacity of a service's workers is used.
     pub(crate) fn is_half_full(&self, service: &Arc<str>) -> bool {
-        let index = self
-            .loads
-            .binary_search_by(|load| load.service.cmp(service));
-        index.is_ok_and(|index| self.loads[index].is_half_full())
+        self.load(service).is_some_and(ServiceLoad::is_half_full)
     }
 
     /// Returns the used CPU and memory in percent of the capacity by which a service is crowded.
     pub(crate) fn used_percent(&self, service: &Arc<str>) -> (u64, u64) {
-        let index = self
-            .loads
-            .binary_search_by(|load| load.service.cmp(service));
-        index.map_or((0, 0), |index| self.loads[index].used_percent())
+        self.load(service).map_or((0, 0), ServiceLoad::used_percent)
     }
 
     /// Returns whether a worker is reserved for a step, by its first task.
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -342,9 +342,9 @@
             return self.best_worker(&mut own_ranking, request, pass);
         }
         let unplaceable = Unplaceable::new(request);
+        let is_ruled_out = pass.unplaceable.iter().any(|u| u.implies(&unplaceable));
         // The worker that is reserved for the request refuses all others.
-        let has_reservation = pass.has_reservation(request.first_task);
-        if !has_reservation && pass.unplaceable.iter().any(|u| u.implies(&unplaceable)) {
+        if is_ruled_out && !pass.has_reservation(request.first_task) {
             return None;
         }
         let mut own_ranking = None;
