jobs, node: divide capacity among queues, and publish what new jobs can expect

Cause: nothing decides whose capacity it is while there is too little.

Change: interfaces of the parts, agreed before they are built side by side: the owner divides each service's capacity by priority and dominant share, logs which queues are short, and publishes figures by queue in the lease's row. Nobody acts on them yet.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -22,6 +22,8 @@
 //!
 //! - [`model`]: jobs, steps, tasks and their records, without decisions;
 //! - [`order`]: the order of the jobs;
+//! - [`entitlement`]: how the capacity is divided among the queues while it is short;
+//! - [`admission`]: which new jobs can be served;
 //! - [`place`]: which worker runs a task, and which tasks wait for capacity;
 //! - [`share`]: interference between tasks on one worker, and the paces of runs;
 //! - [`runs`]: leases of workers, starts, stops, ends, and what is committed.
@@ -29,7 +31,9 @@
 //! [`drive`] defines the order in which these run.
 
 mod action;
+mod admission;
 mod drive;
+mod entitlement;
 mod event;
 mod model;
 mod order;
@@ -44,6 +48,7 @@
 mod takeover;
 
 pub use action::{Action, Batch, StartOrder};
+pub use admission::QueueFigures;
 pub use event::{
     Answer, Ending, Event, Paced, ReportedRun, RunEnd, Started, Stopped, WorkerReport,
 };
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -34,6 +34,15 @@
         self.gpu += other.gpu;
     }
 
+    /// Returns the capacity of `count` tasks of this size.
+    pub(crate) fn times(self, count: u64) -> Capacity {
+        Capacity {
+            cpu: self.cpu * count,
+            memory: self.memory * count,
+            gpu: self.gpu * count,
+        }
+    }
+
     /// Returns whether `other` fits in addition to what is `used`.
     pub(crate) fn has_room(&self, used: Capacity, other: Capacity) -> bool {
         self.cpu >= used.cpu + other.cpu
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     action::Action,
+    entitlement::Entitlements,
     event::{Answer, Event, Paced, Started, Stopped},
     model::{
         ids::{JobId, TaskId},
@@ -68,6 +69,8 @@
     pub(crate) dirty_jobs: Vec<JobId>,
     pub(crate) fleet: Fleet,
     pub(crate) queues: Vec<QueuePolicy>,
+    /// What each queue is entitled to.
+    pub(crate) entitlements: Entitlements,
     pub(crate) interference: Interference,
     /// The common seasonality of the loads of serving steps.
     pub(crate) seasonality: Seasonality,
@@ -121,6 +124,7 @@
             dirty_jobs: Vec::new(),
             fleet,
             queues: Vec::new(),
+            entitlements: Entitlements::default(),
             interference: Interference::default(),
             seasonality: Seasonality::default(),
             estimates: SortedMap::default(),
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -274,6 +274,8 @@
         term: 0,
         earlier: prior_leases_end.saturating_sub(asked_at),
         census: seen.lease.census,
+        // The figures of the previous owner are out of date.
+        figures: Vec::new(),
     };
     let head = HeadRow { epoch, number: 0 };
     let tx = Tx {
--- a/crates/node/src/owner/decision_loop.rs
+++ b/crates/node/src/owner/decision_loop.rs
@@ -190,7 +190,10 @@
             self.next_report_at = now + REPORT_PERIOD_MS;
             send(
                 journal,
-                JournalInput::Pending(self.scheduler.pending_jobs()),
+                JournalInput::Publish(
+                    self.scheduler.pending_jobs(),
+                    self.scheduler.queue_figures(),
+                ),
             );
             self.shared.metrics.set_owner_stats(self.scheduler.stats());
             for worker in self.scheduler.closable_workers() {
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -8,7 +8,7 @@
 
 use flume::{Receiver, RecvTimeoutError};
 use gorsespur_core::retry::Backoff;
-use gorsespur_jobs::Batch;
+use gorsespur_jobs::{Batch, QueueFigures};
 
 use super::{
     Tenure,
@@ -52,8 +52,9 @@
     Log(Vec<String>),
     /// Makes a batch durable.
     Batch(Batch),
-    /// Sets the number of pending jobs by queue, published in the lease.
-    Pending(Vec<(Arc<str>, u64)>),
+    /// Sets what the lease publishes: the number of pending jobs by queue, and what new jobs can
+    /// expect.
+    Publish(Vec<(Arc<str>, u64)>, Vec<QueueFigures>),
     /// Saves the learned estimates for a later owner.
     Learned(Vec<u8>),
     /// Releases the lease.
@@ -94,6 +95,7 @@
             term: 0,
             earlier: 0,
             census: tenure.census,
+            figures: Vec::new(),
         },
         prior_leases_end: tenure.takeover.prior_leases_end,
         head: tenure.head,
@@ -111,8 +113,9 @@
             Err(RecvTimeoutError::Disconnected) => return,
         };
         let (batch, release) = match input {
-            Some(JournalInput::Pending(pending)) => {
+            Some(JournalInput::Publish(pending, figures)) => {
                 journal.lease.pending = pending;
+                journal.lease.figures = figures;
                 continue;
             }
             Some(JournalInput::Learned(learned)) => {
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gorsespur_jobs::JobId;
+use gorsespur_jobs::{JobId, QueueFigures};
 use serde::{Deserialize, Serialize};
 
 use crate::census::Census;
@@ -111,6 +111,9 @@
     /// Counts of instances; 0 if unknown.
     #[serde(default)]
     pub(crate) census: Census,
+    /// What new jobs can expect, by queue; empty if the owner doesn't tell.
+    #[serde(default)]
+    pub(crate) figures: Vec<QueueFigures>,
 }
 
 /// Value of the head of the journal: identifies the last write.
