jobs: the figures of a queue hold a forecast of waits by kind of work

Cause: an instance needs the expected wait, the slack and the time to come back to refuse a job truthfully. Change: the agreed type, filled with defaults.

--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -23,10 +23,23 @@
     pub long_running_cpu: u64,
     /// Memory that new long-running tasks may request, in MB.
     pub long_running_memory: u64,
-    /// Expected time until a task of a new short job starts, in milliseconds.
-    pub short_wait: u64,
-    /// Expected time until a task of a new best-effort job starts, in milliseconds.
-    pub best_effort_wait: u64,
+    /// Forecast for short jobs.
+    pub short: WaitForecast,
+    /// Forecast for best-effort jobs.
+    pub best_effort: WaitForecast,
+}
+
+/// The expected wait of a new job.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitForecast {
+    /// Expected time until a task of the job starts, in milliseconds.
+    pub wait: u64,
+    /// Longest wait with which a job of typical length still meets its objective, in milliseconds.
+    pub slack: u64,
+    /// Time after which a refused caller should come back, in milliseconds.
+    pub retry_after: u64,
+    /// Whether new jobs are to be refused.
+    pub closed: bool,
 }
 
 impl Scheduler {
@@ -43,8 +56,8 @@
                 queue: policy.queue.clone(),
                 long_running_cpu: row.limit.cpu.saturating_sub(asked.cpu),
                 long_running_memory: row.limit.memory.saturating_sub(asked.memory),
-                short_wait: 0,
-                best_effort_wait: 0,
+                short: WaitForecast::default(),
+                best_effort: WaitForecast::default(),
             });
         }
         figures
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -48,7 +48,7 @@
 mod takeover;
 
 pub use action::{Action, Batch, StartOrder};
-pub use admission::QueueFigures;
+pub use admission::{QueueFigures, WaitForecast};
 pub use event::{
     Answer, Ending, Event, Paced, ReportedRun, RunEnd, Started, Stopped, WorkerReport,
 };
