jobs, node: divide capacity exactly, in one pass, and show operators the shares

Operators saw: nothing of which queue was short, but for log lines; and the division could be wrong: sums above the room by rounding, claims beyond the 64th of a priority unserved, a queue with one task for accelerators that do not exist entitled to nothing, limits of zero where accelerators were used up, new jobs counted as late between two placements, runs on leaving workers counted as held capacity, and a new owner that had not heard its workers yet dividing next to nothing.

Cause: the first version rounded at each round, had a bound of rounds, asked for the room's mix of resources in limits, and read lateness from positions in a list that changes.

Change: shares are divided in floating point and rounded down once; limits come from one pass over the claims by resource; lateness is computed; peaks are kept by second; tasks in backoff or isolation and tasks larger than any worker claim nothing; CPU beside long-running tasks in pieces too small for the typical short task is not divided. Gauges by queue and kind in the metrics text.

--- a/crates/jobs/src/entitlement/demand.rs
+++ b/crates/jobs/src/entitlement/demand.rs
@@ -1,24 +1,27 @@
-//! What the queues hold and ask for, and its peak over the last seconds.
+//! What the queues hold and ask for.
+//!
+//! Limits: a task counts with its size alone. Labels, spread and limits per worker, which may
+//! keep it from capacity that is free, do not show.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::sync::Arc;
 
 use crate::{
-    entitlement::{WorkKind, division::Claim},
+    entitlement::{WorkKind, division::Claim, peaks::Load, room::ServiceRoom},
+    model::{ids::TaskId, job::JobState, spec::Step, step::StepState},
     runs::worker::{Capacity, demand},
     scheduler::Scheduler,
 };
 
-/// Time over which the peak of a demand is taken, in milliseconds. Jobs come in groups; with the
-/// present demand alone, capacity would be given away between two of them.
-const PEAK_WINDOW_MS: u64 = 10_000;
+/// All kinds of work, sorted.
+const KINDS: [WorkKind; 3] = [WorkKind::Short, WorkKind::BestEffort, WorkKind::LongRunning];
 
 /// What a queue holds and asks for.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Demand {
-    /// Capacity of its runs.
+    /// Capacity of its runs on available workers.
     pub(crate) held: Capacity,
     /// Capacity that its waiting tasks ask for. Tasks of jobs that can no longer meet their
-    /// objective don't count.
+    /// objective don't count, nor those that are larger than any worker.
     pub(crate) waiting: Capacity,
     /// The highest sum of both over the last seconds.
     pub(crate) peak: Capacity,
@@ -32,118 +35,138 @@
     pub(crate) kind: WorkKind,
     pub(crate) priority: u32,
     pub(crate) demand: Demand,
+    /// Number of tasks that hold or wait for capacity.
+    pub(crate) tasks: u64,
+    /// The highest number of tasks over the last seconds.
+    pub(crate) peak_tasks: u64,
 }
 
 impl QueueDemand {
     /// Returns the claim of the queue: the peak for tasks that end, which come and go.
     pub(crate) fn claim(&self) -> Claim {
-        let mut present = self.demand.held;
-        present.add(self.demand.waiting);
         Claim {
             priority: self.priority,
             demand: match self.kind {
-                WorkKind::LongRunning => present,
+                WorkKind::LongRunning => self.present().size,
                 WorkKind::Short | WorkKind::BestEffort => self.demand.peak,
             },
         }
     }
-}
 
-/// Recent demands, oldest first.
-#[derive(Debug, Default)]
-pub(crate) struct Peaks {
-    samples: VecDeque<Sample>,
-}
+    /// Returns what the queue holds and asks for at present.
+    pub(crate) fn present(&self) -> Load {
+        let mut size = self.demand.held;
+        size.add(self.demand.waiting);
+        Load {
+            size,
+            tasks: self.tasks,
+        }
+    }
 
-/// The demands at one time.
-#[derive(Debug)]
-struct Sample {
-    at: u64,
-    demands: Vec<(Arc<str>, WorkKind, Capacity)>,
-}
+    fn add_held(&mut self, size: Capacity, tasks: u64) {
+        self.demand.held.add(size.times(tasks));
+        self.tasks += tasks;
+    }
 
-impl Peaks {
-    /// Records the present demands, and sets their peaks.
-    pub(crate) fn record(&mut self, now: u64, demands: &mut [QueueDemand]) {
-        let mut sample = Sample {
-            at: now,
-            demands: Vec::with_capacity(demands.len()),
-        };
-        for row in demands.iter() {
-            let mut present = row.demand.held;
-            present.add(row.demand.waiting);
-            sample.demands.push((row.queue.clone(), row.kind, present));
-        }
-        self.samples.push_back(sample);
-        while self
-            .samples
-            .front()
-            .is_some_and(|s| s.at + PEAK_WINDOW_MS < now)
-        {
-            self.samples.pop_front();
-        }
-        for row in demands {
-            for sample in &self.samples {
-                let key = (&row.queue, row.kind);
-                let at = sample
-                    .demands
-                    .binary_search_by(|(q, k, _)| (q, *k).cmp(&key));
-                let Ok(at) = at else {
-                    continue;
-                };
-                let (_, _, past) = sample.demands[at];
-                let peak = &mut row.demand.peak;
-                peak.cpu = peak.cpu.max(past.cpu);
-                peak.memory = peak.memory.max(past.memory);
-                peak.gpu = peak.gpu.max(past.gpu);
-            }
-        }
+    fn add_waiting(&mut self, size: Capacity, tasks: u64) {
+        self.demand.waiting.add(size.times(tasks));
+        self.tasks += tasks;
     }
 }
 
 impl Scheduler {
     /// Returns the present demands of all queues, sorted by queue and kind. Peaks are not set.
-    pub(crate) fn demands(&self) -> Vec<QueueDemand> {
-        let kinds = [WorkKind::Short, WorkKind::BestEffort, WorkKind::LongRunning];
-        let mut rows = Vec::with_capacity(self.queues.len() * kinds.len());
+    pub(crate) fn demands(&self, rooms: &[ServiceRoom]) -> Vec<QueueDemand> {
+        let mut rows = Vec::with_capacity(self.queues.len() * KINDS.len());
         for policy in &self.queues {
-            for kind in kinds {
-                rows.push(QueueDemand {
-                    service: policy.service.clone(),
-                    queue: policy.queue.clone(),
-                    kind,
-                    priority: policy.priority,
-                    demand: Demand::default(),
-                });
+            rows.extend(KINDS.map(|kind| QueueDemand {
+                service: policy.service.clone(),
+                queue: policy.queue.clone(),
+                kind,
+                priority: policy.priority,
+                demand: Demand::default(),
+                tasks: 0,
+                peak_tasks: 0,
+            }));
+        }
+        for id in &self.open_jobs {
+            if let Some(state) = self.jobs.get(id) {
+                self.add_job(state, rooms, &mut rows);
+            }
+        }
+        self.count_unavailable(&mut rows);
+        rows
+    }
+
+    /// Adds what a job holds and asks for.
+    fn add_job(&self, state: &JobState, rooms: &[ServiceRoom], rows: &mut [QueueDemand]) {
+        // Policies and rows have the same order.
+        let queue = &state.job.queue;
+        let Ok(at) = self.queues.binary_search_by(|q| q.queue.cmp(queue)) else {
+            return;
+        };
+        let policy = &self.queues[at];
+        let rows = &mut rows[at * KINDS.len()..(at + 1) * KINDS.len()];
+        let room = ServiceRoom::find(rooms, &policy.service);
+        let is_late = self.is_late(state, policy);
+        for (repetition, steps) in state.repetitions.iter().enumerate() {
+            for (step_index, runs) in steps.iter().enumerate() {
+                let step = &state.job.spec.steps[step_index];
+                if runs.is_done() || !state.is_ready(repetition, step_index) {
+                    continue;
+                }
+                let size = demand(step);
+                let row = &mut rows[WorkKind::of(step) as usize];
+                let open = runs.tasks.len() as u64 - u64::from(runs.done);
+                row.add_held(size, open.saturating_sub(u64::from(runs.unassigned)));
+                if !is_late && room.is_some_and(|r| r.largest.has_room(Capacity::default(), size)) {
+                    row.add_waiting(size, waiting_tasks(step, runs, self.now));
+                }
             }
         }
-        let on_time_jobs = self.open_jobs.len().saturating_sub(self.late_jobs);
-        for (index, id) in self.open_jobs.iter().enumerate() {
-            let Some(state) = self.jobs.get(id) else {
+    }
+
+    /// Takes the runs on unavailable workers out of what is held. Their capacity is not divided.
+    /// Long-running tasks wait for another place at once; others may end where they are.
+    fn count_unavailable(&self, rows: &mut [QueueDemand]) {
+        let workers = self.fleet.workers.iter().filter(|w| !w.is_available());
+        for &id in workers.flat_map(|w| &w.runs) {
+            let Some((row, size)) = self.row_of(id, rows) else {
                 continue;
             };
-            for (repetition, steps) in state.repetitions.iter().enumerate() {
-                for (step_index, runs) in steps.iter().enumerate() {
-                    let step = &state.job.spec.steps[step_index];
-                    if runs.is_done() || !state.is_ready(repetition, step_index) {
-                        continue;
-                    }
-                    let key = (&state.job.queue, WorkKind::of(step));
-                    let at = rows.binary_search_by(|r| (&r.queue, r.kind).cmp(&key));
-                    let Ok(at) = at else {
-                        continue;
-                    };
-                    let size = demand(step);
-                    let open = runs.tasks.len() as u64 - u64::from(runs.done);
-                    let waiting = u64::from(runs.unassigned);
-                    let row = &mut rows[at].demand;
-                    row.held.add(size.times(open - waiting));
-                    if index < on_time_jobs {
-                        row.waiting.add(size.times(waiting));
-                    }
-                }
+            row.demand.held.subtract(size);
+            row.tasks -= row.tasks.min(1);
+            if row.kind == WorkKind::LongRunning {
+                row.add_waiting(size, 1);
             }
         }
-        rows
+    }
+
+    /// Returns the row of a task that is not done and the size of the task.
+    fn row_of<'a>(
+        &self,
+        id: TaskId,
+        rows: &'a mut [QueueDemand],
+    ) -> Option<(&'a mut QueueDemand, Capacity)> {
+        let state = self.jobs.get(&id.job)?;
+        if state.outcome.is_final() || state.task(id)?.done {
+            return None;
+        }
+        let step = &state.job.spec.steps[id.step as usize];
+        let key = (&state.job.queue, WorkKind::of(step));
+        let at = rows.binary_search_by(|r| (&r.queue, r.kind).cmp(&key));
+        Some((&mut rows[at.ok()?], demand(step)))
+    }
+}
+
+/// Returns the number of tasks of a step that ask for capacity.
+///
+/// Tasks that are held back after a failure, or that run apart because they may have crashed a
+/// worker, would leave capacity idle that is kept for them. Long-running ones count nevertheless:
+/// others that took their place would not make way for them again.
+fn waiting_tasks(step: &Step, runs: &StepState, now: u64) -> u64 {
+    match step.long_running {
+        true => u64::from(runs.unassigned),
+        false => runs.waiting_count(now),
     }
 }
--- a/crates/jobs/src/entitlement/mod.rs
+++ b/crates/jobs/src/entitlement/mod.rs
@@ -7,17 +7,33 @@
 //! first, and queues of one priority get equal dominant shares, up to their demand.
 //!
 //! Limits: callers of one queue are not told apart, since requests don't name them. Demand of
-//! short jobs is their peak over the last seconds; a burst is known once its jobs have arrived.
+//! tasks that end is their peak over the last seconds; a burst is known once its jobs have
+//! arrived. An owner that has not heard all workers yet divides nothing.
+
+mod metrics;
+mod peaks;
+mod room;
 
 pub(crate) mod demand;
 pub(crate) mod division;
 
+#[cfg(test)]
+mod division_tests;
+#[cfg(test)]
+mod peaks_tests;
+#[cfg(test)]
+mod room_tests;
+
+pub use metrics::QueueShare;
+
 use std::sync::Arc;
 
 use crate::{
     entitlement::{
-        demand::{Demand, Peaks},
-        division::{Claim, divide},
+        demand::{Demand, QueueDemand},
+        division::{Claim, Portion, divide},
+        peaks::Peaks,
+        room::{ServiceRoom, set_stranded},
     },
     model::spec::Step,
     runs::worker::Capacity,
@@ -67,11 +83,23 @@
 }
 
 impl Entitlement {
+    fn new(own: &QueueDemand) -> Entitlement {
+        Entitlement {
+            service: own.service.clone(),
+            queue: own.queue.clone(),
+            kind: own.kind,
+            demand: own.demand,
+            entitled: Capacity::default(),
+            limit: Capacity::default(),
+        }
+    }
+
     /// Returns whether the queue holds less than it is entitled to while its tasks wait.
     pub(crate) fn is_short(&self) -> bool {
-        let held = self.demand.held;
-        let waits = self.demand.waiting != Capacity::default();
-        waits && (held.cpu < self.entitled.cpu || held.memory < self.entitled.memory)
+        let (held, waiting, entitled) = (self.demand.held, self.demand.waiting, self.entitled);
+        waiting.cpu > 0 && held.cpu < entitled.cpu
+            || waiting.memory > 0 && held.memory < entitled.memory
+            || waiting.gpu > 0 && held.gpu < entitled.gpu
     }
 }
 
@@ -80,7 +108,11 @@
 pub(crate) struct Entitlements {
     /// Sorted by queue and kind.
     pub(crate) rows: Vec<Entitlement>,
+    /// Capacity of each service, sorted by service.
+    rooms: Vec<ServiceRoom>,
     peaks: Peaks,
+    /// Queues that were short when this was last logged, sorted.
+    short: Vec<(Arc<str>, WorkKind)>,
     divided_at: u64,
 }
 
@@ -90,55 +122,25 @@
         if self.now < self.entitlements.divided_at + DIVISION_PERIOD_MS {
             return;
         }
+        if self.entitlements.rows.is_empty() && !self.has_heard_workers() {
+            return;
+        }
         self.entitlements.divided_at = self.now;
-        let mut demands = self.demands();
+        let mut rooms = ServiceRoom::of_fleet(&self.fleet);
+        let mut demands = self.demands(&rooms);
         self.entitlements.peaks.record(self.now, &mut demands);
-        let mut rows = Vec::with_capacity(demands.len());
-        for (index, own) in demands.iter().enumerate() {
-            let room = self.service_capacity(&own.service);
-            let claims = demands.iter().filter(|d| d.service == own.service);
-            let claims: Vec<Claim> = claims.map(|d| d.claim()).collect();
-            let earlier = demands[..index].iter();
-            let position = earlier.filter(|d| d.service == own.service).count();
-            let entitled = divide(room, &claims)[position];
-            let mut unlimited = claims;
-            unlimited[position].demand = room;
-            let limit = divide(room, &unlimited)[position];
-            rows.push(Entitlement {
-                service: own.service.clone(),
-                queue: own.queue.clone(),
-                kind: own.kind,
-                demand: own.demand,
-                entitled,
-                limit,
-            });
-        }
-        self.log_shortages(&rows);
-        self.entitlements.rows = rows;
+        set_stranded(&mut rooms, &self.fleet, &demands);
+        self.entitlements.rows = entitlements(&rooms, &demands);
+        self.entitlements.rooms = rooms;
+        self.update_share_stats();
     }
 
-    /// Logs which queues have become short of capacity, and which no longer are.
-    fn log_shortages(&self, rows: &[Entitlement]) {
-        for row in rows {
-            let before = self.entitlement(&row.queue, row.kind);
-            let (is_short, demand) = (row.is_short(), row.demand);
-            if before.is_some_and(Entitlement::is_short) == is_short {
-                continue;
-            }
-            log::info!(queue = &*row.queue, service = &*row.service, kind:? = row.kind, short = is_short, held = demand.held.cpu, waiting = demand.waiting.cpu, peak = demand.peak.cpu, entitled = row.entitled.cpu; "entitlement: changed");
-        }
-    }
-
-    /// Returns the capacity of a service's workers that take new runs.
-    fn service_capacity(&self, service: &Arc<str>) -> Capacity {
-        let mut room = Capacity::default();
-        for worker in &self.fleet.workers {
-            let info = worker.info.as_ref().filter(|_| worker.is_available());
-            if info.is_some_and(|i| i.service == *service) {
-                room.add(worker.capacity());
-            }
-        }
-        room
+    /// Returns whether the announcements are known and each worker has answered or fallen silent.
+    /// Before that, the capacity would look smaller than it is.
+    fn has_heard_workers(&self) -> bool {
+        let mut announced = self.fleet.workers.iter().filter(|w| w.announced && !w.dead);
+        self.fleet.is_fresh(self.now, &self.settings)
+            && announced.all(|w| w.clock.is_some() || w.silent_since.is_some())
     }
 
     /// Returns what a queue is entitled to for a kind of work, as of the last division.
@@ -148,3 +150,23 @@
         at.ok().map(|at| &rows[at])
     }
 }
+
+/// Divides each service's room among its queues.
+fn entitlements(rooms: &[ServiceRoom], demands: &[QueueDemand]) -> Vec<Entitlement> {
+    let mut rows: Vec<Entitlement> = demands.iter().map(Entitlement::new).collect();
+    let mut services: Vec<&Arc<str>> = demands.iter().map(|d| &d.service).collect();
+    services.sort_unstable();
+    services.dedup();
+    for service in services {
+        let room = ServiceRoom::find(rooms, service).map(ServiceRoom::usable);
+        let members: Vec<usize> = (0..demands.len())
+            .filter(|&i| demands[i].service == *service)
+            .collect();
+        let claims: Vec<Claim> = members.iter().map(|&i| demands[i].claim()).collect();
+        let portions = divide(room.unwrap_or_default(), &claims);
+        for (index, Portion { entitled, limit }) in members.into_iter().zip(portions) {
+            (rows[index].entitled, rows[index].limit) = (entitled, limit);
+        }
+    }
+    rows
+}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -49,6 +49,7 @@
 
 pub use action::{Action, Batch, StartOrder};
 pub use admission::{QueueFigures, WaitForecast};
+pub use entitlement::QueueShare;
 pub use event::{
     Answer, Ending, Event, Paced, ReportedRun, RunEnd, Started, Stopped, WorkerReport,
 };
--- a/crates/jobs/src/model/step.rs
+++ b/crates/jobs/src/model/step.rs
@@ -120,6 +120,18 @@
         waiting.map(|(index, _)| index).collect()
     }
 
+    /// Returns the number of tasks that need a run now and need no isolation.
+    pub(crate) fn waiting_count(&self, now: u64) -> u64 {
+        if self.unassigned == 0 {
+            return 0;
+        }
+        let waiting = self
+            .tasks
+            .iter()
+            .filter(|t| t.is_waiting(now) && !t.needs_isolation(now));
+        waiting.count() as u64
+    }
+
     /// Returns the lowest progress of the tasks that are not done, in percent.
     pub(crate) fn min_percent(&self) -> u32 {
         let open = self.tasks.iter().filter(|t| !t.done);
--- a/crates/jobs/src/order/urgency.rs
+++ b/crates/jobs/src/order/urgency.rs
@@ -98,19 +98,26 @@
                 false => Urgency::LongRunning,
             };
         }
+        match (self.is_late(state, policy), has_started) {
+            (true, _) => Urgency::Late,
+            (false, true) => Urgency::Started,
+            (false, false) => Urgency::NotStarted,
+        }
+    }
+
+    /// Returns whether a job can no longer meet its objective. Scheduled and long-running jobs
+    /// have none.
+    pub(crate) fn is_late(&self, state: &JobState, policy: &QueuePolicy) -> bool {
+        let spec = &state.job.spec;
+        if spec.schedule.repetitions > 0 || spec.steps.iter().any(|s| s.long_running) {
+            return false;
+        }
         let path = state
             .critical_path
             .map_or(CriticalPath::default(), |(path, _)| path);
         let objective = (path.total as f64 * policy.stretch) as u64 + policy.latency;
         let remaining = path.remaining * RUN_TIME_PERCENT / 100;
-        match (
-            self.now + remaining > state.known_since + objective,
-            has_started,
-        ) {
-            (true, _) => Urgency::Late,
-            (false, true) => Urgency::Started,
-            (false, false) => Urgency::NotStarted,
-        }
+        self.now + remaining > state.known_since + objective
     }
 
     /// Returns whether a task of a long-running job is overdue.
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -43,6 +43,24 @@
         }
     }
 
+    /// Returns the smaller amount of each resource.
+    pub(crate) fn min(self, other: Capacity) -> Capacity {
+        Capacity {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            gpu: self.gpu.min(other.gpu),
+        }
+    }
+
+    /// Returns the larger amount of each resource.
+    pub(crate) fn max(self, other: Capacity) -> Capacity {
+        Capacity {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Returns whether `other` fits in addition to what is `used`.
     pub(crate) fn has_room(&self, used: Capacity, other: Capacity) -> bool {
         self.cpu >= used.cpu + other.cpu
--- a/crates/jobs/src/stats.rs
+++ b/crates/jobs/src/stats.rs
@@ -65,6 +65,11 @@
     pub skipped_passes: u64,
     /// Age of the last complete read of the workers' announcements, in milliseconds.
     pub workers_age_ms: u64,
+    /// Queues that hold less than they are entitled to while their tasks wait, by kind of work.
+    pub short_queues: u64,
+    /// Thousandths of a core that are free beside long-running tasks in pieces too small for a
+    /// typical short task.
+    pub stranded_cpu: u64,
     /// Batches sent to be committed.
     pub commits: u64,
 }
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -41,6 +41,7 @@
             }
         }
         self.stats.running = u64::from(running);
+        self.log_shortages();
         let isolation = self.isolation_load();
         self.stats.late_jobs = self.late_jobs as u64;
         self.stats.waiting_suspects = isolation.waiting as u64;
@@ -56,7 +57,8 @@
             unanswered = self.unanswered_starts(), held = self.stats.throttled_passes,
             stale = self.stats.skipped_passes, passes = self.stats.passes,
             suspects = isolation.waiting, likely = isolation.waiting_likely,
-            apart = isolation.isolating, apart_held = isolation.held, apart_max = isolation.max_isolating;
+            apart = isolation.isolating, apart_held = isolation.held, apart_max = isolation.max_isolating,
+            short_queues = self.stats.short_queues, stranded = self.stats.stranded_cpu;
             "owner: load"
         );
         self.log_starved_jobs();
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use gorsespur_jobs::{
-    Batch, Event, Job, JobId, Outcome, QueuePolicy, Scheduler, Settings, Spec, Stats, Takeover,
-    TaskId, WorkerInfo,
+    Batch, Event, Job, JobId, Outcome, QueueFigures, QueuePolicy, QueueShare, Scheduler, Settings,
+    Spec, Stats, Takeover, TaskId, WorkerInfo,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -364,6 +364,18 @@
         owner.map(|o| o.scheduler.stats()).unwrap_or_default()
     }
 
+    /// Returns the shares of the queues as the newest owner divides them.
+    pub fn queue_shares(&self) -> Vec<QueueShare> {
+        let owner = self.owners.last();
+        owner.map_or(Vec::new(), |o| o.scheduler.queue_shares())
+    }
+
+    /// Returns what new jobs can expect by the newest owner.
+    pub fn queue_figures(&self) -> Vec<QueueFigures> {
+        let owner = self.owners.last();
+        owner.map_or(Vec::new(), |o| o.scheduler.queue_figures())
+    }
+
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod crash_waves;
 mod crashing;
 mod empty;
+mod entitlement;
 mod evacuation;
 mod gang_ends;
 mod gangs;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,7 +9,7 @@
 };
 
 use gorsespur_http::Traffic;
-use gorsespur_jobs::Stats;
+use gorsespur_jobs::{QueueShare, Stats};
 use hdrhistogram::Histogram;
 
 /// Significant decimal digits of histograms.
@@ -89,6 +89,8 @@
     accept_ms: Mutex<Histogram<u32>>,
     /// Statistics of this instance's current or last time as the owner.
     owner_stats: Mutex<Stats>,
+    /// Shares of the queues, as of this instance's current or last time as the owner.
+    queue_shares: Mutex<Vec<QueueShare>>,
 }
 
 impl Default for Metrics {
@@ -102,6 +104,7 @@
             traffic: Default::default(),
             accept_ms: Mutex::new(accept_ms),
             owner_stats: Mutex::default(),
+            queue_shares: Mutex::default(),
         }
     }
 }
@@ -135,6 +138,14 @@
             .unwrap_or_else(PoisonError::into_inner) = stats;
     }
 
+    /// Sets the shares of the queues.
+    pub(crate) fn set_queue_shares(&self, shares: Vec<QueueShare>) {
+        *self
+            .queue_shares
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = shares;
+    }
+
     /// Returns all metrics as text, one per line.
     pub(crate) fn text(&self) -> String {
         let mut out = String::new();
@@ -196,11 +207,48 @@
             ("held", owner_stats.throttled_passes),
             ("stale", owner_stats.skipped_passes),
             ("workers_age_ms", owner_stats.workers_age_ms),
+            ("queues_short", owner_stats.short_queues),
+            ("stranded_cpu", owner_stats.stranded_cpu),
             ("commits", owner_stats.commits),
         ];
         for (name, count) in rows {
             let _ = writeln!(out, "gorsespur_owner_{name} {count}");
         }
+        let queue_shares = self
+            .queue_shares
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for share in queue_shares.iter() {
+            write_share(&mut out, share);
+        }
         out
     }
 }
+
+/// Writes the gauges of one queue and kind of work.
+fn write_share(out: &mut String, share: &QueueShare) {
+    let (queue, kind) = (&share.queue, share.kind);
+    let rows = [
+        ("held", share.held),
+        ("waiting", share.waiting),
+        ("entitled", share.entitled),
+    ];
+    for (name, capacity) in rows {
+        let labels = format!("queue=\"{queue}\",kind=\"{kind}\"");
+        let _ = writeln!(
+            out,
+            "gorsespur_queue_{name}_cpu{{{labels}}} {}",
+            capacity.cpu
+        );
+        let _ = writeln!(
+            out,
+            "gorsespur_queue_{name}_memory{{{labels}}} {}",
+            capacity.memory
+        );
+    }
+    let short = u8::from(share.is_short);
+    let _ = writeln!(
+        out,
+        "gorsespur_queue_short{{queue=\"{queue}\",kind=\"{kind}\"}} {short}"
+    );
+}
--- a/crates/node/src/owner/decision_loop.rs
+++ b/crates/node/src/owner/decision_loop.rs
@@ -196,6 +196,8 @@
                 ),
             );
             self.shared.metrics.set_owner_stats(self.scheduler.stats());
+            let shares = self.scheduler.queue_shares();
+            self.shared.metrics.set_queue_shares(shares);
             for worker in self.scheduler.closable_workers() {
                 self.connections
                     .drop_worker(self.inbox.poll.registry(), worker);
