node: keep the figures of the queues in a row of their own

A lease with a field more can't be read by instances of earlier versions: rmp-serde rejects an array that is longer than the type's fields.

The owner writes the figures beside the lease, in the same transaction, and a claim empties them, since those of the previous owner are out of date.

Test: the lease as the previous version reads and writes it.

--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -15,7 +15,10 @@
     follow_turns::FollowTurn,
     metrics::{Count, Duty},
     owner::{self, Tenure},
-    rows::{HEAD_KEY, HeadRow, JOURNAL, LEASE, LeaseRow, OWNER_KEY, OWNER_PART, decode, encode},
+    rows::{
+        FIGURES, FiguresRow, HEAD_KEY, HeadRow, JOURNAL, LEASE, LeaseRow, OWNER_KEY, OWNER_PART,
+        decode, encode,
+    },
     shared::Shared,
     store::{Commit, Expect, Row, StoreError, Tx, Write},
 };
@@ -274,8 +277,6 @@
         term: 0,
         earlier: prior_leases_end.saturating_sub(asked_at),
         census: seen.lease.census,
-        // The figures of the previous owner are out of date.
-        figures: Vec::new(),
     };
     let head = HeadRow { epoch, number: 0 };
     let tx = Tx {
@@ -296,6 +297,12 @@
                 key: HEAD_KEY.into(),
                 value: encode(&head),
             },
+            // The figures of the previous owner are out of date.
+            Write {
+                table: FIGURES,
+                key: OWNER_KEY.into(),
+                value: encode(&FiguresRow::default()),
+            },
         ],
         removes: Vec::new(),
     };
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -18,8 +18,8 @@
 use crate::{
     metrics::{Count, Duty},
     rows::{
-        HEAD_KEY, HeadRow, JOURNAL, LEARNED, LEASE, LOG, LeaseRow, OWNER_KEY, OWNER_PART, RECORDS,
-        decode, encode, log_key,
+        FIGURES, FiguresRow, HEAD_KEY, HeadRow, JOURNAL, LEARNED, LEASE, LOG, LeaseRow, OWNER_KEY,
+        OWNER_PART, RECORDS, decode, encode, log_key,
     },
     shared::Shared,
     store::{Commit, Expect, Row, StoreError, Tx, Write},
@@ -52,8 +52,8 @@
     Log(Vec<String>),
     /// Makes a batch durable.
     Batch(Batch),
-    /// Sets what the lease publishes: the number of pending jobs by queue, and what new jobs can
-    /// expect.
+    /// Sets what is published with each renewal of the lease: the number of pending jobs by queue,
+    /// and what new jobs can expect.
     Publish(Vec<(Arc<str>, u64)>, Vec<QueueFigures>),
     /// Saves the learned estimates for a later owner.
     Learned(Vec<u8>),
@@ -64,6 +64,7 @@
 struct Journal<'a> {
     shared: &'a Arc<Shared>,
     lease: LeaseRow,
+    figures: FiguresRow,
     /// When the worker leases of earlier owners end, in milliseconds.
     prior_leases_end: u64,
     head: u64,
@@ -95,9 +96,9 @@
             term: 0,
             earlier: 0,
             census: tenure.census,
-            figures: Vec::new(),
         },
         prior_leases_end: tenure.takeover.prior_leases_end,
+        figures: FiguresRow::default(),
         head: tenure.head,
         number: 0,
         renewed_at: tenure.takeover.asked_at,
@@ -115,7 +116,7 @@
         let (batch, release) = match input {
             Some(JournalInput::Publish(pending, figures)) => {
                 journal.lease.pending = pending;
-                journal.lease.figures = figures;
+                journal.figures.queues = figures;
                 continue;
             }
             Some(JournalInput::Learned(learned)) => {
@@ -244,6 +245,11 @@
                 key: OWNER_KEY.into(),
                 value: encode(&self.lease),
             });
+            writes.push(Write {
+                table: FIGURES,
+                key: OWNER_KEY.into(),
+                value: encode(&self.figures),
+            });
         }
         let learned = self.learned.take().map(|value| Write {
             table: LEARNED,
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -19,6 +19,9 @@
 /// Table of the lease.
 pub(crate) const LEASE: &str = "lease";
 
+/// Table of what new jobs can expect.
+pub(crate) const FIGURES: &str = "figures";
+
 /// Table of the head of the journal.
 pub(crate) const JOURNAL: &str = "journal";
 
@@ -111,9 +114,14 @@
     /// Counts of instances; 0 if unknown.
     #[serde(default)]
     pub(crate) census: Census,
-    /// What new jobs can expect, by queue; empty if the owner doesn't tell.
-    #[serde(default)]
-    pub(crate) figures: Vec<QueueFigures>,
+}
+
+/// Value of the row that tells what new jobs can expect. Instances of earlier versions can't read a
+/// lease with more fields than they know, so this is a row of its own.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct FiguresRow {
+    /// What new jobs can expect, by queue; empty if the owner does not know.
+    pub(crate) queues: Vec<QueueFigures>,
 }
 
 /// Value of the head of the journal: identifies the last write.
--- a/crates/node/src/rows_tests.rs
+++ b/crates/node/src/rows_tests.rs
@@ -1,12 +1,14 @@
-//! Tests of the parts of the accepted jobs: how long callers wait for them while the store is slow.
+//! Tests of the parts of the accepted jobs: how long callers wait for them while the store is slow;
+//! and of rows that other versions read.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use gorsespur_jobs::JobId;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::{Deserialize, Serialize};
 use test_case::test_case;
 
-use crate::rows::{job_part, job_parts};
+use crate::rows::{LeaseRow, decode, encode, job_part, job_parts};
 
 /// Time of a write at a sixtieth of the store's speed, in milliseconds.
 const WRITE_MS: u64 = 480;
@@ -41,3 +43,35 @@
         assert!(parts.contains(&job_part(JobId(id))), "{id}");
     }
 }
+
+/// The lease's row as versions before the figures write and read it.
+#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
+struct EarlierLease {
+    owner: String,
+    epoch: u64,
+    released: bool,
+    share: u64,
+    largest: u64,
+    pending: Vec<(Arc<str>, u64)>,
+    #[serde(default)]
+    term: u64,
+    #[serde(default)]
+    earlier: u64,
+    #[serde(default)]
+    census: (u64, u64),
+}
+
+/// Guards against a field more in the lease, which no earlier version could read: it would take the
+/// lease for one without an owner.
+#[test]
+fn an_earlier_version_reads_the_lease() {
+    let lease = LeaseRow {
+        owner: "other".into(),
+        epoch: 3,
+        ..LeaseRow::default()
+    };
+    let row: EarlierLease = decode("lease", &encode(&lease)).expect("a lease");
+    assert_eq!((row.owner.as_str(), row.epoch), ("other", 3));
+    let row: LeaseRow = decode("lease", &encode(&row)).expect("a lease");
+    assert_eq!((row.owner.as_str(), row.epoch), ("other", 3));
+}
