node: refuse jobs that can't be served in time

Callers saw each job accepted whatever the load.

Instances now decide by the figures that the owner publishes: a long-running job is accepted if it fits into what is left for it, other jobs unless the forecast for their kind is closed. A refusal is 429, with a Retry-After that is later for those refused later. Before it, the job's own row is read, since an earlier attempt may have been accepted. Without recent figures all jobs are accepted; both reads end after 25 ms. `admission: false` in the settings file turns it off.

Capacity that a job accepted here has taken is not offered again before the figures include it: many small jobs would take it twice.

--- a/crates/node/src/fakes_tests.rs
+++ b/crates/node/src/fakes_tests.rs
@@ -3,8 +3,9 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    thread,
     time::Duration,
 };
 
@@ -14,7 +15,7 @@
 use crate::{
     config::Config,
     protocol::{Order, Protocol, ProtocolError},
-    rows::{LEASE, LeaseRow, OWNER_KEY, OWNER_PART, decode, encode},
+    rows::{FIGURES, FiguresRow, JOBS, LEASE, LeaseRow, OWNER_KEY, decode, encode},
     settings::NodeSettings,
     shared::Shared,
     store::{Changes, Commit, Page, Range, Row, Store, StoreError, Tx},
@@ -35,6 +36,10 @@
         away()
     }
 
+    fn read_within(&self, _: Range<'_>, _: Duration, _: &Traffic) -> Result<Page, StoreError> {
+        away()
+    }
+
     fn changes(&self, _: &str, _: u64, _: Duration, _: &Traffic) -> Result<Changes, StoreError> {
         away()
     }
@@ -126,7 +131,15 @@
 
 /// Returns the shared state of a node called "n" with this store.
 pub(crate) fn shared(store: impl Store) -> Arc<Shared> {
-    let settings = NodeSettings {
+    shared_with(store, |_| {})
+}
+
+/// As [`shared`], with changed settings.
+pub(crate) fn shared_with(
+    store: impl Store,
+    change: impl FnOnce(&mut NodeSettings),
+) -> Arc<Shared> {
+    let mut settings = NodeSettings {
         name: "n".into(),
         front: None,
         ready: None,
@@ -135,8 +148,10 @@
         connections: 1,
         apply: Duration::from_secs(2),
         jobs: Settings::default(),
+        admission: true,
         share: 500,
     };
+    change(&mut settings);
     Arc::new(Shared::new(
         settings,
         Box::new(store),
@@ -144,11 +159,21 @@
     ))
 }
 
-/// A store that holds the lease and accepts each write, unless it is set to be unavailable.
+/// A store that holds the lease, maybe figures and a job, and accepts each write, unless it is set to be unavailable.
 #[derive(Debug)]
 pub(crate) struct LeaseStore {
     /// Whether all calls fail.
     pub(crate) away: AtomicBool,
+    /// Whether every job exists.
+    pub(crate) has_jobs: AtomicBool,
+    /// All versions of the figures, oldest first.
+    pub(crate) figures: Mutex<Vec<FiguresRow>>,
+    /// Time that reads of the figures take, in milliseconds.
+    pub(crate) figures_delay: AtomicU64,
+    /// Time that reads of jobs take, in milliseconds.
+    pub(crate) job_delay: AtomicU64,
+    /// Number of reads of the figures that were begun.
+    pub(crate) figures_reads: AtomicU64,
     /// All versions of the lease, oldest first.
     pub(crate) leases: Mutex<Vec<LeaseRow>>,
 }
@@ -157,6 +182,11 @@
     pub(crate) fn new(lease: LeaseRow) -> Arc<LeaseStore> {
         Arc::new(LeaseStore {
             away: AtomicBool::new(false),
+            has_jobs: AtomicBool::new(false),
+            figures: Mutex::default(),
+            figures_delay: AtomicU64::new(0),
+            job_delay: AtomicU64::new(0),
+            figures_reads: AtomicU64::new(0),
             leases: Mutex::new(vec![lease]),
         })
     }
@@ -183,18 +213,21 @@
 impl Store for Arc<LeaseStore> {
     fn read(&self, range: Range<'_>, _: &Traffic) -> Result<Page, StoreError> {
         self.check()?;
-        let row = Row {
-            part: OWNER_PART.into(),
+        let figures = self.figures.lock().expect("not poisoned");
+        let found = match range.table {
+            LEASE => Some((encode(&self.newest()), self.version())),
+            FIGURES => figures.last().map(|f| (encode(f), figures.len() as u64)),
+            JOBS if self.has_jobs.load(Ordering::SeqCst) => Some((Vec::new(), 1)),
+            _ => None,
+        };
+        let row = found.map(|(value, version)| Row {
+            part: range.part.into(),
             key: OWNER_KEY.into(),
-            value: encode(&self.newest()),
-            version: self.version(),
+            value,
+            version,
             removed: false,
-        };
-        let rows = if range.table == LEASE {
-            vec![row]
-        } else {
-            Vec::new()
-        };
+        });
+        let rows = row.into_iter().collect();
         Ok(Page {
             rows,
             more: false,
@@ -202,6 +235,27 @@
         })
     }
 
+    fn read_within(
+        &self,
+        range: Range<'_>,
+        limit: Duration,
+        traffic: &Traffic,
+    ) -> Result<Page, StoreError> {
+        let delay = match range.table {
+            FIGURES => &self.figures_delay,
+            _ => &self.job_delay,
+        };
+        if range.table == FIGURES {
+            self.figures_reads.fetch_add(1, Ordering::SeqCst);
+        }
+        let delay = Duration::from_millis(delay.load(Ordering::SeqCst));
+        thread::sleep(delay.min(limit));
+        if delay > limit {
+            return away();
+        }
+        self.read(range, traffic)
+    }
+
     fn changes(
         &self,
         _: &str,
@@ -222,6 +276,9 @@
         let row = tx.writes.iter().find(|w| w.table == LEASE);
         let lease = row.and_then(|w| decode("lease", &w.value));
         self.leases.lock().expect("not poisoned").extend(lease);
+        let row = tx.writes.iter().find(|w| w.table == FIGURES);
+        let figures = row.and_then(|w| decode("figures", &w.value));
+        self.figures.lock().expect("not poisoned").extend(figures);
         Ok(Commit::Done(self.version()))
     }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,8 +1,8 @@
 //! The job API: submits jobs, returns their states and cancels them.
 //!
-//! Every response is based on the store and sent without delay. A job that the store certainly did
-//! not accept is refused; if the result of the write is unknown, the response says so and the
-//! caller resubmits the job, which is idempotent.
+//! Every response is based on the store and sent without delay. A job that can't be served in time
+//! is refused, and so is one that the store certainly did not accept; if the result of the write is
+//! unknown, the response says so and the caller resubmits the job, which is idempotent.
 
 use std::{sync::Arc, time::Duration};
 
@@ -11,6 +11,7 @@
 use gorsespur_runtime::clock::wall_ms;
 
 use crate::{
+    admission_control::{self, Verdict},
     config::Queue,
     follow::refresh,
     metrics::{Count, Duty},
@@ -148,6 +149,14 @@
             accepted: wall_ms(),
             spec: Arc::new(spec),
         };
+        match admission_control::check(&self.shared, &job) {
+            Verdict::Accept => {}
+            Verdict::Exists => return Response::new(200, Vec::new()),
+            Verdict::Refuse { retry_after_s } => {
+                return Response::new(429, Vec::new())
+                    .with_header("retry-after", retry_after_s.to_string());
+            }
+        }
         let expect = Expect {
             table: JOBS,
             key: id.to_string(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 //! | the state of a job | `records`/all/ID | the owner's journal |
 //! | which tasks run, and which are done | `log`/all/EPOCH.NUMBER.INDEX | the owner's journal |
 //! | which instance is the owner | `lease`/all/owner | a write on condition of the version seen |
+//! | what new jobs can expect | `figures`/all/owner | with each renewal of the lease |
 //! | the head of the journal | `journal`/all/head | each write of the journal, and a takeover |
 //!
 //! One instance owns the lease and decides about all jobs. A takeover replaces the head of the
@@ -19,6 +20,12 @@
 //!
 //! Limits: the owner's CPU bounds the number of starts per second; see docs/CAPACITY.md.
 
+mod admission;
+mod admission_control;
+#[cfg(test)]
+mod admission_control_tests;
+#[cfg(test)]
+mod admission_tests;
 mod candidate;
 #[cfg(test)]
 mod candidate_tests;
@@ -49,6 +56,9 @@
 mod owner;
 mod program;
 mod protocol;
+mod returns;
+#[cfg(test)]
+mod returns_tests;
 mod rows;
 #[cfg(test)]
 mod rows_tests;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -39,10 +39,18 @@
     LateTurns,
     /// Malformed rows.
     BadRows,
+    /// Short jobs refused because they can't meet their objective.
+    RefusedShort,
+    /// Best-effort jobs refused because they can't meet their objective.
+    RefusedBestEffort,
+    /// Long-running jobs refused because others are entitled to the capacity.
+    RefusedLongRunning,
+    /// Jobs accepted without knowledge of what they can expect.
+    FiguresUnknown,
 }
 
 /// Names of the counters, in the order of [`Count`].
-const NAMES: [&str; 9] = [
+const NAMES: [&str; 13] = [
     "accepted",
     "refused",
     "unclear",
@@ -52,6 +60,10 @@
     "store_errors",
     "late_turns",
     "bad_rows",
+    "refused_short",
+    "refused_best_effort",
+    "refused_long_running",
+    "figures_unknown",
 ];
 
 /// Purposes of calls to the store.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -23,6 +23,8 @@
     pub apply: Duration,
     /// Settings of the scheduling of jobs.
     pub jobs: Settings,
+    /// Whether jobs that can't be served in time are refused.
+    pub admission: bool,
     /// CPU share of this instance, in thousandths; large instances are preferred as the owner.
     pub share: u64,
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,6 +12,7 @@
 use gorsespur_runtime::clock::Clock;
 
 use crate::{
+    admission_control::AdmissionControl,
     census::Census,
     config::Config,
     long_poll,
@@ -57,6 +58,8 @@
     evacuated: Mutex<Evacuated>,
     /// The counts of instances from this instance's last time as the owner.
     census: Mutex<Option<Census>>,
+    /// What is known of the jobs that can be served.
+    pub(crate) admission: AdmissionControl,
     /// Held while a request reads the whole configuration.
     pub(crate) config_read: Mutex<()>,
     /// When the store last answered, in milliseconds.
@@ -95,6 +98,7 @@
             config: Mutex::new(None),
             evacuated: Mutex::default(),
             census: Mutex::default(),
+            admission: AdmissionControl::default(),
             config_read: Mutex::new(()),
             answered_at: AtomicU64::new(0),
             max_silence: AtomicU64::new(0),
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -132,6 +132,14 @@
     /// Reads at most one page of rows of one part.
     fn read(&self, range: Range<'_>, traffic: &Traffic) -> Result<Page, StoreError>;
 
+    /// As [`Store::read`], but gives up after `limit`: for answers that are of no use later.
+    fn read_within(
+        &self,
+        range: Range<'_>,
+        limit: Duration,
+        traffic: &Traffic,
+    ) -> Result<Page, StoreError>;
+
     /// Returns the changes of a table after a version, waiting up to `wait` for the first change.
     fn changes(
         &self,
@@ -217,4 +225,23 @@
         let page = self.store.read(range, self.traffic)?;
         Ok(page.rows.into_iter().next())
     }
+
+    /// Reads one row, but gives up after `limit`.
+    pub(crate) fn read_one_within(
+        &self,
+        table: &str,
+        part: &str,
+        key: &str,
+        limit: Duration,
+    ) -> Result<Option<Row>, StoreError> {
+        let until = format!("{key}\0");
+        let range = Range {
+            table,
+            part,
+            from: key,
+            until: &until,
+        };
+        let page = self.store.read_within(range, limit, self.traffic)?;
+        Ok(page.rows.into_iter().next())
+    }
 }
