jobs: count stranded CPU only as far as short tasks need it

Callers would have seen: one short task of many cores that fits nowhere closes the door to long-running jobs while half of the capacity is free.

Cause: all pieces smaller than the typical short task were left out of the division, however few of these tasks there are.

Change: at most what short tasks claim is left out.

--- a/crates/jobs/src/entitlement/peaks.rs
+++ b/crates/jobs/src/entitlement/peaks.rs
@@ -31,6 +31,15 @@
 }
 
 impl Load {
+    /// Returns the mean CPU and memory of the tasks; zero without any.
+    pub(super) fn typical_task(self) -> Capacity {
+        Capacity {
+            cpu: self.size.cpu / self.tasks.max(1),
+            memory: self.size.memory / self.tasks.max(1),
+            gpu: 0,
+        }
+    }
+
     fn max(self, other: Load) -> Load {
         Load {
             size: self.size.max(other.size),
--- a/crates/jobs/src/entitlement/room.rs
+++ b/crates/jobs/src/entitlement/room.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use crate::{
-    entitlement::{WorkKind, demand::QueueDemand},
+    entitlement::{WorkKind, demand::QueueDemand, peaks::Load},
     runs::{fleet::Fleet, worker::Capacity},
 };
 
@@ -21,7 +21,7 @@
     pub(crate) total: Capacity,
     /// The most that any worker has of each resource.
     pub(crate) largest: Capacity,
-    /// CPU in pieces that are too small for a typical short task.
+    /// CPU in pieces that are too small for a typical short task, at most what short tasks claim.
     pub(crate) stranded_cpu: u64,
 }
 
@@ -70,9 +70,9 @@
 
 /// Sets the stranded CPU of each service, from the short tasks of the last seconds.
 pub(crate) fn set_stranded(rooms: &mut [ServiceRoom], fleet: &Fleet, demands: &[QueueDemand]) {
-    let typical: Vec<Capacity> = rooms
+    let short: Vec<Load> = rooms
         .iter()
-        .map(|r| typical_task(&r.service, demands))
+        .map(|r| short_load(&r.service, demands))
         .collect();
     for worker in &fleet.workers {
         let Some(info) = worker.info.as_ref().filter(|_| worker.is_available()) else {
@@ -83,24 +83,24 @@
         };
         let mut free = info.capacity;
         free.subtract(worker.long_running_size);
-        rooms[at].stranded_cpu += stranded_cpu(free, typical[at]);
+        rooms[at].stranded_cpu += stranded_cpu(free, short[at].typical_task());
+    }
+    // A few tasks need a few pieces: the others may be given away.
+    for (room, short) in rooms.iter_mut().zip(short) {
+        room.stranded_cpu = room.stranded_cpu.min(short.size.cpu);
     }
 }
 
-/// Returns the mean size of the short tasks of a service over the last seconds; zero without any.
-fn typical_task(service: &str, demands: &[QueueDemand]) -> Capacity {
-    let (mut size, mut tasks) = (Capacity::default(), 0);
+/// Returns the peak of a service's short tasks over the last seconds.
+fn short_load(service: &str, demands: &[QueueDemand]) -> Load {
+    let mut load = Load::default();
     for row in demands {
         if row.kind == WorkKind::Short && *row.service == *service {
-            size.add(row.demand.peak);
-            tasks += row.peak_tasks;
+            load.size.add(row.demand.peak);
+            load.tasks += row.peak_tasks;
         }
     }
-    Capacity {
-        cpu: size.cpu / tasks.max(1),
-        memory: size.memory / tasks.max(1),
-        gpu: 0,
-    }
+    load
 }
 
 /// Returns the CPU of a `free` piece of capacity that tasks of this size leave over.
