--- a/crates/jobs/src/entitlement/mod.rs
+++ b/crates/jobs/src/entitlement/mod.rs
@@ -122,10 +122,10 @@
         if self.now < self.entitlements.divided_at + DIVISION_PERIOD_MS {
             return;
         }
+        self.entitlements.divided_at = self.now;
         if self.entitlements.rows.is_empty() && !self.has_heard_workers() {
             return;
         }
-        self.entitlements.divided_at = self.now;
         let mut rooms = ServiceRoom::of_fleet(&self.fleet);
         let mut demands = self.demands(&rooms);
         self.entitlements.peaks.record(self.now, &mut demands);
