--- a/crates/node/src/admission_control.rs
+++ b/crates/node/src/admission_control.rs
@@ -59,6 +59,7 @@
         Decision::Accept => return Verdict::Accept,
         Decision::Unknown => {
             shared.metrics.count(Count::FiguresUnknown);
+            log::info!(job = job.id.to_string().as_str(), queue = &*job.queue; "admission: accepted, nothing recent is known");
             return Verdict::Accept;
         }
         Decision::Refuse(refusal) => refusal,
@@ -67,7 +68,7 @@
         Ok(false) => refuse(shared, job, &refusal),
         Ok(true) => Verdict::Exists,
         Err(err) => {
-            log::debug!(job = job.id.to_string().as_str(), err = err.to_string().as_str(); "admission: unknown whether the job exists");
+            log::info!(job = job.id.to_string().as_str(), err = err.to_string().as_str(); "admission: accepted, since it may exist");
             shared.metrics.count(Count::FiguresUnknown);
             Verdict::Accept
         }
