--- a/crates/node/src/admission_tests.rs
+++ b/crates/node/src/admission_tests.rs
@@ -127,7 +127,7 @@
 
 /// Accepts jobs one after another until one is refused. Returns the number of accepted ones.
 fn fill(admission: &mut Admission, now: u64, needs: &Needs) -> u32 {
-    (0..)
+    (0..100)
         .take_while(|_| admission.decide(now, "q", needs) == Decision::Accept)
         .count() as u32
 }
