--- a/crates/jobs/tests/all/entitlement.rs
+++ b/crates/jobs/tests/all/entitlement.rs
@@ -127,6 +127,33 @@
     assert_eq!(open_to_long_running(&world), 4000);
 }
 
+/// Figures of a part of the workers would refuse jobs for which there is room. A worker that
+/// answers late is waited for; one that falls silent has no capacity.
+#[test_case(300, false, 4; "one answers late")]
+#[test_case(0, true, 3; "one is cut off")]
+fn a_new_owner_publishes_nothing_before_it_knows_its_workers(
+    delay_ms: u64,
+    is_cut_off: bool,
+    available: u64,
+) {
+    let mut world = World::new(WorldSettings {
+        workers: WORKERS,
+        ..WorldSettings::default()
+    });
+    world.run(1000);
+    world.workers[0].partitioned = is_cut_off;
+    world.workers[1].delay_ms = delay_ms;
+    let inherited = world.lease_end();
+    world.take_over(inherited);
+    assert!(world.queue_figures().is_empty());
+    let first = (0..2000).find_map(|_| {
+        world.run(5);
+        world.queue_figures().into_iter().next()
+    });
+    let first = first.expect("figures in 10 s");
+    assert_eq!(first.long_running_cpu, available * WORKER_CPU);
+}
+
 /// Short tasks of three cores don't fit beside long-running tasks that leave one core of each
 /// worker. New long-running tasks can't take these cores, but for what is more than the tasks
 /// need.
