node: don't refuse steady small jobs for capacity that is free again

Long-running jobs that came to one instance at least once a second were refused after a while, whatever the owner told: each one lowered what the instance took to be left, and its figures could not rise before a second without any.

No more is left now than the figures of about a second ago less what was accepted since.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -5,8 +5,9 @@
 //! it. So an instance refuses it at once and says when to come back.
 //!
 //! Limits: instances don't know what others accept until the owner's next figures, so a burst over
-//! many instances is accepted beyond the capacity by what arrives within a second. Without recent
-//! figures, all jobs are accepted.
+//! many instances is accepted beyond the capacity by what arrives within a second. A job that is sent
+//! twice, or whose write fails, counts as accepted for that time. Accelerators are not counted.
+//! Without recent figures, all jobs are accepted.
 
 use gorsespur_jobs::{QueueFigures, Spec, WaitForecast};
 
@@ -123,12 +124,58 @@
     pub(crate) age: u64,
 }
 
+/// Capacity for long-running tasks.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Room {
+    /// In thousandths of a core.
+    cpu: u64,
+    /// In MB.
+    memory: u64,
+}
+
+impl Room {
+    fn of(figures: &QueueFigures) -> Room {
+        Room {
+            cpu: figures.long_running_cpu,
+            memory: figures.long_running_memory,
+        }
+    }
+
+    fn min(self, other: Room) -> Room {
+        Room {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+        }
+    }
+
+    fn minus(self, other: Room) -> Room {
+        Room {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory: self.memory.saturating_sub(other.memory),
+        }
+    }
+}
+
+/// What the owner told at one time.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    at: u64,
+    room: Room,
+    /// What was accepted here before.
+    admitted: Room,
+}
+
 /// What is left of a queue's figures after the jobs accepted here.
 #[derive(Debug, Clone)]
 struct QueueState {
     figures: QueueFigures,
+    /// Sum of the long-running jobs accepted here since the first sample.
+    admitted: Room,
     /// When a long-running job was last accepted here, in milliseconds; `None` if none was.
     admitted_at: Option<u64>,
+    /// What the owner told since jobs were accepted that its figures may not include, oldest
+    /// first.
+    samples: Vec<Sample>,
 }
 
 /// The last attempt to read the figures.
@@ -224,18 +271,31 @@
 impl QueueState {
     /// Returns the state with new figures.
     ///
-    /// Hysteresis keeps many small jobs from taking the same capacity twice: it falls at once, but
-    /// rises only when the figures include all jobs accepted here.
+    /// They may lack jobs accepted here in the last moment. So no more is left than an earlier
+    /// figure less all that was accepted since: many small jobs don't take the same capacity twice.
+    /// That figure is at most a moment old as well, so capacity that becomes free is seen soon,
+    /// though jobs are accepted all the time.
     fn next(previous: Option<&QueueState>, mut figures: QueueFigures, now: u64) -> QueueState {
         let recent = previous.filter(|p| p.admitted_at.is_some_and(|at| now < at + SETTLE_MS));
-        if let Some(recent) = recent {
-            let left = &recent.figures;
-            figures.long_running_cpu = figures.long_running_cpu.min(left.long_running_cpu);
-            figures.long_running_memory = figures.long_running_memory.min(left.long_running_memory);
-        }
+        let (mut samples, admitted) = recent.map_or((Vec::new(), Room::default()), |r| {
+            (r.samples.clone(), r.admitted)
+        });
+        let room = Room::of(&figures);
+        samples.push(Sample {
+            at: now,
+            room,
+            admitted,
+        });
+        let settled = samples.iter().rposition(|s| s.at + SETTLE_MS <= now);
+        samples.drain(..settled.unwrap_or(0));
+        let taken = admitted.minus(samples[0].admitted);
+        let left = room.min(samples[0].room.minus(taken));
+        (figures.long_running_cpu, figures.long_running_memory) = (left.cpu, left.memory);
         QueueState {
             figures,
+            admitted,
             admitted_at: recent.and_then(|p| p.admitted_at),
+            samples,
         }
     }
 
@@ -267,6 +327,8 @@
         }
         self.figures.long_running_cpu -= needs.cpu;
         self.figures.long_running_memory -= needs.memory;
+        self.admitted.cpu += needs.cpu;
+        self.admitted.memory += needs.memory;
         self.admitted_at = Some(now);
     }
 
--- a/crates/node/src/admission_tests.rs
+++ b/crates/node/src/admission_tests.rs
@@ -169,6 +169,22 @@
     assert_eq!(admission.decide(10_400, "q", &half), Decision::Accept);
 }
 
+/// Small jobs come all the time and end soon: the owner's figures stay the same, and each job fits.
+#[test]
+fn steady_jobs_do_not_use_up_the_figures() {
+    let mut admission = admission(figures(false, false));
+    let small = needs(vec![long_running(1, 100, 10)]);
+    for tick in 1..200 {
+        let now = 10_000 + tick * 400;
+        admission.update(now, tick + 1, vec![figures(false, false)]);
+        assert_eq!(
+            admission.decide(now, "q", &small),
+            Decision::Accept,
+            "{now}"
+        );
+    }
+}
+
 /// A refused large job does not keep small ones out.
 #[test]
 fn a_job_that_fits_is_accepted_after_a_refusal() {
