http: keep pooled connections after a very short timeout

A read that may take 40 ms, as those of admission, made all callers of the client connect anew when the peer was busy for a moment, since a timeout drops all pooled connections. One of less than 100 ms says nothing of them, and drops its own connection only.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -18,6 +18,10 @@
 /// Maximum number of idle connections in the pool.
 const MAX_IDLE: usize = 8;
 
+/// Shortest timeout of a call that says something of the other connections. A peer that doesn't
+/// respond sooner may be busy, and new connections would make it busier.
+const MIN_CONCLUSIVE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Maximum number of bytes read at once.
 const READ_CHUNK_BYTES: usize = 16 << 10;
 
@@ -37,8 +41,8 @@
 /// A client for one address with a pool of connections; shared by threads.
 ///
 /// A connection is dropped after any failure, since the response to the failed call may
-/// still arrive on it. After a timeout all pooled connections are dropped: open
-/// connections may stop working all at once while new ones work.
+/// still arrive on it. After a timeout, unless it is very short, all pooled connections are
+/// dropped: open connections may stop working all at once while new ones work.
 #[derive(Debug)]
 pub struct Client {
     addr: SocketAddr,
@@ -81,7 +85,7 @@
         request.encode(&self.host, &mut out);
         traffic.record_request(out.len());
         let response = exchange(&mut stream, &out, deadline, traffic).inspect_err(|err| {
-            if matches!(err, HttpError::Timeout) {
+            if matches!(err, HttpError::Timeout) && timeout >= MIN_CONCLUSIVE_TIMEOUT {
                 self.lock().clear();
             }
         })?;
--- a/crates/http/tests/contract.rs
+++ b/crates/http/tests/contract.rs
@@ -101,6 +101,49 @@
     assert_eq!(err, Err(HttpError::Timeout));
 }
 
+/// Starts a peer that answers the first two requests, once both have arrived, and no others.
+/// Returns its address and the number of connections.
+fn peer_that_falls_silent() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+    let addr = listener.local_addr().expect("address");
+    let connections = Arc::new(AtomicUsize::new(0));
+    let count = connections.clone();
+    thread::spawn(move || {
+        let mut streams = Vec::new();
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("accept");
+            let _ = stream.read(&mut [0; 4096]).expect("read");
+            streams.push(stream);
+            if count.fetch_add(1, Ordering::SeqCst) == 1 {
+                for stream in &mut streams {
+                    let ok = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    stream.write_all(ok).expect("write");
+                }
+            }
+        }
+    });
+    (addr, connections)
+}
+
+/// A call that waits for a moment only must not make all others connect anew.
+#[test_case(20, 2; "a short wait")]
+#[test_case(150, 3; "a long wait")]
+fn connections_are_dropped_after_a_conclusive_timeout(ms: u64, expected: usize) {
+    let (addr, connections) = peer_that_falls_silent();
+    let client = Client::new(addr);
+    thread::scope(|scope| {
+        for _ in 0..2 {
+            scope.spawn(|| get(&client).expect("response"));
+        }
+    });
+    let request = Request::new(Method::Get, "/", Vec::new());
+    for _ in 0..2 {
+        let err = client.call(&request, Duration::from_millis(ms));
+        assert_eq!(err, Err(HttpError::Timeout));
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), expected);
+}
+
 #[test]
 fn a_refused_connection_means_not_sent() {
     let addr = unique_addr().expect("an address");
