--- a/crates/jobs/src/entitlement/demand.rs
+++ b/crates/jobs/src/entitlement/demand.rs
@@ -135,7 +135,7 @@
                 continue;
             };
             row.demand.held.subtract(size);
-            row.tasks -= row.tasks.min(1);
+            row.tasks = row.tasks.saturating_sub(1);
             if row.kind == WorkKind::LongRunning {
                 row.add_waiting(size, 1);
             }
