ctl: explain tells which kind of work a refused job would have needed

Operators saw "no reason is logged" for jobs that admission refused. Cause: the line of the refusal has no error. Change: its kind of work is the reason.

--- a/crates/ctl/src/explain/line.rs
+++ b/crates/ctl/src/explain/line.rs
@@ -56,6 +56,9 @@
     /// Outcome of a job.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub outcome: Option<String>,
+    /// Kind of work that a refused job would need.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub kind: Option<String>,
     /// Error text.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub err: Option<String>,
--- a/crates/ctl/src/explain/timeline.rs
+++ b/crates/ctl/src/explain/timeline.rs
@@ -178,6 +178,10 @@
             "front: answered" if line.method.as_deref() == Some("POST") => {
                 self.apply_response(line)
             }
+            "admission: refused" => {
+                let kind = line.kind.as_deref().unwrap_or("its");
+                self.last_error = Some(format!("no capacity for {kind} work"));
+            }
             "jobs: taken up" => {
                 self.accepted_ms = self.accepted_ms.or(Some(line.ms));
                 self.queue = line.queue.clone();
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -75,6 +75,19 @@
     assert_eq!(cause(&log), expected);
 }
 
+#[test]
+fn a_job_without_capacity_reports_the_kind_of_work() {
+    let log = format!(
+        r#"{{"ms":1000,"node":"a","msg":"admission: refused","job":"{JOB}","queue":"q","kind":"long-running","retry_after_s":2}}
+{{"ms":1001,"node":"a","msg":"front: answered","method":"POST","path":"/q/{JOB}","status":429}}"#
+    );
+    let expected = Cause::Refused {
+        times: 1,
+        err: Some("no capacity for long-running work".into()),
+    };
+    assert_eq!(cause(&log), expected);
+}
+
 fn log_of_one_run(before: &str, started: u64, ended: u64) -> String {
     format!(
         r#"{ACCEPTED}{before}
