node, http, adapter: wait for writes to a slow store, and refuse what was not sent

A write was given up after 40% of the caller's time, also where the store was known to be slow, and each next try waited behind the earlier ones.

After a slow answer of the store a write is now waited for during 75% of the caller's time.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    error::{HttpError, LostSnafu, connect_error},
+    error::{HttpError, LostSnafu, NotSentSnafu, connect_error},
     message::{Request, Response},
     parse::{Limits, parse_response},
     socket,
@@ -81,7 +81,7 @@
         request.encode(&self.host, &mut out);
         traffic.record_request(out.len());
         let response = exchange(&mut stream, &out, deadline, traffic).inspect_err(|err| {
-            if matches!(err, HttpError::Timeout) {
+            if matches!(err, HttpError::Timeout | HttpError::NotSent { .. }) {
                 self.lock().clear();
             }
         })?;
@@ -100,7 +100,7 @@
         }
     }
 
-    fn put_idle(&self, stream: TcpStream) {
+    pub(crate) fn put_idle(&self, stream: TcpStream) {
         let mut idle = self.lock();
         if idle.len() < MAX_IDLE {
             idle.push(stream);
@@ -140,13 +140,33 @@
     traffic: &Traffic,
 ) -> Result<Response, HttpError> {
     if Instant::now() >= deadline {
-        return Err(HttpError::Timeout);
+        return NotSentSnafu {
+            message: "no time left",
+        }
+        .fail();
     }
     set_timeouts(stream, deadline)?;
-    stream.write_all(out).map_err(io_error)?;
+    send(stream, out)?;
     read_response(stream, deadline, traffic)
 }
 
+/// Sends a request. If the first write fails, the connection has taken nothing of it.
+pub(crate) fn send(stream: &mut impl Write, out: &[u8]) -> Result<(), HttpError> {
+    let sent = loop {
+        match stream.write(out) {
+            Ok(sent) => break sent,
+            Err(err) if err.kind() == ErrorKind::Interrupted => continue,
+            Err(err) => {
+                return NotSentSnafu {
+                    message: err.to_string(),
+                }
+                .fail();
+            }
+        }
+    };
+    stream.write_all(&out[sent..]).map_err(io_error)
+}
+
 /// Reads a response, which has to begin to arrive by `deadline` and then keep arriving. A large
 /// response takes seconds on a narrow link, and repeating the request would take bandwidth from
 /// other calls.
--- a/crates/http/src/client_tests.rs
+++ b/crates/http/src/client_tests.rs
@@ -1,7 +1,7 @@
 //! Responses that arrive while the process is paused, and unreachable peers.
 
 use std::{
-    io::Write,
+    io::{Error, ErrorKind, Write},
     net::{TcpListener, TcpStream},
     time::{Duration, Instant},
 };
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 
 use crate::{
-    client::{Client, read_response},
+    client::{Client, read_response, send},
     error::HttpError,
     message::{Method, Request},
     traffic::Traffic,
@@ -79,3 +79,46 @@
     let result = Client::new(addr).call(&request, Duration::from_secs(5));
     assert_eq!(result.map(|r| r.status), Err(HttpError::Refused));
 }
+
+/// A connection that takes a number of bytes and then fails.
+struct FailingConnection {
+    takes: usize,
+}
+
+impl Write for FailingConnection {
+    fn write(&mut self, out: &[u8]) -> std::io::Result<usize> {
+        let taken = self.takes.min(out.len());
+        self.takes -= taken;
+        match taken {
+            0 => Err(Error::from(ErrorKind::ConnectionReset)),
+            _ => Ok(taken),
+        }
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_request_of_which_no_byte_was_taken_was_not_sent() {
+    let result = send(&mut FailingConnection { takes: 0 }, b"request");
+    assert!(result.is_err_and(|err| err.is_not_sent()));
+}
+
+#[test]
+fn a_request_of_which_a_byte_was_taken_may_have_been_sent() {
+    let result = send(&mut FailingConnection { takes: 1 }, b"request");
+    assert!(result.is_err_and(|err| !err.is_not_sent()));
+}
+
+#[test]
+fn a_request_without_time_left_was_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("bound");
+    let request = Request::new(Method::Get, "/", Vec::new());
+    let client = Client::new(addr);
+    client.put_idle(TcpStream::connect(addr).expect("connected"));
+    let result = client.call(&request, Duration::ZERO);
+    assert!(result.is_err_and(|err| err.is_not_sent()));
+}
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -17,6 +17,12 @@
     /// The peer's machine refused the connection, as nothing listens there; nothing was sent.
     #[snafu(display("connection refused"))]
     Refused,
+    /// The connection took no byte of the request, or no time was left for one; nothing was sent.
+    #[snafu(display("nothing sent: {message}"))]
+    NotSent {
+        /// Message of the system's error, or that the time was over.
+        message: String,
+    },
     /// The response did not arrive in time; the call may have had an effect.
     #[snafu(display("timed out waiting for the response"))]
     Timeout,
@@ -43,7 +49,10 @@
 impl HttpError {
     /// Returns whether nothing was sent, so that the call certainly had no effect.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, HttpError::Connect { .. } | HttpError::Refused)
+        matches!(
+            self,
+            HttpError::Connect { .. } | HttpError::Refused | HttpError::NotSent { .. }
+        )
     }
 }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -20,20 +20,15 @@
     },
     shared::Shared,
     store::{Expect, StoreError, Tx, Write},
+    write_limit::write_limit,
 };
 
 /// Value of `retry-after` in seconds. Most refusals are due to store outages that last for seconds.
 const RETRY_AFTER_S: &str = "1";
 
-/// Share of a caller's timeout that is spent on a write before its result is reported as unclear.
-const WRITE_TIMEOUT_PERCENT: u64 = 40;
-
 /// Shortest time limit of a write, in milliseconds.
 const MIN_WRITE_TIMEOUT_MS: u64 = 100;
 
-/// Timeout of a caller whose request states none, in milliseconds.
-const DEFAULT_CALLER_TIMEOUT_MS: u64 = 3000;
-
 /// Pause before the only retry of a refused write.
 const REFUSED_RETRY_PAUSE: Duration = Duration::from_millis(25);
 
@@ -41,7 +36,8 @@
 const UNCLEAR_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Result of a write.
-enum WriteResult {
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum WriteResult {
     /// The row exists, from this write or an earlier one.
     Done,
     /// The write certainly had no effect.
@@ -190,18 +186,19 @@
     }
 
     /// Repeats an idempotent write until its result is known or the caller's time is used up.
-    fn write(&self, tx: &Tx, request: &Request, start: u64) -> WriteResult {
+    pub(crate) fn write(&self, tx: &Tx, request: &Request, start: u64) -> WriteResult {
         let caller_timeout = self.shared.protocol.caller_timeout(request);
-        let deadline = start
-            + caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT_MS) * WRITE_TIMEOUT_PERCENT / 100;
+        let deadline = start + write_limit(caller_timeout, self.shared.answer_ms());
         let mut unclear = false;
         let mut has_retried = false;
         loop {
-            let remaining = deadline.saturating_sub(self.shared.clock.now());
+            let sent = self.shared.clock.now();
+            let remaining = deadline.saturating_sub(sent);
             let limit = Duration::from_millis(remaining.max(MIN_WRITE_TIMEOUT_MS));
             match self.shared.store(Duty::Callers).commit(tx, limit) {
                 Ok(_) => {
                     self.shared.record_store_answer();
+                    self.shared.record_caller_answer(sent);
                     return WriteResult::Done;
                 }
                 Err(err @ StoreError::Unknown { .. }) => {
@@ -226,7 +223,9 @@
     /// Reads the state of a job; `None` if it was never accepted.
     fn outcome(&self, id: JobId) -> Result<Option<Outcome>, StoreError> {
         let store = self.shared.store(Duty::Callers);
+        let sent = self.shared.clock.now();
         let row = store.read_one(RECORDS, OWNER_PART, &id.to_string())?;
+        self.shared.record_caller_answer(sent);
         if let Some(row) = row {
             let record = Record::decode(&row.value).map_err(|err| StoreError::Malformed {
                 reason: err.to_string(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,6 +43,8 @@
 #[cfg(test)]
 mod follow_turns_tests;
 mod front;
+#[cfg(test)]
+mod front_tests;
 mod lease;
 #[cfg(test)]
 mod lease_tests;
@@ -67,6 +69,9 @@
 mod store;
 #[cfg(test)]
 mod watch_sim_tests;
+mod write_limit;
+#[cfg(test)]
+mod write_limit_tests;
 
 pub use config::{Config, FrontLimits, Queue};
 pub use error::NodeError;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -66,6 +66,8 @@
     answered_at: AtomicU64,
     /// Longest time between answers of a reachable store, in milliseconds.
     max_silence: AtomicU64,
+    /// How long the store took for its last answer to a call for a request, in milliseconds.
+    answer_ms: AtomicU64,
     /// When a call to the store last failed, in milliseconds.
     failed_at: AtomicU64,
     /// Whether a request is probing an unreachable store.
@@ -101,6 +103,7 @@
             admission: AdmissionControl::default(),
             config_read: Mutex::new(()),
             answered_at: AtomicU64::new(0),
+            answer_ms: AtomicU64::new(0),
             max_silence: AtomicU64::new(0),
             failed_at: AtomicU64::new(0),
             probing: AtomicBool::new(false),
@@ -194,6 +197,18 @@
         self.answered_at.store(self.clock.now(), Ordering::Relaxed);
     }
 
+    /// Records that the store answered a call for a request that was sent at `sent`.
+    pub(crate) fn record_caller_answer(&self, sent: u64) {
+        let took = self.clock.now().saturating_sub(sent);
+        self.answer_ms.store(took, Ordering::Relaxed);
+    }
+
+    /// Returns how long the store took for its last answer to a call for a request, in
+    /// milliseconds.
+    pub(crate) fn answer_ms(&self) -> u64 {
+        self.answer_ms.load(Ordering::Relaxed)
+    }
+
     /// Records that a call to the store failed.
     pub(crate) fn record_store_failure(&self) {
         self.failed_at.store(self.clock.now(), Ordering::Relaxed);
