jobs: a reservation holds back no long-running task until it is lost

Cause, as read from its log: after the last wave 97% of the CPU is used, and 20 workers are reserved for 6 s each for larger tasks, again and again where those wait for runs that go on for long. Smaller tasks are refused there, whatever they leave unused.

A long-running task that has waited for 4 s now takes a worker that is reserved for another long-running one. Within a pass it is not ruled out by a request that was refused because of a reservation.

--- a/crates/jobs/src/order/urgency.rs
+++ b/crates/jobs/src/order/urgency.rs
@@ -6,6 +6,7 @@
         job::{CriticalPath, JobState},
         policy::QueuePolicy,
         record::Outcome,
+        task::Task,
     },
     order::estimates::EstimateModel,
     scheduler::Scheduler,
@@ -17,6 +18,10 @@
 /// fragmented.
 const OVERDUE_MS: u64 = 2000;
 
+/// Waiting time after which users are about to count a task of a long-running job as lost, in
+/// milliseconds: 6 s, less the time that a start takes on a slow link.
+const NEARLY_LOST_MS: u64 = 4000;
+
 /// Time that a task takes including its start, in percent of its estimate.
 const RUN_TIME_PERCENT: u64 = 105;
 
@@ -122,6 +127,18 @@
 
     /// Returns whether a task of a long-running job is overdue.
     pub(crate) fn is_overdue(&self, state: &JobState) -> bool {
+        // A lent task that returns has waited.
+        self.any_waiting(state, |t, ms| t.lent_until > 0 || ms > OVERDUE_MS)
+    }
+
+    /// Returns whether users are about to count a task of a long-running job as lost.
+    pub(crate) fn is_nearly_lost(&self, state: &JobState) -> bool {
+        self.any_waiting(state, |_, ms| ms > NEARLY_LOST_MS)
+    }
+
+    /// Returns whether a condition holds for any waiting task and the milliseconds for which it
+    /// has waited.
+    fn any_waiting(&self, state: &JobState, condition: impl Fn(&Task, u64) -> bool) -> bool {
         let steps = state
             .repetitions
             .iter()
@@ -130,9 +147,7 @@
         let mut tasks = steps.flat_map(|s| &s.tasks);
         tasks.any(|t| {
             let since = state.known_since.max(t.idle_since).max(t.retry_at);
-            // A lent task that returns has waited.
-            let has_waited = t.lent_until > 0 || self.now > since + OVERDUE_MS;
-            t.is_waiting(self.now) && has_waited
+            t.is_waiting(self.now) && condition(t, self.now.saturating_sub(since))
         })
     }
 }
--- a/crates/jobs/src/place/aging.rs
+++ b/crates/jobs/src/place/aging.rs
@@ -138,6 +138,7 @@
             failed_worker: self.worker_to_avoid(task),
             starved: false,
             access: LoanAccess::Full,
+            nearly_lost: false,
         };
         let Some(slot) = self.choose_worker(&request, &mut None, pass) else {
             return;
--- a/crates/jobs/src/place/isolation.rs
+++ b/crates/jobs/src/place/isolation.rs
@@ -189,6 +189,7 @@
             failed_worker: None,
             starved: true,
             access: LoanAccess::Full,
+            nearly_lost: false,
         };
         let is_placed = match step.gang {
             true => matches!(self.place_gang(request, pass), GangPlacement::All),
--- a/crates/jobs/src/place/request.rs
+++ b/crates/jobs/src/place/request.rs
@@ -25,6 +25,9 @@
     pub(crate) starved: bool,
     /// Which lent capacity the task may take.
     pub(crate) access: LoanAccess,
+    /// Whether the tasks are long-running and users are about to count one as lost, so that
+    /// workers that are reserved for other long-running tasks may take them.
+    pub(crate) nearly_lost: bool,
 }
 
 /// Which lent capacity a task may take, from the least on.
--- a/crates/jobs/src/place/reservation.rs
+++ b/crates/jobs/src/place/reservation.rs
@@ -7,7 +7,8 @@
 //! A long-running task reserves a worker once it has waited for long.
 //! Of the other tasks only one at a time does, and only while half of the capacity is free.
 //! Best-effort tasks still start on a reserved worker as long as they leave enough memory and
-//! accelerators.
+//! accelerators. So do other long-running tasks that users are about to count as lost: capacity
+//! that one of them can use now goes before capacity that another one may use later.
 
 use crate::{
     model::{ids::TaskId, job::JobState, task::Run},
@@ -91,7 +92,8 @@
     /// Returns whether a worker is reserved for a task of another step.
     pub(super) fn is_reserved(&self, slot: u32, request: &Request<'_>, pass: &Pass) -> bool {
         let others = pass.reservations.iter().filter(|r| r.slot == slot);
-        let mut others = others.filter(|r| r.first_task != request.first_task);
+        let others = others.filter(|r| r.first_task != request.first_task);
+        let mut others = others.filter(|r| !r.long_running || !request.nearly_lost);
         let step = request.step;
         let worker = self.fleet.get(slot);
         others.any(|r| !step.best_effort || r.would_block(worker, demand(step)))
--- a/crates/jobs/src/place/starvation.rs
+++ b/crates/jobs/src/place/starvation.rs
@@ -141,6 +141,7 @@
             failed_worker: None,
             starved: false,
             access: self.loan_access(TaskId { index: 0, ..task }),
+            nearly_lost: false,
         };
         let refusals = self.count_refusals(&request, pass);
         let is_crowded = pass.is_crowded(&service);
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -146,6 +146,7 @@
                     failed_worker: None,
                     starved: may_exceed_share && step.best_effort,
                     access: self.loan_access(first_task),
+                    nearly_lost: step.long_running && self.is_nearly_lost(state),
                 };
                 // A step that finds no worker doesn't block later steps,
                 // which may request less.
--- a/crates/jobs/src/place/unplaceable.rs
+++ b/crates/jobs/src/place/unplaceable.rs
@@ -19,6 +19,8 @@
     seconds: u64,
     /// Whether the request was allowed to exceed the CPU share of best-effort tasks.
     starved: bool,
+    /// Whether the request was allowed to take workers that are reserved.
+    nearly_lost: bool,
     service: Arc<str>,
     /// The label that the worker must have.
     label: Option<Arc<str>>,
@@ -36,6 +38,7 @@
             access: request.access,
             seconds: step.estimate / 1000,
             starved: request.starved,
+            nearly_lost: request.nearly_lost,
             service: request.service.clone(),
             label: step.label.clone(),
             requested: Capacity {
@@ -53,6 +56,7 @@
             && (self.starved || !other.starved)
             && self.access >= other.access
             && self.seconds <= other.seconds
+            && (self.nearly_lost || !other.nearly_lost)
             && Arc::ptr_eq(&self.service, &other.service)
             && (self.label.is_none() || self.label == other.label)
             && self.requested.cpu <= other.requested.cpu
--- a/crates/jobs/tests/all/reservations.rs
+++ b/crates/jobs/tests/all/reservations.rs
@@ -132,3 +132,35 @@
     let waited = world.now - start;
     assert!(waited < MAX_WAIT_MS, "{waited} ms");
 }
+
+/// The pattern is capacity that is reserved for a long time. The larger task waits for a run that
+/// goes on for a minute, while the smaller one fits twice beside it.
+#[test]
+fn a_reservation_holds_back_no_long_running_task_until_it_is_lost() {
+    let mut world = World::new(WorldSettings {
+        workers: 2,
+        ..WorldSettings::default()
+    });
+    world.run(SAMPLE_MS);
+    for (id, cpu) in [(1, WORKER_CPU), (2, 5000)] {
+        let step = Step {
+            cpu,
+            ..short(1, 60_000)
+        };
+        world.submit(id, chain(vec![step]));
+        world.run(SAMPLE_MS);
+    }
+    let large = Step {
+        cpu: 5000,
+        ..long_running(1)
+    };
+    world.submit(FIRST_JOB, chain(vec![large]));
+    world.run(4000);
+    let small = Step {
+        cpu: 1500,
+        ..long_running(1)
+    };
+    let id = world.submit(LAST_JOB, chain(vec![small]));
+    let waited = wait(&mut world, id);
+    assert!(waited < MAX_WAIT_MS, "{waited} ms");
+}
