--- a/crates/jobs/src/entitlement/mod.rs
+++ b/crates/jobs/src/entitlement/mod.rs
@@ -143,6 +143,12 @@
             && announced.all(|w| w.clock.is_some() || w.silent_since.is_some())
     }
 
+    /// Returns the capacity of a service's available workers, as of the last division.
+    pub(crate) fn service_capacity(&self, service: &str) -> Capacity {
+        let room = ServiceRoom::find(&self.entitlements.rooms, service);
+        room.map_or(Capacity::default(), |r| r.total)
+    }
+
     /// Returns what a queue is entitled to for a kind of work, as of the last division.
     pub(crate) fn entitlement(&self, queue: &str, kind: WorkKind) -> Option<&Entitlement> {
         let rows = &self.entitlements.rows;
--- a/crates/jobs/src/place/reservation.rs
+++ b/crates/jobs/src/place/reservation.rs
@@ -3,14 +3,19 @@
 //! The load pattern is fragmented capacity. Smaller tasks take each free piece at once, so
 //! that a large task never finds enough on one worker, however much is free in total.
 //!
-//! Limits: a long-running task reserves a worker once it has waited for long. Of the other
-//! tasks only one at a time does, and only while half of the capacity is free. Best-effort
-//! tasks still start on a reserved worker as long as they leave enough memory and
-//! accelerators.
+//! Limits: a task that returns to capacity that it lent needs no reservation, and heeds none there.
+//! A long-running task reserves a worker once it has waited for long.
+//! Of the other tasks only one at a time does, and only while half of the capacity is free.
+//! Best-effort tasks still start on a reserved worker as long as they leave enough memory and
+//! accelerators. So do other long-running tasks that users are about to count as lost: capacity
+//! that one of them can use now goes before capacity that another one may use later.
 
 use crate::{
     model::{ids::TaskId, job::JobState, task::Run},
-    place::{pass::Pass, request::Request},
+    place::{
+        pass::Pass,
+        request::{LoanAccess, Request},
+    },
     runs::worker::{Capacity, Worker, demand},
     scheduler::Scheduler,
 };
@@ -72,8 +77,10 @@
         let Some(state) = state.filter(|s| !s.outcome.is_final()) else {
             return false;
         };
-        let is_waiting =
-            state.repetitions[first.repetition as usize][first.step as usize].unassigned > 0;
+        let tasks = &state.repetitions[first.repetition as usize][first.step as usize].tasks;
+        let is_waiting = tasks
+            .iter()
+            .any(|t| !t.done && t.run.is_none() && t.lent_until <= self.now);
         let is_blocked = reservation.long_running || !state.has_runs();
         let worker = self.fleet.get(reservation.slot);
         let is_usable = worker.accepts_runs(self.now)
@@ -85,16 +92,30 @@
     /// Returns whether a worker is reserved for a task of another step.
     pub(super) fn is_reserved(&self, slot: u32, request: &Request<'_>, pass: &Pass) -> bool {
         let others = pass.reservations.iter().filter(|r| r.slot == slot);
-        let mut others = others.filter(|r| r.first_task != request.first_task);
+        let others = others.filter(|r| r.first_task != request.first_task);
+        let mut others = others.filter(|r| !r.long_running || !request.nearly_lost);
         let step = request.step;
         let worker = self.fleet.get(slot);
         others.any(|r| !step.best_effort || r.would_block(worker, demand(step)))
     }
 
+    /// Returns whether a worker is reserved.
+    pub(crate) fn is_reserved_for_any(&self, slot: u32) -> bool {
+        self.reservations.iter().any(|r| r.slot == slot)
+    }
+
+    /// Drops the reservation of a worker that took a task of the step. Another task of the step
+    /// may fit sooner on another worker.
+    pub(super) fn use_reservation(&mut self, slot: u32, first: TaskId, pass: &mut Pass) {
+        let is_used = |r: &Reservation| r.slot == slot && r.first_task == first;
+        self.reservations.retain(|r| !is_used(r));
+        pass.reservations.retain(|r| !is_used(r));
+    }
+
     /// Reserves a worker for a task that fits nowhere, if the task has waited for long.
     pub(super) fn reserve_worker(&mut self, request: &Request<'_>, pass: &mut Pass) {
         let first = request.first_task;
-        if pass.has_reservation(first) {
+        if pass.has_reservation(first) || self.has_loan_to_return(first) {
             return;
         }
         let Some(state) = self.jobs.get(&first.job) else {
@@ -179,7 +200,8 @@
             {
                 continue;
             }
-            let is_reserved = pass.reservations.iter().any(|r| r.slot == slot);
+            let is_reserved = pass.reservations.iter().any(|r| r.slot == slot)
+                || request.access == LoanAccess::Denied && worker.lent != Capacity::default();
             let is_eligible = self
                 .check_eligibility(worker, step, request.service)
                 .is_ok();
