jobs: a lent task returns whatever others are refused, and only those that lost a run take its capacity

Cause, found in a review of: - within a pass, one returning task that found no room (its worker is silent) ruled out all later ones of its image, though capacity was owed to them elsewhere; - a returning task heeded reservations on its own worker again once it had waited for 2 s; - access to lent capacity went by step, so that one task that had lost its run for 2 s let tasks of the step that wait for a first run take it; jobs placed by age had it always.

Change: a request to which capacity is owed is not ruled out by others; it heeds no reservation there, however long it has waited; access goes by task, those with the most first.

--- a/crates/jobs/src/lending/loans.rs
+++ b/crates/jobs/src/lending/loans.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     lending::{Lent, Phase},
-    model::ids::TaskId,
+    model::{ids::TaskId, task::Task},
     place::request::{LoanAccess, Request},
     runs::worker::{Capacity, demand},
     scheduler::Scheduler,
@@ -37,7 +37,7 @@
         loans.any(|l| l.slot == slot && l.returns_to_step(first))
     }
 
-    /// Returns which lent capacity tasks of a step may take.
+    /// Returns the most that any waiting task of a step may take of lent capacity.
     pub(crate) fn loan_access(&self, first: TaskId) -> LoanAccess {
         let Some(state) = self.jobs.get(&first.job) else {
             return LoanAccess::Denied;
@@ -46,17 +46,24 @@
             return LoanAccess::Full;
         }
         let tasks = &state.repetitions[first.repetition as usize][first.step as usize].tasks;
-        let mut access = LoanAccess::Denied;
-        for task in tasks.iter().filter(|t| t.is_waiting(self.now)) {
-            let since = task.idle_since.max(task.retry_at).max(task.lent_until);
-            if task.last_run > 0 && self.now > since + MAX_REFUSAL_MS {
-                return LoanAccess::Full;
-            }
-            if task.lent_until > 0 {
-                access = LoanAccess::Own;
-            }
+        let waiting = tasks.iter().filter(|t| t.is_waiting(self.now));
+        let accesses = waiting.map(|t| t.loan_access(self.now));
+        accesses.max().unwrap_or(LoanAccess::Denied)
+    }
+
+    /// Returns which lent capacity a waiting task may take.
+    pub(crate) fn task_loan_access(&self, id: TaskId) -> LoanAccess {
+        let Some(state) = self.jobs.get(&id.job) else {
+            return LoanAccess::Denied;
+        };
+        match (
+            state.job.spec.steps[id.step as usize].long_running,
+            state.task(id),
+        ) {
+            (false, _) => LoanAccess::Full,
+            (true, Some(task)) => task.loan_access(self.now),
+            (true, None) => LoanAccess::Denied,
         }
-        access
     }
 
     /// Returns whether a long-running task fits into what is neither used nor lent by others.
@@ -76,6 +83,20 @@
     }
 }
 
+impl Task {
+    /// Returns which lent capacity a long-running task that waits may take.
+    pub(crate) fn loan_access(&self, now: u64) -> LoanAccess {
+        let since = self.idle_since.max(self.retry_at).max(self.lent_until);
+        if self.last_run > 0 && now > since + MAX_REFUSAL_MS {
+            return LoanAccess::Full;
+        }
+        match self.lent_until > 0 {
+            true => LoanAccess::Own,
+            false => LoanAccess::Denied,
+        }
+    }
+}
+
 impl Lent {
     /// Returns whether the task may be placed again and belongs to a step.
     fn returns_to_step(&self, first: TaskId) -> bool {
--- a/crates/jobs/src/place/aging.rs
+++ b/crates/jobs/src/place/aging.rs
@@ -14,11 +14,7 @@
         ids::{JobId, TaskId},
         job::JobState,
     },
-    place::{
-        pass::Pass,
-        request::{LoanAccess, Request},
-        starvation::PlacementRule,
-    },
+    place::{pass::Pass, request::Request, starvation::PlacementRule},
     scheduler::Scheduler,
 };
 
@@ -137,7 +133,7 @@
             service: &service,
             failed_worker: self.worker_to_avoid(task),
             starved: false,
-            access: LoanAccess::Full,
+            access: self.task_loan_access(task),
             nearly_lost: false,
         };
         let Some(slot) = self.choose_worker(&request, &mut None, pass) else {
--- a/crates/jobs/src/place/rank.rs
+++ b/crates/jobs/src/place/rank.rs
@@ -121,7 +121,9 @@
             true => !self.has_room_beside_loans(slot, request),
             false => !worker.is_back_in_time(step, self.now),
         };
-        let is_own = request.access == LoanAccess::Own && self.returns_to(slot, request.first_task);
+        let is_own = step.long_running
+            && request.access != LoanAccess::Denied
+            && self.returns_to(slot, request.first_task);
         if is_lent || !is_own && self.is_reserved(slot, request, pass) {
             return Err(Refusal::Reserved);
         }
--- a/crates/jobs/src/place/tasks.rs
+++ b/crates/jobs/src/place/tasks.rs
@@ -1,5 +1,7 @@
 //! Places waiting tasks on workers.
 
+use std::cmp::Reverse;
+
 use crate::{
     model::{
         ids::{JobId, TaskId},
@@ -174,7 +176,8 @@
             // Users count each of them as lost by itself.
             waiting.sort_by_key(|&index| {
                 let task = &runs.tasks[index as usize];
-                (task.last_run == 0, task.idle_since)
+                let access = task.loan_access(self.now);
+                (Reverse(access), task.last_run == 0, task.idle_since)
             });
         }
         for index in waiting {
@@ -183,6 +186,12 @@
             }
             let id = TaskId { index, ..first };
             request.failed_worker = self.worker_to_avoid(id);
+            let access = self.task_loan_access(id);
+            if request.access != access {
+                // The ranking holds workers that this task may not take.
+                request.access = access;
+                ranking = None;
+            }
             let Some(slot) = self.choose_worker(&request, &mut ranking, pass) else {
                 self.reserve_worker(&request, pass);
                 return;
@@ -355,8 +364,13 @@
         }
         let unplaceable = Unplaceable::new(request);
         let is_ruled_out = pass.unplaceable.iter().any(|u| u.implies(&unplaceable));
-        // The worker that is reserved for the request refuses all others.
-        if is_ruled_out && !pass.has_reservation(request.first_task) {
+        // The worker that is reserved for the request, or owes it capacity, refuses all others.
+        let has_own = || {
+            let first = request.first_task;
+            pass.has_reservation(first)
+                || request.step.long_running && self.has_loan_to_return(first)
+        };
+        if is_ruled_out && !has_own() {
             return None;
         }
         let mut own_ranking = None;
--- a/crates/jobs/tests/all/lending.rs
+++ b/crates/jobs/tests/all/lending.rs
@@ -208,6 +208,20 @@
     assert!(crowd.stopped.is_empty());
 }
 
+/// They would hold it until their callers cancel them, while the tasks that lent it wait.
+#[test]
+fn tasks_that_wait_for_a_first_run_take_no_lent_capacity() {
+    let mut crowd = Crowd::new(1, true, None);
+    let id = crowd.world.submit(STEPS + 1, chain(vec![long_running(8)]));
+    crowd.run(3000);
+    crowd.burst(20_000);
+    let mut runs = crowd.world.workers.iter().flat_map(|w| &w.runs);
+    assert!(runs.all(|r| r.task.job != id));
+    assert!(!crowd.stopped.is_empty(), "nothing is lent");
+    crowd.run(5000);
+    crowd.check(1, 2);
+}
+
 /// Tasks that are back stay for longer than they were away.
 #[test]
 fn a_task_that_was_lent_rests() {
@@ -263,6 +277,41 @@
     crowd.check(1, 2);
 }
 
+/// What one task can't have back, since its worker is silent, keeps no other from its own.
+#[test_case(0)]
+#[test_case(1)]
+fn a_task_returns_whatever_others_wait_for(silent: usize) {
+    let mut crowd = Crowd::new(1, true, None);
+    let places: BTreeMap<TaskId, usize> = (0..)
+        .zip(&crowd.world.workers)
+        .flat_map(|(worker, w)| w.runs.iter().map(move |r| (r.task, worker)))
+        .collect();
+    for _ in 0..4 {
+        crowd.submit_short();
+    }
+    crowd.run(1300);
+    let lent: Vec<TaskId> = crowd.stopped.iter().map(|&(task, _)| task).collect();
+    let first = lent[0];
+    let other = lent
+        .iter()
+        .find(|t| t.job != first.job && places[t] != places[&first]);
+    let pair = [
+        first,
+        *other.expect("lent by another step on another worker"),
+    ];
+    crowd.world.workers[places[&pair[silent]]].partitioned = true;
+    let returning = pair[1 - silent];
+    let mut longest = 0;
+    for sample in 0..70 {
+        if sample % 10 == 0 {
+            crowd.submit_short();
+        }
+        crowd.run(SAMPLE_MS);
+        longest = longest.max(crowd.world.now - crowd.worked_at[&returning]);
+    }
+    assert!(longest < 4200, "away for {longest} ms");
+}
+
 /// The tasks of a lost worker count as away: two of each step, as many as may be lent.
 #[test]
 fn nothing_is_lent_of_steps_that_lost_a_worker() {
