jobs: forecast the waits of new short and best-effort jobs

The owner now forecasts the wait of a new job by queue and kind, from the work that waits and the CPU that runs hold, and publishes it with the slack of a typical job, when to come back, and whether the queue is closed. Nothing refuses by it in this commit.

--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -45,6 +45,7 @@
             self.stats.passes += 1;
             // The next pass continues a truncated one.
             self.placement_due = self.place_tasks() == Coverage::Partial;
+            self.update_forecasts();
         }
         self.commit();
         self.send_polls();
--- a/crates/jobs/src/model/policy.rs
+++ b/crates/jobs/src/model/policy.rs
@@ -19,3 +19,10 @@
     /// Constant part of the objective, in milliseconds.
     pub latency: u64,
 }
+
+impl QueuePolicy {
+    /// Returns the objective for a job with a critical path of `path` milliseconds.
+    pub(crate) fn objective_ms(&self, path: u64) -> u64 {
+        (path as f64 * self.stretch) as u64 + self.latency
+    }
+}
--- a/crates/jobs/src/model/step.rs
+++ b/crates/jobs/src/model/step.rs
@@ -135,6 +135,23 @@
         estimate: u64,
         now: u64,
     ) -> u64 {
+        let observed = self.times_so_far(now);
+        observed.longest_ms(estimates, estimate, self.tasks.len())
+    }
+
+    /// Returns the expected time of a task in milliseconds, from the caller's estimate and the
+    /// observed times of tasks.
+    pub(crate) fn typical_task_ms(
+        &self,
+        estimates: &EstimateModel,
+        estimate: u64,
+        now: u64,
+    ) -> u64 {
+        self.times_so_far(now).longest_ms(estimates, estimate, 1)
+    }
+
+    /// Returns the observed times of ended tasks and, extrapolated, of runs.
+    fn times_so_far(&self, now: u64) -> ObservedTimes {
         let mut observed = self.observed_times;
         for task in &self.tasks {
             let Some(run) = task.run.as_ref().filter(|r| is_representative(r)) else {
@@ -142,7 +159,7 @@
             };
             observed.observe_run(run.percent, now - run.placed_at);
         }
-        observed.longest_ms(estimates, estimate, self.tasks.len())
+        observed
     }
 
     /// Returns the number of runs that the step has on a worker.
--- a/crates/jobs/src/order/urgency.rs
+++ b/crates/jobs/src/order/urgency.rs
@@ -18,7 +18,7 @@
 const OVERDUE_MS: u64 = 2000;
 
 /// Time that a task takes including its start, in percent of its estimate.
-const RUN_TIME_PERCENT: u64 = 105;
+pub(crate) const RUN_TIME_PERCENT: u64 = 105;
 
 /// Time between two computations of a job's critical path, in milliseconds. Placement goes
 /// through all open jobs up to 100 times a second, and objectives are a second or more.
@@ -101,7 +101,7 @@
         let path = state
             .critical_path
             .map_or(CriticalPath::default(), |(path, _)| path);
-        let objective = (path.total as f64 * policy.stretch) as u64 + policy.latency;
+        let objective = policy.objective_ms(path.total);
         let remaining = path.remaining * RUN_TIME_PERCENT / 100;
         match (
             self.now + remaining > state.known_since + objective,
@@ -113,6 +113,16 @@
         }
     }
 
+    /// Returns the time within which a job is to be done, in milliseconds; 0 if it isn't known.
+    pub(crate) fn objective_ms(&self, id: JobId) -> u64 {
+        let Some(state) = self.jobs.get(&id) else {
+            return 0;
+        };
+        let policy = self.policy(&state.job.queue);
+        let path = state.critical_path.map(|(path, _)| path.total);
+        policy.zip(path).map_or(0, |(p, path)| p.objective_ms(path))
+    }
+
     /// Returns whether a task of a long-running job is overdue.
     pub(crate) fn is_overdue(&self, state: &JobState) -> bool {
         let steps = state
--- a/crates/jobs/src/runs/close.rs
+++ b/crates/jobs/src/runs/close.rs
@@ -13,10 +13,11 @@
     /// Ends a job and stops its runs.
     pub(crate) fn end_job(&mut self, id: JobId, outcome: Outcome) {
         let now = self.now;
+        let objective = self.objective_ms(id);
         let Some(state) = self.jobs.get_mut(&id) else {
             return;
         };
-        log::info!(job = id.to_string().as_str(), outcome:? = outcome, after = now - state.known_since; "jobs: ended");
+        log::info!(job = id.to_string().as_str(), outcome:? = outcome, after = now - state.known_since, objective, started = state.outcome == Outcome::Active; "jobs: ended");
         state.outcome = outcome;
         let tasks = state.task_ids();
         self.open_jobs.retain(|&j| j != id);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     action::Action,
+    admission::Forecasts,
     entitlement::Entitlements,
     event::{Answer, Event, Paced, Started, Stopped},
     model::{
@@ -71,6 +72,8 @@
     pub(crate) queues: Vec<QueuePolicy>,
     /// What each queue is entitled to.
     pub(crate) entitlements: Entitlements,
+    /// The waits that new jobs can expect.
+    pub(crate) forecasts: Forecasts,
     pub(crate) interference: Interference,
     /// The common seasonality of the loads of serving steps.
     pub(crate) seasonality: Seasonality,
@@ -125,6 +128,7 @@
             fleet,
             queues: Vec::new(),
             entitlements: Entitlements::default(),
+            forecasts: Forecasts::default(),
             interference: Interference::default(),
             seasonality: Seasonality::default(),
             estimates: SortedMap::default(),
@@ -258,6 +262,8 @@
             tasks: self.jobs.iter().map(|(_, j)| j.task_count()).sum(),
             workers_age_ms: self.fleet.age(self.now),
             unverified_runs: self.unverified_runs(),
+            closed_queues: self.forecasts.closed_count(),
+            longest_wait_ms: self.forecasts.longest_wait(),
             ..self.stats
         }
     }
@@ -302,9 +308,12 @@
         if self.has_job(id) {
             return;
         }
-        log::info!(job = id.to_string().as_str(), queue = &*job.queue, chain = job.spec.critical_path(); "jobs: taken up");
         let images = self.intern_images(&job);
-        self.jobs.insert(id, JobState::new(job, images, self.now));
+        let state = JobState::new(job, images, self.now);
+        let forecast = self.forecast_for(&state);
+        let job = &state.job;
+        log::info!(job = id.to_string().as_str(), queue = &*job.queue, chain = job.spec.critical_path(), wait = forecast.wait, slack = forecast.slack, closed = forecast.closed; "jobs: taken up");
+        self.jobs.insert(id, state);
         self.open_jobs.push(id);
         self.scheduled.push(id);
         self.placement_due = true;
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use gorsespur_jobs::{
-    Batch, Event, Job, JobId, Outcome, QueuePolicy, Scheduler, Settings, Spec, Stats, Takeover,
-    TaskId, WorkerInfo,
+    Batch, Event, Job, JobId, Outcome, QueueFigures, QueuePolicy, Scheduler, Settings, Spec, Stats,
+    Takeover, TaskId, WorkerInfo,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -364,6 +364,14 @@
         owner.map(|o| o.scheduler.stats()).unwrap_or_default()
     }
 
+    /// Returns the figures of the newest owner.
+    pub fn figures(&self) -> Vec<QueueFigures> {
+        let owner = self.owners.last();
+        owner
+            .map(|o| o.scheduler.queue_figures())
+            .unwrap_or_default()
+    }
+
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the job scheduler's decisions in virtual time.
 
+mod admission;
 mod apart;
 mod behind;
 mod checkpoints;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -167,6 +167,8 @@
             .unwrap_or_else(PoisonError::into_inner);
         let rows = [
             ("open_jobs", owner_stats.open_jobs),
+            ("closed_queues", owner_stats.closed_queues),
+            ("longest_wait_ms", owner_stats.longest_wait_ms),
             ("starts", owner_stats.starts),
             ("starts_refused", owner_stats.refused),
             ("starts_rejected", owner_stats.rejected),
