--- a/crates/jobs/tests/all/admission.rs
+++ b/crates/jobs/tests/all/admission.rs
@@ -115,7 +115,7 @@
 
     /// Returns the owner's present forecast.
     fn current(&self) -> WaitForecast {
-        let figures = self.world.figures();
+        let figures = self.world.queue_figures();
         figures.first().map_or(WaitForecast::default(), |f| f.short)
     }
 
