jobs, node: refuse the last part of the order instead of whole queues

In a burst a closed queue refused also jobs that would have been on time. Which job that hasn't started goes next depends on its id alone, so the owner now publishes the share of this order that can't start in time, and instances refuse just the jobs in it; the verdict is the same for a caller that returns. `closed` becomes `refused` (thousandths) in `WaitForecast`.

Tests: the replays counted as failed the jobs that were still running at their end; now they send nothing for one objective, and these jobs count as they end. The tables of the forecast and of an instance's decision tell shares instead of closed and open. The world of the replays has the setting on.

--- a/crates/jobs/src/admission/backlog.rs
+++ b/crates/jobs/src/admission/backlog.rs
@@ -4,9 +4,13 @@
 //! that a new job competes with all that wait. Jobs that can no longer be on time are placed last
 //! and don't delay it.
 
-use std::sync::Arc;
+use std::{cmp::Ordering, sync::Arc};
 
 use crate::{
+    admission::{
+        arrivals::Arrival,
+        boundary::{Competition, Waiting},
+    },
     entitlement::WorkKind,
     model::{
         job::JobState,
@@ -15,7 +19,7 @@
         step::StepState,
         task::{Run, UNKNOWN_PACE},
     },
-    order::estimates::EstimateModel,
+    order::{estimates::EstimateModel, urgency::order_share},
     runs::worker::Capacity,
     scheduler::Scheduler,
 };
@@ -34,35 +38,70 @@
     /// Waiting work of jobs that have started, which go before new jobs of any priority, in
     /// thousandths of a core times milliseconds.
     pub(crate) started: u64,
-    /// Waiting work of jobs that have not started, in the same unit.
-    pub(crate) pending: u64,
+    /// Waiting work of jobs that have not started.
+    pub(crate) pending: Vec<Waiting>,
+    /// CPU that callers ask for, in thousandths of a core.
+    pub(crate) asked: u64,
     /// CPU of the runs, as far as they are not slowed, in thousandths of a core.
     pub(crate) held: u64,
     /// Size of the smallest task that any worker may run and that has waited for a while.
     pub(crate) stuck: Option<Capacity>,
 }
 
-/// Returns the work that goes before a new job of `own` or competes with it.
-pub(crate) fn work_ahead(loads: &[QueueLoad], own: &QueueLoad) -> u64 {
-    let mut work = 0;
-    for load in loads {
-        if load.service != own.service || load.kind != own.kind {
-            continue;
-        }
-        work += load.started;
-        if load.priority <= own.priority {
-            work += load.pending;
+/// Returns the work that goes before a new job of `own` or competes with it, where work is taken up
+/// at `pace` thousandths of a core.
+pub(crate) fn competition(loads: &[QueueLoad], own: &QueueLoad, pace: u64) -> Competition {
+    let mut competition = Competition {
+        pace,
+        ..Competition::default()
+    };
+    for load in peers(loads, own) {
+        competition.ahead += load.started;
+        match load.priority.cmp(&own.priority) {
+            Ordering::Less => {
+                competition.ahead += load.pending_work();
+                competition.asked_ahead += load.asked;
+            }
+            Ordering::Equal => {
+                competition.waiting.extend(&load.pending);
+                competition.asked += load.asked;
+            }
+            Ordering::Greater => {}
         }
     }
-    work
+    competition.waiting.sort_unstable();
+    competition
 }
 
 /// Returns the CPU of all runs that leave their capacity to the same tasks as those of `own`.
 pub(crate) fn held_cpu(loads: &[QueueLoad], own: &QueueLoad) -> u64 {
-    let peers = loads
+    peers(loads, own).map(|l| l.held).sum()
+}
+
+fn peers<'a>(loads: &'a [QueueLoad], own: &QueueLoad) -> impl Iterator<Item = &'a QueueLoad> {
+    loads
         .iter()
-        .filter(|l| l.service == own.service && l.kind == own.kind);
-    peers.map(|l| l.held).sum()
+        .filter(|l| l.service == own.service && l.kind == own.kind)
+}
+
+/// Returns the work of a job that has just arrived.
+pub(crate) fn arrival(state: &JobState, model: &EstimateModel, now: u64) -> Arrival {
+    let mut work = 0;
+    for (step, runs) in state
+        .job
+        .spec
+        .steps
+        .iter()
+        .zip(state.repetitions.iter().flatten())
+    {
+        let each = runs.typical_task_ms(model, step.estimate, now);
+        work += u64::from(step.count) * cpu_weight(step) * each;
+    }
+    Arrival {
+        at: now,
+        order: order_share(state.job.id),
+        work,
+    }
 }
 
 /// Returns the CPU by which the work of a step is measured. A pace needs a unit even where tasks
@@ -97,11 +136,19 @@
             state.outcome == Outcome::Active || state.job.spec.schedule.repetitions > 0;
         match has_started {
             true => self.started += work,
-            false => self.pending += work,
+            false if work > 0 => self.pending.push(Waiting {
+                order: order_share(state.job.id),
+                work,
+            }),
+            false => {}
         }
         self.held += held_by(step, runs);
     }
 
+    fn pending_work(&self) -> u64 {
+        self.pending.iter().map(|w| w.work).sum()
+    }
+
     /// Notes that a task has waited for a while.
     fn note_stuck(&mut self, step: &Step) {
         let size = Capacity {
@@ -128,7 +175,8 @@
                     kind,
                     priority: policy.priority,
                     started: 0,
-                    pending: 0,
+                    pending: Vec::new(),
+                    asked: 0,
                     held: 0,
                     stuck: None,
                 });
--- a/crates/jobs/src/admission/forecast.rs
+++ b/crates/jobs/src/admission/forecast.rs
@@ -2,21 +2,26 @@
 //!
 //! The load patterns are a burst at twice the capacity, and capacity that shrinks under a load
 //! that does not. A job that is accepted although its tasks start too late fails late, after it
-//! took capacity from others; its caller could have known at once.
+//! took capacity from others; its caller could have known at once. Which jobs these are depends on
+//! their places in the order of placement, so that those are refused which would not have started
+//! in time, and no others.
 //!
 //! Limits: a burst is known once its jobs have arrived, and figures are up to a second old when
 //! they decide.
 
-use crate::{admission::WaitForecast, order::urgency::RUN_TIME_PERCENT};
+use crate::{
+    admission::{WaitForecast, boundary::Competition},
+    order::urgency::{ORDER_SHARES, RUN_TIME_PERCENT},
+};
 
-/// Share of the slack above which a queue closes, in percent: beyond it a new job is late unless
-/// it goes before others that then are.
+/// Share of the slack that new jobs have to wait before the first one is refused, in percent:
+/// beyond the whole slack some of them are late, and groups of jobs often wait for a part of it.
 const CLOSE_PERCENT: u64 = 100;
 
-/// Share of the slack below which a queue opens again, in percent. Hysteresis keeps the queue from
-/// closing at each group of jobs; opening later than this leaves capacity without work while the
-/// figures travel.
-const OPEN_PERCENT: u64 = 75;
+/// Time for which free capacity must fit a typical task before all jobs are admitted again, in
+/// milliseconds. In a burst capacity is free for moments, until figures from before it have
+/// reached all instances.
+const OPEN_AFTER_MS: u64 = 1000;
 
 /// Shortest time after which a refused caller should come back, in milliseconds: Retry-After is
 /// in whole seconds.
@@ -40,50 +45,55 @@
 }
 
 /// What a new job of a queue meets.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Outlook {
-    /// Work ahead, in thousandths of a core times milliseconds.
-    pub(crate) backlog: u64,
-    /// Pace at which work is taken up, in thousandths of a core; `None` if it isn't known.
-    pub(crate) pace: Option<u64>,
-    /// Whether free capacity fits a typical task.
-    pub(crate) fits: bool,
+    /// The work that competes for capacity; `None` if the pace at which it is taken up isn't known.
+    pub(crate) competition: Option<Competition>,
+    /// For how long free capacity has fitted a typical task, in milliseconds; `None` if it doesn't.
+    pub(crate) fits_for: Option<u64>,
     /// The objective of a typical job; `None` if there is none or no job was seen.
     pub(crate) objective: Option<Objective>,
 }
 
-/// Returns the forecast for a queue that was closed before or not.
-pub(crate) fn forecast(was_closed: bool, outlook: &Outlook) -> WaitForecast {
-    let (Some(pace), Some(objective)) = (outlook.pace, outlook.objective) else {
+/// Returns the forecast for a queue that refused some jobs before or not.
+pub(crate) fn forecast(was_refusing: bool, outlook: &Outlook) -> WaitForecast {
+    let (Some(competition), Some(objective)) = (&outlook.competition, outlook.objective) else {
         return WaitForecast {
             retry_after: MIN_RETRY_MS,
             ..WaitForecast::default()
         };
     };
     let slack = objective.slack();
-    let wait = match outlook.fits {
-        true => 0,
-        false => outlook.backlog / pace.max(1),
+    let wait = match outlook.fits_for {
+        Some(_) => 0,
+        None => competition.backlog() / competition.pace.max(1),
     };
-    let percent = if was_closed {
-        OPEN_PERCENT
-    } else {
-        CLOSE_PERCENT
+    let is_refusing = match (was_refusing, outlook.fits_for) {
+        (true, Some(ms)) => ms < OPEN_AFTER_MS,
+        (true, None) => true,
+        (false, _) => wait > slack * CLOSE_PERCENT / 100,
+    };
+    let refused = match is_refusing {
+        true => ORDER_SHARES - competition.admitted_share(slack),
+        false => 0,
     };
-    let closed = wait > slack * percent / 100;
     // A caller that waits for longer than its objective has no use for the job any more.
     let latest = objective.limit.max(MIN_RETRY_MS);
     WaitForecast {
         wait,
         slack,
         retry_after: wait.clamp(MIN_RETRY_MS, latest),
-        closed,
+        refused,
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::{Objective, Outlook, forecast};
+    use crate::{
+        admission::boundary::{Competition, Waiting},
+        order::urgency::ORDER_SHARES,
+    };
     use test_case::test_case;
 
     /// Jobs of two seconds that may take 3,350 ms: they may wait for 1,250 ms.
@@ -92,47 +102,55 @@
         limit: 3350,
     };
 
+    /// Returns what a job meets where so much work waits that comes last in the order.
     fn outlook(backlog: u64) -> Outlook {
         Outlook {
-            backlog,
-            pace: Some(1000),
-            fits: false,
+            competition: Some(Competition {
+                waiting: vec![Waiting {
+                    order: 800,
+                    work: backlog,
+                }],
+                pace: 1000,
+                ..Competition::default()
+            }),
+            fits_for: None,
             objective: Some(OBJECTIVE),
         }
     }
 
-    /// Work for so many milliseconds waits. A backlog above the slack closes the queue, and it
-    /// stays closed until three quarters are left.
-    #[test_case(false, 0 => false)]
-    #[test_case(false, 1200 => false)]
-    #[test_case(false, 1300 => true; "closes")]
-    #[test_case(true, 1300 => true)]
-    #[test_case(true, 1000 => true; "stays closed")]
-    #[test_case(true, 900 => false; "opens")]
-    fn a_backlog_closes_a_queue(was_closed: bool, wait_ms: u64) -> bool {
-        let forecast = forecast(was_closed, &outlook(wait_ms * 1000));
+    /// Work for so many milliseconds waits. A backlog above the slack begins refusals, of what goes
+    /// after it; they end where what waits can start in time.
+    #[test_case(false, 0 => 0)]
+    #[test_case(false, 1200 => 0)]
+    #[test_case(false, 2000 => 200; "begins")]
+    #[test_case(true, 2000 => 200; "goes on")]
+    #[test_case(true, 1200 => 0; "ends")]
+    fn a_backlog_refuses_a_part_of_the_order(was_refusing: bool, wait_ms: u64) -> u32 {
+        let forecast = forecast(was_refusing, &outlook(wait_ms * 1000));
         assert_eq!((forecast.wait, forecast.slack), (wait_ms, 1250));
-        forecast.closed
+        forecast.refused
     }
 
-    /// Whatever waits, a queue is open where its jobs fit, or where too little is known.
-    #[test_case(Outlook { fits: true, ..outlook(u64::MAX) }; "free capacity")]
-    #[test_case(Outlook { pace: None, ..outlook(u64::MAX) }; "takeover")]
-    #[test_case(Outlook { objective: None, ..outlook(u64::MAX) }; "no objective")]
-    #[test_case(Outlook { pace: Some(0), ..outlook(0) }; "nothing waits and nothing runs")]
-    fn a_queue_stays_open(outlook: Outlook) {
-        assert!(!forecast(false, &outlook).closed);
-        assert!(!forecast(true, &outlook).closed);
+    /// Whatever waits, all jobs are accepted where they fit, or where too little is known.
+    #[test_case(false, Outlook { fits_for: Some(0), ..outlook(1 << 40) }; "free capacity")]
+    #[test_case(true, Outlook { fits_for: Some(1000), ..outlook(1 << 40) }; "free capacity for a while")]
+    #[test_case(true, Outlook { competition: None, ..outlook(1 << 40) }; "takeover")]
+    #[test_case(true, Outlook { objective: None, ..outlook(1 << 40) }; "no objective")]
+    #[test_case(true, outlook(0); "nothing waits")]
+    fn all_jobs_are_accepted(was_refusing: bool, outlook: Outlook) {
+        assert_eq!(forecast(false, &outlook).refused, 0);
+        assert_eq!(forecast(was_refusing, &outlook).refused, 0);
     }
 
     /// Long-running tasks have taken all capacity, and nothing is taken up.
     #[test]
-    fn a_queue_without_pace_closes() {
-        let outlook = Outlook {
-            pace: Some(0),
-            ..outlook(1_000_000)
-        };
-        assert!(forecast(false, &outlook).closed);
+    fn all_jobs_are_refused_without_pace() {
+        let mut outlook = outlook(1_000_000);
+        outlook.competition = Some(Competition {
+            ahead: 1_000_000,
+            ..Competition::default()
+        });
+        assert_eq!(forecast(false, &outlook).refused, ORDER_SHARES);
     }
 
     /// The time to come back is that of the backlog, a second at least, and no longer than the
--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -8,12 +8,16 @@
 //! Limits: figures are a moment old when an instance reads them, and a burst that comes meanwhile
 //! is accepted.
 //!
+//! - [`arrivals`]: what callers ask for, including what is refused;
 //! - [`backlog`]: what waits before a new job, and what runs;
 //! - [`pace`]: how quickly waiting work is taken up;
 //! - [`typical`]: the typical job of a queue;
+//! - [`boundary`]: the share of the order whose jobs can start in time;
 //! - [`forecast`]: the wait, and whether to refuse new jobs.
 
+pub(crate) mod arrivals;
 pub(crate) mod backlog;
+pub(crate) mod boundary;
 pub(crate) mod forecast;
 pub(crate) mod pace;
 pub(crate) mod typical;
@@ -24,13 +28,16 @@
 
 use crate::{
     admission::{
-        backlog::{QueueLoad, held_cpu, work_ahead},
+        arrivals::Arrivals,
+        backlog::{QueueLoad, arrival, competition, held_cpu},
+        boundary::Competition,
         forecast::{Objective, Outlook, forecast},
         pace::Pace,
         typical::TypicalJob,
     },
     entitlement::WorkKind,
     model::{job::JobState, spec::Step},
+    order::{estimates::EstimateModel, urgency::ORDER_SHARES},
     place::free_capacity::FreeCapacity,
     runs::worker::Capacity,
     scheduler::Scheduler,
@@ -63,8 +70,9 @@
     pub slack: u64,
     /// Time after which a refused caller should come back, in milliseconds.
     pub retry_after: u64,
-    /// Whether new jobs are to be refused.
-    pub closed: bool,
+    /// Share of the order whose new jobs are to be refused, in thousandths: those that go last by
+    /// [`order_share`](crate::order_share). 0 where all are accepted.
+    pub refused: u32,
 }
 
 /// The last forecasts.
@@ -83,6 +91,9 @@
     queue: Arc<str>,
     kind: WorkKind,
     pace: Pace,
+    arrivals: Arrivals,
+    /// Since when free capacity has fitted a typical task.
+    fits_since: Option<u64>,
     typical: TypicalJob,
     forecast: WaitForecast,
 }
@@ -104,6 +115,8 @@
                 queue: queue.clone(),
                 kind,
                 pace: Pace::default(),
+                arrivals: Arrivals::default(),
+                fits_since: None,
                 typical: TypicalJob::default(),
                 forecast: WaitForecast::default(),
             };
@@ -113,9 +126,9 @@
         &mut self.rows[at]
     }
 
-    /// Returns the number of closed queues, by kind.
+    /// Returns the number of queues that refuse jobs, by kind.
     pub(crate) fn closed_count(&self) -> u64 {
-        self.rows.iter().filter(|r| r.forecast.closed).count() as u64
+        self.rows.iter().filter(|r| r.forecast.refused > 0).count() as u64
     }
 
     /// Returns the longest forecast wait in milliseconds.
@@ -150,18 +163,26 @@
         }
         self.forecasts.updated_at = self.now;
         self.observe_new_jobs();
-        let loads = self.queue_loads();
+        let mut loads = self.queue_loads();
+        for load in &mut loads {
+            let row = self.forecasts.row_mut(&load.queue, load.kind);
+            row.arrivals
+                .record_admitted(self.now, ORDER_SHARES - row.forecast.refused);
+            load.asked = row.arrivals.asked_cpu();
+        }
         for load in &loads {
             let held = held_cpu(&loads, load);
             let row = self.forecasts.row_mut(&load.queue, load.kind);
             row.pace.record(self.now, held);
             let (pace, typical) = (row.pace.current(self.now), row.typical);
+            let since = row.fits_since.unwrap_or(self.now);
+            let fits_since = self.fits_typical_task(load, &typical).then_some(since);
             let outlook = Outlook {
-                backlog: work_ahead(&loads, load),
-                pace,
-                fits: self.fits_typical_task(load, &typical),
+                competition: pace.map(|pace| competition(&loads, load, pace)),
+                fits_for: fits_since.map(|since| self.now - since),
                 objective: self.typical_objective(&load.queue, &typical),
             };
+            self.forecasts.row_mut(&load.queue, load.kind).fits_since = fits_since;
             self.renew_forecast(load, &outlook);
         }
     }
@@ -169,15 +190,22 @@
     fn renew_forecast(&mut self, load: &QueueLoad, outlook: &Outlook) {
         let row = self.forecasts.row_mut(&load.queue, load.kind);
         let before = row.forecast;
-        row.forecast = forecast(before.closed, outlook);
+        row.forecast = forecast(before.refused > 0, outlook);
+        if !self.settings.partial_admission {
+            row.forecast.refused = 0;
+        }
         let now = row.forecast;
-        if now.closed != before.closed {
-            log::info!(queue = &*load.queue, kind:? = load.kind, closed = now.closed, wait = now.wait, slack = now.slack, retry_after = now.retry_after, backlog = outlook.backlog, pace:? = outlook.pace, fits = outlook.fits; "admission: changed");
+        if (now.refused > 0) != (before.refused > 0) {
+            let competition = outlook.competition.as_ref();
+            let backlog = competition.map_or(0, Competition::backlog);
+            let pace = competition.map(|c| c.pace);
+            log::info!(queue = &*load.queue, kind:? = load.kind, refused = now.refused, wait = now.wait, slack = now.slack, retry_after = now.retry_after, backlog, pace:?, asked = load.asked, fits_for:? = outlook.fits_for; "admission: changed");
         }
     }
 
     /// Adds the jobs that were taken up since the last forecast to the typical jobs.
     fn observe_new_jobs(&mut self) {
+        let no_model = EstimateModel::default();
         let since = self.forecasts.observed_until;
         for id in &self.open_jobs {
             let Some(state) = self.jobs.get(id) else {
@@ -189,8 +217,10 @@
             let (Some(kind), Some((path, _))) = (kind_of(state), state.critical_path) else {
                 continue;
             };
+            let model = self.estimates.get(&state.job.queue).unwrap_or(&no_model);
             let row = self.forecasts.row_mut(&state.job.queue, kind);
             row.typical.observe(state, path.total);
+            row.arrivals.add(arrival(state, model, self.now));
         }
         self.forecasts.observed_until = Some(self.now);
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -59,6 +59,7 @@
     record::{Outcome, Record, RecordError},
     spec::{Job, Schedule, Spec, SpecError, Step},
 };
+pub use order::urgency::{ORDER_SHARES, order_share};
 pub use runs::{
     fencing::MAX_GENERATION,
     worker::{Capacity, WorkerInfo},
--- a/crates/jobs/src/order/urgency.rs
+++ b/crates/jobs/src/order/urgency.rs
@@ -28,6 +28,20 @@
 /// ratio.
 const ORDER_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// Number of shares of equal size into which the order is divided.
+pub const ORDER_SHARES: u32 = 1000;
+
+/// Returns the place of a job among others that have not started; the smallest one goes first.
+fn order_key(id: JobId) -> u64 {
+    id.0.wrapping_mul(ORDER_MULTIPLIER)
+}
+
+/// Returns the place of a job among others that have not started, in thousandths of the order: 0
+/// for those that go first, 999 for those that go last.
+pub fn order_share(id: JobId) -> u32 {
+    ((u128::from(order_key(id)) * u128::from(ORDER_SHARES)) >> u64::BITS) as u32
+}
+
 /// Urgency of a job; smaller values are placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -62,7 +76,7 @@
             let policy = self.policy(&state.job.queue);
             let priority = policy.map_or(u32::MAX, |p| p.priority);
             let urgency = self.urgency(state, policy);
-            let order = id.0.wrapping_mul(ORDER_MULTIPLIER);
+            let order = order_key(id);
             keys.push((urgency, priority, order, id));
         }
         keys.sort_unstable();
@@ -144,3 +158,22 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::{ORDER_SHARES, order_key, order_share};
+    use crate::model::ids::JobId;
+
+    /// Instances refuse by the share what the owner would place last, of consecutive ids and others.
+    #[test]
+    fn shares_follow_the_order_of_placement() {
+        let mut ids: Vec<JobId> = (0..10_000).map(JobId).collect();
+        ids.extend((0..10_000).map(|i| JobId(i << 40)));
+        ids.push(JobId(u64::MAX));
+        ids.sort_by_key(|&id| order_key(id));
+        let shares: Vec<u32> = ids.into_iter().map(order_share).collect();
+        assert!(shares.is_sorted());
+        assert_eq!(shares.first(), Some(&0));
+        assert_eq!(shares.last(), Some(&(ORDER_SHARES - 1)));
+    }
+}
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -14,7 +14,7 @@
         record::{Outcome, Record, RecordError},
         spec::Job,
     },
-    order::estimates::EstimateModel,
+    order::{estimates::EstimateModel, urgency::order_share},
     place::{
         aging::Aging, reservation::Reservation, start_window::StartWindow, starvation::StarvedJob,
     },
@@ -312,7 +312,7 @@
         let state = JobState::new(job, images, self.now);
         let forecast = self.forecast_for(&state);
         let job = &state.job;
-        log::info!(job = id.to_string().as_str(), queue = &*job.queue, chain = job.spec.critical_path(), wait = forecast.wait, slack = forecast.slack, closed = forecast.closed; "jobs: taken up");
+        log::info!(job = id.to_string().as_str(), queue = &*job.queue, chain = job.spec.critical_path(), wait = forecast.wait, slack = forecast.slack, refused = forecast.refused, order = order_share(id); "jobs: taken up");
         self.jobs.insert(id, state);
         self.open_jobs.push(id);
         self.scheduled.push(id);
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -34,6 +34,9 @@
     pub batch_records: usize,
     /// Number of rows of the log above which the oldest ones are deleted.
     pub log_rows: usize,
+    /// Whether short and best-effort jobs that would start too late are refused. Partial: in a
+    /// burst some are refused that would have been on time.
+    pub partial_admission: bool,
 }
 
 /// Lowest rate of a worker's clock relative to the local one.
@@ -76,6 +79,7 @@
             batch_records: 75,
             // A page of the store holds this many rows.
             log_rows: 400,
+            partial_admission: false,
         }
     }
 }
--- a/crates/jobs/src/stats.rs
+++ b/crates/jobs/src/stats.rs
@@ -40,7 +40,7 @@
     pub longest_stall_ms: u64,
     /// Jobs that can no longer meet their objective.
     pub late_jobs: u64,
-    /// Queues that are closed to new jobs, by kind of work.
+    /// Queues that refuse some of their new jobs, by kind of work.
     pub closed_queues: u64,
     /// The longest wait that new jobs of any queue can expect, in milliseconds.
     pub longest_wait_ms: u64,
--- a/crates/jobs/tests/all/admission.rs
+++ b/crates/jobs/tests/all/admission.rs
@@ -4,7 +4,7 @@
 //! decides.
 
 use crate::common::{World, WorldSettings, chain, short};
-use gorsespur_jobs::{JobId, Outcome, WaitForecast};
+use gorsespur_jobs::{JobId, ORDER_SHARES, Outcome, WaitForecast, order_share};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use test_case::test_case;
 
@@ -92,12 +92,14 @@
 
     fn submit(&mut self) {
         self.asked += 1;
-        if self.door == Door::ByForecast && self.forecast.closed {
+        let number = 1000 + u64::from(self.asked);
+        let first_refused = ORDER_SHARES - self.forecast.refused;
+        if self.door == Door::ByForecast && order_share(JobId(number)) >= first_refused {
             self.refused += 1;
             return;
         }
         let spec = chain(vec![short(WIDTH, TASK_MS)]);
-        let id = self.world.submit(1000 + u64::from(self.asked), spec);
+        let id = self.world.submit(number, spec);
         self.open.push((id, self.world.now));
     }
 
@@ -131,6 +133,8 @@
     callers.send(0.6, 5000);
     callers.send(load, 20_000);
     callers.send(0.6, 10_000);
+    // The last jobs run to their ends.
+    callers.send(0.0, OBJECTIVE_MS);
     callers
 }
 
@@ -188,13 +192,13 @@
 fn a_new_owner_accepts_until_it_knows_the_pace() {
     let mut callers = Callers::new(1, Door::AcceptsAll);
     callers.send(2.0, 10_000);
-    assert!(callers.current().closed);
+    assert!(callers.current().refused > 0);
     let inherited = callers.world.lease_end();
     callers.world.take_over(inherited);
     for _ in 0..18 {
         callers.send(2.0, 100);
-        assert!(!callers.current().closed, "closed at once");
+        assert_eq!(callers.current().refused, 0, "refused at once");
     }
     callers.send(2.0, 4000);
-    assert!(callers.current().closed, "open after six seconds");
+    assert!(callers.current().refused > 0, "open after six seconds");
 }
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -492,6 +492,7 @@
 fn settings() -> Settings {
     Settings {
         log_rows: MAX_LOG_ROWS,
+        partial_admission: true,
         ..Settings::default()
     }
 }
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -8,7 +8,7 @@
 //! many instances is accepted beyond the capacity by what arrives within a second. Without recent
 //! figures, all jobs are accepted.
 
-use gorsespur_jobs::{QueueFigures, Spec, WaitForecast};
+use gorsespur_jobs::{ORDER_SHARES, QueueFigures, Spec, WaitForecast};
 
 /// Age from which figures count as unknown, in milliseconds. The owner writes them every 400 ms; an
 /// owner that has missed three times may be gone, and jobs must not be refused for its load.
@@ -69,6 +69,8 @@
     pub(crate) cpu: u64,
     /// Memory of its long-running tasks, in MB.
     pub(crate) memory: u64,
+    /// Its place among jobs that have not started, in thousandths of the order.
+    pub(crate) order: u32,
 }
 
 impl Needs {
@@ -92,6 +94,11 @@
         }
         needs
     }
+
+    /// Returns whether the job lies in the part of the order that is refused.
+    fn is_beyond(&self, forecast: &WaitForecast) -> bool {
+        self.order >= ORDER_SHARES.saturating_sub(forecast.refused)
+    }
 }
 
 /// Whether a job is accepted.
@@ -245,10 +252,10 @@
                 && needs.memory <= figures.long_running_memory;
             return (!fits).then_some(Reason::LongRunning);
         }
-        if needs.short && figures.short.closed {
+        if needs.short && needs.is_beyond(&figures.short) {
             return Some(Reason::Short);
         }
-        let is_refused = needs.best_effort && figures.best_effort.closed;
+        let is_refused = needs.best_effort && needs.is_beyond(&figures.best_effort);
         is_refused.then_some(Reason::BestEffort)
     }
 
@@ -276,7 +283,7 @@
             return needs.cpu <= figures.long_running_cpu / CLEAR_PART
                 && needs.memory <= figures.long_running_memory / CLEAR_PART;
         }
-        let is_clear = |f: &WaitForecast| !f.closed && f.wait <= f.slack / CLEAR_PART;
+        let is_clear = |f: &WaitForecast| f.refused == 0 && f.wait <= f.slack / CLEAR_PART;
         (!needs.short || is_clear(&figures.short))
             && (!needs.best_effort || is_clear(&figures.best_effort))
     }
--- a/crates/node/src/admission_control.rs
+++ b/crates/node/src/admission_control.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use gorsespur_jobs::Job;
+use gorsespur_jobs::{Job, order_share};
 
 use crate::{
     admission::{Admission, Decision, Needs, Reason, Refusal},
@@ -54,7 +54,10 @@
     if !shared.settings.admission || job.spec.schedule.repetitions > 0 {
         return Verdict::Accept;
     }
-    let needs = Needs::of(&job.spec);
+    let needs = Needs {
+        order: order_share(job.id),
+        ..Needs::of(&job.spec)
+    };
     let refusal = match decide(shared, &job.queue, &needs) {
         Decision::Accept => return Verdict::Accept,
         Decision::Unknown => {
--- a/crates/node/src/admission_control_tests.rs
+++ b/crates/node/src/admission_control_tests.rs
@@ -6,7 +6,7 @@
     time::Instant,
 };
 
-use gorsespur_jobs::{Job, JobId, QueueFigures, Schedule, Spec, Step, WaitForecast};
+use gorsespur_jobs::{Job, JobId, ORDER_SHARES, QueueFigures, Schedule, Spec, Step, WaitForecast};
 use test_case::test_case;
 
 use crate::{
@@ -21,7 +21,7 @@
 /// Figures by which no job is accepted.
 fn figures() -> FiguresRow {
     let closed = WaitForecast {
-        closed: true,
+        refused: ORDER_SHARES,
         ..WaitForecast::default()
     };
     FiguresRow {
--- a/crates/node/src/admission_tests.rs
+++ b/crates/node/src/admission_tests.rs
@@ -1,6 +1,6 @@
 //! Tests of which jobs are accepted by the figures of their queues.
 
-use gorsespur_jobs::{QueueFigures, Spec, Step, WaitForecast};
+use gorsespur_jobs::{ORDER_SHARES, QueueFigures, Spec, Step, WaitForecast};
 use test_case::test_case;
 
 use crate::admission::{Admission, Decision, Needs, Reason};
@@ -45,7 +45,7 @@
         wait: 3000,
         slack: 2000,
         retry_after: 4000,
-        closed,
+        refused: if closed { ORDER_SHARES } else { 0 },
     };
     QueueFigures {
         queue: "q".into(),
@@ -94,6 +94,28 @@
     assert_eq!(reason(&decision), expected);
 }
 
+/// Owners refuse a fifth of the order: the jobs that go last, each time they come.
+#[test_case(0, false)]
+#[test_case(799, false)]
+#[test_case(800, true)]
+#[test_case(999, true)]
+fn a_part_of_the_order_is_refused(order: u32, refused: bool) {
+    let mut row = figures(true, true);
+    row.short.refused = 200;
+    row.best_effort.refused = 200;
+    let mut admission = admission(row);
+    for step in [short(), best_effort()] {
+        let needs = Needs {
+            order,
+            ..needs(vec![step])
+        };
+        for _ in 0..2 {
+            let decision = admission.decide(10_000, "q", &needs);
+            assert_eq!(reason(&decision).is_some(), refused);
+        }
+    }
+}
+
 /// The row of an owner that is gone is read again and again, in the same version.
 #[test]
 fn figures_that_no_longer_change_refuse_nothing() {
