--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -29,7 +29,7 @@
     pub best_effort: WaitForecast,
 }
 
-/// The expected wait of a new job.
+/// The expected wait of a new job. The owner publishes the default, with which none is refused.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitForecast {
     /// Expected time until a task of the job starts, in milliseconds.
