jobs: bound the cost of lending on large fleets

Cause: each chosen plan outdates all others of its step, and they are rated again. Change: a choice rates at most 2,048 plans again, the rest waits for the next one; lent tasks are gone through every 20 ms and before each pass of placement.

--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -40,10 +40,10 @@
         self.send_polls();
         self.update_model();
         self.update_entitlements();
-        self.return_lent_tasks();
         if self.is_placement_due() {
             self.last_placement = self.now;
             self.stats.passes += 1;
+            self.return_lent_tasks();
             // The next pass continues a truncated one.
             self.placement_due = self.place_tasks() == Coverage::Partial;
             if !self.placement_due {
@@ -61,6 +61,7 @@
         self.expire_leases();
         self.check_leaving();
         self.add_repetitions();
+        self.return_lent_tasks();
         self.send_stops();
         self.send_paces();
     }
--- a/crates/jobs/src/lending/choice.rs
+++ b/crates/jobs/src/lending/choice.rs
@@ -14,6 +14,10 @@
 /// would cost the long-running steps more than it gains.
 const MAX_VICTIMS: usize = 4;
 
+/// Number of plans that are rated again in one choice. Each chosen plan outdates those of the same
+/// step, and the rest waits for the next choice, which comes within a fraction of a second.
+const MAX_RATINGS: usize = 2048;
+
 /// The resource of which least is left, in which shortages are measured.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Resource {
@@ -100,7 +104,10 @@
         plans.extend(problem.plan(offer).map(Reverse));
     }
     let mut chosen = Vec::new();
-    while let Some(Reverse(old)) = plans.pop() {
+    for _ in 0..MAX_RATINGS {
+        let Some(Reverse(old)) = plans.pop() else {
+            break;
+        };
         // Earlier plans have changed the turns, and what is left.
         let Some(plan) = problem.plan(old.offer) else {
             continue;
--- a/crates/jobs/src/lending/choice_tests.rs
+++ b/crates/jobs/src/lending/choice_tests.rs
@@ -172,3 +172,13 @@
     let chosen = choose(problem(9000, waiting(1000, 1000, 1), &[9], vec![worker]));
     assert!(chosen.is_empty());
 }
+
+/// One step runs on all workers, so that each stop outdates the plans of all others.
+#[test]
+fn a_choice_ends_before_all_plans_were_rated_again_for_each_stop() {
+    let worker = |index| offer(size(0, 1000), &[(0, index, size(1000, 0))]);
+    let offers = (0..256).map(worker).collect();
+    let chosen = choose(problem(256_000, waiting(1000, 1000, 256), &[256], offers));
+    // The first stop takes one rating, each further one as many as there are workers left.
+    assert!((8..=16).contains(&chosen.len()), "{}", chosen.len());
+}
