--- a/crates/jobs/src/lending/loans.rs
+++ b/crates/jobs/src/lending/loans.rs
@@ -7,7 +7,7 @@
     lending::{Lent, Phase},
     model::{ids::TaskId, task::Task},
     place::request::{LoanAccess, Request},
-    runs::worker::{Capacity, demand},
+    runs::worker::Capacity,
     scheduler::Scheduler,
 };
 
@@ -72,14 +72,13 @@
         if worker.lent == Capacity::default() || request.access == LoanAccess::Full {
             return true;
         }
-        let mut taken = worker.used;
-        taken.add(worker.lent);
+        let mut own = Capacity::default();
         for lent in self.lender.lent.iter().filter(|l| l.slot == slot) {
             if lent.returns_to_step(request.first_task) {
-                taken.subtract(lent.size);
+                own.add(lent.size);
             }
         }
-        worker.capacity().has_room(taken, demand(request.step))
+        worker.has_room_beside_lent(request.step, own)
     }
 }
 
--- a/crates/jobs/src/lending/settings.rs
+++ b/crates/jobs/src/lending/settings.rs
@@ -6,11 +6,6 @@
 /// slower stops, what waits has missed its objective before there is capacity for it.
 const MAX_STOP_MS: u64 = 1000;
 
-/// Longest time from the stop of a task until it is placed again, in milliseconds. Users count a
-/// long-running task as lost 6 s after its last run; what remains is for a worker to become free
-/// and for the start.
-const MAX_AWAY_MS: u64 = 3500;
-
 /// Largest share of a step that may be away, in percent. Most of a step goes on, so that what it
 /// serves slows down rather than stops.
 const MAX_PERCENT: u32 = 50;
@@ -32,7 +27,8 @@
     },
     /// Tasks would be away for too long, or return before their capacity is of use.
     #[snafu(display(
-        "a task is away for {max_away} ms, not twice the {stop} ms of a stop to {MAX_AWAY_MS} ms"
+        "a task is away for {max_away} ms, not twice the {stop} ms of a stop to {} ms",
+        Lending::MAX_AWAY_MS
     ))]
     Away {
         /// Time away in milliseconds.
@@ -51,6 +47,11 @@
 }
 
 impl Lending {
+    /// Longest time from the stop of a task until it is placed again, in milliseconds. Users count
+    /// a long-running task as lost 6 s after its last run; what remains is for a worker to become
+    /// free and for the start.
+    pub const MAX_AWAY_MS: u64 = 3500;
+
     /// Returns the bounds: at most `percent` of a step are away at a time, and each task for at
     /// most `max_away` milliseconds from its stop, which takes up to `stop` milliseconds.
     pub fn new(percent: u32, max_away: u64, stop: u64) -> Result<Lending, LendingError> {
@@ -60,7 +61,7 @@
         );
         ensure!(stop <= MAX_STOP_MS, SlowStopSnafu { stop });
         ensure!(
-            (2 * stop..=MAX_AWAY_MS).contains(&max_away) && max_away > 0,
+            (2 * stop..=Lending::MAX_AWAY_MS).contains(&max_away) && max_away > 0,
             AwaySnafu { max_away, stop }
         );
         Ok(Lending {
--- a/crates/jobs/src/model/step.rs
+++ b/crates/jobs/src/model/step.rs
@@ -112,24 +112,22 @@
 
     /// Returns the indices of the tasks that need a run now and need no isolation.
     pub(crate) fn waiting_tasks(&self, now: u64) -> Vec<u32> {
-        if self.unassigned == 0 {
-            return Vec::new();
-        }
-        let tasks = (0..).zip(&self.tasks);
-        let waiting = tasks.filter(|(_, t)| t.is_waiting(now) && !t.needs_isolation(now));
-        waiting.map(|(index, _)| index).collect()
+        self.waiting(now).collect()
     }
 
     /// Returns the number of tasks that need a run now and need no isolation.
     pub(crate) fn waiting_count(&self, now: u64) -> u64 {
-        if self.unassigned == 0 {
-            return 0;
-        }
-        let waiting = self
-            .tasks
-            .iter()
-            .filter(|t| t.is_waiting(now) && !t.needs_isolation(now));
-        waiting.count() as u64
+        self.waiting(now).count() as u64
+    }
+
+    fn waiting(&self, now: u64) -> impl Iterator<Item = u32> {
+        let tasks = match self.unassigned {
+            0 => &[],
+            _ => &self.tasks[..],
+        };
+        let waiting = (0..).zip(tasks);
+        let waiting = waiting.filter(move |(_, t)| t.is_waiting(now) && !t.needs_isolation(now));
+        waiting.map(|(index, _)| index)
     }
 
     /// Returns the lowest progress of the tasks that are not done, in percent.
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -424,10 +424,12 @@
         self.lent.add(size);
     }
 
-    /// Returns whether a long-running task of a step fits into what is neither used nor lent.
-    pub(crate) fn has_room_beside_lent(&self, step: &Step) -> bool {
+    /// Returns whether a task of a step fits into what is neither used nor lent, but for what the
+    /// step itself has lent. Where nothing is lent, this is not checked.
+    pub(crate) fn has_room_beside_lent(&self, step: &Step, own: Capacity) -> bool {
         let mut taken = self.used;
         taken.add(self.lent);
+        taken.subtract(own);
         let is_lent = self.lent != Capacity::default();
         !is_lent || self.capacity().has_room(taken, demand(step))
     }
@@ -435,7 +437,7 @@
     /// Returns whether a task of a step leaves lent capacity soon after it is due.
     pub(crate) fn is_back_in_time(&self, step: &Step, now: u64) -> bool {
         let is_late = now + step.estimate > self.lent_until + MAX_OVERRUN_MS;
-        !is_late || self.has_room_beside_lent(step)
+        !is_late || self.has_room_beside_lent(step, Capacity::default())
     }
 
     /// Adds an orphan and reserves its capacity.
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -238,10 +238,7 @@
         if age > MAX_AGE_MS {
             return Decision::Unknown;
         }
-        let at = self
-            .queues
-            .binary_search_by(|s| (*s.figures.queue).cmp(queue));
-        let Ok(at) = at else {
+        let Some(at) = self.position(queue) else {
             return Decision::Unknown;
         };
         let state = &mut self.queues[at];
@@ -261,10 +258,14 @@
     }
 
     fn state(&self, queue: &str) -> Option<&QueueState> {
+        self.position(queue).map(|at| &self.queues[at])
+    }
+
+    fn position(&self, queue: &str) -> Option<usize> {
         let at = self
             .queues
             .binary_search_by(|s| (*s.figures.queue).cmp(queue));
-        at.ok().map(|at| &self.queues[at])
+        at.ok()
     }
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,7 +9,7 @@
 };
 
 use gorsespur_http::Traffic;
-use gorsespur_jobs::{QueueShare, Stats};
+use gorsespur_jobs::{Capacity, QueueShare, Stats};
 use hdrhistogram::Histogram;
 
 /// Significant decimal digits of histograms.
@@ -243,28 +243,16 @@
 
 /// Writes the gauges of one queue and kind of work.
 fn write_share(out: &mut String, share: &QueueShare) {
-    let (queue, kind) = (&share.queue, share.kind);
+    let labels = format!("queue=\"{}\",kind=\"{}\"", share.queue, share.kind);
     let rows = [
         ("held", share.held),
         ("waiting", share.waiting),
         ("entitled", share.entitled),
     ];
-    for (name, capacity) in rows {
-        let labels = format!("queue=\"{queue}\",kind=\"{kind}\"");
-        let _ = writeln!(
-            out,
-            "gorsespur_queue_{name}_cpu{{{labels}}} {}",
-            capacity.cpu
-        );
-        let _ = writeln!(
-            out,
-            "gorsespur_queue_{name}_memory{{{labels}}} {}",
-            capacity.memory
-        );
+    for (name, Capacity { cpu, memory, .. }) in rows {
+        let _ = writeln!(out, "gorsespur_queue_{name}_cpu{{{labels}}} {cpu}");
+        let _ = writeln!(out, "gorsespur_queue_{name}_memory{{{labels}}} {memory}");
     }
     let short = u8::from(share.is_short);
-    let _ = writeln!(
-        out,
-        "gorsespur_queue_short{{queue=\"{queue}\",kind=\"{kind}\"}} {short}"
-    );
+    let _ = writeln!(out, "gorsespur_queue_short{{{labels}}} {short}");
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -60,6 +60,18 @@
     pub until: &'a str,
 }
 
+impl<'a> Range<'a> {
+    /// Returns the range of one row; `until` is the next possible key.
+    fn row(table: &'a str, part: &'a str, key: &'a str, until: &'a str) -> Range<'a> {
+        Range {
+            table,
+            part,
+            from: key,
+            until,
+        }
+    }
+}
+
 /// Rows read at one version of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
@@ -195,8 +207,7 @@
         let mut all = self.store.read(range, self.traffic)?;
         while all.more {
             let last = all.rows.last().map(|r| r.key.clone()).unwrap_or_default();
-            // The smallest key greater than the last one.
-            let from = format!("{last}\0");
+            let from = key_after(&last);
             let range = Range {
                 from: &from,
                 ..range
@@ -215,13 +226,8 @@
         part: &str,
         key: &str,
     ) -> Result<Option<Row>, StoreError> {
-        let until = format!("{key}\0");
-        let range = Range {
-            table,
-            part,
-            from: key,
-            until: &until,
-        };
+        let until = key_after(key);
+        let range = Range::row(table, part, key, &until);
         let page = self.store.read(range, self.traffic)?;
         Ok(page.rows.into_iter().next())
     }
@@ -234,14 +240,14 @@
         key: &str,
         limit: Duration,
     ) -> Result<Option<Row>, StoreError> {
-        let until = format!("{key}\0");
-        let range = Range {
-            table,
-            part,
-            from: key,
-            until: &until,
-        };
+        let until = key_after(key);
+        let range = Range::row(table, part, key, &until);
         let page = self.store.read_within(range, limit, self.traffic)?;
         Ok(page.rows.into_iter().next())
     }
 }
+
+/// Returns the smallest key greater than another one.
+fn key_after(key: &str) -> String {
+    format!("{key}\0")
+}
