--- a/review/stand/src/crashed_worker.rs
+++ b/review/stand/src/crashed_worker.rs
@@ -9,6 +9,7 @@
 use crate::{
     Verdict, record,
     system::{Fleet, Route, System},
+    worker::Ids,
 };
 
 const JOB: &str = "5c0e7a21d94b36f8";
@@ -19,6 +20,7 @@
 const FLEET: Fleet = Fleet {
     count: 8,
     name: "weldcert-worker-7f9c6d5b8.shah-alam.klang-valley",
+    ids: Ids::New,
 };
 
 /// How long the case waits for all tasks to run.
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -95,25 +95,33 @@
     }
 }
 
-/// The next port that [`free_addr`] tries. It lies below the ports that the system gives to
-/// outgoing channels, so that an address stays free while nobody listens there.
-static NEXT_PORT: OnceLock<AtomicU16> = OnceLock::new();
-
-const PORTS: std::ops::Range<u16> = 10_000..30_000;
+/// Ports below those that the system gives to outgoing channels, so that an address stays free while
+/// nobody listens there.
+const FIRST_PORT: u16 = 10_000;
+
+/// Ports that one run of this program has to itself: it listens on the first one all the time.
+const BLOCK: u16 = 64;
+const BLOCKS: u16 = 300;
+
+/// The guard of this run's block, and the next port.
+static PORTS: OnceLock<(TcpListener, AtomicU16)> = OnceLock::new();
+
+fn reserve_block() -> (TcpListener, AtomicU16) {
+    let start = std::process::id() as u16 % BLOCKS;
+    for offset in 0..BLOCKS {
+        let first = FIRST_PORT + (start + offset) % BLOCKS * BLOCK;
+        if let Ok(guard) = TcpListener::bind(("127.0.0.1", first)) {
+            return (guard, AtomicU16::new(first + 1));
+        }
+    }
+    panic!("no free ports");
+}
 
 /// Returns a loopback address that nobody listens on.
 pub fn free_addr() -> SocketAddr {
-    let next = NEXT_PORT.get_or_init(|| {
-        let offset = u64::from(std::process::id()) * 97 % PORTS.len() as u64;
-        AtomicU16::new(PORTS.start + offset as u16)
-    });
+    let (_, next) = PORTS.get_or_init(reserve_block);
     loop {
-        let port = next.fetch_add(1, Ordering::Relaxed);
-        if port >= PORTS.end {
-            next.store(PORTS.start, Ordering::Relaxed);
-            continue;
-        }
-        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        let addr = SocketAddr::from(([127, 0, 0, 1], next.fetch_add(1, Ordering::Relaxed)));
         if TcpListener::bind(addr).is_ok() {
             return addr;
         }
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -8,6 +8,7 @@
 mod deadly_task;
 mod http;
 mod json;
+mod late_start;
 mod record;
 mod removed_route;
 mod store;
@@ -32,13 +33,8 @@
     let trouble = std::env::var("TROUBLE").is_ok_and(|t| t == "0");
     let trouble = !trouble;
     record::line(&format!("case {case}, TROUBLE={}", u8::from(trouble)));
-    let verdict = match case.as_str() {
-        "removed-route" => removed_route::play(Path::new(root), trouble),
-        "cancelled-job" => cancelled_job::play(Path::new(root), trouble),
-        "crashed-worker" => crashed_worker::play(Path::new(root), trouble),
-        "deadly-task" => deadly_task::play(Path::new(root), trouble),
-        _ => Err(format!("unknown case {case}")),
-    };
+    let played = std::panic::catch_unwind(|| play(Path::new(root), case, trouble));
+    let verdict = played.unwrap_or_else(|_| Err("a stand-in failed".into()));
     match verdict {
         Ok(true) => {
             record::line("the rule was broken");
@@ -54,3 +50,14 @@
         }
     }
 }
+
+fn play(root: &Path, case: &str, trouble: bool) -> Verdict {
+    match case {
+        "removed-route" => removed_route::play(root, trouble),
+        "cancelled-job" => cancelled_job::play(root, trouble),
+        "crashed-worker" => crashed_worker::play(root, trouble),
+        "deadly-task" => deadly_task::play(root, trouble),
+        "late-start" => late_start::play(root, trouble),
+        _ => Err(format!("unknown case {case}")),
+    }
+}
--- a/review/stand/src/system.rs
+++ b/review/stand/src/system.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -16,7 +16,7 @@
     json::Json,
     record,
     store::Store,
-    worker::{Seen, Worker},
+    worker::{Ids, Seen, Shared, Worker},
 };
 
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -37,18 +37,20 @@
 pub struct Fleet {
     pub count: usize,
     pub name: &'static str,
+    pub ids: Ids,
 }
 
 pub const SIX_WORKERS: Fleet = Fleet {
     count: 6,
     name: "w",
+    ids: Ids::New,
 };
 
 pub struct System {
     pub workers: Vec<Arc<Worker>>,
     pub store: Arc<Store>,
-    /// What all workers saw.
-    pub seen: Arc<Mutex<Vec<Seen>>>,
+    /// What all workers saw and share.
+    pub shared: Shared,
     pub fronts: Vec<SocketAddr>,
     metrics: Vec<SocketAddr>,
     children: Vec<Child>,
@@ -59,13 +61,12 @@
     /// Starts the stand-ins and three instances, one a zone. Fails if these don't serve.
     pub fn start(root: &Path, routes: &[Route], fleet: &Fleet) -> Result<System, String> {
         let store = Store::new();
-        let seen = Arc::new(Mutex::new(Vec::new()));
         let dir = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&dir).map_err(|err| err.to_string())?;
         let mut system = System {
             workers: Vec::new(),
             store,
-            seen,
+            shared: Shared::default(),
             fronts: Vec::new(),
             metrics: Vec::new(),
             children: Vec::new(),
@@ -78,7 +79,7 @@
                 format!("r1-{}", index % 3),
             );
             let place = [SERVICE, ZONES[index % ZONES.len()], &rack];
-            let worker = Worker::start(&host, place, &system.store, &system.seen);
+            let worker = Worker::start(&host, fleet.ids, place, &system.store, &system.shared);
             system.workers.push(worker);
         }
         for index in 0..ZONES.len() {
@@ -208,12 +209,28 @@
 
     /// Returns an instance that has not given an order yet, as its metrics say.
     pub fn bystander(&self) -> Option<usize> {
+        self.find_by_takeovers(|count| count == 0)
+    }
+
+    /// Returns the instance that gives the orders.
+    pub fn owner(&self) -> Option<usize> {
+        self.find_by_takeovers(|count| count > 0)
+    }
+
+    /// Kills an instance.
+    pub fn kill(&mut self, instance: usize) {
+        record::line(&format!("SIGKILL to the instance of {}", ZONES[instance]));
+        let _ = self.children[instance].kill();
+    }
+
+    fn find_by_takeovers(&self, fits: impl Fn(u64) -> bool) -> Option<usize> {
         let limit = Duration::from_secs(1);
         (0..self.metrics.len()).find(|&index| {
             let answer = call(self.metrics[index], "GET", "/metrics", &[], "", limit);
             answer.is_some_and(|(_, text)| {
                 let line = text.lines().find(|l| l.starts_with(TAKEOVERS));
-                line.is_some_and(|l| l.ends_with(" 0"))
+                let count = line.and_then(|l| l.rsplit(' ').next()?.parse().ok());
+                count.is_some_and(&fits)
             })
         })
     }
@@ -235,7 +252,7 @@
 
     /// Returns what the workers saw of the tasks of one step of a job.
     pub fn seen_of(&self, job: &str, step: usize) -> Vec<Seen> {
-        let seen = self.seen.lock().expect("lock");
+        let seen = self.shared.seen.lock().expect("lock");
         let prefix = format!("{job}.0.{step}.");
         let found = seen.iter().filter(|s| s.task.starts_with(&prefix));
         found.cloned().collect()
--- a/review/stand/src/worker.rs
+++ b/review/stand/src/worker.rs
@@ -26,6 +26,9 @@
 /// Time after which a crashed worker is back.
 const DOWN: Duration = Duration::from_secs(3);
 
+/// A worker that is cut off crashes this long after the cut, and starts again after as long.
+const REBORN: Duration = Duration::from_millis(1000);
+
 /// Time after which the entry of a crashed worker disappears: three beats.
 const LAPSE: Duration = Duration::from_millis(4500);
 
@@ -73,9 +76,12 @@
 }
 
 impl State {
-    /// Returns the id of this life, which appears nowhere else.
-    fn id(&self, host: &str) -> String {
-        format!("{host}-life{}", self.life)
+    /// Returns the id of this life: one that appears nowhere else, or the one that it had.
+    fn id(&self, host: &str, ids: Ids) -> String {
+        match ids {
+            Ids::New => format!("{host}-life{}", self.life),
+            Ids::Kept => host.to_owned(),
+        }
     }
 
     fn new(life: u64) -> State {
@@ -94,14 +100,45 @@
         }
     }
 
+    /// Returns the steady clock, which starts anew with each life. The first one began long ago.
     fn clock(&self) -> u64 {
-        1000 + self.start.elapsed().as_millis() as u64
+        let base = if self.life == 1 { 400_000 } else { 1000 };
+        base + self.start.elapsed().as_millis() as u64
     }
 }
 
+/// What all workers share.
+#[derive(Default)]
+pub struct Shared {
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+    pub trouble: Arc<Mutex<Option<Trouble>>>,
+}
+
+/// Under which id a worker starts again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ids {
+    New,
+    Kept,
+}
+
+/// What happens on the link to the worker that is sent the next start.
+#[derive(Debug, Clone, Copy)]
+pub struct Trouble {
+    /// The link holds the start up and delivers it after this time; it gets no answer.
+    pub late: Duration,
+    /// The worker is cut off from all instances for this time, and crashes and starts again
+    /// behind the cut.
+    pub cut: Duration,
+}
+
 pub struct Worker {
     /// The name of the machine.
     host: String,
+    ids: Ids,
+    /// Shared by all workers.
+    trouble: Arc<Mutex<Option<Trouble>>>,
+    /// Until when the worker is cut off.
+    cut_until: Mutex<Option<Instant>>,
     server: OnceLock<Arc<Server>>,
     state: Mutex<State>,
     changed: Condvar,
@@ -112,16 +149,20 @@
     /// Starts a worker of a service, in a zone and a rack; it announces itself in the store.
     pub fn start(
         host: &str,
+        ids: Ids,
         place: [&str; 3],
         store: &Arc<Store>,
-        seen: &Arc<Mutex<Vec<Seen>>>,
+        shared: &Shared,
     ) -> Arc<Worker> {
         let worker = Arc::new(Worker {
             host: host.to_owned(),
             server: OnceLock::new(),
             state: Mutex::new(State::new(1)),
             changed: Condvar::new(),
-            seen: seen.clone(),
+            seen: shared.seen.clone(),
+            trouble: shared.trouble.clone(),
+            cut_until: Mutex::new(None),
+            ids,
         });
         let served = worker.clone();
         let server = Server::start(Arc::new(move |request| served.handle(request)));
@@ -138,7 +179,7 @@
                 }
                 seq += 1;
                 let is_down = state.back_at.is_some();
-                let id = state.id(&beating.host);
+                let id = state.id(&beating.host, beating.ids);
                 let (born, clock) = (state.born, state.clock());
                 drop(state);
                 if is_down {
@@ -167,7 +208,7 @@
 
     /// Crashes the worker.
     pub fn crash_now(&self) {
-        self.crash(&mut self.state.lock().expect("lock"));
+        self.crash(&mut self.state.lock().expect("lock"), DOWN);
     }
 
     /// Returns the number of runs here.
@@ -183,7 +224,10 @@
                 if let Some(server) = self.server.get() {
                     server.come_back();
                 }
-                record::line(&format!("worker {}: is there", state.id(&self.host)));
+                record::line(&format!(
+                    "worker {}: is there",
+                    state.id(&self.host, self.ids)
+                ));
                 self.changed.notify_all();
             }
             return;
@@ -193,7 +237,7 @@
             r.crash_ms.is_some_and(|ms| worked >= ms)
         };
         if state.running.iter().any(is_deadly) {
-            return self.crash(state);
+            return self.crash(state, DOWN);
         }
         let is_over = state.clock() > state.lease_end;
         let mut at = 0;
@@ -223,7 +267,7 @@
         self.seen.lock().expect("lock")[run.seen].ended = Some((record::now(), how));
         record::line(&format!(
             "worker {}: {} run {} ends {how}",
-            state.id(&self.host),
+            state.id(&self.host, self.ids),
             run.task,
             run.run
         ));
@@ -231,8 +275,11 @@
     }
 
     /// Ends the process with all its runs. Its machine refuses connections until it is back.
-    fn crash(&self, state: &mut MutexGuard<'_, State>) {
-        record::line(&format!("worker {}: crashes", state.id(&self.host)));
+    fn crash(&self, state: &mut MutexGuard<'_, State>, down: Duration) {
+        record::line(&format!(
+            "worker {}: crashes",
+            state.id(&self.host, self.ids)
+        ));
         if let Some(server) = self.server.get() {
             server.go_away();
         }
@@ -240,11 +287,63 @@
         for run in std::mem::take(&mut state.running) {
             seen[run.seen].ended = Some((record::now(), "crashed"));
         }
-        state.back_at = Some(Instant::now() + DOWN);
+        state.back_at = Some(Instant::now() + down);
         self.changed.notify_all();
     }
 
-    fn handle(&self, request: Request) -> Reply {
+    fn handle(self: &Arc<Worker>, request: Request) -> Reply {
+        let is_start = request.path == "/run-start";
+        let trouble = self.trouble.lock().expect("lock").take_if(|_| is_start);
+        if let Some(trouble) = trouble {
+            self.begin_trouble(trouble, request);
+            return Reply::Silence;
+        }
+        if self.is_cut() {
+            return Reply::Silence;
+        }
+        let reply = self.carry_out(request);
+        match self.is_cut() {
+            true => Reply::Silence,
+            false => reply,
+        }
+    }
+
+    fn is_cut(&self) -> bool {
+        let until = *self.cut_until.lock().expect("lock");
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Cuts the worker off, restarts it behind the cut, and delivers a start late.
+    fn begin_trouble(self: &Arc<Worker>, trouble: Trouble, start: Request) {
+        *self.cut_until.lock().expect("lock") = Some(Instant::now() + trouble.cut);
+        record::line(&format!(
+            "link to {}: a start is held up for {} ms; the worker is cut off for {} ms",
+            self.host,
+            trouble.late.as_millis(),
+            trouble.cut.as_millis()
+        ));
+        let crashing = self.clone();
+        thread::spawn(move || {
+            thread::sleep(REBORN);
+            crashing.crash(&mut crashing.state.lock().expect("lock"), REBORN);
+        });
+        let late = self.clone();
+        thread::spawn(move || {
+            thread::sleep(trouble.late);
+            record::line(&format!(
+                "link to {}: the late start is delivered",
+                late.host
+            ));
+            late.carry_out(start);
+        });
+        let healing = self.clone();
+        thread::spawn(move || {
+            thread::sleep(trouble.cut);
+            record::line(&format!("link to {}: the cut has healed", healing.host));
+        });
+    }
+
+    fn carry_out(&self, request: Request) -> Reply {
         let mut state = self.state.lock().expect("lock");
         self.advance(&mut state);
         if state.back_at.is_some() {
@@ -253,7 +352,7 @@
         if request.method == "GET" {
             return Reply::Answer(200, "{}".into());
         }
-        if request.header("x-expect-instance") != state.id(&self.host) {
+        if request.header("x-expect-instance") != state.id(&self.host, self.ids) {
             return Reply::Answer(421, "{}".into());
         }
         let Ok(body) = Json::parse(&request.body) else {
@@ -318,7 +417,7 @@
                 });
                 record::line(&format!(
                     "worker {}: {task} run {run} starts",
-                    state.id(&self.host)
+                    state.id(&self.host, self.ids)
                 ));
                 confirm(&state)
             }
