--- a/review/stand/src/deadly_task.rs
+++ b/review/stand/src/deadly_task.rs
@@ -41,7 +41,7 @@
     let is_over = AtomicBool::new(false);
     thread::scope(|scope| {
         scope.spawn(|| {
-            for number in 0x1000.. {
+            for number in (0x1001_u64..).step_by(16) {
                 if is_over.load(Ordering::Relaxed) {
                     return;
                 }
