jobs, ctl: say that a job stands still because its queue has no policy

What operators saw: an accepted job of a removed route stands still, and neither a log line nor `explain` told why; `explain` called it waiting for capacity. Of the paths that ask for a queue's policy none says that it skips a job, so that the hypotheses could not be told apart:

- the ends of the first step are lost, or the second step isn't ready;
- no worker is open, or each one refuses the task;
- placement doesn't run;
- the policy of the job's queue isn't found, and the job is skipped.

Change: the check of starved jobs, once a second and for four jobs at most, logs "job: its queue has no policy"; `explain` names it as the cause until a task starts.

The new test of `explain` passes; it names a new cause, so that it does not compile before.

--- a/crates/ctl/src/explain/cause.rs
+++ b/crates/ctl/src/explain/cause.rs
@@ -1,6 +1,6 @@
 //! Main cause of a job's outcome or duration.
 
-use std::fmt;
+use std::{fmt, sync::Arc};
 
 use serde::Serialize;
 
@@ -37,6 +37,11 @@
     },
     /// The caller cancelled the job.
     Cancelled,
+    /// No task starts because the owner does not know the policy of the queue.
+    NoPolicy {
+        /// Name of the queue.
+        queue: Arc<str>,
+    },
     /// The largest share of the time, nothing ran because no instance held the lease.
     NoOwner {
         /// Time without an owner, in milliseconds.
@@ -88,6 +93,9 @@
         match timeline.outcome.as_deref() {
             Some("Failed") => Cause::failed(timeline),
             Some("Cancelled") => Cause::Cancelled,
+            None if let Some(queue) = &timeline.unknown_queue => Cause::NoPolicy {
+                queue: queue.clone(),
+            },
             _ => Cause::longest(timeline),
         }
     }
@@ -100,6 +108,7 @@
             Cause::Failed { .. } => "failed",
             Cause::Crashed { .. } => "crashed workers",
             Cause::Cancelled => "cancelled",
+            Cause::NoPolicy { .. } => "no policy",
             Cause::NoOwner { .. } => "no owner",
             Cause::Waited { .. } => "waited",
             Cause::FailedRuns { .. } => "failed runs",
@@ -183,6 +192,10 @@
                 write!(f, "task {task} crashed {workers} workers that started it")
             }
             Cause::Cancelled => write!(f, "its caller cancelled it"),
+            Cause::NoPolicy { queue } => write!(
+                f,
+                "queue {queue} is not configured, and its policy is not known"
+            ),
             Cause::NoOwner { ms } => write!(f, "no instance owned the lease for {ms} ms"),
             Cause::Waited { ms } => write!(f, "it waited for room or its turn for {ms} ms"),
             Cause::FailedRuns { ms } => write!(f, "runs of {ms} ms in all failed"),
--- a/crates/ctl/src/explain/timeline.rs
+++ b/crates/ctl/src/explain/timeline.rs
@@ -114,6 +114,9 @@
     /// Task that crashed its workers, which made the job fail.
     #[serde(rename = "crashed")]
     pub crashing_task: Option<String>,
+    /// Queue without a policy, because of which no task of the job starts.
+    #[serde(rename = "no_policy")]
+    pub unknown_queue: Option<Arc<str>>,
     /// Outcome of the job; `None` if the logs don't contain it.
     pub outcome: Option<String>,
     /// Queue that the job was submitted to.
@@ -187,8 +190,12 @@
                 self.queue = line.queue.clone();
             }
             "job: a task crashes its workers" => self.crashing_task = line.task.clone(),
+            "job: its queue has no policy" => self.unknown_queue = line.queue.clone(),
             "jobs: ended" => self.outcome = line.outcome.clone(),
-            "start: sent" => self.start_run(line, line.ms),
+            "start: sent" => {
+                self.unknown_queue = None;
+                self.start_run(line, line.ms);
+            }
             "run: ended" => self.end_run(line, line.how.clone()),
             "run: not there" | "run: lost with its worker" => {
                 self.end_run(line, Some(LOST.to_owned()))
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -107,6 +107,19 @@
     assert_eq!(cause(&log_of_one_run(before, started, ended)), expected);
 }
 
+/// A job that no instance could place was reported as waiting for capacity.
+#[test]
+fn a_queue_without_a_policy_is_the_cause_until_a_task_starts() {
+    let no_policy = format!(
+        r#"
+{{"ms":4100,"node":"b","msg":"job: its queue has no policy","task":"{JOB}.0.0.0","queue":"q","still_ms":3090}}"#
+    );
+    let expected = Cause::NoPolicy { queue: "q".into() };
+    assert_eq!(cause(&format!("{ACCEPTED}{no_policy}")), expected);
+    let log = log_of_one_run(&no_policy, 5000, 5500);
+    assert_eq!(cause(&log), Cause::Waited { ms: 4000 });
+}
+
 #[test]
 fn a_slowed_run_is_the_cause() {
     let pace_line = |ms: u64, to: u64| {
--- a/crates/jobs/src/place/starvation.rs
+++ b/crates/jobs/src/place/starvation.rs
@@ -130,6 +130,7 @@
             .task(task)
             .is_some_and(|t| t.needs_isolation(self.now));
         let Some(service) = self.policy(&job.queue).map(|p| p.service.clone()) else {
+            log::warn!(task = task.to_string().as_str(), queue = &*job.queue, still_ms = self.now - since; "job: its queue has no policy");
             return;
         };
         let service = self.fleet.service(&service);
