jobs, node: carry out accepted jobs under the policy they were accepted by

What callers saw: POST is answered with 200, the operator removes the route, and the job stands still for good: no next step, no restart of tasks that last, no second attempt and no end by failures.

Cause: an accepted job held the name of its queue alone. Service, priority, attempts and objective were looked up in the configuration in force, so that nobody knew them once the route was gone. Six paths and the division of the capacity asked, and each did something else without an answer. An owner's memory alone can't mend it: after a takeover or a restart no process has seen the route.

Change: the write that accepts a job stores the policy in the job's row, behind the job, where earlier versions ignore it. The owner keeps the newest known policy of a removed queue until the queue has no open jobs, so that every path finds it by the same lookup, and the division counts what these jobs hold. New jobs of removed queues are told nothing. A gauge and a log line show removed queues with open jobs.

--- a/crates/jobs/benches/site.rs
+++ b/crates/jobs/benches/site.rs
@@ -96,6 +96,7 @@
             },
         );
         let policy = |queue: &str, priority| QueuePolicy {
+            version: 1,
             queue: queue.into(),
             service: "s".into(),
             priority,
--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -45,8 +45,10 @@
 impl Scheduler {
     /// Returns the figures of all queues, sorted by queue.
     pub fn queue_figures(&self) -> Vec<QueueFigures> {
-        let mut figures = Vec::with_capacity(self.queues.len());
-        for policy in &self.queues {
+        let mut figures = Vec::with_capacity(self.queues.iter().len());
+        // No new jobs come to removed queues.
+        for queue in self.queues.iter().filter(|q| q.is_configured) {
+            let policy = &queue.policy;
             let Some(row) = self.entitlement(&policy.queue, WorkKind::LongRunning) else {
                 continue;
             };
--- a/crates/jobs/src/entitlement/demand.rs
+++ b/crates/jobs/src/entitlement/demand.rs
@@ -77,8 +77,9 @@
 impl Scheduler {
     /// Returns the present demands of all queues, sorted by queue and kind. Peaks are not set.
     pub(crate) fn demands(&self, rooms: &[ServiceRoom]) -> Vec<QueueDemand> {
-        let mut rows = Vec::with_capacity(self.queues.len() * KINDS.len());
-        for policy in &self.queues {
+        let queues = self.queues.iter();
+        let mut rows = Vec::with_capacity(queues.len() * KINDS.len());
+        for policy in queues.map(|q| &q.policy) {
             rows.extend(KINDS.map(|kind| QueueDemand {
                 service: policy.service.clone(),
                 queue: policy.queue.clone(),
@@ -100,12 +101,11 @@
 
     /// Adds what a job holds and asks for.
     fn add_job(&self, state: &JobState, rooms: &[ServiceRoom], rows: &mut [QueueDemand]) {
-        // Policies and rows have the same order.
-        let queue = &state.job.queue;
-        let Ok(at) = self.queues.binary_search_by(|q| q.queue.cmp(queue)) else {
+        let Some(at) = self.queues.position(&state.job.queue) else {
             return;
         };
-        let policy = &self.queues[at];
+        let policy = self.queues.policy_at(at);
+        // Queues and rows have the same order.
         let rows = &mut rows[at * KINDS.len()..(at + 1) * KINDS.len()];
         let room = ServiceRoom::find(rooms, &policy.service);
         let is_late = self.is_late(state, policy);
--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -168,6 +168,9 @@
     Evacuated(Arc<[Arc<str>]>),
     /// The complete configuration of the queues, sorted by name.
     Queues(Vec<QueuePolicy>),
+    /// The policy under which a job was accepted, which may no longer be configured. Comes with or
+    /// before the job's own event.
+    AcceptedUnder(QueuePolicy),
     /// A worker answered an action, or did not.
     Answer {
         /// The worker.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 //! Modules:
 //!
 //! - [`model`]: jobs, steps, tasks and their records, without decisions;
+//! - [`queues`]: the policies of the queues, also of removed ones;
 //! - [`order`]: the order of the jobs;
 //! - [`entitlement`]: how the capacity is divided among the queues while it is short;
 //! - [`admission`]: which new jobs can be served;
@@ -40,6 +41,7 @@
 mod model;
 mod order;
 mod place;
+mod queues;
 mod runs;
 mod scheduler;
 mod settings;
@@ -62,6 +64,7 @@
     record::{Outcome, Record, RecordError},
     spec::{Job, Schedule, Spec, SpecError, Step},
 };
+pub use queues::RemovedQueue;
 pub use runs::{
     fencing::MAX_GENERATION,
     worker::{Capacity, WorkerInfo},
--- a/crates/jobs/src/model/policy.rs
+++ b/crates/jobs/src/model/policy.rs
@@ -2,9 +2,13 @@
 
 use std::sync::Arc;
 
-/// The policy of a queue.
-#[derive(Debug, Clone, PartialEq)]
+use serde::{Deserialize, Serialize};
+
+/// The policy of a queue. Encoded as an array, to save bytes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueuePolicy {
+    /// Version of the configuration that the policy is from.
+    pub version: u64,
     /// Name of the queue.
     pub queue: Arc<str>,
     /// The service whose workers run its tasks.
--- /dev/null
+++ b/crates/jobs/src/queues.rs
@@ -0,0 +1,243 @@
+//! The policies of the queues.
+//!
+//! An accepted job has to be carried out even if its queue is removed from the configuration, and
+//! the queue's policy says where and how often. So the newest known policy of a removed queue holds
+//! until the queue has no open jobs. It comes from the configurations that this owner has seen, and
+//! from the rows of accepted jobs, which hold the policy under which each job was accepted: an owner
+//! that took over later, or that is ahead of the instance that accepted a job, never saw the queue.
+//!
+//! Limits: a row that an earlier version wrote holds no policy.
+
+use std::sync::Arc;
+
+use crate::{model::policy::QueuePolicy, scheduler::Scheduler, sorted_map::SortedMap};
+
+/// Maximum number of queues that are logged each time; the others follow.
+const MAX_LOG_LINES: usize = 8;
+
+/// Open jobs of one queue.
+#[derive(Debug, Clone, Copy, Default)]
+struct OpenJobs {
+    count: u64,
+    /// When the oldest one was accepted, in milliseconds since the Unix epoch.
+    oldest: u64,
+}
+
+impl OpenJobs {
+    fn add(&mut self, accepted: u64) {
+        self.oldest = match self.count {
+            0 => accepted,
+            _ => self.oldest.min(accepted),
+        };
+        self.count += 1;
+    }
+}
+
+/// A queue with a known policy.
+#[derive(Debug)]
+pub(crate) struct Queue {
+    pub(crate) policy: QueuePolicy,
+    /// Whether the configuration in force has the queue.
+    pub(crate) is_configured: bool,
+    jobs: OpenJobs,
+    /// Whether its removal was logged.
+    is_logged: bool,
+}
+
+impl Queue {
+    fn new(policy: QueuePolicy, is_configured: bool) -> Queue {
+        Queue {
+            policy,
+            is_configured,
+            jobs: OpenJobs::default(),
+            is_logged: false,
+        }
+    }
+}
+
+/// Open jobs of a queue that the configuration in force does not have, as gauges for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RemovedQueue {
+    /// Name of the queue.
+    pub queue: Arc<str>,
+    /// Number of its open jobs.
+    pub jobs: u64,
+    /// Time since the oldest of them was accepted, in milliseconds.
+    pub oldest_ms: u64,
+    /// Whether its policy is known. If not, none of its tasks is started.
+    pub is_known: bool,
+}
+
+/// All queues with a known policy.
+#[derive(Debug, Default)]
+pub(crate) struct Queues {
+    /// Sorted by name.
+    rows: Vec<Queue>,
+    /// Open jobs of other queues, by queue.
+    unknown: SortedMap<Arc<str>, OpenJobs>,
+}
+
+impl Queues {
+    /// Returns the position of a queue in [`Queues::iter`].
+    pub(crate) fn position(&self, queue: &str) -> Option<usize> {
+        let at = self.rows.binary_search_by(|q| (*q.policy.queue).cmp(queue));
+        at.ok()
+    }
+
+    /// Returns the policy that holds for the jobs of a queue, if it is known.
+    pub(crate) fn policy(&self, queue: &str) -> Option<&QueuePolicy> {
+        self.position(queue).map(|at| self.policy_at(at))
+    }
+
+    /// Returns the policy of the queue at a position that [`Queues::position`] returned.
+    pub(crate) fn policy_at(&self, at: usize) -> &QueuePolicy {
+        &self.rows[at].policy
+    }
+
+    /// Returns all queues with a known policy, sorted by name.
+    pub(crate) fn iter(&self) -> impl ExactSizeIterator<Item = &Queue> {
+        self.rows.iter()
+    }
+
+    /// Puts the policies of a configuration in force, sorted by name. Other queues count as
+    /// removed, and keep their policies.
+    fn configure(&mut self, policies: Vec<QueuePolicy>) {
+        let mut earlier = std::mem::take(&mut self.rows).into_iter().peekable();
+        self.rows.reserve(policies.len());
+        for policy in policies {
+            while let Some(queue) = earlier.next_if(|q| q.policy.queue < policy.queue) {
+                self.push_removed(queue);
+            }
+            let known = earlier.next_if(|q| q.policy.queue == policy.queue);
+            let jobs = known.map_or(OpenJobs::default(), |q| q.jobs);
+            self.rows.push(Queue {
+                jobs,
+                ..Queue::new(policy, true)
+            });
+        }
+        for queue in earlier {
+            self.push_removed(queue);
+        }
+    }
+
+    fn push_removed(&mut self, queue: Queue) {
+        self.rows.push(Queue {
+            is_configured: false,
+            ..queue
+        });
+    }
+
+    /// Adds the policy under which a job was accepted, unless a newer one is known.
+    fn add_accepted(&mut self, policy: QueuePolicy) {
+        let at = self
+            .rows
+            .binary_search_by(|q| q.policy.queue.cmp(&policy.queue));
+        match at {
+            Ok(at) => {
+                let queue = &mut self.rows[at];
+                if !queue.is_configured && queue.policy.version < policy.version {
+                    queue.policy = policy;
+                }
+            }
+            Err(at) => self.rows.insert(at, Queue::new(policy, false)),
+        }
+    }
+
+    fn clear_jobs(&mut self) {
+        self.unknown = SortedMap::default();
+        for queue in &mut self.rows {
+            queue.jobs = OpenJobs::default();
+        }
+    }
+
+    fn add_job(&mut self, queue: &Arc<str>, accepted: u64) {
+        let jobs = match self.position(queue) {
+            Some(at) => &mut self.rows[at].jobs,
+            None => self.unknown.or_default(queue),
+        };
+        jobs.add(accepted);
+    }
+
+    /// Drops the removed queues without open jobs.
+    fn drop_unused(&mut self) {
+        self.rows.retain(|queue| {
+            let is_used = queue.is_configured || queue.jobs.count > 0;
+            if !is_used && queue.is_logged {
+                log::info!(queue = &*queue.policy.queue; "queue: the last job of a removed queue is over");
+            }
+            is_used
+        });
+    }
+
+    /// Logs the queues that were removed while they had open jobs.
+    fn log_removed(&mut self, wall_clock: u64) {
+        let removed = self
+            .rows
+            .iter_mut()
+            .filter(|q| !q.is_configured && q.jobs.count > 0 && !q.is_logged);
+        for queue in removed.take(MAX_LOG_LINES) {
+            queue.is_logged = true;
+            let (policy, jobs) = (&queue.policy, queue.jobs);
+            log::info!(
+                queue = &*policy.queue, jobs = jobs.count,
+                oldest_ms = wall_clock.saturating_sub(jobs.oldest), service = &*policy.service,
+                priority = policy.priority, attempts = policy.attempts, version = policy.version;
+                "queue: removed with open jobs"
+            );
+        }
+    }
+
+    /// Returns the queues with open jobs that the configuration in force does not have.
+    fn removed(&self, wall_clock: u64) -> Vec<RemovedQueue> {
+        let row = |queue: &Arc<str>, jobs: OpenJobs, is_known| RemovedQueue {
+            queue: queue.clone(),
+            jobs: jobs.count,
+            oldest_ms: wall_clock.saturating_sub(jobs.oldest),
+            is_known,
+        };
+        let known = self
+            .rows
+            .iter()
+            .filter(|q| !q.is_configured && q.jobs.count > 0);
+        let known = known.map(|q| row(&q.policy.queue, q.jobs, true));
+        let unknown = self.unknown.iter().map(|(q, &jobs)| row(q, jobs, false));
+        known.chain(unknown).collect()
+    }
+}
+
+impl Scheduler {
+    /// Returns the policy that holds for the jobs of a queue, if it is known.
+    pub(crate) fn policy(&self, queue: &str) -> Option<&QueuePolicy> {
+        self.queues.policy(queue)
+    }
+
+    /// Puts the policies of a configuration in force, sorted by name.
+    pub(crate) fn configure_queues(&mut self, policies: Vec<QueuePolicy>) {
+        self.queues.configure(policies);
+        self.placement_due = true;
+    }
+
+    /// Adds the policy under which a job was accepted.
+    pub(crate) fn add_accepted_policy(&mut self, policy: QueuePolicy) {
+        self.queues.add_accepted(policy);
+    }
+
+    /// Counts the open jobs of all queues, and drops and logs removed queues.
+    pub(crate) fn update_queues(&mut self) {
+        self.queues.clear_jobs();
+        for id in &self.open_jobs {
+            let state = self.jobs.get(id).filter(|j| !j.outcome.is_final());
+            if let Some(state) = state {
+                self.queues.add_job(&state.job.queue, state.job.accepted);
+            }
+        }
+        self.queues.drop_unused();
+        self.queues.log_removed(self.wall_clock);
+    }
+
+    /// Returns the queues with open jobs that the configuration in force does not have, as of the
+    /// last second.
+    pub fn removed_queues(&self) -> Vec<RemovedQueue> {
+        self.queues.removed(self.wall_clock)
+    }
+}
--- a/crates/jobs/src/runs/replaced_tests.rs
+++ b/crates/jobs/src/runs/replaced_tests.rs
@@ -50,6 +50,7 @@
             sent: Vec::new(),
         };
         owner.handle_event(Event::Queues(vec![QueuePolicy {
+            version: 1,
             queue: "q".into(),
             service: "s".into(),
             priority: 0,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -10,7 +10,6 @@
     model::{
         ids::{JobId, TaskId},
         job::JobState,
-        policy::QueuePolicy,
         record::{Outcome, Record, RecordError},
         spec::Job,
     },
@@ -18,6 +17,7 @@
     place::{
         aging::Aging, reservation::Reservation, start_window::StartWindow, starvation::StarvedJob,
     },
+    queues::Queues,
     runs::{fleet::Fleet, log::Log},
     settings::Settings,
     share::{interference::Interference, sample::Image, seasonality::Seasonality},
@@ -69,7 +69,7 @@
     /// Jobs whose records changed.
     pub(crate) dirty_jobs: Vec<JobId>,
     pub(crate) fleet: Fleet,
-    pub(crate) queues: Vec<QueuePolicy>,
+    pub(crate) queues: Queues,
     /// What each queue is entitled to.
     pub(crate) entitlements: Entitlements,
     /// The long-running tasks that pause for short work.
@@ -126,7 +126,7 @@
             starved_jobs: Vec::new(),
             dirty_jobs: Vec::new(),
             fleet,
-            queues: Vec::new(),
+            queues: Queues::default(),
             entitlements: Entitlements::default(),
             lender: Lender::new(now),
             interference: Interference::default(),
@@ -228,10 +228,8 @@
             }
             Event::WorkersSynced { asked_at } => self.fleet.record_sync(asked_at),
             Event::WorkerRemoved(id) => self.fleet.remove_announcement(&id),
-            Event::Queues(queues) => {
-                self.queues = queues;
-                self.placement_due = true;
-            }
+            Event::Queues(policies) => self.configure_queues(policies),
+            Event::AcceptedUnder(policy) => self.add_accepted_policy(policy),
             Event::Answer {
                 worker,
                 generation,
@@ -378,10 +376,4 @@
             }
         }
     }
-
-    /// Returns the policy of a queue, if the queue is configured.
-    pub(crate) fn policy(&self, queue: &str) -> Option<&QueuePolicy> {
-        let at = self.queues.binary_search_by(|q| (*q.queue).cmp(queue));
-        at.ok().map(|at| &self.queues[at])
-    }
 }
--- a/crates/jobs/tests/all/common/mod.rs
+++ b/crates/jobs/tests/all/common/mod.rs
@@ -17,7 +17,7 @@
 pub use orders::{Held, fencing_token};
 pub use sim::{Mode, SimWorker};
 pub use watched::{DRAIN_MS, MAX_STALL_MS, WatchedWorld};
-pub use world::{World, WorldSettings};
+pub use world::{World, WorldSettings, queue_policy};
 
 use gorsespur_jobs::{Spec, Step};
 
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use gorsespur_jobs::{
-    Batch, Event, Job, JobId, Lending, Outcome, QueueFigures, QueuePolicy, QueueShare, Scheduler,
-    Settings, Spec, Stats, Takeover, TaskId, WorkerInfo,
+    Batch, Event, Job, JobId, Lending, Outcome, QueueFigures, QueuePolicy, QueueShare,
+    RemovedQueue, Scheduler, Settings, Spec, Stats, Takeover, TaskId, WorkerInfo,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -133,6 +133,10 @@
     /// Rows of new incarnations: when to publish each, its worker and its start time.
     pub(super) pending_rows: Vec<(u64, usize, Option<u64>)>,
     pub ledger: Ledger,
+    /// The configuration in force.
+    pub policies: Vec<QueuePolicy>,
+    /// The policies under which jobs were accepted.
+    pub(super) accepted_under: BTreeMap<JobId, QueuePolicy>,
     pub(super) jobs: BTreeMap<JobId, Arc<Job>>,
     pub(super) cancelled: Vec<JobId>,
     /// Evacuated zones, each with the time of the request.
@@ -175,6 +179,8 @@
             rows: Vec::new(),
             pending_rows: Vec::new(),
             ledger: Ledger::default(),
+            policies: vec![queue_policy("q", settings.attempts)],
+            accepted_under: BTreeMap::new(),
             jobs: BTreeMap::new(),
             cancelled: Vec::new(),
             evacuated: BTreeMap::new(),
@@ -223,18 +229,13 @@
             stepped_down: false,
             clock: OwnerClock::new(self.now),
         };
-        let policy = QueuePolicy {
-            queue: "q".into(),
-            service: "s".into(),
-            priority: 0,
-            attempts: self.settings.attempts,
-            stretch: 1.5,
-            latency: 250,
-        };
-        owner
-            .scheduler
-            .handle(self.now, self.now, Event::Queues(vec![policy]));
-        for job in self.jobs.values() {
+        let policies = Event::Queues(self.policies.clone());
+        owner.scheduler.handle(self.now, self.now, policies);
+        for (id, job) in &self.jobs {
+            if let Some(policy) = self.accepted_under.get(id) {
+                let event = Event::AcceptedUnder(policy.clone());
+                owner.scheduler.handle(self.now, self.now, event);
+            }
             owner
                 .scheduler
                 .handle(self.now, self.now, Event::Accepted(job.clone()));
@@ -298,18 +299,38 @@
     }
 
     pub fn submit(&mut self, id: u64, spec: Spec) -> JobId {
+        let policy = self.policies.first().expect("a queue").clone();
+        self.submit_under(policy, id, spec)
+    }
+
+    /// Submits a job to an instance whose configuration has this policy.
+    pub fn submit_under(&mut self, policy: QueuePolicy, id: u64, spec: Spec) -> JobId {
         let id = JobId(id);
         let job = Arc::new(Job {
             id,
-            queue: "q".into(),
+            queue: policy.queue.clone(),
             accepted: 0,
             spec: Arc::new(spec),
         });
         self.jobs.insert(id, job.clone());
+        self.notify(Event::AcceptedUnder(policy.clone()));
+        self.accepted_under.insert(id, policy);
         self.notify(Event::Accepted(job));
         id
     }
 
+    /// Puts a configuration in force.
+    pub fn configure(&mut self, policies: &[QueuePolicy]) {
+        self.policies = policies.to_vec();
+        self.notify(Event::Queues(policies.to_vec()));
+    }
+
+    /// Returns the removed queues that have open jobs, as the newest owner sees them.
+    pub fn removed_queues(&self) -> Vec<RemovedQueue> {
+        let owner = self.owners.last();
+        owner.map_or(Vec::new(), |o| o.scheduler.removed_queues())
+    }
+
     /// Returns the submitted spec of a job.
     pub fn spec(&self, id: JobId) -> Spec {
         (*self.jobs[&id].spec).clone()
@@ -491,6 +512,19 @@
     }
 }
 
+/// Returns the policy of a queue on the service of all workers.
+pub fn queue_policy(queue: &str, attempts: u32) -> QueuePolicy {
+    QueuePolicy {
+        version: 1,
+        queue: queue.into(),
+        service: "s".into(),
+        priority: 0,
+        attempts,
+        stretch: 1.5,
+        latency: 250,
+    }
+}
+
 /// Returns the settings of an owner.
 fn settings(lending: Option<Lending>) -> Settings {
     Settings {
--- a/crates/jobs/tests/all/gangs.rs
+++ b/crates/jobs/tests/all/gangs.rs
@@ -49,6 +49,7 @@
             starts: Vec::new(),
         };
         owner.notify(Event::Queues(vec![QueuePolicy {
+            version: 1,
             queue: "q".into(),
             service: "s".into(),
             priority: 0,
--- a/crates/jobs/tests/all/log.rs
+++ b/crates/jobs/tests/all/log.rs
@@ -67,6 +67,7 @@
             commits_left: usize::MAX,
         };
         owner.notify(Event::Queues(vec![QueuePolicy {
+            version: 1,
             queue: "q".into(),
             service: "s".into(),
             priority: 0,
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod promises;
 mod records;
 mod regression;
+mod removed_queues;
 mod reservations;
 mod resizing;
 mod restarts;
--- a/crates/jobs/tests/all/records/simulation.rs
+++ b/crates/jobs/tests/all/records/simulation.rs
@@ -85,6 +85,7 @@
             self.notify(Event::Accepted(job));
         }
         self.notify(Event::Queues(vec![QueuePolicy {
+            version: 1,
             queue: "q".into(),
             service: "s".into(),
             priority: 0,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -16,7 +16,7 @@
     follow::refresh,
     metrics::{Count, Duty},
     rows::{
-        JOBS, LEASE, LeaseRow, OWNER_KEY, OWNER_PART, RECORDS, cancel_key, decode, encode, job_part,
+        JOBS, JobRow, LEASE, LeaseRow, OWNER_KEY, OWNER_PART, RECORDS, cancel_key, decode, job_part,
     },
     shared::Shared,
     store::{Expect, StoreError, Tx, Write},
@@ -139,13 +139,16 @@
             log::info!(job = id.to_string().as_str(), err = err.to_string().as_str(); "front: invalid job");
             return Response::new(400, Vec::new());
         }
-        let job = Job {
-            id,
-            queue: queue.policy.queue.clone(),
-            accepted: wall_ms(),
-            spec: Arc::new(spec),
+        let row = JobRow {
+            job: Job {
+                id,
+                queue: queue.policy.queue.clone(),
+                accepted: wall_ms(),
+                spec: Arc::new(spec),
+            },
+            policy: Some(queue.policy.clone()),
         };
-        match admission_control::check(&self.shared, &job) {
+        match admission_control::check(&self.shared, &row.job) {
             Verdict::Accept => {}
             Verdict::Exists => return Response::new(200, Vec::new()),
             Verdict::Refuse { retry_after_s } => {
@@ -164,7 +167,7 @@
             writes: vec![Write {
                 table: JOBS,
                 key: id.to_string(),
-                value: encode(&job),
+                value: row.encode(),
             }],
             removes: Vec::new(),
         };
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,7 +9,7 @@
 };
 
 use gorsespur_http::Traffic;
-use gorsespur_jobs::{Capacity, QueueShare, Stats};
+use gorsespur_jobs::{Capacity, QueueShare, RemovedQueue, Stats};
 use hdrhistogram::Histogram;
 
 /// Significant decimal digits of histograms.
@@ -103,6 +103,8 @@
     owner_stats: Mutex<Stats>,
     /// Shares of the queues, as of this instance's current or last time as the owner.
     queue_shares: Mutex<Vec<QueueShare>>,
+    /// Removed queues with open jobs, as of the same time.
+    removed_queues: Mutex<Vec<RemovedQueue>>,
 }
 
 impl Default for Metrics {
@@ -117,6 +119,7 @@
             accept_ms: Mutex::new(accept_ms),
             owner_stats: Mutex::default(),
             queue_shares: Mutex::default(),
+            removed_queues: Mutex::default(),
         }
     }
 }
@@ -158,6 +161,14 @@
             .unwrap_or_else(PoisonError::into_inner) = shares;
     }
 
+    /// Sets the removed queues with open jobs.
+    pub(crate) fn set_removed_queues(&self, queues: Vec<RemovedQueue>) {
+        *self
+            .removed_queues
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = queues;
+    }
+
     /// Returns all metrics as text, one per line.
     pub(crate) fn text(&self) -> String {
         let mut out = String::new();
@@ -237,10 +248,34 @@
         for share in queue_shares.iter() {
             write_share(&mut out, share);
         }
+        drop(queue_shares);
+        let removed_queues = self
+            .removed_queues
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for queue in removed_queues.iter() {
+            write_removed(&mut out, queue);
+        }
         out
     }
 }
 
+/// Writes the gauges of a removed queue with open jobs.
+fn write_removed(out: &mut String, removed: &RemovedQueue) {
+    let queue = &removed.queue;
+    let rows = [
+        ("jobs", removed.jobs),
+        ("oldest_ms", removed.oldest_ms),
+        ("policy_known", u64::from(removed.is_known)),
+    ];
+    for (name, count) in rows {
+        let _ = writeln!(
+            out,
+            "gorsespur_removed_queue_{name}{{queue=\"{queue}\"}} {count}"
+        );
+    }
+}
+
 /// Writes the gauges of one queue and kind of work.
 fn write_share(out: &mut String, share: &QueueShare) {
     let labels = format!("queue=\"{}\",kind=\"{}\"", share.queue, share.kind);
--- a/crates/node/src/owner/decision_loop.rs
+++ b/crates/node/src/owner/decision_loop.rs
@@ -198,6 +198,8 @@
             self.shared.metrics.set_owner_stats(self.scheduler.stats());
             let shares = self.scheduler.queue_shares();
             self.shared.metrics.set_queue_shares(shares);
+            let removed = self.scheduler.removed_queues();
+            self.shared.metrics.set_removed_queues(removed);
             for worker in self.scheduler.closable_workers() {
                 self.connections
                     .drop_worker(self.inbox.poll.registry(), worker);
--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     metrics::{Count, Duty},
-    rows::{JOBS, JobsRowKey, decode, parse_jobs_key},
+    rows::{JOBS, JobRow, JobsRowKey, parse_jobs_key},
     shared::Shared,
     store::{Changes, Row, StoreError},
 };
@@ -93,14 +93,15 @@
 
 /// Decodes the row of an accepted job; `None` for one that no instance would have written, since a
 /// foreign row may contain any number of tasks.
-pub(crate) fn read_job(shared: &Shared, row: &Row) -> Option<Job> {
-    let job = decode::<Job>("job", &row.value);
-    let job = job.filter(|j| j.spec.validate().is_ok() && j.id.to_string() == row.key);
-    if job.is_none() {
+pub(crate) fn read_job(shared: &Shared, row: &Row) -> Option<JobRow> {
+    let decoded = JobRow::decode(&row.value);
+    let is_valid = |j: &Job| j.spec.validate().is_ok() && j.id.to_string() == row.key;
+    let decoded = decoded.filter(|r| is_valid(&r.job));
+    if decoded.is_none() {
         shared.metrics.count(Count::BadRows);
         log::error!(key = row.key.as_str(); "jobs: invalid row of a job");
     }
-    job
+    decoded
 }
 
 /// Converts rows of accepted jobs to events, with cancellations last.
@@ -109,8 +110,11 @@
     for row in rows.iter().filter(|r| !r.removed) {
         match parse_jobs_key(&row.key) {
             Some(JobsRowKey::Job) => {
-                let job = read_job(shared, row);
-                events.extend(job.map(|j| Event::Accepted(Arc::new(j))));
+                let Some(JobRow { job, policy }) = read_job(shared, row) else {
+                    continue;
+                };
+                events.extend(policy.map(Event::AcceptedUnder));
+                events.push(Event::Accepted(Arc::new(job)));
             }
             Some(JobsRowKey::Cancel(id)) => cancels.push(Event::Cancelled(id)),
             None => log::warn!(key = row.key.as_str(); "jobs: unknown key"),
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -13,7 +13,7 @@
 use crate::{
     follow::refresh_at,
     metrics::{Count, Duty},
-    rows::{LEARNED, OWNER_KEY, OWNER_PART, decode},
+    rows::{JobRow, LEARNED, OWNER_KEY, OWNER_PART, decode},
     shared::Shared,
     store::{Row, StoreError},
 };
@@ -52,6 +52,7 @@
             }
         }
     }
+    let mut policies: Vec<Event> = Vec::new();
     let mut rows = contents.jobs;
     rows.retain(|row| {
         // Which tasks of such a job have run is unknown; if restarted, they might run twice.
@@ -64,7 +65,7 @@
         let Some(record) = record else {
             return true;
         };
-        let Some(job) = feed::read_job(shared, row) else {
+        let Some(JobRow { job, policy }) = feed::read_job(shared, row) else {
             return false;
         };
         if !record.is_valid_for(&job.spec) {
@@ -72,13 +73,16 @@
             log::error!(key = row.key.as_str(); "owner: record of another job, the job is left alone");
             return false;
         }
+        if !record.outcome.is_final() {
+            policies.extend(policy.map(Event::AcceptedUnder));
+        }
         scheduler.restore(Arc::new(job), &record);
         // Restored above, so that it needs no event of its own.
         false
     });
     let jobs = Cursor::new(contents.version);
     let mut workers = Cursor::from_start();
-    let mut events = Vec::new();
+    let mut events = policies;
     feed::job_events(shared, &rows, &mut events);
     if let Some(config) = shared.config() {
         events.push(Event::Queues(config.policies()));
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -1,8 +1,9 @@
 //! Tables, keys and values of the rows that nodes keep in the store.
 
-use std::sync::Arc;
+use std::{io::Cursor, sync::Arc};
 
-use gorsespur_jobs::{JobId, QueueFigures};
+use gorsespur_jobs::{Job, JobId, QueueFigures, QueuePolicy};
+use rmp_serde::Deserializer;
 use serde::{Deserialize, Serialize};
 
 use crate::census::Census;
@@ -133,6 +134,44 @@
     pub(crate) number: u64,
 }
 
+/// Value of the row of an accepted job.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct JobRow {
+    /// The job.
+    pub(crate) job: Job,
+    /// The policy under which the job was accepted; `None` if an earlier version wrote the row.
+    pub(crate) policy: Option<QueuePolicy>,
+}
+
+impl JobRow {
+    /// Encodes the job, and then the policy. Earlier versions read the job, and ignore what follows
+    /// it; a field more in the job itself would make the row unreadable for them.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut value = encode(&self.job);
+        value.extend(self.policy.as_ref().map(encode).unwrap_or_default());
+        value
+    }
+
+    /// Decodes a row; logs a malformed one and returns `None`. A malformed policy is left out.
+    pub(crate) fn decode(bytes: &[u8]) -> Option<JobRow> {
+        let mut decoder = Deserializer::new(Cursor::new(bytes));
+        let job = match Job::deserialize(&mut decoder) {
+            Ok(job) => job,
+            Err(err) => {
+                log::error!(what = "job", err = err.to_string().as_str(); "store: row can't be read");
+                return None;
+            }
+        };
+        let rest = &bytes[decoder.position() as usize..];
+        let policy = match rest {
+            [] => None,
+            _ => decode::<QueuePolicy>("policy of a job", rest),
+        };
+        let policy = policy.filter(|p| p.queue == job.queue);
+        Some(JobRow { job, policy })
+    }
+}
+
 /// Encodes a row's value.
 pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     // Encoding plain data into a vector can't fail.
--- a/crates/node/src/rows_tests.rs
+++ b/crates/node/src/rows_tests.rs
@@ -3,12 +3,12 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use gorsespur_jobs::JobId;
+use gorsespur_jobs::{Job, JobId, QueuePolicy, Spec, Step};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::{Deserialize, Serialize};
 use test_case::test_case;
 
-use crate::rows::{LeaseRow, decode, encode, job_part, job_parts};
+use crate::rows::{JobRow, LeaseRow, decode, encode, job_part, job_parts};
 
 /// Time of a write at a sixtieth of the store's speed, in milliseconds.
 const WRITE_MS: u64 = 480;
@@ -75,3 +75,98 @@
     let row: LeaseRow = decode("lease", &encode(&row)).expect("a lease");
     assert_eq!((row.owner.as_str(), row.epoch), ("other", 3));
 }
+
+/// The row of a job as versions before the policy write and read it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierJob {
+    id: JobId,
+    queue: Arc<str>,
+    accepted: u64,
+    spec: Spec,
+}
+
+fn job_row() -> JobRow {
+    let step = Step {
+        count: 3,
+        cpu: 500,
+        ..Step::default()
+    };
+    let spec = Spec {
+        payload: "text".into(),
+        steps: vec![step],
+        ..Spec::default()
+    };
+    JobRow {
+        job: Job {
+            id: JobId(7),
+            queue: "q".into(),
+            accepted: 1,
+            spec: Arc::new(spec),
+        },
+        policy: Some(QueuePolicy {
+            version: 4,
+            queue: "q".into(),
+            service: "s".into(),
+            priority: 1,
+            attempts: 3,
+            stretch: 1.5,
+            latency: 250,
+        }),
+    }
+}
+
+#[test]
+fn a_job_and_its_policy_are_read_as_written() {
+    let row = job_row();
+    assert_eq!(JobRow::decode(&row.encode()), Some(row));
+}
+
+/// Guards against jobs that are lost beside instances of the earlier version: these can't read a
+/// job with a field more.
+#[test]
+fn an_earlier_version_reads_a_job_with_a_policy() {
+    let row = job_row();
+    let earlier: EarlierJob = decode("job", &row.encode()).expect("a job");
+    assert_eq!((earlier.id, &*earlier.queue), (row.job.id, "q"));
+    assert_eq!(earlier.spec, *row.job.spec);
+}
+
+#[test]
+fn a_job_of_an_earlier_version_has_no_policy() {
+    let row = job_row();
+    let earlier = EarlierJob {
+        id: row.job.id,
+        queue: row.job.queue.clone(),
+        accepted: row.job.accepted,
+        spec: (*row.job.spec).clone(),
+    };
+    let expected = JobRow {
+        policy: None,
+        ..row
+    };
+    assert_eq!(JobRow::decode(&encode(&earlier)), Some(expected));
+}
+
+/// A job is carried out under its configured queue whatever follows it in its row.
+#[test_case(b"\xc1"; "not readable")]
+#[test_case(b"\x92\x01\xa1q"; "of another form")]
+fn a_job_with_an_unreadable_policy_is_read(rest: &[u8]) {
+    let row = JobRow {
+        policy: None,
+        ..job_row()
+    };
+    let mut value = row.encode();
+    value.extend(rest);
+    assert_eq!(JobRow::decode(&value), Some(row));
+}
+
+#[test]
+fn a_policy_of_another_queue_is_not_used() {
+    let mut row = job_row();
+    row.policy = row.policy.map(|p| QueuePolicy {
+        queue: "other".into(),
+        ..p
+    });
+    let decoded = JobRow::decode(&row.encode()).expect("a job");
+    assert_eq!(decoded.policy, None);
+}
