jobs, node: store the policies of queues with open jobs

What callers would see: a job that an instance of the version before accepted stands still once its route is removed and another instance takes over; a job whose route was moved to another service before its removal goes back to the former service after a takeover.

Cause: the row of a job holds the policy of the moment of its acceptance, and none if an earlier version wrote it. What an owner knew beyond that was in its memory alone.

Change: the owner counts the open jobs of each queue once a second and stores the policy of each queue that has any, in a row for each queue, with its next batch. It deletes the row of a removed queue with its last job. A new owner takes the newest of what is stored and what the rows of jobs hold. The key is a hash, since keys are limited in length and names are not; rows of one queue cannot outgrow the store's limit as a common row could. The rows count among the records of a batch, so that a transaction stays within 100 entries.

--- a/crates/jobs/src/action.rs
+++ b/crates/jobs/src/action.rs
@@ -4,6 +4,7 @@
 
 use crate::model::{
     ids::{JobId, TaskId},
+    policy::QueuePolicy,
     spec::Spec,
 };
 
@@ -25,7 +26,7 @@
 }
 
 /// Changes that are committed atomically.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Batch {
     /// Records of jobs, which replace the previous ones.
     pub records: Vec<(JobId, Vec<u8>)>,
@@ -33,12 +34,20 @@
     pub appended_rows: Vec<Vec<u8>>,
     /// Number of the log's oldest rows to delete.
     pub dropped_rows: usize,
+    /// Policies of queues, which replace the previous ones.
+    pub policies: Vec<QueuePolicy>,
+    /// Queues whose policies to delete.
+    pub dropped_queues: Vec<Arc<str>>,
 }
 
 impl Batch {
     /// Returns whether there is nothing to commit.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.appended_rows.is_empty() && self.dropped_rows == 0
+        self.records.is_empty()
+            && self.appended_rows.is_empty()
+            && self.dropped_rows == 0
+            && self.policies.is_empty()
+            && self.dropped_queues.is_empty()
     }
 }
 
--- a/crates/jobs/src/model/policy.rs
+++ b/crates/jobs/src/model/policy.rs
@@ -23,3 +23,14 @@
     /// Constant part of the objective, in milliseconds.
     pub latency: u64,
 }
+
+impl QueuePolicy {
+    /// Returns whether the policies are the same but for the versions that they are from.
+    pub(crate) fn has_same_terms(&self, other: &QueuePolicy) -> bool {
+        let version = other.version;
+        QueuePolicy {
+            version,
+            ..self.clone()
+        } == *other
+    }
+}
--- a/crates/jobs/src/queues.rs
+++ b/crates/jobs/src/queues.rs
@@ -5,12 +5,16 @@
 //! until the queue has no open jobs. It comes from the configurations that this owner has seen, and
 //! from the rows of accepted jobs, which hold the policy under which each job was accepted: an owner
 //! that took over later, or that is ahead of the instance that accepted a job, never saw the queue.
+//! The owner also stores the policy of each queue with open jobs, for what the rows of jobs lack:
+//! changes since the acceptance, and any policy if an earlier version wrote the row.
 //!
-//! Limits: a row that an earlier version wrote holds no policy.
+//! Limits: a change is stored with the next count of the jobs, a second later at most.
 
 use std::sync::Arc;
 
-use crate::{model::policy::QueuePolicy, scheduler::Scheduler, sorted_map::SortedMap};
+use crate::{
+    action::Batch, model::policy::QueuePolicy, scheduler::Scheduler, sorted_map::SortedMap,
+};
 
 /// Maximum number of queues that are logged each time; the others follow.
 const MAX_LOG_LINES: usize = 8;
@@ -33,6 +37,14 @@
     }
 }
 
+/// What has to be done with the stored policy of a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoreChange {
+    None,
+    Write,
+    Delete,
+}
+
 /// A queue with a known policy.
 #[derive(Debug)]
 pub(crate) struct Queue {
@@ -40,6 +52,8 @@
     /// Whether the configuration in force has the queue.
     pub(crate) is_configured: bool,
     jobs: OpenJobs,
+    /// The stored policy, or the one of a batch in flight.
+    stored: Option<QueuePolicy>,
     /// Whether its removal was logged.
     is_logged: bool,
 }
@@ -50,9 +64,26 @@
             policy,
             is_configured,
             jobs: OpenJobs::default(),
+            stored: None,
             is_logged: false,
         }
     }
+
+    fn is_used(&self) -> bool {
+        self.is_configured || self.jobs.count > 0
+    }
+
+    /// Returns what has to be done with the stored policy. That of a configured queue without open
+    /// jobs is left as it is, since jobs come and go.
+    fn store_change(&self) -> StoreChange {
+        let stored = self.stored.as_ref();
+        match self.jobs.count {
+            0 if self.is_configured || stored.is_none() => StoreChange::None,
+            0 => StoreChange::Delete,
+            _ if stored.is_some_and(|s| s.has_same_terms(&self.policy)) => StoreChange::None,
+            _ => StoreChange::Write,
+        }
+    }
 }
 
 /// Open jobs of a queue that the configuration in force does not have, as gauges for operators.
@@ -75,6 +106,8 @@
     rows: Vec<Queue>,
     /// Open jobs of other queues, by queue.
     unknown: SortedMap<Arc<str>, OpenJobs>,
+    /// Whether a stored policy has to be changed, as of the last count of the jobs.
+    has_changes: bool,
 }
 
 impl Queues {
@@ -109,9 +142,10 @@
                 self.push_removed(queue);
             }
             let known = earlier.next_if(|q| q.policy.queue == policy.queue);
-            let jobs = known.map_or(OpenJobs::default(), |q| q.jobs);
+            let (jobs, stored) = known.map_or_else(Default::default, |q| (q.jobs, q.stored));
             self.rows.push(Queue {
                 jobs,
+                stored,
                 ..Queue::new(policy, true)
             });
         }
@@ -127,8 +161,16 @@
         });
     }
 
-    /// Adds the policy under which a job was accepted, unless a newer one is known.
-    fn add_accepted(&mut self, policy: QueuePolicy) {
+    /// Adds the stored policy of a queue.
+    fn add_stored(&mut self, policy: QueuePolicy) {
+        self.add_earlier(policy.clone());
+        if let Some(at) = self.position(&policy.queue) {
+            self.rows[at].stored = Some(policy);
+        }
+    }
+
+    /// Adds a policy from an earlier configuration, unless a newer one is known.
+    fn add_earlier(&mut self, policy: QueuePolicy) {
         let at = self
             .rows
             .binary_search_by(|q| q.policy.queue.cmp(&policy.queue));
@@ -158,15 +200,39 @@
         jobs.add(accepted);
     }
 
-    /// Drops the removed queues without open jobs.
+    /// Drops the removed queues without open jobs once their policies are no longer stored.
     fn drop_unused(&mut self) {
         self.rows.retain(|queue| {
-            let is_used = queue.is_configured || queue.jobs.count > 0;
-            if !is_used && queue.is_logged {
+            let is_kept = queue.is_used() || queue.stored.is_some();
+            if !is_kept && queue.is_logged {
                 log::info!(queue = &*queue.policy.queue; "queue: the last job of a removed queue is over");
             }
-            is_used
+            is_kept
         });
+        let mut changes = self.rows.iter().map(Queue::store_change);
+        self.has_changes = changes.any(|c| c != StoreChange::None);
+    }
+
+    /// Moves at most `limit` changes of stored policies to a batch.
+    fn take_changes(&mut self, limit: usize, batch: &mut Batch) {
+        if !self.has_changes {
+            return;
+        }
+        let changed = self
+            .rows
+            .iter_mut()
+            .filter(|q| q.store_change() != StoreChange::None);
+        for queue in changed.take(limit) {
+            let policy = &queue.policy;
+            if queue.store_change() == StoreChange::Write {
+                batch.policies.push(policy.clone());
+                queue.stored = Some(policy.clone());
+                continue;
+            }
+            batch.dropped_queues.push(policy.queue.clone());
+            queue.stored = None;
+        }
+        self.has_changes = false;
     }
 
     /// Logs the queues that were removed while they had open jobs.
@@ -219,7 +285,17 @@
 
     /// Adds the policy under which a job was accepted.
     pub(crate) fn add_accepted_policy(&mut self, policy: QueuePolicy) {
-        self.queues.add_accepted(policy);
+        self.queues.add_earlier(policy);
+    }
+
+    /// Restores the policy of a queue that an earlier owner stored.
+    pub fn restore_policy(&mut self, policy: QueuePolicy) {
+        self.queues.add_stored(policy);
+    }
+
+    /// Moves at most `limit` changes of stored policies to a batch.
+    pub(crate) fn take_policy_changes(&mut self, limit: usize, batch: &mut Batch) {
+        self.queues.take_changes(limit, batch);
     }
 
     /// Counts the open jobs of all queues, and drops and logs removed queues.
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -62,11 +62,14 @@
         if is_complete {
             self.collect_pending_ends(&mut in_flight);
         }
-        let batch = Batch {
+        let mut batch = Batch {
             records: builder.records,
             dropped_rows: builder.rows.dropped(),
             appended_rows: builder.rows.finish(&mut self.log),
+            ..Batch::default()
         };
+        let entries_left = self.settings.batch_records - batch.records.len();
+        self.take_policy_changes(entries_left, &mut batch);
         if !batch.is_empty() {
             self.stats.commits += 1;
             self.in_flight = Some(in_flight);
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -31,8 +31,8 @@
     /// Nothing is placed while the last complete read of the workers' announcements is older
     /// than this, since a worker may be about to leave.
     pub max_staleness: u64,
-    /// Maximum number of records in one commit, which also carries rows of the log: a
-    /// transaction of the store holds 100 entries.
+    /// Maximum number of records and policies in one commit, which also carries rows of the log:
+    /// a transaction of the store holds 100 entries.
     pub batch_records: usize,
     /// Number of rows of the log above which the oldest ones are deleted.
     pub log_rows: usize,
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -305,16 +305,22 @@
 
     /// Submits a job to an instance whose configuration has this policy.
     pub fn submit_under(&mut self, policy: QueuePolicy, id: u64, spec: Spec) -> JobId {
+        let queue = policy.queue.clone();
+        self.notify(Event::AcceptedUnder(policy.clone()));
+        self.accepted_under.insert(JobId(id), policy);
+        self.submit_without_policy(&queue, id, spec)
+    }
+
+    /// Submits a job to an instance of an earlier version, which stores no policy with it.
+    pub fn submit_without_policy(&mut self, queue: &str, id: u64, spec: Spec) -> JobId {
         let id = JobId(id);
         let job = Arc::new(Job {
             id,
-            queue: policy.queue.clone(),
+            queue: queue.into(),
             accepted: 0,
             spec: Arc::new(spec),
         });
         self.jobs.insert(id, job.clone());
-        self.notify(Event::AcceptedUnder(policy.clone()));
-        self.accepted_under.insert(id, policy);
         self.notify(Event::Accepted(job));
         id
     }
--- a/crates/jobs/tests/all/ledger.rs
+++ b/crates/jobs/tests/all/ledger.rs
@@ -5,13 +5,14 @@
     sync::Arc,
 };
 
-use gorsespur_jobs::{Batch, Job, JobId, Outcome, Record, Scheduler};
+use gorsespur_jobs::{Batch, Job, JobId, Outcome, QueuePolicy, Record, Scheduler};
 
 /// The records and the log after the committed batches.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
     records: BTreeMap<JobId, Vec<u8>>,
     log: VecDeque<Vec<u8>>,
+    policies: BTreeMap<Arc<str>, QueuePolicy>,
 }
 
 impl Ledger {
@@ -20,6 +21,12 @@
         self.records.extend(batch.records);
         self.log.drain(..batch.dropped_rows);
         self.log.extend(batch.appended_rows);
+        for policy in batch.policies {
+            self.policies.insert(policy.queue.clone(), policy);
+        }
+        for queue in batch.dropped_queues {
+            self.policies.remove(&queue);
+        }
     }
 
     /// Restores a new owner from the stored rows.
@@ -28,6 +35,9 @@
         scheduler: &mut Scheduler,
         jobs: impl IntoIterator<Item = &'a Arc<Job>>,
     ) {
+        for policy in self.policies.values() {
+            scheduler.restore_policy(policy.clone());
+        }
         for row in &self.log {
             scheduler.replay(row).expect("own row");
         }
@@ -50,6 +60,11 @@
         })
     }
 
+    /// Returns the queues with a stored policy.
+    pub fn stored_queues(&self) -> Vec<Arc<str>> {
+        self.policies.keys().cloned().collect()
+    }
+
     /// Returns the rows of the log, the oldest one first.
     pub fn log(&self) -> impl Iterator<Item = &Vec<u8>> {
         self.log.iter()
--- a/crates/jobs/tests/all/removed_queues.rs
+++ b/crates/jobs/tests/all/removed_queues.rs
@@ -176,18 +176,73 @@
     assert_eq!(runs, running);
 }
 
-/// The policy that was in force last holds, not the one under which the job was accepted.
-#[test]
-fn a_removed_queue_keeps_its_last_policy() {
+/// The policy that was in force last holds, not the one under which the job was accepted. New owners
+/// know no other than the latter if the last one is not stored.
+#[test_case(Change::None)]
+#[test_case(Change::Takeover)]
+fn a_removed_queue_keeps_its_last_policy(change: Change) {
     let mut world = world();
     world.configure(&[other(), on_service(1, EMPTY_SERVICE)]);
-    let spec = chain(vec![short(2, 500)]);
+    let spec = chain(vec![short(2, 3000), short(2, 500)]);
     let id = world.submit_under(on_service(1, EMPTY_SERVICE), 1, spec);
     world.run(1000);
     assert_eq!(runs_of(&world, id), 0);
     world.configure(&[other(), on_service(2, "s")]);
+    world.run(NOTICE_MS);
+    remove(&mut world, change);
+    assert!(world.run_until_done(8000));
+    assert_eq!(world.outcome(id), Outcome::Complete);
+}
+
+/// The row of a job that an instance of an earlier version accepted has no policy.
+#[test_case(Change::None)]
+#[test_case(Change::Takeover)]
+fn a_job_without_a_policy_goes_on(change: Change) {
+    let mut world = world();
+    let spec = chain(vec![short(4, 2500), short(4, 500)]);
+    let id = world.submit_without_policy(REMOVED, 1, spec);
+    world.run(NOTICE_MS);
+    remove(&mut world, change);
+    assert!(world.run_until_done(8000));
+    assert_eq!(world.outcome(id), Outcome::Complete);
+    check_invariants(&world, 0);
+}
+
+/// Nothing tells a job's policy: an instance of an earlier version accepted the job, and no owner
+/// saw its queue. Operators see that it waits, until its queue is configured.
+#[test]
+fn a_job_of_an_unknown_queue_is_shown_and_waits() {
+    let mut world = world();
+    let id = world.submit_without_policy("unknown", 1, chain(vec![short(1, 300)]));
+    world.run(NOTICE_MS);
+    let expected = ("unknown".into(), 1, false);
+    let shown = world.removed_queues();
+    let shown: Vec<_> = shown
+        .iter()
+        .map(|q| (q.queue.clone(), q.jobs, q.is_known))
+        .collect();
+    assert_eq!((shown, runs_of(&world, id)), (vec![expected], 0));
+    world.configure(&[other(), queue_policy("unknown", ATTEMPTS)]);
+    assert!(world.run_until_done(2000));
+}
+
+/// A policy is stored once for all jobs of a queue, and deleted with the last job of a removed
+/// queue. That of a configured queue stays for the next job.
+#[test]
+fn policies_are_stored_while_queues_have_jobs() {
+    let mut world = world();
+    for id in 1..=20 {
+        world.submit_under(policy(1), id, chain(vec![short(1, 1500)]));
+    }
+    world.run(NOTICE_MS);
+    assert_eq!(world.ledger.stored_queues(), [REMOVED.into()]);
+    assert!(world.run_until_done(20_000));
+    world.run(NOTICE_MS);
+    assert_eq!(world.ledger.stored_queues(), [REMOVED.into()]);
     remove(&mut world, Change::None);
-    assert!(world.run_until_done(3000));
+    world.run(NOTICE_MS);
+    assert!(world.ledger.stored_queues().is_empty());
+    assert!(world.removed_queues().is_empty());
 }
 
 /// A queue that is configured again has its new policy: nothing more starts on the service that it
@@ -273,7 +328,18 @@
             let mut accepted = policy(version);
             accepted.priority = rng.random_range(0..3);
             let steps = (0..rng.random_range(1..4)).map(|_| short(2, 400));
-            world.submit_under(accepted, id, chain(steps.collect()));
+            let spec = chain(steps.collect());
+            let is_configured = world.policies.iter().any(|p| *p.queue == *REMOVED);
+            match is_configured && rng.random_ratio(1, 4) {
+                true => {
+                    // The owner stores the policy with the next count.
+                    world.submit_without_policy(REMOVED, id, spec);
+                    world.run(NOTICE_MS);
+                }
+                false => {
+                    world.submit_under(accepted, id, spec);
+                }
+            }
             if rng.random_ratio(1, 3) {
                 version += 1;
                 match rng.random_range(0..3) {
--- a/crates/node/src/owner/contents.rs
+++ b/crates/node/src/owner/contents.rs
@@ -10,7 +10,7 @@
 use super::STACK_BYTES;
 use crate::{
     metrics::Duty,
-    rows::{JOBS, LOG, OWNER_PART, RECORDS, job_parts},
+    rows::{JOBS, LOG, OWNER_PART, POLICIES, RECORDS, job_parts},
     shared::Shared,
     store::{Page, Row, StoreError},
 };
@@ -27,6 +27,8 @@
     pub(super) records: Vec<Row>,
     /// Rows of the log, oldest first.
     pub(super) log: Vec<Row>,
+    /// Rows of the policies of queues.
+    pub(super) policies: Vec<Row>,
     pub(super) workers: WorkerListing,
 }
 
@@ -49,12 +51,14 @@
         let workers = spawn(scope, || list_workers(shared))?;
         let records = spawn(scope, || read(shared, RECORDS, OWNER_PART))?;
         let log = spawn(scope, || read(shared, LOG, OWNER_PART))?;
+        let policies = spawn(scope, || read(shared, POLICIES, OWNER_PART))?;
         let jobs = read_jobs(shared)?;
         Ok(StoreContents {
             jobs: jobs.0,
             version: jobs.1,
             records: join(records)?.rows,
             log: join(log)?.rows,
+            policies: join(policies)?.rows,
             workers: join(workers)?,
         })
     })
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -19,7 +19,7 @@
     metrics::{Count, Duty},
     rows::{
         FIGURES, FiguresRow, HEAD_KEY, HeadRow, JOURNAL, LEARNED, LEASE, LOG, LeaseRow, OWNER_KEY,
-        OWNER_PART, RECORDS, decode, encode, log_key,
+        OWNER_PART, POLICIES, RECORDS, decode, encode, log_key, policy_key,
     },
     shared::Shared,
     store::{Commit, Expect, Row, StoreError, Tx, Write},
@@ -264,8 +264,15 @@
             value,
         });
         writes.extend(records);
+        writes.extend(batch.policies.iter().map(|policy| Write {
+            table: POLICIES,
+            key: policy_key(&policy.queue),
+            value: encode(policy),
+        }));
         let dropped = self.log.drain(..batch.dropped_rows.min(self.log.len()));
-        let removes = dropped.map(|key| (LOG, key)).collect();
+        let mut removes: Vec<_> = dropped.map(|key| (LOG, key)).collect();
+        let dropped = batch.dropped_queues.iter();
+        removes.extend(dropped.map(|queue| (POLICIES, policy_key(queue))));
         for (index, value) in batch.appended_rows.into_iter().enumerate() {
             let key = log_key(self.lease.epoch, self.number, index);
             self.log.push_back(key.clone());
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gorsespur_jobs::{Event, JobId, Learned, Record, Scheduler, SortedMap};
+use gorsespur_jobs::{Event, JobId, Learned, QueuePolicy, Record, Scheduler, SortedMap};
 use gorsespur_runtime::clock::wall_ms;
 
 use super::{
@@ -52,6 +52,7 @@
             }
         }
     }
+    restore_policies(shared, &mut scheduler, &contents.policies);
     let mut policies: Vec<Event> = Vec::new();
     let mut rows = contents.jobs;
     rows.retain(|row| {
@@ -104,6 +105,16 @@
     })
 }
 
+/// Restores the policies that earlier owners stored.
+fn restore_policies(shared: &Shared, scheduler: &mut Scheduler, rows: &[Row]) {
+    for row in rows {
+        match decode::<QueuePolicy>("policy", &row.value) {
+            Some(policy) => scheduler.restore_policy(policy),
+            None => shared.metrics.count(Count::BadRows),
+        }
+    }
+}
+
 /// Replays the log into a scheduler; returns the keys of its rows.
 fn replay(shared: &Shared, scheduler: &mut Scheduler, rows: Vec<Row>) -> Vec<String> {
     for row in &rows {
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -2,6 +2,7 @@
 
 use std::{io::Cursor, sync::Arc};
 
+use gorsespur_core::hashing::stable_hash;
 use gorsespur_jobs::{Job, JobId, QueueFigures, QueuePolicy};
 use rmp_serde::Deserializer;
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,9 @@
 /// Table of the estimates that owners have learned.
 pub(crate) const LEARNED: &str = "learned";
 
+/// Table of the policies of queues with open jobs.
+pub(crate) const POLICIES: &str = "policies";
+
 /// Table of the instances.
 pub(crate) const INSTANCES: &str = "instances";
 
@@ -90,6 +94,12 @@
     format!("{epoch:010}.{number:010}.{index:02}")
 }
 
+/// Returns the key of a queue's policy: a hash, since the length of a key is limited and that of a
+/// name is not.
+pub(crate) fn policy_key(queue: &str) -> String {
+    format!("{:016x}", stable_hash(&[queue]))
+}
+
 /// Value of the lease's row.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LeaseRow {
