jobs: share a batch between policies and records, and count queues in their own period

Found by reading the change again, not seen. They now come first and take at most half of a batch, and what does not fit goes into the next one. Counting the jobs of the queues is no longer part of the load's log line.

The tests' store now asserts that a batch fits into a transaction of 100 entries, and a test stores and deletes the policies of 300 queues. It passes; it was not run on the code before.

--- a/crates/jobs/src/action.rs
+++ b/crates/jobs/src/action.rs
@@ -41,13 +41,17 @@
 }
 
 impl Batch {
+    /// Returns the number of changes to the stored policies of queues.
+    pub(crate) fn queue_changes(&self) -> usize {
+        self.policies.len() + self.dropped_queues.len()
+    }
+
     /// Returns whether there is nothing to commit.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
             && self.appended_rows.is_empty()
             && self.dropped_rows == 0
-            && self.policies.is_empty()
-            && self.dropped_queues.is_empty()
+            && self.queue_changes() == 0
     }
 }
 
--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -39,6 +39,7 @@
         }
         self.send_polls();
         self.update_model();
+        self.update_queues();
         self.update_entitlements();
         if self.is_placement_due() {
             self.last_placement = self.now;
--- a/crates/jobs/src/queues.rs
+++ b/crates/jobs/src/queues.rs
@@ -16,6 +16,9 @@
     action::Batch, model::policy::QueuePolicy, scheduler::Scheduler, sorted_map::SortedMap,
 };
 
+/// Period of counting the open jobs of all queues, in milliseconds.
+const COUNT_PERIOD_MS: u64 = 1000;
+
 /// Maximum number of queues that are logged each time; the others follow.
 const MAX_LOG_LINES: usize = 8;
 
@@ -69,8 +72,9 @@
         }
     }
 
-    fn is_used(&self) -> bool {
-        self.is_configured || self.jobs.count > 0
+    /// Returns whether the queue was removed and has open jobs.
+    fn is_orphaned(&self) -> bool {
+        !self.is_configured && self.jobs.count > 0
     }
 
     /// Returns what has to be done with the stored policy. That of a configured queue without open
@@ -96,7 +100,7 @@
     /// Time since the oldest of them was accepted, in milliseconds.
     pub oldest_ms: u64,
     /// Whether its policy is known. If not, none of its tasks is started.
-    pub is_known: bool,
+    pub has_policy: bool,
 }
 
 /// All queues with a known policy.
@@ -106,7 +110,9 @@
     rows: Vec<Queue>,
     /// Open jobs of other queues, by queue.
     unknown: SortedMap<Arc<str>, OpenJobs>,
-    /// Whether a stored policy has to be changed, as of the last count of the jobs.
+    /// When the open jobs were last counted, in milliseconds.
+    counted_at: u64,
+    /// Whether a stored policy has to be changed, as of the last count.
     has_changes: bool,
 }
 
@@ -203,12 +209,16 @@
     /// Drops the removed queues without open jobs once their policies are no longer stored.
     fn drop_unused(&mut self) {
         self.rows.retain(|queue| {
-            let is_kept = queue.is_used() || queue.stored.is_some();
+            let is_kept = queue.is_configured || queue.is_orphaned() || queue.stored.is_some();
             if !is_kept && queue.is_logged {
                 log::info!(queue = &*queue.policy.queue; "queue: the last job of a removed queue is over");
             }
             is_kept
         });
+    }
+
+    /// Determines whether a stored policy has to be changed.
+    fn update_changes(&mut self) {
         let mut changes = self.rows.iter().map(Queue::store_change);
         self.has_changes = changes.any(|c| c != StoreChange::None);
     }
@@ -232,16 +242,13 @@
             batch.dropped_queues.push(policy.queue.clone());
             queue.stored = None;
         }
-        self.has_changes = false;
+        self.has_changes = batch.queue_changes() >= limit;
     }
 
     /// Logs the queues that were removed while they had open jobs.
     fn log_removed(&mut self, wall_clock: u64) {
-        let removed = self
-            .rows
-            .iter_mut()
-            .filter(|q| !q.is_configured && q.jobs.count > 0 && !q.is_logged);
-        for queue in removed.take(MAX_LOG_LINES) {
+        let orphaned = self.rows.iter_mut().filter(|q| q.is_orphaned());
+        for queue in orphaned.filter(|q| !q.is_logged).take(MAX_LOG_LINES) {
             queue.is_logged = true;
             let (policy, jobs) = (&queue.policy, queue.jobs);
             log::info!(
@@ -255,16 +262,13 @@
 
     /// Returns the queues with open jobs that the configuration in force does not have.
     fn removed(&self, wall_clock: u64) -> Vec<RemovedQueue> {
-        let row = |queue: &Arc<str>, jobs: OpenJobs, is_known| RemovedQueue {
+        let row = |queue: &Arc<str>, jobs: OpenJobs, has_policy| RemovedQueue {
             queue: queue.clone(),
             jobs: jobs.count,
             oldest_ms: wall_clock.saturating_sub(jobs.oldest),
-            is_known,
+            has_policy,
         };
-        let known = self
-            .rows
-            .iter()
-            .filter(|q| !q.is_configured && q.jobs.count > 0);
+        let known = self.rows.iter().filter(|q| q.is_orphaned());
         let known = known.map(|q| row(&q.policy.queue, q.jobs, true));
         let unknown = self.unknown.iter().map(|(q, &jobs)| row(q, jobs, false));
         known.chain(unknown).collect()
@@ -298,8 +302,12 @@
         self.queues.take_changes(limit, batch);
     }
 
-    /// Counts the open jobs of all queues, and drops and logs removed queues.
+    /// Counts the open jobs of all queues if that is due, and logs and drops removed queues.
     pub(crate) fn update_queues(&mut self) {
+        if self.now < self.queues.counted_at + COUNT_PERIOD_MS {
+            return;
+        }
+        self.queues.counted_at = self.now;
         self.queues.clear_jobs();
         for id in &self.open_jobs {
             let state = self.jobs.get(id).filter(|j| !j.outcome.is_final());
@@ -308,6 +316,7 @@
             }
         }
         self.queues.drop_unused();
+        self.queues.update_changes();
         self.queues.log_removed(self.wall_clock);
     }
 
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -39,14 +39,17 @@
         if self.in_flight.is_some() {
             return;
         }
+        let mut batch = Batch::default();
+        // At most half of a batch, so that neither policies nor records wait for the other.
+        self.take_policy_changes(self.settings.batch_records / 2, &mut batch);
+        let max_records = self.settings.batch_records - batch.queue_changes();
         let mut builder = BatchBuilder {
             records: Vec::new(),
             rows: Appender::new(&self.log),
             in_flight: InFlight::default(),
         };
         let mut written = 0;
-        while written < self.dirty_jobs.len() && builder.records.len() < self.settings.batch_records
-        {
+        while written < self.dirty_jobs.len() && builder.records.len() < max_records {
             if !self.write_job(self.dirty_jobs[written], &mut builder) {
                 break;
             }
@@ -62,14 +65,9 @@
         if is_complete {
             self.collect_pending_ends(&mut in_flight);
         }
-        let mut batch = Batch {
-            records: builder.records,
-            dropped_rows: builder.rows.dropped(),
-            appended_rows: builder.rows.finish(&mut self.log),
-            ..Batch::default()
-        };
-        let entries_left = self.settings.batch_records - batch.records.len();
-        self.take_policy_changes(entries_left, &mut batch);
+        batch.records = builder.records;
+        batch.dropped_rows = builder.rows.dropped();
+        batch.appended_rows = builder.rows.finish(&mut self.log);
         if !batch.is_empty() {
             self.stats.commits += 1;
             self.in_flight = Some(in_flight);
--- a/crates/jobs/src/summary.rs
+++ b/crates/jobs/src/summary.rs
@@ -41,7 +41,6 @@
             }
         }
         self.stats.running = u64::from(running);
-        self.update_queues();
         self.log_shortages();
         let isolation = self.isolation_load();
         self.stats.late_jobs = self.late_jobs as u64;
--- a/crates/jobs/tests/all/ledger.rs
+++ b/crates/jobs/tests/all/ledger.rs
@@ -7,6 +7,13 @@
 
 use gorsespur_jobs::{Batch, Job, JobId, Outcome, QueuePolicy, Record, Scheduler};
 
+/// Number of entries that a transaction of the store holds.
+const MAX_ENTRIES: usize = 100;
+
+/// Entries of a transaction that are not in the batch: the condition, the head of the journal, the
+/// lease, the figures of the queues and what was learned.
+const OTHER_ENTRIES: usize = 5;
+
 /// The records and the log after the committed batches.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
@@ -18,6 +25,9 @@
 impl Ledger {
     /// Applies a committed batch.
     pub fn apply(&mut self, batch: Batch) {
+        let rows = batch.records.len() + batch.appended_rows.len() + batch.dropped_rows;
+        let entries = rows + batch.policies.len() + batch.dropped_queues.len();
+        assert!(entries + OTHER_ENTRIES <= MAX_ENTRIES, "{entries} entries");
         self.records.extend(batch.records);
         self.log.drain(..batch.dropped_rows);
         self.log.extend(batch.appended_rows);
--- a/crates/jobs/tests/all/removed_queues.rs
+++ b/crates/jobs/tests/all/removed_queues.rs
@@ -219,7 +219,7 @@
     let shown = world.removed_queues();
     let shown: Vec<_> = shown
         .iter()
-        .map(|q| (q.queue.clone(), q.jobs, q.is_known))
+        .map(|q| (q.queue.clone(), q.jobs, q.has_policy))
         .collect();
     assert_eq!((shown, runs_of(&world, id)), (vec![expected], 0));
     world.configure(&[other(), queue_policy("unknown", ATTEMPTS)]);
@@ -305,7 +305,7 @@
     remove(&mut world, Change::None);
     world.run(NOTICE_MS);
     let shown = |world: &World| -> Vec<(String, u64, bool)> {
-        let row = |q: RemovedQueue| (q.queue.to_string(), q.jobs, q.is_known);
+        let row = |q: RemovedQueue| (q.queue.to_string(), q.jobs, q.has_policy);
         world.removed_queues().into_iter().map(row).collect()
     };
     assert_eq!(shown(&world), [(REMOVED.to_owned(), 2, true)]);
@@ -316,6 +316,29 @@
     assert!(shown(&world).is_empty());
 }
 
+/// More queues have jobs, and are removed, than one transaction of the store holds.
+#[test]
+fn the_policies_of_many_queues_are_stored() {
+    const QUEUES: u64 = 300;
+    let mut world = world();
+    let name = |id| format!("queue {id:03}");
+    let policies: Vec<QueuePolicy> = (0..QUEUES).map(|id| queue_policy(&name(id), 3)).collect();
+    world.configure(&policies);
+    for (id, policy) in (0..).zip(&policies) {
+        world.submit_under(policy.clone(), id, chain(vec![long_running(1)]));
+    }
+    world.run(NOTICE_MS);
+    world.configure(&[]);
+    world.run(2000);
+    assert_eq!(world.ledger.stored_queues().len() as u64, QUEUES);
+    assert_eq!(world.removed_queues().len() as u64, QUEUES);
+    for id in 0..QUEUES {
+        world.cancel(JobId(id));
+    }
+    world.run(2 * NOTICE_MS);
+    assert!(world.ledger.stored_queues().is_empty());
+}
+
 /// Queues are removed, changed and configured again at random, with takeovers in between, and
 /// instances that lag accept jobs of them.
 #[test]
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -266,7 +266,7 @@
     let rows = [
         ("jobs", removed.jobs),
         ("oldest_ms", removed.oldest_ms),
-        ("policy_known", u64::from(removed.is_known)),
+        ("policy_known", u64::from(removed.has_policy)),
     ];
     for (name, count) in rows {
         let _ = writeln!(
--- a/crates/node/src/owner/load.rs
+++ b/crates/node/src/owner/load.rs
@@ -53,7 +53,6 @@
         }
     }
     restore_policies(shared, &mut scheduler, &contents.policies);
-    let mut policies: Vec<Event> = Vec::new();
     let mut rows = contents.jobs;
     rows.retain(|row| {
         // Which tasks of such a job have run is unknown; if restarted, they might run twice.
@@ -74,8 +73,9 @@
             log::error!(key = row.key.as_str(); "owner: record of another job, the job is left alone");
             return false;
         }
-        if !record.outcome.is_final() {
-            policies.extend(policy.map(Event::AcceptedUnder));
+        if let Some(policy) = policy.filter(|_| !record.outcome.is_final()) {
+            let event = Event::AcceptedUnder(policy);
+            scheduler.handle(shared.clock.now(), wall_ms(), event);
         }
         scheduler.restore(Arc::new(job), &record);
         // Restored above, so that it needs no event of its own.
@@ -83,7 +83,7 @@
     });
     let jobs = Cursor::new(contents.version);
     let mut workers = Cursor::from_start();
-    let mut events = policies;
+    let mut events = Vec::new();
     feed::job_events(shared, &rows, &mut events);
     if let Some(config) = shared.config() {
         events.push(Event::Queues(config.policies()));
