jobs: log the removed queues whose policy is not known

Operators read of a job whose queue has no policy only when nothing of the job ran for 3 s. One with runs at work, or whose tasks fail without an end, said nothing.

--- a/crates/jobs/src/queues.rs
+++ b/crates/jobs/src/queues.rs
@@ -12,9 +12,7 @@
 
 use std::sync::Arc;
 
-use crate::{
-    action::Batch, model::policy::QueuePolicy, scheduler::Scheduler, sorted_map::SortedMap,
-};
+use crate::{action::Batch, model::policy::QueuePolicy, scheduler::Scheduler};
 
 /// Period of counting the open jobs of all queues, in milliseconds.
 const COUNT_PERIOD_MS: u64 = 1000;
@@ -90,6 +88,15 @@
     }
 }
 
+/// A queue without a known policy that has open jobs.
+#[derive(Debug)]
+struct UnknownQueue {
+    queue: Arc<str>,
+    jobs: OpenJobs,
+    /// Whether it was logged.
+    is_logged: bool,
+}
+
 /// Open jobs of a queue that the configuration in force does not have, as gauges for operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RemovedQueue {
@@ -108,8 +115,8 @@
 pub(crate) struct Queues {
     /// Sorted by name.
     rows: Vec<Queue>,
-    /// Open jobs of other queues, by queue.
-    unknown: SortedMap<Arc<str>, OpenJobs>,
+    /// Other queues, sorted by name.
+    unknown: Vec<UnknownQueue>,
     /// When the open jobs were last counted, in milliseconds.
     counted_at: u64,
     /// Whether a stored policy has to be changed, as of the last count.
@@ -192,20 +199,37 @@
     }
 
     fn clear_jobs(&mut self) {
-        self.unknown = SortedMap::default();
         for queue in &mut self.rows {
             queue.jobs = OpenJobs::default();
         }
+        for queue in &mut self.unknown {
+            queue.jobs = OpenJobs::default();
+        }
     }
 
     fn add_job(&mut self, queue: &Arc<str>, accepted: u64) {
         let jobs = match self.position(queue) {
             Some(at) => &mut self.rows[at].jobs,
-            None => self.unknown.or_default(queue),
+            None => self.unknown_jobs(queue),
         };
         jobs.add(accepted);
     }
 
+    /// Returns the open jobs of a queue without a known policy.
+    fn unknown_jobs(&mut self, queue: &Arc<str>) -> &mut OpenJobs {
+        let found = self.unknown.binary_search_by(|q| q.queue.cmp(queue));
+        let at = found.unwrap_or_else(|at| {
+            let added = UnknownQueue {
+                queue: queue.clone(),
+                jobs: OpenJobs::default(),
+                is_logged: false,
+            };
+            self.unknown.insert(at, added);
+            at
+        });
+        &mut self.unknown[at].jobs
+    }
+
     /// Drops the removed queues without open jobs once their policies are no longer stored.
     fn drop_unused(&mut self) {
         self.rows.retain(|queue| {
@@ -215,6 +239,7 @@
             }
             is_kept
         });
+        self.unknown.retain(|q| q.jobs.count > 0);
     }
 
     /// Determines whether a stored policy has to be changed.
@@ -245,8 +270,14 @@
         self.has_changes = batch.queue_changes() >= limit;
     }
 
-    /// Logs the queues that were removed while they had open jobs.
+    /// Logs the queues with open jobs that are not configured.
     fn log_removed(&mut self, wall_clock: u64) {
+        let unknown = self.unknown.iter_mut().filter(|q| !q.is_logged);
+        for queue in unknown.take(MAX_LOG_LINES) {
+            queue.is_logged = true;
+            let oldest_ms = wall_clock.saturating_sub(queue.jobs.oldest);
+            log::warn!(queue = &*queue.queue, jobs = queue.jobs.count, oldest_ms; "queue: removed with open jobs, its policy is unknown");
+        }
         let orphaned = self.rows.iter_mut().filter(|q| q.is_orphaned());
         for queue in orphaned.filter(|q| !q.is_logged).take(MAX_LOG_LINES) {
             queue.is_logged = true;
@@ -270,7 +301,7 @@
         };
         let known = self.rows.iter().filter(|q| q.is_orphaned());
         let known = known.map(|q| row(&q.policy.queue, q.jobs, true));
-        let unknown = self.unknown.iter().map(|(q, &jobs)| row(q, jobs, false));
+        let unknown = self.unknown.iter().map(|q| row(&q.queue, q.jobs, false));
         known.chain(unknown).collect()
     }
 }
