--- a/review/stand-2/src/cancelled.rs
+++ b/review/stand-2/src/cancelled.rs
@@ -95,7 +95,7 @@
         .line(cluster, format!("POST {id}: {answer:?}"));
     let gives_up = match has_trouble {
         true => matches!(answer, None | Some(502 | 504)),
-        false => number % 3 == 0,
+        false => number.is_multiple_of(3),
     };
     if !gives_up {
         return None;
--- a/review/stand-2/src/cluster.rs
+++ b/review/stand-2/src/cluster.rs
@@ -5,7 +5,10 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -22,7 +25,7 @@
 const RESTART: Duration = Duration::from_millis(1000);
 
 pub const SERVICE: &str = "weldcert";
-const READY_LIMIT: Duration = Duration::from_secs(20);
+const READY_LIMIT: Duration = Duration::from_secs(30);
 
 const SIGKILL: i32 = 9;
 
@@ -244,6 +247,16 @@
         self.instances[index].kill(true);
     }
 
+    /// Kills all instances but one, for good.
+    pub fn lose_all_but(&self, survivor: usize) {
+        let others = (0..)
+            .zip(&self.instances)
+            .filter(|(index, _)| *index != survivor);
+        for (_, instance) in others {
+            instance.kill(false);
+        }
+    }
+
     pub fn name(&self, index: usize) -> &str {
         &self.instances[index].name
     }
@@ -264,7 +277,11 @@
     /// Returns the index of the instance that holds the lease, by its row in the store.
     pub fn owner(&self) -> Option<usize> {
         let lease = self.store.value("lease", "all", "owner");
-        let names = |i: &Instance| lease.windows(i.name.len()).any(|w| w == i.name.as_bytes());
+        let names = |i: &Instance| {
+            lease
+                .windows(i.name.len() + 1)
+                .any(|w| &w[1..] == i.name.as_bytes() && usize::from(w[0] & 0x1f) == i.name.len())
+        };
         self.instances.iter().position(names)
     }
 
@@ -276,11 +293,27 @@
     }
 }
 
+/// Ports below the range from which outgoing channels take theirs, so that no instance takes the
+/// port that another one is about to listen on.
+const PORTS: std::ops::Range<u32> = 12_000..32_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 fn free_addrs() -> Option<[SocketAddr; 4]> {
-    let bind = || TcpListener::bind("127.0.0.1:0").ok();
-    let held = [bind()?, bind()?, bind()?, bind()?];
-    let [a, b, c, d] = held.each_ref().map(|l| l.local_addr().ok());
-    Some([a?, b?, c?, d?])
+    Some([free_addr()?, free_addr()?, free_addr()?, free_addr()?])
+}
+
+fn free_addr() -> Option<SocketAddr> {
+    let count = PORTS.end - PORTS.start;
+    for _ in 0..count {
+        let number = NEXT_PORT.fetch_add(1, Ordering::SeqCst)
+            + std::process::id().wrapping_mul(1009) % count;
+        let port = (PORTS.start + number % count) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().ok();
+        }
+    }
+    None
 }
 
 /// The first manifest: the three queues of a small deployment.
--- a/review/stand-2/src/judge.rs
+++ b/review/stand-2/src/judge.rs
@@ -43,6 +43,20 @@
     None
 }
 
+/// Returns how many jobs have had nothing running for too long, from `calm_ms` on.
+pub fn count_idle(cluster: &Cluster, jobs: &[Accepted], calm_ms: u64) -> usize {
+    let (runs, now) = (cluster.runs(), cluster.now_ms());
+    let is_idle = |job: &&Accepted| {
+        let of_job: Vec<&Run> = runs
+            .iter()
+            .filter(|r| r.task.starts_with(&job.id))
+            .collect();
+        let since = idle_since(job, &of_job);
+        since.is_some_and(|s| now.saturating_sub(s.max(calm_ms)) > IDLE_MS)
+    };
+    jobs.iter().filter(is_idle).count()
+}
+
 /// Judges the jobs as they are now. Only the time from `calm_ms` on counts.
 pub fn judge(cluster: &Cluster, jobs: &[Accepted], calm_ms: u64, record: &mut Record) -> Verdict {
     let (runs, now) = (cluster.runs(), cluster.now_ms());
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -11,6 +11,7 @@
 mod judge;
 mod retention;
 mod store;
+mod survivor;
 mod worker;
 
 use std::{fs, process::ExitCode, time::Duration};
@@ -76,6 +77,7 @@
     let verdict = match case.as_str() {
         "cancelled" => cancelled::play(has_trouble, &mut record),
         "images" => images::play(has_trouble, &mut record),
+        "survivor" => survivor::play(has_trouble, &mut record),
         "retention" => retention::play(has_trouble, &mut record),
         _ => Verdict::CouldNotRun,
     };
