--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=review/stand-2/target/release/review-stand-2
 [ -x "$program" ] && [ -x target/release/gorsespur ] || exit 2
-exec "$program" retention review/5/record.txt
+exec "$program" images review/5/record.txt
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=review/stand-2/target/release/review-stand-2
 [ -x "$program" ] && [ -x target/release/gorsespur ] || exit 2
-exec "$program" images review/6/record.txt
+exec "$program" survivor review/6/record.txt
--- a/review/stand-2/src/survivor.rs
+++ b/review/stand-2/src/survivor.rs
@@ -13,7 +13,7 @@
     Record, Verdict, DEADLINE, HOST,
 };
 
-const INSTANCES: usize = 250;
+const INSTANCES: usize = 300;
 /// Instances announce themselves within ten seconds; the owner counts them every three seconds.
 const SETTLE: Duration = Duration::from_secs(25);
 const JOBS: usize = 50;
