--- a/review/stand-2/src/cancelled.rs
+++ b/review/stand-2/src/cancelled.rs
@@ -85,7 +85,7 @@
     has_trouble: bool,
     record: &Mutex<&mut Record>,
 ) -> Option<Cancelled> {
-    let id = format!("0a{number:014x}");
+    let id = format!("0a{number:013x}c");
     let path = format!("/check/{id}");
     let front = |n: u64| cluster.instances[n as usize % cluster.instances.len()].front;
     let answer = call(front(number), "POST", &path, HOST, &job(), DEADLINE).map(|a| a.0);
