Keep rows within the store's limit, and do not repeat what it rejects

Cause: the owner wrote the names of all images ever seen into one row, in the transaction with what must last.

Change: a rejection for good is an error of its own (400, 403, 413). Rows are bounded where they are made by the limit of the settings. Images have numbers only where interference is learned, 512 at a time, reused. A rejected transaction is written without estimates and figures, or else row by row; the job of a row that is rejected alone fails, and an owner whose head, lease or records are rejected gives the lease up. A job that fits no row gets 413 at once instead of 503. A count of pending jobs that the lease has no room for is answered with 503 instead of 0.

Why it works: no row that callers can grow reaches the limit, and whatever is rejected for another reason is written at most three times.

`a_pass_of_placement_is_bounded` gave jobs images of their own so that none implied another; images of tasks that neither serve nor fill have no number any more, so its tasks serve now, with the same assertions.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -182,6 +182,9 @@
         /// The answer.
         answer: Answer,
     },
+    /// The store rejects rows that the batch in flight appends to the log, given by their positions
+    /// among these. [`Event::Committed`] follows for the rest of the batch.
+    RowsRejected(Vec<usize>),
     /// The batch in flight is durable, which also confirms the lease on the jobs.
     Committed {
         /// When the write was requested, on the local monotonic clock in milliseconds.
--- a/crates/jobs/src/model/crash.rs
+++ b/crates/jobs/src/model/crash.rs
@@ -25,6 +25,10 @@
 /// later is found as well.
 const PROBATION_MS: u64 = 1500;
 
+/// Largest encoded size of a crash without the name of the worker: the heads of an array and of
+/// two texts, and the name of a blame.
+const MAX_CRASH_BYTES: usize = 13;
+
 /// How strongly a worker's crash suggests that a task on it was the cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) enum Blame {
@@ -66,6 +70,12 @@
         self.list.len()
     }
 
+    /// Returns an upper bound of the encoded size in bytes, without the head of the list.
+    pub(crate) fn size(&self) -> usize {
+        let each = self.list.iter().map(|c| c.worker.len() + MAX_CRASH_BYTES);
+        each.sum()
+    }
+
     /// Adds a crash. An incarnation of a worker counts once.
     pub(crate) fn add(&mut self, worker: &Arc<str>, blame: Blame) {
         let Err(at) = self.list.binary_search_by(|c| c.worker.cmp(worker)) else {
--- a/crates/jobs/src/model/job.rs
+++ b/crates/jobs/src/model/job.rs
@@ -51,6 +51,9 @@
     pub(crate) written_outcome: Outcome,
     /// Whether the job changed since the last commit that was sent.
     pub(crate) dirty: bool,
+    /// Whether its changes are logged in a row of their own, since the store rejected a row that
+    /// held them beside those of other jobs.
+    pub(crate) needs_own_row: bool,
     /// The last computed critical path, and when it was computed.
     pub(crate) critical_path: Option<(CriticalPath, u64)>,
     /// When the search for a worker to reserve for the job last failed; 0 if it never did.
@@ -67,6 +70,7 @@
             known_since: now,
             written_outcome: Outcome::Pending,
             dirty: false,
+            needs_own_row: false,
             critical_path: None,
             search_failed_at: 0,
         }
--- a/crates/jobs/src/model/record.rs
+++ b/crates/jobs/src/model/record.rs
@@ -20,11 +20,12 @@
     },
 }
 
-/// Maximum size of a task record without its texts and lists.
-const MAX_FIXED_BYTES: usize = 24;
+/// Largest encoded size of a task record without its texts and the entries of its lists: heads of
+/// two arrays, four numbers, and heads of two lists and two texts.
+const MAX_FIXED_BYTES: usize = 43;
 
-/// Approximate size of a crash in a task record.
-const CRASH_BYTES: usize = 40;
+/// Largest encoded size of a number in a list.
+const NUMBER_BYTES: usize = 5;
 
 /// The outcome of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,10 +73,10 @@
 }
 
 impl TaskRecord {
-    /// Returns the approximate encoded size in bytes.
+    /// Returns an upper bound of the encoded size in bytes.
     pub(crate) fn size(&self) -> usize {
         let worker = self.worker.as_ref().map_or(0, |w| w.len());
-        let lists = self.failed.len() * 4 + self.crashes.count() * CRASH_BYTES;
+        let lists = self.failed.len() * NUMBER_BYTES + self.crashes.size();
         MAX_FIXED_BYTES + worker + self.saved.len() + lists
     }
 }
--- a/crates/jobs/src/order/estimates.rs
+++ b/crates/jobs/src/order/estimates.rs
@@ -62,6 +62,11 @@
         self.products += x * y;
     }
 
+    /// Returns the weight of all observations.
+    pub(crate) fn count(&self) -> f64 {
+        self.count
+    }
+
     /// Returns the logarithm of the expected duration of a task with this estimate.
     fn expected_log(&self, estimate: u64) -> f64 {
         let x = log(estimate);
--- a/crates/jobs/src/place/rank.rs
+++ b/crates/jobs/src/place/rank.rs
@@ -73,7 +73,7 @@
         match request.step.best_effort {
             true => self
                 .interference
-                .headroom_costs(request.image, self.image_numbers.len() + 1),
+                .headroom_costs(request.image, self.images.len() + 1),
             false => Vec::new(),
         }
     }
--- a/crates/jobs/src/runs/close.rs
+++ b/crates/jobs/src/runs/close.rs
@@ -17,8 +17,13 @@
             return;
         };
         log::info!(job = id.to_string().as_str(), outcome:? = outcome, after = now - state.known_since; "jobs: ended");
+        let was_open = !state.outcome.is_final();
         state.outcome = outcome;
         let tasks = state.task_ids();
+        if was_open {
+            let images = state.images.clone();
+            self.release_images(&images);
+        }
         self.open_jobs.retain(|&j| j != id);
         for task in tasks {
             self.stop_run(task);
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -45,8 +45,11 @@
         let max_records = self.settings.batch_records - batch.queue_changes();
         let mut builder = BatchBuilder {
             records: Vec::new(),
-            rows: Appender::new(&self.log),
-            in_flight: InFlight::default(),
+            rows: Appender::new(&self.log, self.settings.row_bytes),
+            in_flight: InFlight {
+                first_row: self.log.next(),
+                ..InFlight::default()
+            },
         };
         let mut written = 0;
         while written < self.dirty_jobs.len() && builder.records.len() < max_records {
@@ -83,8 +86,15 @@
         let Some(state) = self.jobs.get(&id) else {
             return true;
         };
-        if !state.outcome.is_final() && !self.log_tasks(id, builder) {
-            return false;
+        if !state.outcome.is_final() {
+            let needs_own_row = state.needs_own_row;
+            if needs_own_row && !builder.rows.begin_own_row() || !self.log_tasks(id, builder) {
+                return false;
+            }
+            if needs_own_row {
+                builder.rows.end_row();
+                builder.in_flight.own_rows.push(id);
+            }
         }
         let Some(state) = self.jobs.get_mut(&id) else {
             return true;
@@ -237,6 +247,11 @@
             return;
         };
         self.mark_ends_durable(&in_flight);
+        for id in in_flight.own_rows {
+            if let Some(state) = self.jobs.get_mut(&id) {
+                state.needs_own_row = false;
+            }
+        }
         for (id, run) in in_flight.starts {
             self.send_start(id, run);
         }
--- a/crates/jobs/src/runs/log.rs
+++ b/crates/jobs/src/runs/log.rs
@@ -19,8 +19,9 @@
     sorted_map::SortedMap,
 };
 
-/// Largest size of a row: the users' store accepts 64 KB.
-const MAX_ROW_BYTES: usize = 60_000;
+/// Largest encoded size of a job's changes without the steps and tasks: heads of three arrays, and
+/// the job's ID.
+const MAX_CHANGES_BYTES: usize = 20;
 
 /// Rows that one commit appends at most: a transaction holds 1 MB, and text takes a third more.
 const MAX_APPENDED_ROWS: usize = 8;
@@ -95,6 +96,23 @@
         Some((self.first_number, &row.jobs))
     }
 
+    /// Returns the jobs with entries in a row.
+    pub(crate) fn jobs(&self, number: RowNumber) -> &[JobId] {
+        let at = number.checked_sub(self.first_number);
+        let row = at.and_then(|at| self.rows.get(at as usize));
+        row.map_or(&[], |r| &r.jobs)
+    }
+
+    /// Records that a row was rejected by the store, which holds an empty row in its place.
+    pub(crate) fn clear_row(&mut self, number: RowNumber) {
+        let at = number.checked_sub(self.first_number);
+        let row = at.and_then(|at| self.rows.get_mut(at as usize));
+        if let Some(row) = row {
+            self.bytes -= row.bytes;
+            *row = Row::default();
+        }
+    }
+
     /// Returns the number of rows.
     pub(crate) fn len(&self) -> usize {
         self.rows.len()
@@ -118,7 +136,7 @@
     }
 
     /// Returns the number of the next row.
-    fn next(&self) -> RowNumber {
+    pub(crate) fn next(&self) -> RowNumber {
         self.first_number + self.rows.len() as RowNumber
     }
 
@@ -140,12 +158,15 @@
     /// Approximate size of these changes.
     pending_bytes: usize,
     dropped: usize,
+    /// Largest size of a row.
+    max_row_bytes: usize,
 }
 
 impl Appender {
-    /// Starts a commit after the log's last row.
-    pub(crate) fn new(log: &Log) -> Appender {
+    /// Starts a commit after the log's last row, with rows of at most `max_row_bytes`.
+    pub(crate) fn new(log: &Log, max_row_bytes: usize) -> Appender {
         Appender {
+            max_row_bytes,
             number: log.next(),
             rows: vec![Vec::new()],
             jobs: vec![Vec::new()],
@@ -163,7 +184,26 @@
     /// Returns whether the commit is as large as it may be.
     pub(crate) fn is_full(&self) -> bool {
         self.rows.len() >= MAX_APPENDED_ROWS
-            && self.row_bytes() + self.pending_bytes > MAX_ROW_BYTES / 2
+            && self.row_bytes() + self.pending_bytes > self.max_row_bytes / 2
+    }
+
+    /// Begins a row for a single job; returns false if the commit has no room for one.
+    pub(crate) fn begin_own_row(&mut self) -> bool {
+        if self.rows.len() >= MAX_APPENDED_ROWS {
+            return false;
+        }
+        self.end_row();
+        true
+    }
+
+    /// Ends the row that is being written, unless it is empty.
+    pub(crate) fn end_row(&mut self) {
+        self.flush();
+        if self.row_bytes() > 0 {
+            self.rows.push(Vec::new());
+            self.jobs.push(Vec::new());
+            self.number += 1;
+        }
     }
 
     /// Records that the commit drops a row.
@@ -197,14 +237,15 @@
     /// Returns the open changes of a job, in a row that has room for `bytes` more.
     fn changes_of(&mut self, job: JobId, bytes: usize) -> &mut Changes {
         let is_other_job = self.open_changes.as_ref().is_some_and(|c| c.job != job);
-        let is_full = self.row_bytes() + self.pending_bytes + bytes > MAX_ROW_BYTES;
-        if is_other_job || is_full {
+        let added = bytes + MAX_CHANGES_BYTES;
+        let is_full = self.row_bytes() + self.pending_bytes + added > self.max_row_bytes;
+        if is_full {
+            self.end_row();
+        } else if is_other_job {
             self.flush();
         }
-        if is_full && self.row_bytes() > 0 {
-            self.rows.push(Vec::new());
-            self.jobs.push(Vec::new());
-            self.number += 1;
+        if self.open_changes.is_none() {
+            self.pending_bytes = MAX_CHANGES_BYTES;
         }
         self.pending_bytes += bytes;
         self.open_changes.get_or_insert_with(|| Changes {
@@ -233,6 +274,7 @@
     /// Ends the commit: adds its rows to the log and returns them.
     pub(crate) fn finish(mut self, log: &mut Log) -> Vec<Vec<u8>> {
         self.flush();
+        // Only the last row may be empty.
         self.rows.retain(|row| !row.is_empty());
         for (row, jobs) in self.rows.iter().zip(self.jobs) {
             log.push(row.len(), jobs);
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -25,6 +25,7 @@
 pub(crate) mod orphan;
 pub(crate) mod poll;
 pub(crate) mod quarantine;
+mod rejected;
 mod replaced;
 #[cfg(test)]
 mod replaced_tests;
--- a/crates/jobs/src/runs/report.rs
+++ b/crates/jobs/src/runs/report.rs
@@ -19,6 +19,9 @@
 /// Doublings of that delay at most.
 const MAX_BACKOFF_DOUBLINGS: usize = 6;
 
+/// Failed runs of a long-running task that are remembered at most.
+const MAX_FAILED_RUNS: usize = 64;
+
 impl Scheduler {
     /// Handles a worker's report, the answer to a poll of a generation sent at `sent`.
     pub(crate) fn handle_report(
@@ -176,6 +179,10 @@
             return;
         }
         task.failed_runs.push(run);
+        // The number of failures of a long-running task is not limited, but that of a row is.
+        if long_running && task.failed_runs.len() > MAX_FAILED_RUNS {
+            task.failed_runs.remove(0);
+        }
         let doublings = (task.failed_runs.len() - 1).min(MAX_BACKOFF_DOUBLINGS);
         task.retry_at = now + (RETRY_BACKOFF_MS << doublings);
         task.failed_worker = Some(slot);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
     event::{Answer, Event, Paced, Started, Stopped},
     lending::Lender,
     model::{
+        changes::RowNumber,
         ids::{JobId, TaskId},
         job::JobState,
         record::{Outcome, Record, RecordError},
@@ -20,7 +21,7 @@
     queues::Queues,
     runs::{fleet::Fleet, log::Log},
     settings::Settings,
-    share::{interference::Interference, sample::Image, seasonality::Seasonality},
+    share::{images::Images, interference::Interference, seasonality::Seasonality},
     sorted_map::SortedMap,
     stats::Stats,
     takeover::Takeover,
@@ -33,6 +34,10 @@
     pub(crate) starts: Vec<(TaskId, u32)>,
     /// Ends that the batch makes durable, as slot of the worker and highest number.
     pub(crate) observed: Vec<(u32, u64)>,
+    /// Number of the first row that the batch appends to the log.
+    pub(crate) first_row: RowNumber,
+    /// Jobs with a row of their own.
+    pub(crate) own_rows: Vec<JobId>,
 }
 
 /// The state machine that schedules all jobs. Only the owner of the lease on the jobs runs it.
@@ -79,8 +84,8 @@
     pub(crate) seasonality: Seasonality,
     /// Models that correct the callers' estimates, by queue.
     pub(crate) estimates: SortedMap<Arc<str>, EstimateModel>,
-    /// Numbers of images by name.
-    pub(crate) image_numbers: SortedMap<Arc<str>, Image>,
+    /// Numbers of images.
+    pub(crate) images: Images,
     /// The batch in flight, if there is one.
     pub(crate) in_flight: Option<InFlight>,
     /// The log of changes to tasks.
@@ -132,7 +137,7 @@
             interference: Interference::default(),
             seasonality: Seasonality::default(),
             estimates: SortedMap::default(),
-            image_numbers: SortedMap::default(),
+            images: Images::default(),
             in_flight: None,
             log: Log::default(),
             store_contact: takeover.asked_at,
@@ -166,7 +171,10 @@
     /// returned.
     pub fn restore(&mut self, job: Arc<Job>, record: &Record) {
         let id = job.id;
-        let images = self.intern_images(&job);
+        let images = match record.outcome.is_final() {
+            true => vec![0; job.spec.steps.len()],
+            false => self.acquire_images(&job.spec),
+        };
         let mut state = JobState::new(job, images, self.now);
         let replayed = self.log.take_replayed(id);
         let mut is_logged = true;
@@ -240,6 +248,7 @@
                 self.handle_renewed(asked_at);
                 self.handle_committed();
             }
+            Event::RowsRejected(rows) => self.handle_rejected_rows(&rows),
             Event::Renewed { asked_at } => self.handle_renewed(asked_at),
         }
     }
@@ -305,37 +314,13 @@
             return;
         }
         log::info!(job = id.to_string().as_str(), queue = &*job.queue, chain = job.spec.critical_path(); "jobs: taken up");
-        let images = self.intern_images(&job);
+        let images = self.acquire_images(&job.spec);
         self.jobs.insert(id, JobState::new(job, images, self.now));
         self.open_jobs.push(id);
         self.scheduled.push(id);
         self.placement_due = true;
     }
 
-    /// Returns the number of the image of each step; 0 for a step without one.
-    fn intern_images(&mut self, job: &Job) -> Vec<Image> {
-        let mut out = Vec::with_capacity(job.spec.steps.len());
-        for step in &job.spec.steps {
-            let image = step.image.as_ref().map(|name| self.number_image(name));
-            out.push(image.unwrap_or(0));
-        }
-        out
-    }
-
-    /// Returns the number of an image, assigning the next one to a new name; 0 for the empty
-    /// name.
-    pub(crate) fn number_image(&mut self, name: &Arc<str>) -> Image {
-        if name.is_empty() {
-            return 0;
-        }
-        let next = self.image_numbers.len() as Image + 1;
-        let number = self.image_numbers.or_default(name);
-        if *number == 0 {
-            *number = next;
-        }
-        *number
-    }
-
     fn handle_cancelled(&mut self, id: JobId) {
         if self.jobs.get(&id).is_some_and(|j| !j.outcome.is_final()) {
             self.end_job(id, Outcome::Cancelled);
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -36,6 +36,8 @@
     pub batch_records: usize,
     /// Number of rows of the log above which the oldest ones are deleted.
     pub log_rows: usize,
+    /// Largest value of a row that the store accepts, in bytes.
+    pub row_bytes: usize,
     /// The bounds within which long-running tasks pause for short work; `None` if they never do.
     pub lending: Option<Lending>,
 }
@@ -80,6 +82,7 @@
             batch_records: 75,
             // A page of the store holds this many rows.
             log_rows: 400,
+            row_bytes: 65_536,
             lending: None,
         }
     }
--- a/crates/jobs/src/share/fit.rs
+++ b/crates/jobs/src/share/fit.rs
@@ -63,6 +63,20 @@
         }
     }
 
+    /// Forgets everything about a best-effort image.
+    pub(crate) fn forget(&mut self, image: Image) {
+        let at = usize::from(image);
+        if at >= self.weights.len() {
+            return;
+        }
+        self.weights[at] = INITIAL_WEIGHT;
+        self.products[at] = 0.0;
+        for row in &mut self.squares {
+            row[at] = 0.0;
+        }
+        self.squares[at].fill(0.0);
+    }
+
     /// Returns the headroom that a best-effort image takes if it uses all CPUs of a worker.
     pub(crate) fn weight(&self, image: Image) -> f64 {
         let weight = self.weights.get(image as usize);
--- a/crates/jobs/src/share/interference.rs
+++ b/crates/jobs/src/share/interference.rs
@@ -90,6 +90,17 @@
         self.fits.or_default(&pair.serving_image).restore(pair);
     }
 
+    /// Forgets everything about an image.
+    pub(crate) fn forget(&mut self, image: Image) {
+        self.fits.remove(&image);
+        for (_, fit) in self.fits.iter_mut() {
+            fit.forget(image);
+        }
+        let uses =
+            |s: &Sample| s.serving_image == image || s.pressures.iter().any(|p| p.image == image);
+        self.samples.retain(|s| !uses(s));
+    }
+
     /// Returns the headroom that best-effort runs with these CPU shares take from a serving image.
     pub(crate) fn headroom_taken(&self, serving: Image, pressures: &[Pressure]) -> f64 {
         match self.fits.get(&serving) {
--- a/crates/jobs/src/share/mod.rs
+++ b/crates/jobs/src/share/mod.rs
@@ -13,8 +13,11 @@
 pub(crate) mod forecast;
 pub(crate) mod headroom;
 pub(crate) mod headroom_forecasts;
+pub(crate) mod images;
 pub(crate) mod interference;
 pub(crate) mod learned;
+#[cfg(test)]
+mod learned_tests;
 pub(crate) mod metrics;
 pub(crate) mod own_load;
 pub(crate) mod pace;
--- a/crates/jobs/src/stats.rs
+++ b/crates/jobs/src/stats.rs
@@ -31,6 +31,8 @@
     pub lost: u64,
     /// Jobs that failed because one of their tasks crashed its workers.
     pub jobs_given_up: u64,
+    /// Jobs that failed because the store rejects their state for good.
+    pub jobs_not_stored: u64,
     /// Runs of earlier owners on workers that have not reported yet. Their tasks are not placed
     /// again.
     pub unverified_runs: u64,
--- a/crates/jobs/tests/all/behind.rs
+++ b/crates/jobs/tests/all/behind.rs
@@ -234,11 +234,12 @@
     let mut site = Site::new(1000, 0);
     site.run(200);
     for job in 0..5000 {
-        // Each job has its own image, so that none of them shows that another does not fit.
+        // Hundreds of images of serving tasks, none of which shows that another does not fit.
         site.submit_wide(vec![Step {
             count: 2,
             cpu: 30_000,
             memory: 1000,
+            latency_target: 1000,
             image: Some(format!("image{job}").into()),
             ..Step::default()
         }]);
--- a/crates/jobs/tests/all/log.rs
+++ b/crates/jobs/tests/all/log.rs
@@ -51,6 +51,15 @@
     finished: Vec<RunEnd>,
     /// Number of commits that still succeed.
     commits_left: usize,
+    /// A job whose rows of the log the store rejects.
+    rejected_job: Option<JobId>,
+    /// Number of rows that the store still rejects.
+    rejections_left: usize,
+}
+
+/// Returns whether a row of the log names a job.
+fn names_job(row: &[u8], job: JobId) -> bool {
+    row.windows(8).any(|w| w == job.0.to_be_bytes())
 }
 
 impl Owner {
@@ -65,6 +74,8 @@
             running: Vec::new(),
             finished: Vec::new(),
             commits_left: usize::MAX,
+            rejected_job: None,
+            rejections_left: 0,
         };
         owner.notify(Event::Queues(vec![QueuePolicy {
             version: 1,
@@ -100,13 +111,31 @@
         }
     }
 
+    /// Empties the rows that the store rejects; returns their positions.
+    fn reject_rows(&mut self, batch: &mut Batch) -> Vec<usize> {
+        let mut rejected = Vec::new();
+        for (at, row) in batch.appended_rows.iter_mut().enumerate() {
+            let is_rejected = self.rejected_job.is_some_and(|job| names_job(row, job));
+            if self.rejections_left > 0 && is_rejected {
+                self.rejections_left -= 1;
+                row.clear();
+                rejected.push(at);
+            }
+        }
+        rejected
+    }
+
     fn act(&mut self, action: Action) {
         let sent = self.now;
         let generation = action.generation().unwrap_or_default();
         let (worker, answer) = match action {
             Action::Commit(_) if self.commits_left == 0 => return,
-            Action::Commit(batch) => {
+            Action::Commit(mut batch) => {
                 self.commits_left -= 1;
+                let rejected = self.reject_rows(&mut batch);
+                if !rejected.is_empty() {
+                    self.notify(Event::RowsRejected(rejected));
+                }
                 self.logged_bytes += batch.appended_rows.iter().map(Vec::len).sum::<usize>();
                 self.ledger.apply(batch);
                 return self.notify(Event::Committed { asked_at: sent });
@@ -320,3 +349,35 @@
     assert!(!record.is_valid_for(&job(1, 2).spec));
     assert_eq!(scheduler.current_record(JobId(2), None), None::<Record>);
 }
+
+/// A row of the log that the store rejected was written again without end, so that no job went on.
+/// The job of a row that is always rejected fails; a row that is rejected once loses nothing.
+#[test_case(usize::MAX, Outcome::Failed; "always")]
+#[test_case(1, Outcome::Active; "once")]
+fn a_rejected_row_stops_no_other_job(rejections: usize, outcome: Outcome) {
+    let large = |n: u64| JobId(0x0102_0304_0506_0708 * n);
+    let jobs: Vec<_> = (1..=4).map(|n| job(large(n).0, 3)).collect();
+    let mut owner = Owner::new(Ledger::default(), &[], Settings::default());
+    owner.rejected_job = Some(large(2));
+    owner.rejections_left = rejections;
+    owner.run(500);
+    for job in &jobs {
+        owner.notify(Event::Accepted(job.clone()));
+    }
+    owner.run(2000);
+    assert_eq!(owner.ledger.outcome(large(2)), outcome);
+    for number in [1, 3, 4] {
+        assert_eq!(owner.ledger.outcome(large(number)), Outcome::Active);
+    }
+    let tasks: Vec<_> = owner.running.iter().map(|r| r.task).collect();
+    let started = tasks.len();
+    assert_eq!(started, if outcome == Outcome::Active { 12 } else { 9 });
+    let failed = u64::from(outcome == Outcome::Failed);
+    assert_eq!(owner.scheduler.stats().jobs_not_stored, failed);
+    // A later owner knows every run, and starts none again.
+    let (running, ledger) = (owner.running, owner.ledger);
+    let mut next = Owner::new(ledger, &jobs, Settings::default());
+    next.running = running;
+    next.run(12_000);
+    assert_eq!(next.running.len(), started);
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -15,6 +15,7 @@
     config::Queue,
     follow::refresh,
     metrics::{Count, Duty},
+    row_limits::LEFT_OUT,
     rows::{
         JOBS, JobRow, LEASE, LeaseRow, OWNER_KEY, OWNER_PART, RECORDS, cancel_key, decode, job_part,
     },
@@ -148,6 +149,12 @@
             },
             policy: Some(queue.policy.clone()),
         };
+        let value = row.encode();
+        let limit = self.shared.settings.jobs.row_bytes;
+        if value.len() > limit {
+            log::info!(job = id.to_string().as_str(), table = JOBS, bytes = value.len(), limit; "front: job too large to be stored");
+            return Response::new(413, Vec::new());
+        }
         match admission_control::check(&self.shared, &row.job) {
             Verdict::Accept => {}
             Verdict::Exists => return Response::new(200, Vec::new()),
@@ -167,7 +174,7 @@
             writes: vec![Write {
                 table: JOBS,
                 key: id.to_string(),
-                value: row.encode(),
+                value,
             }],
             removes: Vec::new(),
         };
@@ -177,6 +184,10 @@
                 self.shared.metrics.record_accepted(ms);
                 Response::new(200, Vec::new())
             }
+            WriteResult::Refused(StoreError::Rejected { reason }) => {
+                log::warn!(job = id.to_string().as_str(), reason = reason.as_str(); "front: job can't be stored");
+                Response::new(413, Vec::new())
+            }
             WriteResult::Refused(err) => {
                 log::warn!(job = id.to_string().as_str(), err = err.to_string().as_str(); "front: job not taken");
                 self.refuse()
@@ -210,6 +221,8 @@
                     self.shared.record_store_failure();
                     std::thread::sleep(UNCLEAR_RETRY_PAUSE);
                 }
+                // Earlier attempts of the same write can't have had an effect either.
+                Err(err @ StoreError::Rejected { .. }) => return WriteResult::Refused(err),
                 Err(err) if !unclear && has_retried => return WriteResult::Refused(err),
                 Err(_) => {
                     has_retried = true;
@@ -288,8 +301,15 @@
         let lease: LeaseRow = row
             .and_then(|r| decode("lease", &r.value))
             .unwrap_or_default();
-        let count = lease.pending.iter().find(|(q, _)| *q == queue.policy.queue);
-        let count = count.map_or(0, |(_, n)| *n);
+        let find = |name: &str| lease.pending.iter().find(|(q, _)| **q == *name);
+        let count = match find(&queue.policy.queue) {
+            Some((_, count)) => *count,
+            None if find(LEFT_OUT).is_none() => 0,
+            None => {
+                log::info!(queue = &*queue.policy.queue; "front: the lease has no room for the number of pending jobs");
+                return self.refuse();
+            }
+        };
         Response::new(200, self.shared.protocol.pending(count))
     }
 
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -15,6 +15,7 @@
     follow_turns::FollowTurn,
     metrics::{Count, Duty},
     owner::{self, Tenure},
+    row_limits::fit_pending,
     rows::{
         FIGURES, FiguresRow, HEAD_KEY, HeadRow, JOURNAL, LEASE, LeaseRow, OWNER_KEY, OWNER_PART,
         decode, encode,
@@ -273,7 +274,12 @@
         released: false,
         share: shared.settings.share,
         largest: seen.lease.largest.max(shared.settings.share),
-        pending: seen.lease.pending.clone(),
+        pending: fit_pending(
+            seen.lease.pending.clone(),
+            &shared.settings.name,
+            shared.settings.jobs.row_bytes,
+        )
+        .list,
         term: 0,
         earlier: prior_leases_end.saturating_sub(asked_at),
         census: seen.lease.census,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -61,6 +61,9 @@
 mod returns;
 #[cfg(test)]
 mod returns_tests;
+mod row_limits;
+#[cfg(test)]
+mod row_limits_tests;
 mod rows;
 #[cfg(test)]
 mod rows_tests;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -39,6 +39,8 @@
     LateTurns,
     /// Malformed rows.
     BadRows,
+    /// Rows that were shortened or left out because of a limit of the store, and rejected ones.
+    RejectedRows,
     /// Short jobs refused because they can't meet their objective.
     RefusedShort,
     /// Best-effort jobs refused because they can't meet their objective.
@@ -50,7 +52,7 @@
 }
 
 /// Names of the counters, in the order of [`Count`].
-const NAMES: [&str; 13] = [
+const NAMES: [&str; 14] = [
     "accepted",
     "refused",
     "unclear",
@@ -60,6 +62,7 @@
     "store_errors",
     "late_turns",
     "bad_rows",
+    "rejected_rows",
     "refused_short",
     "refused_best_effort",
     "refused_long_running",
@@ -213,6 +216,7 @@
             ("runs_lapsed", owner_stats.lapsed),
             ("runs_lost", owner_stats.lost),
             ("jobs_given_up", owner_stats.jobs_given_up),
+            ("jobs_not_stored", owner_stats.jobs_not_stored),
             ("runs_unheard", owner_stats.unverified_runs),
             ("jobs_still", owner_stats.starved_jobs),
             ("still_ms", owner_stats.longest_stall_ms),
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -15,6 +15,12 @@
         /// Reported by the store or the network.
         reason: String,
     },
+    /// The call had no effect, and the same call never will: it breaks a limit of the store.
+    #[snafu(display("rejected by the store: {reason}"))]
+    Rejected {
+        /// Reported by the store.
+        reason: String,
+    },
     /// No answer: a write may have taken effect, or may still do so.
     #[snafu(display("no answer from the store: {reason}"))]
     Unknown {
