Keep a job cancelled whose submission is carried out late

Cause: DELETE of a job without a row left no trace, and the owner dropped cancellations of jobs that it did not know.

Change: the row of the cancellation is always written, and a submission requires its absence. A submission after the cancelling is a repeat of a job that never runs: 503 without retry-after. The thread that counts instances removes these rows as well, and is called `keeper` now.

Why it works: the store checks the condition when it carries the write out, however late, and across restarts; a submission without the condition meets the owner's memory, which every new owner fills from the rows.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -34,6 +34,9 @@
 
 mod action;
 mod admission;
+mod cancels;
+#[cfg(test)]
+mod cancels_tests;
 mod drive;
 mod entitlement;
 mod event;
@@ -53,6 +56,7 @@
 
 pub use action::{Action, Batch, StartOrder};
 pub use admission::{QueueFigures, WaitForecast};
+pub use cancels::CANCEL_RETENTION_MS;
 pub use entitlement::QueueShare;
 pub use event::{
     Answer, Ending, Event, Paced, ReportedRun, RunEnd, Started, Stopped, WorkerReport,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     action::Action,
+    cancels::EarlyCancels,
     entitlement::Entitlements,
     event::{Answer, Event, Paced, Started, Stopped},
     lending::Lender,
@@ -71,6 +72,8 @@
     pub(crate) aging: Aging,
     /// Jobs that were starved when this was last checked, sorted.
     pub(crate) starved_jobs: Vec<StarvedJob>,
+    /// Cancellations of jobs that are not known.
+    pub(crate) early_cancels: EarlyCancels,
     /// Jobs whose records changed.
     pub(crate) dirty_jobs: Vec<JobId>,
     pub(crate) fleet: Fleet,
@@ -129,6 +132,7 @@
             last_search: 0,
             aging: Aging::default(),
             starved_jobs: Vec::new(),
+            early_cancels: EarlyCancels::default(),
             dirty_jobs: Vec::new(),
             fleet,
             queues: Queues::default(),
@@ -319,10 +323,8 @@
         self.open_jobs.push(id);
         self.scheduled.push(id);
         self.placement_due = true;
-    }
-
-    fn handle_cancelled(&mut self, id: JobId) {
-        if self.jobs.get(&id).is_some_and(|j| !j.outcome.is_final()) {
+        if self.early_cancels.take(id) {
+            log::info!(job = id.to_string().as_str(); "jobs: cancelled before it arrived");
             self.end_job(id, Outcome::Cancelled);
         }
     }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -17,10 +17,11 @@
     metrics::{Count, Duty},
     row_limits::LEFT_OUT,
     rows::{
-        JOBS, JobRow, LEASE, LeaseRow, OWNER_KEY, OWNER_PART, RECORDS, cancel_key, decode, job_part,
+        CancelRow, JOBS, JobRow, LEASE, LeaseRow, OWNER_KEY, OWNER_PART, RECORDS, cancel_key,
+        decode, encode, job_part,
     },
     shared::Shared,
-    store::{Expect, StoreError, Tx, Write},
+    store::{Commit, Expect, Row, StoreError, Tx, Write},
     write_limit::write_limit,
 };
 
@@ -39,8 +40,11 @@
 /// Result of a write.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum WriteResult {
-    /// The row exists, from this write or an earlier one.
+    /// The write took effect.
     Done,
+    /// A condition does not hold, maybe since an earlier attempt took effect; contains the current
+    /// rows of all conditions.
+    Conflict(Vec<Row>),
     /// The write certainly had no effect.
     Refused(StoreError),
     /// The result is unknown.
@@ -163,14 +167,16 @@
                     .with_header("retry-after", retry_after_s.to_string());
             }
         }
-        let expect = Expect {
+        // A job that its caller has cancelled is not accepted, however late the write is carried
+        // out.
+        let absent = |key| Expect {
             table: JOBS,
-            key: id.to_string(),
+            key,
             version: 0,
         };
         let tx = Tx {
             part: job_part(id),
-            expects: vec![expect],
+            expects: vec![absent(id.to_string()), absent(cancel_key(id))],
             writes: vec![Write {
                 table: JOBS,
                 key: id.to_string(),
@@ -179,7 +185,13 @@
             removes: Vec::new(),
         };
         match self.write(&tx, request, start) {
-            WriteResult::Done => {
+            WriteResult::Conflict(rows) if !has_job(&rows, id) => {
+                log::info!(job = id.to_string().as_str(); "front: job not taken, it was cancelled before");
+                self.shared.metrics.count(Count::Refused);
+                // Without `retry-after`, as it is never taken.
+                Response::new(503, Vec::new())
+            }
+            WriteResult::Done | WriteResult::Conflict(_) => {
                 let ms = self.shared.clock.now() - start;
                 self.shared.metrics.record_accepted(ms);
                 Response::new(200, Vec::new())
@@ -210,10 +222,13 @@
             let remaining = deadline.saturating_sub(sent);
             let limit = Duration::from_millis(remaining.max(MIN_WRITE_TIMEOUT_MS));
             match self.shared.store(Duty::Callers).commit(tx, limit) {
-                Ok(_) => {
+                Ok(commit) => {
                     self.shared.record_store_answer();
                     self.shared.record_caller_answer(sent);
-                    return WriteResult::Done;
+                    return match commit {
+                        Commit::Done(_) => WriteResult::Done,
+                        Commit::Conflict(rows) => WriteResult::Conflict(rows),
+                    };
                 }
                 Err(err @ StoreError::Unknown { .. }) => {
                     log::debug!(err = err.to_string().as_str(); "front: result of a write is unknown");
@@ -260,30 +275,38 @@
         }
     }
 
+    /// Cancels a job. A job that does not exist is cancelled as well: its submission may still be
+    /// carried out, seconds after its caller gave it up.
     fn cancel(&self, request: &Request, id: JobId, start: u64) -> Response {
-        match self.outcome(id) {
+        let exists = match self.outcome(id) {
             Ok(Some(Outcome::Cancelled)) => return Response::new(200, Vec::new()),
-            Ok(None | Some(Outcome::Complete | Outcome::Failed)) => {
+            Ok(Some(Outcome::Complete | Outcome::Failed)) => {
                 return Response::new(410, Vec::new());
             }
-            Ok(Some(Outcome::Pending | Outcome::Active)) => {}
+            Ok(Some(Outcome::Pending | Outcome::Active)) => true,
+            Ok(None) => false,
             Err(err) => return self.store_failed(&err),
-        }
+        };
         let tx = Tx {
             part: job_part(id),
             expects: Vec::new(),
             writes: vec![Write {
                 table: JOBS,
                 key: cancel_key(id),
-                value: Vec::new(),
+                value: encode(&CancelRow { at: wall_ms() }),
             }],
             removes: Vec::new(),
         };
         match self.write(&tx, request, start) {
-            WriteResult::Done => {
+            WriteResult::Done | WriteResult::Conflict(_) if exists => {
                 self.shared.metrics.count(Count::Cancelled);
                 Response::new(200, Vec::new())
             }
+            WriteResult::Done | WriteResult::Conflict(_) => {
+                log::info!(job = id.to_string().as_str(); "front: cancelled a job that does not exist");
+                self.shared.metrics.count(Count::CancelledUnknown);
+                Response::new(410, Vec::new())
+            }
             WriteResult::Refused(err) => self.store_failed(&err),
             WriteResult::Unclear => self.unclear(),
         }
@@ -320,3 +343,9 @@
         self.refuse()
     }
 }
+
+/// Returns whether the current rows of a submission's conditions include the job.
+fn has_job(rows: &[Row], id: JobId) -> bool {
+    let key = id.to_string();
+    rows.iter().any(|r| r.key == key && !r.removed)
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,8 @@
     Missing,
     /// Cancellations accepted.
     Cancelled,
+    /// Cancellations of jobs that did not exist.
+    CancelledUnknown,
     /// Takeovers: times that this instance became the owner.
     Takeovers,
     /// Calls to the store that failed.
@@ -52,12 +54,13 @@
 }
 
 /// Names of the counters, in the order of [`Count`].
-const NAMES: [&str; 14] = [
+const NAMES: [&str; 15] = [
     "accepted",
     "refused",
     "unclear",
     "missing",
     "cancelled",
+    "cancelled_unknown",
     "takeovers",
     "store_errors",
     "late_turns",
--- a/crates/node/src/owner/census.rs
+++ b/crates/node/src/owner/census.rs
@@ -1,8 +1,8 @@
 //! Counts the instances, by the owner.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use gorsespur_runtime::{cancel::CancelToken, clock::wall_ms};
+use gorsespur_runtime::clock::wall_ms;
 
 use crate::{
     census::InstanceRegistry,
@@ -12,34 +12,35 @@
     store::{StoreError, Tx},
 };
 
-/// Pause between reads. Instances that start at once become one change instead of hundreds, and the
-/// pause ends when the thread is cancelled.
-const READ_PAUSE: Duration = Duration::from_secs(3);
-
 /// Time limit of a write.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Limit on removed rows per transaction.
 const MAX_REMOVED: usize = 100;
 
-/// Follows the announcements of instances until cancelled.
-pub(crate) fn count(shared: &Arc<Shared>, cancel: &CancelToken) {
-    let mut registry = InstanceRegistry::default();
-    let mut version = None;
-    // Waits first, since a new owner has more urgent rows to read.
-    while !cancel.wait(READ_PAUSE) {
-        let result = match version {
-            None => list(shared, &mut registry),
-            Some(after) => follow(shared, &mut registry, after),
+/// Follows the announcements of instances.
+#[derive(Debug, Default)]
+pub(super) struct Counter {
+    registry: InstanceRegistry,
+    /// Version of the store after which to read changes; `None` to read all announcements.
+    version: Option<u64>,
+}
+
+impl Counter {
+    /// Reads what has changed, and publishes the counts.
+    pub(super) fn update(&mut self, shared: &Shared) {
+        let result = match self.version {
+            None => list(shared, &mut self.registry),
+            Some(after) => follow(shared, &mut self.registry, after),
         };
         match result {
-            Ok(next) => version = Some(next),
+            Ok(next) => self.version = Some(next),
             Err(err) => {
                 log::debug!(err = err.to_string().as_str(); "census: count failed");
-                version = version.filter(|_| err != StoreError::Compacted);
+                self.version = self.version.filter(|_| err != StoreError::Compacted);
             }
         }
-        shared.set_census(registry.census());
+        shared.set_census(self.registry.census());
     }
 }
 
--- a/crates/node/src/owner/decision_loop.rs
+++ b/crates/node/src/owner/decision_loop.rs
@@ -4,7 +4,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use flume::Sender;
-use gorsespur_jobs::{Action, Event, Scheduler};
+use gorsespur_jobs::{Action, Event, JobId, Scheduler};
 use gorsespur_runtime::{cancel::CancelToken, clock::wall_ms};
 use mio::Events;
 
@@ -37,6 +37,13 @@
 /// row has some 5 KB.
 const LEARNED_PERIOD_MS: u64 = 2000;
 
+/// Queues from the deciding thread to others.
+pub(super) struct Outputs<'a> {
+    pub(super) journal: &'a Sender<JournalInput>,
+    /// Jobs whose cancellations have expired.
+    pub(super) expired_cancels: &'a Sender<JobId>,
+}
+
 /// State of the deciding thread.
 pub(crate) struct DecisionLoop {
     shared: Arc<Shared>,
@@ -91,7 +98,7 @@
     }
 
     /// Runs until the lease is lost or `cancel` is cancelled.
-    pub(crate) fn run(mut self, journal: &Sender<JournalInput>, cancel: &CancelToken) {
+    pub(super) fn run(mut self, outputs: &Outputs<'_>, cancel: &CancelToken) {
         let mut events = Events::with_capacity(EVENTS_PER_POLL);
         while !self.is_over && !cancel.is_cancelled() {
             let wake = match self.wake(&mut events) {
@@ -101,10 +108,10 @@
                     break;
                 }
             };
-            self.decide(journal, &wake);
+            self.decide(outputs, &wake);
         }
         if !self.is_over {
-            send(journal, JournalInput::Release);
+            send(outputs.journal, JournalInput::Release);
         }
     }
 
@@ -157,7 +164,7 @@
         }
     }
 
-    fn decide(&mut self, journal: &Sender<JournalInput>, wake: &Wake) {
+    fn decide(&mut self, outputs: &Outputs<'_>, wake: &Wake) {
         let now = self.shared.clock.now();
         if !wake.is_partial {
             self.connections
@@ -182,19 +189,20 @@
                 break;
             }
             for action in actions {
-                self.execute(action, journal);
+                self.execute(action, outputs);
             }
         }
-        self.save_learned(now, journal);
+        self.save_learned(now, outputs);
         if now >= self.next_report_at {
             self.next_report_at = now + REPORT_PERIOD_MS;
             send(
-                journal,
+                outputs.journal,
                 JournalInput::Publish(
                     self.scheduler.pending_jobs(),
                     self.scheduler.queue_figures(),
                 ),
             );
+            self.expire_cancels(outputs);
             self.shared.metrics.set_owner_stats(self.scheduler.stats());
             let shares = self.scheduler.queue_shares();
             self.shared.metrics.set_queue_shares(shares);
@@ -207,14 +215,25 @@
         }
     }
 
+    /// Passes on expired cancellations, as many as there is room for.
+    fn expire_cancels(&mut self, outputs: &Outputs<'_>) {
+        let queue = outputs.expired_cancels;
+        let room = queue.capacity().unwrap_or(0).saturating_sub(queue.len());
+        for id in self.scheduler.take_expired_cancels(room) {
+            if queue.try_send(id).is_err() {
+                log::debug!(job = id.to_string().as_str(); "owner: no thread removes cancellations");
+            }
+        }
+    }
+
     /// Saves the learned estimates periodically.
-    fn save_learned(&mut self, now: u64, journal: &Sender<JournalInput>) {
+    fn save_learned(&mut self, now: u64, outputs: &Outputs<'_>) {
         if now < self.next_save_at {
             return;
         }
         self.next_save_at = now + LEARNED_PERIOD_MS;
         send(
-            journal,
+            outputs.journal,
             JournalInput::Learned(encode(&self.scheduler.learned())),
         );
     }
@@ -265,7 +284,7 @@
         self.evacuated = Some(zones);
     }
 
-    fn execute(&mut self, action: Action, journal: &Sender<JournalInput>) {
+    fn execute(&mut self, action: Action, outputs: &Outputs<'_>) {
         if self.is_over {
             return;
         }
@@ -296,7 +315,7 @@
                 percent,
                 ..
             } => (worker, Order::Pace(task, run, percent)),
-            Action::Commit(batch) => return send(journal, JournalInput::Batch(batch)),
+            Action::Commit(batch) => return send(outputs.journal, JournalInput::Batch(batch)),
             Action::StepDown => {
                 log::warn!("owner: a worker refuses its orders");
                 self.is_over = true;
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -1,10 +1,13 @@
 //! The owner of the lease, which decides about all jobs.
 //!
 //! Threads: one follows the accepted jobs, one follows the workers' announcements, one counts the
-//! instances, one writes the journal, and one decides and exchanges messages with the workers over
+//! instances and removes expired rows, one writes the journal, and one decides and exchanges messages with the workers over
 //! non-blocking connections. The two followers of jobs and workers and the journal have a bounded
 //! queue to the deciding thread.
 
+mod cancels;
+#[cfg(test)]
+mod cancels_tests;
 mod census;
 mod connections;
 #[cfg(test)]
@@ -14,6 +17,7 @@
 mod feed;
 #[cfg(test)]
 mod feed_tests;
+mod housekeeping;
 mod inbox;
 pub(crate) mod journal;
 #[cfg(test)]
@@ -30,7 +34,12 @@
 use gorsespur_jobs::Takeover;
 use gorsespur_runtime::cancel::CancelToken;
 
-use self::{decision_loop::DecisionLoop, inbox::Inbox, journal::JournalInput, load::Loaded};
+use self::{
+    decision_loop::{DecisionLoop, Outputs},
+    inbox::Inbox,
+    journal::JournalInput,
+    load::Loaded,
+};
 use crate::{census::Census, shared::Shared};
 
 /// Capacity of the queues to the deciding thread and to the journal.
@@ -91,14 +100,21 @@
             let workers = spawn("workers").spawn_scoped(scope, || {
                 feed::follow_workers(shared, workers, &sender, &owner_cancel)
             });
-            let census =
-                spawn("census").spawn_scoped(scope, || census::count(shared, &owner_cancel));
-            if jobs.is_err() || workers.is_err() || census.is_err() {
+            let (expired_cancels, expired) = flume::bounded(MAX_QUEUED_INPUTS);
+            let (sender, owner_cancel) = (&sender, &owner_cancel);
+            let keeper = spawn("keeper").spawn_scoped(scope, move || {
+                housekeeping::run(shared, &expired, sender, owner_cancel)
+            });
+            if jobs.is_err() || workers.is_err() || keeper.is_err() {
                 log::error!("owner: can't start threads");
             } else {
                 send(&journal_inputs, JournalInput::Log(loaded.log));
+                let outputs = Outputs {
+                    journal: &journal_inputs,
+                    expired_cancels: &expired_cancels,
+                };
                 DecisionLoop::new(shared, tenure.epoch, loaded.scheduler, inbox)
-                    .run(&journal_inputs, cancel);
+                    .run(&outputs, cancel);
             }
         }
         owner_cancel.cancel();
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -72,6 +72,13 @@
     format!("{id}{CANCEL_SUFFIX}")
 }
 
+/// Value of the row of a cancellation. Earlier versions write an empty value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CancelRow {
+    /// When the caller cancelled the job, in milliseconds since the Unix epoch.
+    pub(crate) at: u64,
+}
+
 /// A parsed key of the table of accepted jobs.
 pub(crate) enum JobsRowKey {
     /// A job.
