Look at the lease during a rest once the owner is silent

Change: an instance that has heard nothing from the owner for 2.5 s looks at the lease, and claims it if it was not renewed between two looks. The owner sends each instance a datagram a second with the age of its last renewal, to an address that instances add to their announcements, so that nobody looks while it lives.

Why it works: the time between two looks has a bound of its own, whoever is left, and a lost datagram only costs a call.

--- a/crates/node/src/census.rs
+++ b/crates/node/src/census.rs
@@ -6,7 +6,7 @@
 //! Limits: a stopped instance is counted for a day. The counts only decide how often instances poll
 //! the store.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use gorsespur_core::retry::Backoff;
 use gorsespur_runtime::{cancel::CancelToken, clock::wall_ms};
@@ -72,6 +72,37 @@
     pub(crate) at: u64,
 }
 
+impl InstanceRow {
+    /// Encodes the announcement of an instance that receives signs of life at `peer`. Earlier
+    /// versions ignore what follows the row.
+    pub(crate) fn encode(&self, peer: Option<SocketAddr>) -> Vec<u8> {
+        let mut value = encode(self);
+        value.extend(peer.iter().flat_map(encode));
+        value
+    }
+}
+
+/// An announcement as read.
+#[derive(Debug, Clone, Copy)]
+struct Announcement {
+    row: InstanceRow,
+    /// Where the instance receives signs of life of the owner.
+    peer: Option<SocketAddr>,
+}
+
+impl Announcement {
+    fn decode(bytes: &[u8]) -> Option<Announcement> {
+        let row: InstanceRow = decode("instance", bytes)?;
+        // The encoding of a row is unique, so that its length tells where the address begins.
+        let rest = bytes.get(encode(&row).len()..).unwrap_or_default();
+        let peer = match rest {
+            [] => None,
+            _ => decode("address of an instance", rest),
+        };
+        Some(Announcement { row, peer })
+    }
+}
+
 /// Announces the instance until cancelled.
 pub(crate) fn announce(shared: &std::sync::Arc<Shared>, cancel: &CancelToken) {
     let mut rng = rand::rng();
@@ -101,7 +132,7 @@
         writes: vec![Write {
             table: INSTANCES,
             key: shared.settings.name.to_string(),
-            value: encode(&row),
+            value: row.encode(shared.settings.peer),
         }],
         ..Tx::default()
     };
@@ -115,7 +146,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct InstanceRegistry {
     /// Announcements by the instances' names, sorted.
-    rows: Vec<(String, InstanceRow)>,
+    rows: Vec<(String, Announcement)>,
 }
 
 impl InstanceRegistry {
@@ -125,15 +156,15 @@
         let mut expired = Vec::new();
         for row in rows {
             let at = self.rows.binary_search_by(|(name, _)| name.cmp(&row.key));
-            let instance = (!row.removed).then(|| decode::<InstanceRow>("instance", &row.value));
-            if instance == Some(None) {
+            let instance = (!row.removed).then(|| Announcement::decode(&row.value));
+            if matches!(instance, Some(None)) {
                 shared.metrics.count(Count::BadRows);
             }
             let instance = instance.flatten();
-            if instance.is_some_and(|i| i.at + EXPIRY_MS < now) {
+            if instance.is_some_and(|i| i.row.at + EXPIRY_MS < now) {
                 expired.push(row.key.clone());
             }
-            let instance = instance.filter(|i| i.at + EXPIRY_MS >= now);
+            let instance = instance.filter(|i| i.row.at + EXPIRY_MS >= now);
             match (at, instance) {
                 (Ok(at), Some(instance)) => self.rows[at].1 = instance,
                 (Ok(at), None) => drop(self.rows.remove(at)),
@@ -144,9 +175,14 @@
         expired
     }
 
+    /// Returns the addresses of the instances that receive signs of life of the owner.
+    pub(crate) fn peers(&self) -> impl Iterator<Item = SocketAddr> {
+        self.rows.iter().filter_map(|(_, instance)| instance.peer)
+    }
+
     /// Counts the instances.
     pub(crate) fn census(&self) -> Census {
-        let shares = || self.rows.iter().map(|(_, row)| row.share);
+        let shares = || self.rows.iter().map(|(_, instance)| instance.row.share);
         let largest = shares().max().unwrap_or(0);
         Census {
             large: shares().filter(|&s| !is_small(s, largest)).count() as u64,
--- a/crates/node/src/fakes_tests.rs
+++ b/crates/node/src/fakes_tests.rs
@@ -144,6 +144,7 @@
         front: None,
         ready: None,
         metrics: None,
+        peer: None,
         linger: Duration::ZERO,
         connections: 1,
         apply: Duration::from_secs(2),
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     candidate::{Candidate, MAX_JITTER_MS},
-    follow_turns::FollowTurn,
+    follow_turns::{FollowTurn, Rest, RestStep},
     metrics::{Count, Duty},
     owner::{self, Tenure},
     row_limits::fit_pending,
@@ -116,9 +116,9 @@
         let candidate = seen.candidate(shared, now, timing(&turn));
         if shared.is_leaving() || !candidate.can_claim() {
             match turn.rest_ms(now, candidate.peers(), rng.random()) {
-                Some(rest) => {
-                    cancel.wait(Duration::from_millis(rest));
-                    turn = FollowTurn::new(shared.clock.now());
+                Some(ms) => {
+                    let rest = Rest::new(now, ms, rng.random_range(0..MAX_JITTER_MS));
+                    turn = watch.rest(shared, rest, cancel);
                 }
                 None => {
                     cancel.wait(Duration::from_millis(candidate.follow_pause()));
@@ -163,6 +163,64 @@
         };
         Ok(self.seen.insert(seen))
     }
+
+    /// Rests from following the lease, until the rest is over or the lease seems to have no owner.
+    /// Returns the turn that begins then.
+    fn rest(&mut self, shared: &Shared, mut rest: Rest, cancel: &CancelToken) -> FollowTurn {
+        while !cancel.is_cancelled() {
+            let now = shared.clock.now();
+            match rest.step(now, shared.heard_at()) {
+                RestStep::Wait(ms) => {
+                    cancel.wait(Duration::from_millis(ms));
+                }
+                RestStep::End => break,
+                RestStep::Look => match self.look(shared) {
+                    Ok(Look::Renewed) => rest.record_renewed(now),
+                    Ok(Look::Unchanged { seen_at }) => {
+                        let unchanged_ms = now.saturating_sub(seen_at);
+                        log::info!(unchanged_ms; "lease: not renewed during a rest");
+                        return FollowTurn::after_look(now, seen_at);
+                    }
+                    Err(err) => {
+                        log::debug!(err = err.to_string().as_str(); "lease: look failed");
+                        shared.record_store_failure();
+                        break;
+                    }
+                },
+            }
+        }
+        FollowTurn::new(shared.clock.now())
+    }
+
+    /// Reads the lease, which shows all renewals up to now, unlike the store's changes.
+    fn look(&mut self, shared: &Shared) -> Result<Look, StoreError> {
+        let Some(old) = &self.seen else {
+            self.seen = Some(read(shared)?);
+            return Ok(Look::Renewed);
+        };
+        let version_since = old.version_since;
+        let new = reread(shared, old)?;
+        let is_held = new.version_since != version_since && !new.lease.released;
+        let new = self.seen.insert(new);
+        match is_held {
+            true => Ok(Look::Renewed),
+            false => Ok(Look::Unchanged {
+                seen_at: new.version_since,
+            }),
+        }
+    }
+}
+
+/// What a look at the lease found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Look {
+    /// The lease was renewed since it was last read.
+    Renewed,
+    /// It was not renewed since then, or was released.
+    Unchanged {
+        /// When the present version was first read, in milliseconds.
+        seen_at: u64,
+    },
 }
 
 fn read_changes(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -45,6 +45,9 @@
 mod front;
 #[cfg(test)]
 mod front_tests;
+mod heartbeat;
+#[cfg(test)]
+mod heartbeat_tests;
 mod lease;
 #[cfg(test)]
 mod lease_tests;
--- a/crates/node/src/owner/census.rs
+++ b/crates/node/src/owner/census.rs
@@ -1,6 +1,6 @@
 //! Counts the instances, by the owner.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use gorsespur_runtime::clock::wall_ms;
 
@@ -27,6 +27,11 @@
 }
 
 impl Counter {
+    /// Returns the addresses of the instances that receive signs of life of the owner.
+    pub(super) fn peers(&self) -> impl Iterator<Item = SocketAddr> {
+        self.registry.peers()
+    }
+
     /// Reads what has changed, and publishes the counts.
     pub(super) fn update(&mut self, shared: &Shared) {
         let result = match self.version {
--- a/crates/node/src/owner/journal.rs
+++ b/crates/node/src/owner/journal.rs
@@ -282,6 +282,7 @@
             thread::sleep(Duration::from_millis(backoff.next_delay()));
         };
         if renews {
+            self.shared.record_renewal(asked_at);
             self.renewed_at = asked_at;
             self.renewal_gaps.record(self.shared.clock.now());
         }
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -103,7 +103,7 @@
             let (expired_cancels, expired) = flume::bounded(MAX_QUEUED_INPUTS);
             let (sender, owner_cancel) = (&sender, &owner_cancel);
             let keeper = spawn("keeper").spawn_scoped(scope, move || {
-                housekeeping::run(shared, &expired, sender, owner_cancel)
+                housekeeping::run(shared, tenure.epoch, &expired, sender, owner_cancel)
             });
             if jobs.is_err() || workers.is_err() || keeper.is_err() {
                 log::error!("owner: can't start threads");
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -1,7 +1,7 @@
 //! Starts and stops the servers and threads of a node.
 
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, UdpSocket},
     sync::{Arc, atomic::Ordering},
     thread,
     time::Duration,
@@ -20,6 +20,7 @@
     error::{ListenSnafu, NodeError, SignalsSnafu, ThreadSnafu},
     follow::follow,
     front::Front,
+    heartbeat,
     lease::watch,
     protocol::Protocol,
     settings::NodeSettings,
@@ -121,6 +122,11 @@
         };
         let front = serve(shared.settings.front, shared.settings.connections, handler)?;
         spawn("census", &shared, &cancel, announce)?;
+        if let Some(socket) = bind_peer(shared.settings.peer) {
+            spawn("heartbeat", &shared, &cancel, move |shared, _| {
+                heartbeat::listen(shared, &socket);
+            })?;
+        }
         let watcher = spawn("lease", &shared, &cancel, watch)?;
         Ok(Node {
             shared,
@@ -166,6 +172,18 @@
     }
 }
 
+/// Binds the socket for signs of life of the owner. Without it, the instance asks the store.
+fn bind_peer(addr: Option<SocketAddr>) -> Option<UdpSocket> {
+    let addr = addr?;
+    match UdpSocket::bind(addr) {
+        Ok(socket) => Some(socket),
+        Err(err) => {
+            log::warn!(addr = addr.to_string().as_str(), err = err.to_string().as_str(); "heartbeat: can't listen");
+            None
+        }
+    }
+}
+
 /// Runs a node until SIGTERM or SIGINT; calls `reload` on SIGHUP.
 ///
 /// Errors: as [`Node::start`], and signal handlers that can't be installed.
@@ -211,7 +229,7 @@
     name: &'static str,
     shared: &Arc<Shared>,
     cancel: &CancelToken,
-    thread_main: fn(&Arc<Shared>, &CancelToken),
+    thread_main: impl FnOnce(&Arc<Shared>, &CancelToken) + Send + 'static,
 ) -> Result<thread::JoinHandle<()>, NodeError> {
     let (shared, cancel) = (shared.clone(), cancel.clone());
     thread::Builder::new()
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -15,6 +15,8 @@
     pub ready: Option<SocketAddr>,
     /// Address of the metrics; `None` if they are not served.
     pub metrics: Option<SocketAddr>,
+    /// Address for signs of life of the owner, as datagrams; `None` to receive none.
+    pub peer: Option<SocketAddr>,
     /// Time for which the process keeps answering after SIGTERM.
     pub linger: Duration,
     /// Limit on open connections of callers.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -15,6 +15,7 @@
     admission_control::AdmissionControl,
     census::Census,
     config::Config,
+    heartbeat::Heartbeat,
     long_poll,
     metrics::{Duty, Metrics},
     protocol::Protocol,
@@ -70,6 +71,12 @@
     answer_ms: AtomicU64,
     /// When a call to the store last failed, in milliseconds.
     failed_at: AtomicU64,
+    /// When the store was asked for the last renewal of this instance's lease, in milliseconds.
+    renewed_at: AtomicU64,
+    /// The highest epoch of an owner that sent a sign of life.
+    heard_epoch: AtomicU64,
+    /// When that owner is known to have held the lease, in milliseconds.
+    heard_at: AtomicU64,
     /// Whether a request is probing an unreachable store.
     probing: AtomicBool,
     /// Whether the process is stopping.
@@ -106,6 +113,9 @@
             answer_ms: AtomicU64::new(0),
             max_silence: AtomicU64::new(0),
             failed_at: AtomicU64::new(0),
+            renewed_at: AtomicU64::new(0),
+            heard_epoch: AtomicU64::new(0),
+            heard_at: AtomicU64::new(0),
             probing: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
         };
@@ -192,6 +202,35 @@
         *self.census.lock().unwrap_or_else(PoisonError::into_inner) = Some(census);
     }
 
+    /// Records that the store has renewed this instance's lease, for which it was asked at
+    /// `asked_at`.
+    pub(crate) fn record_renewal(&self, asked_at: u64) {
+        self.renewed_at.store(asked_at, Ordering::Relaxed);
+    }
+
+    /// Returns when the store was asked for the last renewal of this instance's lease, in
+    /// milliseconds.
+    pub(crate) fn renewed_at(&self) -> u64 {
+        self.renewed_at.load(Ordering::Relaxed)
+    }
+
+    /// Records a sign of life of an owner, unless a later owner was heard of. Only the receiving
+    /// thread calls this.
+    pub(crate) fn record_heartbeat(&self, heartbeat: &Heartbeat) {
+        if heartbeat.epoch < self.heard_epoch.load(Ordering::Relaxed) {
+            return;
+        }
+        self.heard_epoch.store(heartbeat.epoch, Ordering::Relaxed);
+        let renewed_at = self.clock.now().saturating_sub(heartbeat.age);
+        self.heard_at.fetch_max(renewed_at, Ordering::Relaxed);
+    }
+
+    /// Returns when an owner is known to have held the lease by its signs of life, in
+    /// milliseconds; 0 if none was received.
+    pub(crate) fn heard_at(&self) -> u64 {
+        self.heard_at.load(Ordering::Relaxed)
+    }
+
     /// Records that the store answered.
     pub(crate) fn record_store_answer(&self) {
         self.answered_at.store(self.clock.now(), Ordering::Relaxed);
--- a/crates/node/src/watch_sim_tests.rs
+++ b/crates/node/src/watch_sim_tests.rs
@@ -12,7 +12,7 @@
 use crate::{
     candidate::{Candidate, MAX_JITTER_MS},
     census::Census,
-    follow_turns::FollowTurn,
+    follow_turns::{FollowTurn, MAX_SILENCE_MS, Rest, RestStep},
     long_poll,
     rows::LeaseRow,
 };
@@ -42,6 +42,14 @@
 /// follow within a second.
 const MAX_TAKEOVER_MS: u64 = 2500;
 
+/// Longest time from a loss of nearly all instances until another has the lease, in milliseconds.
+/// Work has to go on 10 s after the loss, and reading the jobs, polling the workers and the first
+/// starts take up to 3 s.
+const MAX_SURVIVOR_MS: u64 = 7000;
+
+/// Period of the owner's heartbeats, in milliseconds.
+const HEARTBEAT_MS: u64 = 1000;
+
 /// The instances that can't reach the store once the owner is lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Loss {
@@ -55,6 +63,12 @@
     Third,
     /// All large instances.
     Large,
+    /// All instances but a large one.
+    AllButLarge,
+    /// All instances but a small one, or the last one if all are large.
+    AllButSmall,
+    /// All instances but four.
+    AllButFour,
 }
 
 /// State of an instance.
@@ -75,6 +89,7 @@
     state: State,
     is_reachable: bool,
     is_resting: bool,
+    rest: Option<Rest>,
 }
 
 struct Fleet {
@@ -88,6 +103,8 @@
     timers: BinaryHeap<Reverse<(u64, usize, u64)>>,
     calls: u64,
     bytes: u64,
+    /// Whether resting instances receive the owner's heartbeats.
+    has_heartbeats: bool,
 }
 
 impl Fleet {
@@ -121,6 +138,7 @@
                 state: State::Paused,
                 is_reachable: true,
                 is_resting: false,
+                rest: None,
             }
         });
         let instances = instances.collect();
@@ -133,6 +151,48 @@
             timers,
             calls: 0,
             bytes: 0,
+            has_heartbeats: true,
+        }
+    }
+
+    /// Returns when the owner held the lease according to its last heartbeat.
+    fn heard_at(&self) -> u64 {
+        let last = self.now.min(LOST_AT_MS) / HEARTBEAT_MS * HEARTBEAT_MS;
+        match self.has_heartbeats {
+            true => last.saturating_sub(RENEW_PERIOD_MS),
+            false => 0,
+        }
+    }
+
+    /// Continues the rest of an instance; returns whether it follows again.
+    fn continue_rest(&mut self, at: usize) -> bool {
+        let (now, heard_at, version) = (self.now, self.heard_at(), self.version);
+        let instance = &mut self.instances[at];
+        let Some(rest) = &mut instance.rest else {
+            return true;
+        };
+        loop {
+            match rest.step(now, heard_at) {
+                RestStep::Wait(ms) => {
+                    self.timers.push(Reverse((now + ms, at, u64::MAX)));
+                    return false;
+                }
+                RestStep::End => {
+                    instance.turn = FollowTurn::new(now);
+                    return true;
+                }
+                RestStep::Look if !instance.is_reachable => return false,
+                RestStep::Look => {
+                    self.calls += 1;
+                    self.bytes += ANSWER_BYTES.0;
+                    if instance.seen == version {
+                        instance.turn = FollowTurn::after_look(now, instance.version_since);
+                        return true;
+                    }
+                    (instance.seen, instance.version_since) = (version, now);
+                    rest.record_renewed(now);
+                }
+            }
         }
     }
 
@@ -152,8 +212,10 @@
     /// Starts a long poll of an instance.
     fn start_poll(&mut self, at: usize) {
         if self.instances[at].is_resting {
+            if !self.continue_rest(at) {
+                return;
+            }
             self.instances[at].is_resting = false;
-            self.instances[at].turn = FollowTurn::new(self.now);
         }
         if !self.instances[at].is_reachable {
             return;
@@ -187,13 +249,15 @@
             return true;
         }
         let (peers, pause) = (candidate.peers(), candidate.follow_pause());
-        let chance = self.rng.random();
+        let (chance, jitter_ms) = (self.rng.random(), self.rng.random_range(0..MAX_JITTER_MS));
         let instance = &mut self.instances[at];
         let rest = instance.turn.rest_ms(self.now, peers, chance);
         instance.is_resting = rest.is_some();
         instance.state = State::Paused;
-        let then = self.now + rest.unwrap_or(pause);
-        self.timers.push(Reverse((then, at, u64::MAX)));
+        instance.rest = rest.map(|ms| Rest::new(self.now, ms, jitter_ms));
+        if !instance.is_resting || self.continue_rest(at) {
+            self.timers.push(Reverse((self.now + pause, at, u64::MAX)));
+        }
         false
     }
 
@@ -239,6 +303,7 @@
 
     fn lose(&mut self, loss: Loss) {
         let large = self.lease.census.large as usize;
+        let count = self.instances.len();
         for (at, instance) in self.instances.iter_mut().enumerate() {
             let lost = match loss {
                 Loss::Owner => at == 0,
@@ -246,6 +311,9 @@
                 Loss::Zone => at % ZONES == 0,
                 Loss::Third => at % 3 == 0,
                 Loss::Large => at < large,
+                Loss::AllButLarge => at != 1,
+                Loss::AllButSmall => at + 1 != count,
+                Loss::AllButFour => at == 0 || at + 4 < count,
             };
             instance.is_reachable &= !lost;
         }
@@ -295,10 +363,61 @@
     assert!(worst <= MAX_TAKEOVER_MS, "{worst}");
 }
 
+/// Rests grew with the number of instances that had been counted within a day, so that the survivor
+/// of 300 looked at the lease only after up to two minutes.
+#[test_case(9, Loss::AllButSmall)]
+#[test_case(20, Loss::AllButSmall)]
+#[test_case(100, Loss::AllButLarge)]
+#[test_case(100, Loss::AllButSmall)]
+#[test_case(100, Loss::AllButFour)]
+#[test_case(300, Loss::AllButLarge)]
+#[test_case(300, Loss::AllButSmall)]
+#[test_case(300, Loss::AllButFour)]
+#[test_case(584, Loss::AllButLarge)]
+#[test_case(584, Loss::AllButSmall)]
+#[test_case(584, Loss::AllButFour)]
+#[test_case(7000, Loss::AllButLarge)]
+#[test_case(7000, Loss::AllButSmall)]
+fn a_survivor_of_many_takes_the_lease_in_time(count: usize, loss: Loss) {
+    for has_heartbeats in [true, false] {
+        let mut takeover_times = Vec::new();
+        for seed in 0..20 {
+            let mut fleet = Fleet::new(count, seed);
+            fleet.has_heartbeats = has_heartbeats;
+            assert_eq!(fleet.run(LOST_AT_MS, true), None);
+            fleet.lose(loss);
+            let claimed_at = fleet.run(LOST_AT_MS + 200_000, false);
+            takeover_times.push(claimed_at.expect("it is alive") - LOST_AT_MS);
+        }
+        println!("{count} instances, {loss:?}, heartbeats {has_heartbeats}: {takeover_times:?} ms");
+        let worst = *takeover_times.iter().max().expect("some seeds");
+        assert!(worst <= MAX_SURVIVOR_MS, "{worst}");
+    }
+}
+
+/// Without heartbeats, beside an owner of the version before, each instance looks at the lease once
+/// in [`MAX_SILENCE_MS`], and not more often.
+#[test_case(9)]
+#[test_case(300)]
+#[test_case(584)]
+fn looks_without_heartbeats_have_a_bound(count: usize) {
+    let mut fleet = Fleet::new(count, 1);
+    fleet.has_heartbeats = false;
+    fleet.run(LOST_AT_MS / 2, true);
+    fleet.calls = 0;
+    fleet.run(LOST_AT_MS, true);
+    let calls = fleet.calls * 1000 / (LOST_AT_MS / 2);
+    println!("{count} instances without heartbeats: {calls} calls a second for the lease");
+    let looks = count as u64 * 1000 / MAX_SILENCE_MS;
+    assert!(calls <= looks + 100, "{calls}");
+}
+
 /// The watchers of the lease make a few calls a second in total, whatever the number of instances;
 /// if each of them followed, 600 would call 500 times a second.
 #[test_case(9)]
 #[test_case(100)]
+#[test_case(300)]
+#[test_case(584)]
 #[test_case(600)]
 #[test_case(1200)]
 #[test_case(7000)]
