--- a/crates/jobs/src/model/mod.rs
+++ b/crates/jobs/src/model/mod.rs
@@ -15,6 +15,8 @@
 pub(crate) mod job;
 pub(crate) mod policy;
 pub(crate) mod record;
+#[cfg(test)]
+mod record_tests;
 pub(crate) mod spec;
 pub(crate) mod step;
 pub(crate) mod task;
