node: count a row of a condition as present only with a version

PROTOCOL.md says that a conflict returns the rows of the conditions as they are; whether an absent row is left out or has version 0 there, it does not exist. Behaviour against the fakes and the stand-ins as before: they leave absent rows out.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -21,7 +21,7 @@
         decode, encode, job_part,
     },
     shared::Shared,
-    store::{Commit, Expect, Row, StoreError, Tx, Write},
+    store::{Commit, Expect, Row, StoreError, Tx, Write, has_row},
     write_limit::write_limit,
 };
 
@@ -185,7 +185,7 @@
             removes: Vec::new(),
         };
         match self.write(&tx, request, start) {
-            WriteResult::Conflict(rows) if !has_job(&rows, id) => {
+            WriteResult::Conflict(rows) if !has_row(&rows, &id.to_string()) => {
                 log::info!(job = id.to_string().as_str(); "front: job not taken, it was cancelled before");
                 self.shared.metrics.count(Count::Refused);
                 // Without `retry-after`, as it is never taken.
@@ -343,9 +343,3 @@
         self.refuse()
     }
 }
-
-/// Returns whether the current rows of a submission's conditions include the job.
-fn has_job(rows: &[Row], id: JobId) -> bool {
-    let key = id.to_string();
-    rows.iter().any(|r| r.key == key && !r.removed)
-}
--- a/crates/node/src/owner/cancels.rs
+++ b/crates/node/src/owner/cancels.rs
@@ -12,7 +12,7 @@
     metrics::Duty,
     rows::{CancelRow, JOBS, cancel_key, decode, job_part},
     shared::Shared,
-    store::{Commit, Expect, Row, StoreError, Tx},
+    store::{Commit, Expect, Row, StoreError, Tx, has_row},
 };
 
 /// Rows that are removed in one round at most, which leaves the store to more urgent calls.
@@ -91,8 +91,7 @@
         }
         Commit::Conflict(rows) => rows,
     };
-    let job = id.to_string();
-    match rows.iter().any(|r| r.key == job && !r.removed) {
+    match has_row(&rows, &id.to_string()) {
         true => Ok(Removal::Arrived),
         false => Ok(Removal::Done),
     }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -78,6 +78,12 @@
     }
 }
 
+/// Returns whether a row with this key exists among the current rows of conditions.
+pub(crate) fn has_row(rows: &[Row], key: &str) -> bool {
+    rows.iter()
+        .any(|r| r.key == key && r.version > 0 && !r.removed)
+}
+
 /// Rows read at one version of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
