--- a/crates/jobs/src/share/images.rs
+++ b/crates/jobs/src/share/images.rs
@@ -38,7 +38,7 @@
 }
 
 /// A number that was assigned to an image.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) struct Assigned {
     pub(crate) image: Image,
     /// Whether the number belonged to another image before.
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -212,7 +212,7 @@
 }
 
 /// What a look at the lease found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 enum Look {
     /// The lease was renewed since it was last read.
     Renewed,
--- a/crates/node/src/owner/cancels.rs
+++ b/crates/node/src/owner/cancels.rs
@@ -22,7 +22,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// What became of the row of a cancellation.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 enum Removal {
     /// The row is gone, or was renewed.
     Done,
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -1,9 +1,10 @@
 //! The owner of the lease, which decides about all jobs.
 //!
-//! Threads: one follows the accepted jobs, one follows the workers' announcements, one counts the
-//! instances and removes expired rows, one writes the journal, and one decides and exchanges messages with the workers over
-//! non-blocking connections. The two followers of jobs and workers and the journal have a bounded
-//! queue to the deciding thread.
+//! Threads: one follows the accepted jobs, one follows the workers' announcements, one does what can
+//! wait (it counts the instances, sends them signs of life and removes expired rows), one writes
+//! the journal, and one decides and exchanges messages with the workers over non-blocking
+//! connections. The two followers of jobs and workers and the journal have a bounded queue to the
+//! deciding thread.
 
 mod cancels;
 #[cfg(test)]
--- a/crates/node/src/row_limits.rs
+++ b/crates/node/src/row_limits.rs
@@ -26,7 +26,7 @@
 pub(crate) const LEFT_OUT: &str = "";
 
 /// A list that was shortened to fit into a row.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) struct Fitted<T> {
     pub(crate) list: Vec<T>,
     /// Number of queues that were left out.
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -73,7 +73,7 @@
 }
 
 /// Value of the row of a cancellation. Earlier versions write an empty value.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct CancelRow {
     /// When the caller cancelled the job, in milliseconds since the Unix epoch.
     pub(crate) at: u64,
