--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
 root=$(cd "$folder/../.." && pwd) || exit 2
 stand="$root/review/stand-3/target/release/review-stand-3"
 [ -x "$stand" ] || { echo "run review/build-3.sh first" >&2; exit 2; }
-exec "$stand" finished-jobs "$root" "$folder"
+exec "$stand" many-images "$root" "$folder"
--- a/review/stand-3/src/dark_crashes.rs
+++ b/review/stand-3/src/dark_crashes.rs
@@ -48,7 +48,10 @@
     if !platform.submit(&job, &clients, 0, 5) {
         return Err("the job was not accepted".into());
     }
-    record.note(&format!("job   {} accepted: its task crashes each worker that starts it", job.id));
+    record.note(&format!(
+        "job   {} accepted: its task crashes each worker that starts it",
+        job.id
+    ));
     let task = format!("{}.0.0.0", job.id);
     let down = Duration::from_millis(setting("DOWN", DOWN.as_millis() as u64));
     let until = Instant::now() + PLAY;
@@ -90,8 +93,14 @@
     let (status, body) = call(&clients[0], Method::Get, &job.id, Vec::new());
     let state = String::from_utf8_lossy(&body).into_owned();
     record.note(&format!("sent  GET {} answered {status} {state}", job.id));
-    record.note(&format!("{crashes} workers crashed under the task; {later} starts after the third crash"));
-    let restarts: u64 = platform.nodes.iter().map(|n| n.over_memory.load(Ordering::Relaxed)).sum();
+    record.note(&format!(
+        "{crashes} workers crashed under the task; {later} starts after the third crash"
+    ));
+    let restarts: u64 = platform
+        .nodes
+        .iter()
+        .map(|n| n.over_memory.load(Ordering::Relaxed))
+        .sum();
     record.note(&format!("instances ended {restarts} times"));
     platform.end();
     // BUDGET: started three times more after three workers have crashed under it.
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -5,7 +5,7 @@
 //! couldn't run. `TROUBLE=0` leaves out the disruption.
 
 mod dark_crashes;
-mod finished_jobs;
+mod late_poll;
 mod many_images;
 mod node;
 mod platform;
@@ -27,7 +27,7 @@
     let trouble = !env::var("TROUBLE").is_ok_and(|t| t == "0");
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let broken = match case.as_str() {
-        "finished-jobs" => finished_jobs::play(&root, &folder, trouble),
+        "late-poll" => late_poll::play(&root, &folder, trouble),
         "dark-crashes" => dark_crashes::play(&root, &folder, trouble),
         "refused-cuts" => refused_cuts::play(&root, &folder, trouble),
         "wrapped-count" => wrapped_count::play(&root, &folder, trouble),
--- a/review/stand-3/src/many_images.rs
+++ b/review/stand-3/src/many_images.rs
@@ -82,9 +82,14 @@
         thread::sleep(Duration::from_millis(200));
     }
     let runs: usize = platform.workers.iter().map(|w| w.runs()).sum();
-    record.note(&format!("{accepted} of {number} filling jobs accepted; {runs} runs on the workers"));
+    record.note(&format!(
+        "{accepted} of {number} filling jobs accepted; {runs} runs on the workers"
+    ));
     platform.log_memory();
-    let ends = platform.nodes.iter().map(|n| n.over_memory.load(Ordering::Relaxed));
+    let ends = platform
+        .nodes
+        .iter()
+        .map(|n| n.over_memory.load(Ordering::Relaxed));
     let broken = ends.filter(|ends| *ends >= ENDS).count() >= MACHINES;
     platform.end();
     Ok(broken)
--- a/review/stand-3/src/node.rs
+++ b/review/stand-3/src/node.rs
@@ -113,7 +113,11 @@
 
     /// Starts the process as the deploy file does: without arguments, with the settings' path.
     pub fn spawn(&self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("log");
         let child = Command::new(&self.program)
             .env("GORSESPUR_CONFIG", &self.settings)
             .stdin(Stdio::null())
@@ -121,7 +125,11 @@
             .stderr(log)
             .spawn()
             .expect("the program starts");
-        self.record.note(&format!("node  {} started, process {}", self.name, child.id()));
+        self.record.note(&format!(
+            "node  {} started, process {}",
+            self.name,
+            child.id()
+        ));
         *self.child.lock().expect("lock") = Some(child);
     }
 
@@ -129,7 +137,8 @@
     pub fn kill(&self, why: &str) {
         let mut child = self.child.lock().expect("lock");
         if let Some(child) = child.as_mut() {
-            self.record.note(&format!("node  {} SIGKILL: {why}", self.name));
+            self.record
+                .note(&format!("node  {} SIGKILL: {why}", self.name));
             child.kill().expect("own process");
         }
     }
@@ -148,7 +157,11 @@
         let id = child.as_ref()?.id();
         let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
         let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
-        line.split_whitespace().nth(1)?.parse::<u64>().ok().map(|kb| kb / 1024)
+        line.split_whitespace()
+            .nth(1)?
+            .parse::<u64>()
+            .ok()
+            .map(|kb| kb / 1024)
     }
 
     /// Does what the platform does until `stop`: kills the process while it is over its memory, and
@@ -162,11 +175,16 @@
                     node.peak_mb.fetch_max(mb, Ordering::Relaxed);
                     if mb > node.memory_mb {
                         node.over_memory.fetch_add(1, Ordering::Relaxed);
-                        node.kill(&format!("its memory is {mb} MB, over memoryMb {}", node.memory_mb));
+                        node.kill(&format!(
+                            "its memory is {mb} MB, over memoryMb {}",
+                            node.memory_mb
+                        ));
                     }
                 }
                 let mut child = node.child.lock().expect("lock");
-                let ended = child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
+                let ended = child
+                    .as_mut()
+                    .is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
                 drop(child);
                 if ended {
                     node.record.note(&format!("node  {} has ended", node.name));
--- a/review/stand-3/src/platform.rs
+++ b/review/stand-3/src/platform.rs
@@ -68,7 +68,12 @@
 
 impl Platform {
     /// Starts the store, `workers` workers of 32 cores and 128 GB, and three instances.
-    pub fn start(root: &Path, folder: &Path, workers: usize, site: &Site) -> Result<Platform, String> {
+    pub fn start(
+        root: &Path,
+        folder: &Path,
+        workers: usize,
+        site: &Site,
+    ) -> Result<Platform, String> {
         if !root.join("target/release/gorsespur").exists() {
             return Err("the program is not built".into());
         }
@@ -94,8 +99,8 @@
             servers.push(server);
         }
         let mut nodes = Vec::new();
-        for (index, zone) in ZONES.iter().enumerate() {
-            let (server, addr) = store.listen(index);
+        for zone in ZONES {
+            let (server, addr) = store.listen();
             servers.push(server);
             let name = format!("edge-{zone}-1");
             let node = Node::start(root, &dir, &name, zone, addr, site, &record);
@@ -131,11 +136,6 @@
         Err("the instances don't become ready".into())
     }
 
-    /// Returns the instance that last wrote to the store under a condition.
-    pub fn leader(&self) -> Option<Arc<Node>> {
-        self.store.last_writer().map(|n| self.nodes[n].clone())
-    }
-
     /// Starts a worker that crashed again, under its `id`.
     pub fn restart_worker(&mut self, at: usize) {
         let (id, size) = (self.workers[at].id.clone(), (32_000, 128_000));
@@ -145,7 +145,13 @@
         self.proxies[at].set_target(addr);
         self.proxies[at].set(Mode::Pass);
         let zone = ZONES[at % ZONES.len()];
-        let thread = beat(&worker, self.proxies[at].addr, zone, &self.store, &self.stop);
+        let thread = beat(
+            &worker,
+            self.proxies[at].addr,
+            zone,
+            &self.store,
+            &self.stop,
+        );
         self.threads.push(thread);
         self.servers.push(server);
         self.workers[at] = worker;
@@ -241,7 +247,9 @@
         if self.apart {
             step["antiAffinity"] = 1.into();
         }
-        json!({"spec": self.spec, "steps": [step]}).to_string().into_bytes()
+        json!({"spec": self.spec, "steps": [step]})
+            .to_string()
+            .into_bytes()
     }
 
     pub fn work(&self) -> Arc<Work> {
@@ -267,7 +275,8 @@
         for turn in 0..tries {
             let client = &clients[(first + turn) % clients.len()];
             let (status, _) = call(client, Method::Post, &job.id, job.body());
-            self.record.line(&format!("sent  POST {} answered {status}", job.id));
+            self.record
+                .line(&format!("sent  POST {} answered {status}", job.id));
             if status == 200 {
                 return true;
             }
@@ -324,7 +333,9 @@
                 String::from_utf8_lossy(&body),
             ));
         }
-        record.note(&format!("workers use {used} of {room} thousandths of a core"));
+        record.note(&format!(
+            "workers use {used} of {room} thousandths of a core"
+        ));
         broken
     }
 }
--- a/review/stand-3/src/record.rs
+++ b/review/stand-3/src/record.rs
@@ -17,8 +17,6 @@
     last: Mutex<HashMap<String, (u64, String)>>,
     /// Ends of each task.
     ends: Mutex<HashMap<String, Vec<String>>>,
-    /// Number of ends `done`.
-    done: Mutex<u64>,
     file: Mutex<BufWriter<File>>,
 }
 
@@ -29,7 +27,6 @@
             first: Mutex::default(),
             last: Mutex::default(),
             ends: Mutex::default(),
-            done: Mutex::default(),
             file: Mutex::new(BufWriter::new(File::create(path).expect("record.txt"))),
         }
     }
@@ -56,16 +53,24 @@
 
     pub fn began(&self, task: &str, attempt: u64, worker: &str) {
         let job = task.split('.').next().unwrap_or_default().to_owned();
-        self.first.lock().expect("lock").entry(job).or_insert(self.now());
+        self.first
+            .lock()
+            .expect("lock")
+            .entry(job)
+            .or_insert(self.now());
         let last = (attempt, worker.to_owned());
-        self.last.lock().expect("lock").insert(task.to_owned(), last);
+        self.last
+            .lock()
+            .expect("lock")
+            .insert(task.to_owned(), last);
         self.line(&format!("run   {task} {attempt} began on {worker}"));
     }
 
     pub fn ended(&self, task: &str, attempt: u64, worker: &str, how: &str) {
-        *self.done.lock().expect("lock") += u64::from(how == "done");
         let mut ends = self.ends.lock().expect("lock");
-        ends.entry(task.to_owned()).or_default().push(how.to_owned());
+        ends.entry(task.to_owned())
+            .or_default()
+            .push(how.to_owned());
         drop(ends);
         self.line(&format!("run   {task} {attempt} ended {how} on {worker}"));
     }
@@ -85,8 +90,4 @@
         let ends = self.ends.lock().expect("lock");
         ends.get(task).cloned().unwrap_or_default()
     }
-
-    pub fn done(&self) -> u64 {
-        *self.done.lock().expect("lock")
-    }
 }
--- a/review/stand-3/src/refused_cuts.rs
+++ b/review/stand-3/src/refused_cuts.rs
@@ -74,14 +74,18 @@
     let until = Instant::now() + TASK + Duration::from_secs(14);
     let last = loop {
         let state = state();
-        let is_over = ["complete", "failed", "canceled"].iter().any(|s| state.contains(s));
+        let is_over = ["complete", "failed", "canceled"]
+            .iter()
+            .any(|s| state.contains(s));
         if is_over || Instant::now() > until {
             break state;
         }
         thread::sleep(Duration::from_millis(500));
     };
     let ends = record.ends(&task);
-    record.note(&format!("the job is shown as {last}; ends of its task as the workers list them: {ends:?}"));
+    record.note(&format!(
+        "the job is shown as {last}; ends of its task as the workers list them: {ends:?}"
+    ));
     platform.end();
     // LOST: shown as `failed` without an end `failed`, and without a worker that crashed.
     Ok(last.contains("failed") && !ends.iter().any(|how| how == "failed"))
--- a/review/stand-3/src/store.rs
+++ b/review/stand-3/src/store.rs
@@ -46,9 +46,6 @@
     second: u64,
     writes: u32,
     reads: u32,
-    /// The node that last wrote under a condition.
-    last_writer: Option<usize>,
-    refused: u64,
 }
 
 pub struct Store {
@@ -60,7 +57,6 @@
 /// The store as one node reaches it.
 struct Entry {
     store: Arc<Store>,
-    node: usize,
 }
 
 impl Store {
@@ -72,11 +68,10 @@
         })
     }
 
-    /// Opens an address for a node, so that its calls are told apart from those of others.
-    pub fn listen(self: &Arc<Store>, node: usize) -> (Server, SocketAddr) {
+    /// Opens an address for a node.
+    pub fn listen(self: &Arc<Store>) -> (Server, SocketAddr) {
         let entry = Entry {
             store: self.clone(),
-            node,
         };
         let settings = ServerSettings {
             max_connections: 512,
@@ -99,25 +94,6 @@
         self.changed.notify_all();
     }
 
-
-    /// Returns the node that last wrote under a condition.
-    pub fn last_writer(&self) -> Option<usize> {
-        self.state.lock().expect("lock").last_writer
-    }
-
-    /// Returns the number of rows of a table, and the bytes of their values.
-    pub fn size(&self, table: &str) -> (usize, usize) {
-        let state = self.state.lock().expect("lock");
-        let rows = state.tables.get(table).map(|t| &t.rows);
-        let bytes = rows.map_or(0, |r| r.values().map(|v| v.0.len() * 3 / 4).sum());
-        (rows.map_or(0, BTreeMap::len), bytes)
-    }
-
-    /// Returns the number of calls that were refused for their rate.
-    pub fn refused(&self) -> u64 {
-        self.state.lock().expect("lock").refused
-    }
-
     fn now_ms(&self) -> u64 {
         self.origin.elapsed().as_millis() as u64
     }
@@ -129,7 +105,7 @@
         if state.second != second {
             (state.second, state.writes, state.reads) = (second, 0, 0);
         }
-        let within = match write {
+        match write {
             true => {
                 state.writes += 1;
                 state.writes <= WRITES_PER_S
@@ -138,12 +114,10 @@
                 state.reads += 1;
                 state.reads <= READS_PER_S
             }
-        };
-        state.refused += u64::from(!within);
-        within
+        }
     }
 
-    fn tx(&self, node: usize, body: &[u8]) -> Response {
+    fn tx(&self, body: &[u8]) -> Response {
         thread::sleep(TX_TIME);
         let Ok(body) = serde_json::from_slice::<Value>(body) else {
             return Response::new(400, Vec::new());
@@ -184,9 +158,6 @@
             let (table, key) = name(row);
             state.write(table, key, None);
         }
-        if !expects.is_empty() {
-            state.last_writer = Some(node);
-        }
         let body = json!({"schemaVer": state.version, "nowMs": self.now_ms()});
         self.changed.notify_all();
         Response::new(200, body.to_string().into_bytes())
@@ -216,13 +187,19 @@
         }
         let version = state.version;
         drop(state);
-        let body = json!({"rows": rows, "hasMore": more, "schemaVer": version, "nowMs": self.now_ms()});
+        let body =
+            json!({"rows": rows, "hasMore": more, "schemaVer": version, "nowMs": self.now_ms()});
         Response::new(200, body.to_string().into_bytes())
     }
 
     fn feed(&self, query: &HashMap<String, String>) -> Response {
         thread::sleep(READ_TIME);
-        let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+        let number = |name: &str| {
+            query
+                .get(name)
+                .and_then(|v| v.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         let (after, wait) = (number("deps"), Duration::from_millis(number("waitMs")));
         let table = query.get("tbl").cloned().unwrap_or_default();
         let state = self.state.lock().expect("lock");
@@ -230,14 +207,20 @@
             let last = s.tables.get(&table).and_then(|t| t.changes.back());
             last.is_some_and(|c| c.0 > after)
         };
-        let waited = self.changed.wait_timeout_while(state, wait, |s| !has_news(s));
+        let waited = self
+            .changed
+            .wait_timeout_while(state, wait, |s| !has_news(s));
         let (mut state, _) = waited.expect("lock");
         let newest = state.version;
         let Some(found) = state.tables.get_mut(&table) else {
             let body = json!({"rows": [], "schemaVer": newest, "nowMs": self.now_ms()});
             return Response::new(200, body.to_string().into_bytes());
         };
-        while found.changes.front().is_some_and(|c| c.1.elapsed() > HISTORY) {
+        while found
+            .changes
+            .front()
+            .is_some_and(|c| c.1.elapsed() > HISTORY)
+        {
             found.forgotten = found.changes.pop_front().map_or(0, |c| c.0);
         }
         if after < found.forgotten {
@@ -290,7 +273,7 @@
             return Some(Response::new(429, Vec::new()));
         }
         Some(match (request.method, path) {
-            (Method::Post, "/rows-tx") => self.store.tx(self.node, &request.body),
+            (Method::Post, "/rows-tx") => self.store.tx(&request.body),
             (Method::Get, "/rows-get") => self.store.rows(&query),
             (Method::Get, "/rows-feed") => self.store.feed(&query),
             _ => Response::new(404, Vec::new()),
@@ -300,7 +283,10 @@
 
 fn name(row: &Value) -> (&str, Key) {
     let text = |name: &str| row[name].as_str().unwrap_or_default();
-    (text("tbl"), (text("part").to_owned(), text("key").to_owned()))
+    (
+        text("tbl"),
+        (text("part").to_owned(), text("key").to_owned()),
+    )
 }
 
 fn row_json(table: &str, key: &Key, value: &str, version: u64) -> Value {
--- a/review/stand-3/src/worker.rs
+++ b/review/stand-3/src/worker.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Condvar, Mutex},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -66,6 +67,18 @@
     lease_end: Instant,
     /// Whether the process has crashed.
     is_dead: bool,
+    /// Whether the next poll that says that ends were observed is left unanswered, and all orders
+    /// after it.
+    holds_back: bool,
+    /// The orders that were left unanswered.
+    held_back: Vec<Order>,
+}
+
+/// An order that is carried out late.
+#[derive(Clone)]
+pub struct Order {
+    pub path: String,
+    pub body: Value,
 }
 
 pub struct Worker {
@@ -106,6 +119,8 @@
                 fence: 0,
                 lease_end: now,
                 is_dead: false,
+                holds_back: false,
+                held_back: Vec::new(),
             }),
             changed: Condvar::new(),
             jobs: jobs.clone(),
@@ -136,7 +151,44 @@
     pub fn used(&self) -> u64 {
         let mut state = self.state.lock().expect("lock");
         self.advance(&mut state);
-        state.running.iter().map(|r| if r.step.fills { 0 } else { r.step.cpu }).sum()
+        state
+            .running
+            .iter()
+            .map(|r| if r.step.fills { 0 } else { r.step.cpu })
+            .sum()
+    }
+
+    /// Leaves the next poll that says that ends were observed unanswered, and all orders after it.
+    pub fn hold_back(&self) {
+        self.state.lock().expect("lock").holds_back = true;
+    }
+
+    /// Returns the orders that were left unanswered.
+    pub fn held_back(&self) -> Vec<Order> {
+        self.state.lock().expect("lock").held_back.clone()
+    }
+
+    /// Carries out an order late; returns the status of the answer that nobody gets.
+    pub fn carry_out(&self, order: &Order) -> u16 {
+        let answer = self.obey(&order.path, &order.body);
+        answer.map_or(0, |r| r.status)
+    }
+
+    /// Keeps an order from being carried out; returns whether it is to stay unanswered.
+    fn is_held_back(&self, path: &str, body: &Value) -> bool {
+        let mut state = self.state.lock().expect("lock");
+        let begins = state.holds_back && path == "/hold" && body["observed"].as_u64() > Some(0);
+        let goes_on = !state.held_back.is_empty() && matches!(path, "/hold" | "/run-start");
+        if !state.is_dead && (begins || goes_on) {
+            let (path, body) = (path.to_owned(), body.clone());
+            self.record.note(&format!(
+                "late  {} is left without an answer: {path} {body}",
+                self.id
+            ));
+            state.held_back.push(Order { path, body });
+            return true;
+        }
+        false
     }
 
     /// Ends the process with all that runs there; nothing is listed any more.
@@ -145,7 +197,8 @@
         self.advance(&mut state);
         state.is_dead = true;
         for run in std::mem::take(&mut state.running) {
-            self.record.ended(&run.task, run.attempt, &self.id, "with its worker");
+            self.record
+                .ended(&run.task, run.attempt, &self.id, "with its worker");
         }
         self.changed.notify_all();
     }
@@ -172,7 +225,10 @@
         let mut at = 0;
         while at < state.running.len() {
             let run = &state.running[at];
-            let due = run.ends.filter(|(when, _)| *when <= now).map(|(_, how)| how);
+            let due = run
+                .ends
+                .filter(|(when, _)| *when <= now)
+                .map(|(_, how)| how);
             let Some(how) = due.or(lapsed.then_some("lapsed")) else {
                 at += 1;
                 continue;
@@ -214,7 +270,11 @@
         let (Some(task), Some(attempt)) = (body["task"].as_str(), body["attempt"].as_u64()) else {
             return Response::new(400, Vec::new());
         };
-        if state.running.iter().any(|r| r.task == task && r.attempt == attempt) {
+        if state
+            .running
+            .iter()
+            .any(|r| r.task == task && r.attempt == attempt)
+        {
             return self.respond(200, json!({}));
         }
         if state.closed.get(task).is_some_and(|c| *c >= attempt) {
@@ -229,7 +289,8 @@
         let work = self.jobs.by_id.lock().expect("lock").get(job).cloned();
         let step = work.zip(step).and_then(|(w, s)| w.steps.get(s).copied());
         let Some(step) = step else {
-            self.record.note(&format!("UNASKED {task} was started, nobody sent it"));
+            self.record
+                .note(&format!("UNASKED {task} was started, nobody sent it"));
             return Response::new(400, Vec::new());
         };
         let used = |f: fn(&Step) -> u64| -> u64 { state.running.iter().map(|r| f(&r.step)).sum() };
@@ -277,16 +338,27 @@
         let wait = Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0).min(2000));
         let until = Instant::now() + wait;
         let mut state = self.state.lock().expect("lock");
+        self.advance(&mut state);
+        state.finished.retain(|e| e.number > observed);
         loop {
             self.advance(&mut state);
-            state.finished.retain(|e| e.number > observed);
             let now = Instant::now();
             if !state.finished.is_empty() || now >= until || state.is_dead {
                 break;
             }
-            let next = state.running.iter().filter_map(|r| r.ends).map(|(when, _)| when).min();
-            let next = next.unwrap_or(until).min(until).min(state.lease_end.max(now));
-            let pause = next.saturating_duration_since(now).max(Duration::from_millis(1));
+            let next = state
+                .running
+                .iter()
+                .filter_map(|r| r.ends)
+                .map(|(when, _)| when)
+                .min();
+            let next = next
+                .unwrap_or(until)
+                .min(until)
+                .min(state.lease_end.max(now));
+            let pause = next
+                .saturating_duration_since(now)
+                .max(Duration::from_millis(1));
             state = self.changed.wait_timeout(state, pause).expect("lock").0;
         }
         let running: Vec<Value> = state
@@ -294,14 +366,17 @@
             .iter()
             .map(|r| {
                 let total = r.step.time.as_millis().max(1);
-                let percent = (r.began.elapsed().as_millis() * 100 / total).min(match r.step.lasts {
-                    true => 100,
-                    false => 99,
-                });
+                let percent =
+                    (r.began.elapsed().as_millis() * 100 / total).min(match r.step.lasts {
+                        true => 100,
+                        false => 99,
+                    });
                 let figure = match r.step.tail_ms {
                     0 => r.step.cpu,
                     // Rough, as the page says.
-                    tail => tail * (90 + (r.began.elapsed().as_millis() / 500 % 5) as u64 * 5) / 100,
+                    tail => {
+                        tail * (90 + (r.began.elapsed().as_millis() / 500 % 5) as u64 * 5) / 100
+                    }
                 };
                 json!([r.task, r.attempt, "", percent as u64, figure])
             })
@@ -321,12 +396,28 @@
         if request.path == "/healthz" {
             return Some(Response::new(200, Vec::new()).with_header("X-Instance-Id", &*self.id));
         }
-        if request.header("x-expect-instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("x-expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
             return Some(Response::new(421, Vec::new()));
         }
         let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
             return Some(Response::new(400, Vec::new()));
         };
+        if self.is_held_back(&request.path, &body) {
+            while !self.is_dead() {
+                thread::sleep(Duration::from_millis(5));
+            }
+            return None;
+        }
+        self.obey(&request.path, &body)
+    }
+}
+
+impl Worker {
+    /// Carries out an order; returns no answer if the process has crashed.
+    fn obey(&self, path: &str, body: &Value) -> Option<Response> {
         let fence = body["fence"].as_u64().unwrap_or(0);
         {
             let mut state = self.state.lock().expect("lock");
@@ -338,15 +429,15 @@
                 return Some(self.refuse("fence"));
             }
             state.fence = fence;
-            self.extend(&mut state, &body);
-            match request.path.as_str() {
-                "/run-start" => return Some(self.run_start(&mut state, &body)),
-                "/run-stop" => return Some(self.run_stop(&mut state, &body)),
+            self.extend(&mut state, body);
+            match path {
+                "/run-start" => return Some(self.run_start(&mut state, body)),
+                "/run-stop" => return Some(self.run_stop(&mut state, body)),
                 "/pace" => return Some(self.respond(200, json!({}))),
                 "/hold" => {}
                 _ => return Some(Response::new(404, Vec::new())),
             }
         }
-        Some(self.hold(&body))
+        Some(self.hold(body))
     }
 }
--- a/review/stand-3/src/wrapped_count.rs
+++ b/review/stand-3/src/wrapped_count.rs
@@ -42,13 +42,26 @@
     };
     let mut work = (*work.work()).clone();
     work.steps = vec![work.steps[0]; STEPS];
-    platform.jobs.by_id.lock().expect("lock").insert(id.clone(), work.into());
-    let (status, _) = call(&clients[0], Method::Post, &id, body.to_string().into_bytes());
+    platform
+        .jobs
+        .by_id
+        .lock()
+        .expect("lock")
+        .insert(id.clone(), work.into());
+    let (status, _) = call(
+        &clients[0],
+        Method::Post,
+        &id,
+        body.to_string().into_bytes(),
+    );
     record.note(&format!("sent  POST {id} {body} answered {status}"));
     thread::sleep(CALM);
     let broken = platform.judge(8, MAX_WAIT);
     let (status, body) = call(&clients[0], Method::Get, &id, Vec::new());
-    record.note(&format!("sent  GET {id} answered {status} {}", String::from_utf8_lossy(&body)));
+    record.note(&format!(
+        "sent  GET {id} answered {status} {}",
+        String::from_utf8_lossy(&body)
+    ));
     platform.end();
     Ok(broken)
 }
