--- a/crates/jobs/src/model/crash_tests.rs
+++ b/crates/jobs/src/model/crash_tests.rs
@@ -2,12 +2,23 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use super::{
     crash::{Blame, Crashes},
     record::{Outcome, Record, TaskRecord},
 };
 
+/// Returns confirmed crashes.
 fn crashes(blames: &[Blame]) -> Crashes {
+    let mut crashes = suspected(blames);
+    for at in 0..blames.len() {
+        assert!(crashes.confirm(&format!("w{at}")));
+    }
+    crashes
+}
+
+fn suspected(blames: &[Blame]) -> Crashes {
     let mut crashes = Crashes::default();
     for (at, &blame) in blames.iter().enumerate() {
         crashes.add(&format!("w{at}").into(), blame);
@@ -15,15 +26,21 @@
     crashes
 }
 
+/// Adds a crash that is confirmed at once.
+fn add(crashes: &mut Crashes, worker: &str, blame: Blame) {
+    crashes.add(&worker.into(), blame);
+    crashes.confirm(worker);
+}
+
 #[test]
 fn an_incarnation_of_a_worker_counts_once() {
     let mut crashes = crashes(&[Blame::Own, Blame::Own]);
-    crashes.add(&"w0".into(), Blame::Own);
+    add(&mut crashes, "w0", Blame::Own);
     assert_eq!(crashes.count(), 2);
     assert!(!crashes.is_proven_cause());
-    crashes.add(&"w9".into(), Blame::Shared);
+    add(&mut crashes, "w9", Blame::Shared);
     assert!(!crashes.is_proven_cause());
-    crashes.add(&"w8".into(), Blame::Close);
+    add(&mut crashes, "w8", Blame::Close);
     assert!(crashes.is_proven_cause());
 }
 
@@ -68,6 +85,23 @@
     assert!(crashes(&[Blame::Own]).is_likely_cause());
 }
 
+/// Guards against failed jobs by workers that were cut off and run on: a crash that nobody has
+/// confirmed ends no job, and still isolates its task.
+#[test]
+fn suspected_crashes_prove_nothing() {
+    let crashes = suspected(&[Blame::Own; 9]);
+    assert!(!crashes.is_proven_cause());
+    assert!(crashes.is_likely_cause());
+    let mut crashes = suspected(&[Blame::Own; 3]);
+    assert!(crashes.confirm("w0") && crashes.confirm("w1"));
+    assert!(!crashes.confirm("w1") && !crashes.confirm("w7"));
+    assert!(!crashes.is_proven_cause());
+    assert!(crashes.confirm("w2"));
+    assert!(crashes.is_proven_cause());
+    assert!(crashes.remove("w2") && !crashes.remove("w2"));
+    assert!(!crashes.is_proven_cause());
+}
+
 fn record(crashes: Crashes) -> Record {
     Record {
         outcome: Outcome::Active,
@@ -91,6 +125,42 @@
     assert_eq!(read, written);
 }
 
+/// Suspected crashes stay suspected for a later owner, and instances of the version before, which
+/// know no evidence, read them as crashes.
+#[test]
+fn evidence_survives_in_records_that_earlier_versions_read() {
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    enum OldBlame {
+        Unseen,
+        Shared,
+        Close,
+        Own,
+    }
+    use OldBlame::{Close, Own, Shared, Unseen};
+    let all = [Blame::Unseen, Blame::Shared, Blame::Close, Blame::Own];
+    let mut mixed = suspected(&[all, all].concat());
+    (4..8).for_each(|at| assert!(mixed.confirm(&format!("w{at}"))));
+    let bytes = rmp_serde::to_vec(&mixed).expect("plain data");
+    let read: Crashes = rmp_serde::from_slice(&bytes).expect("own crashes");
+    assert_eq!(read, mixed);
+    let old: Vec<(Arc<str>, OldBlame)> = rmp_serde::from_slice(&bytes).expect("old reader");
+    let blames: Vec<OldBlame> = old.into_iter().map(|(_, blame)| blame).collect();
+    assert_eq!(
+        blames,
+        [Unseen, Shared, Close, Own, Unseen, Shared, Close, Own]
+    );
+    // The version before wrote names.
+    let written = rmp_serde::to_vec(&[("w0", Close)]).expect("plain data");
+    let read: Crashes = rmp_serde::from_slice(&written).expect("old crashes");
+    assert_eq!(read, crashes(&[Blame::Close]));
+    for odd in [("w0", "Huge"), ("w0", "")] {
+        let odd = rmp_serde::to_vec(&[odd]).expect("plain data");
+        assert!(rmp_serde::from_slice::<Crashes>(&odd).is_err());
+    }
+    let odd = rmp_serde::to_vec(&[("w0", 4)]).expect("plain data");
+    assert!(rmp_serde::from_slice::<Crashes>(&odd).is_err());
+}
+
 /// Records without crashes keep the encoding of versions that did not store crashes.
 #[test]
 fn a_record_without_crashes_keeps_the_old_encoding() {
--- a/crates/jobs/src/runs/crashes.rs
+++ b/crates/jobs/src/runs/crashes.rs
@@ -19,6 +19,7 @@
     model::{
         crash::Blame,
         ids::TaskId,
+        incarnation::Incarnation,
         record::Outcome,
         task::{Run, Stage},
     },
@@ -81,23 +82,16 @@
         self.attribute_crash(slot, max_blame);
     }
 
-    /// Retracts the crash of a worker that answers although its machine refused connections.
-    pub(crate) fn retract_crash(&mut self, slot: u32) {
+    /// Clears the signs of a crash on a worker that answers although its machine refused
+    /// connections.
+    pub(crate) fn clear_crash_signs(&mut self, slot: u32) {
         let worker = self.fleet.get_mut(slot);
         worker.process_ended = false;
         worker.crash_recorded = false;
-        let (incarnation, runs) = (worker.incarnation_name.clone(), worker.runs.clone());
+        let runs = &worker.runs;
         worker.isolated_task = worker
             .isolated_task
             .filter(|g| runs.binary_search(g).is_ok());
-        for task in runs {
-            let state = self.jobs.get_mut(&task.job);
-            let Some(state) = state.and_then(|j| j.task_mut(task)) else {
-                continue;
-            };
-            state.crashes.remove(&incarnation);
-            self.mark_dirty(task.job);
-        }
     }
 
     /// Attributes the crash of a worker to the tasks there, with `max_blame` as the limit. If that is
@@ -137,6 +131,11 @@
         };
         let (stage, reported) = (task_run.stage, task_run.reported_at.is_some());
         task.crashes.add(incarnation, blame);
+        // No later incarnation of this name could confirm the crash.
+        if Incarnation::parse(incarnation).start_time.is_none() {
+            task.crashes.confirm(incarnation);
+        }
+        self.unsettled_crashes.add(incarnation, id);
         let (run, crashes) = (task.last_run, task.crashes.count());
         log::info!(task = id.to_string().as_str(), run, worker = &**incarnation, blame:?, crashes, stage:?, reported; "task: a worker crashed under it");
         if task.crashes.is_suspect() {
@@ -146,23 +145,6 @@
         self.fail_proven_cause(id);
     }
 
-    /// Retracts the crash of an incarnation that a run was sent to, since a later one has reported
-    /// the run.
-    pub(super) fn retract_moved_crash(&mut self, slot: u32, id: TaskId, incarnation: &Arc<str>) {
-        let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
-        let Some(task) = task else {
-            return;
-        };
-        task.crashes.remove(incarnation);
-        let is_suspect = task.crashes.is_suspect();
-        self.mark_dirty(id.job);
-        let worker = self.fleet.get_mut(slot);
-        if !is_suspect && worker.isolated_task == Some(id) {
-            worker.isolated_task = None;
-            self.placement_due = true;
-        }
-    }
-
     /// Returns whether so many other workers crashed at the same time that none of their tasks is
     /// the cause. Workers with an isolated suspect do not count, since the suspect may be the cause
     /// there.
@@ -192,7 +174,7 @@
     }
 
     /// Ends a job if one of its tasks is proven to crash the workers that start it.
-    fn fail_proven_cause(&mut self, id: TaskId) {
+    pub(super) fn fail_proven_cause(&mut self, id: TaskId) {
         let Some(state) = self.jobs.get(&id.job) else {
             return;
         };
--- a/crates/jobs/src/runs/lost.rs
+++ b/crates/jobs/src/runs/lost.rs
@@ -31,6 +31,7 @@
         worker.dead = true;
         worker.poll_in_flight = false;
         self.record_loss(slot, Loss::Ended);
+        self.confirm_end(slot);
         let ended = self.ended_runs(slot);
         self.drop_runs(slot, &ended);
     }
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -15,6 +15,7 @@
 mod ends;
 #[cfg(test)]
 mod ends_tests;
+pub(crate) mod evidence;
 pub(crate) mod fencing;
 pub(crate) mod fleet;
 mod incarnations;
--- a/crates/jobs/src/runs/report.rs
+++ b/crates/jobs/src/runs/report.rs
@@ -50,8 +50,9 @@
         }
         let counted = worker.counted_end;
         if was_absent {
-            self.retract_crash(slot);
+            self.clear_crash_signs(slot);
         }
+        self.settle_crashes(slot);
         self.count_ends(slot, &report);
         for row in &report.running {
             self.handle_reported_run(slot, row, report.clock);
@@ -89,7 +90,7 @@
         log::info!(task = id.to_string().as_str(), run = end.run, worker = &*self.fleet.get(slot).id, how:? = end.ending, current, ran_ms = elapsed, saved = log_excerpt(&end.checkpoint); "run: ended");
         if current {
             if let Some(incarnation) = moved_from {
-                self.retract_moved_crash(slot, id, &incarnation);
+                self.withdraw_task_crash(id, &incarnation);
             }
             self.clear_run(id);
         }
--- a/crates/jobs/src/runs/reported.rs
+++ b/crates/jobs/src/runs/reported.rs
@@ -83,7 +83,7 @@
         let placed_at = run.placed_at;
         run.reported_at.get_or_insert(clock);
         if let Some(incarnation) = run.moved_from.take() {
-            self.retract_moved_crash(slot, reported.task, &incarnation);
+            self.withdraw_task_crash(reported.task, &incarnation);
         }
         let worker = self.fleet.get(slot);
         if is_settled && worker.failures > 0 && placed_at > worker.failed_at {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -20,7 +20,7 @@
         aging::Aging, reservation::Reservation, start_window::StartWindow, starvation::StarvedJob,
     },
     queues::Queues,
-    runs::{fleet::Fleet, log::Log},
+    runs::{evidence::UnsettledCrashes, fleet::Fleet, log::Log},
     settings::Settings,
     share::{images::Images, interference::Interference, seasonality::Seasonality},
     sorted_map::SortedMap,
@@ -52,6 +52,8 @@
     pub(crate) scheduled: Vec<JobId>,
     /// Tasks that may crash their workers, sorted.
     pub(crate) suspects: Vec<TaskId>,
+    /// Crashes that may still be confirmed or withdrawn.
+    pub(crate) unsettled_crashes: UnsettledCrashes,
     /// Tasks whose run is to be stopped, until the run has ended.
     pub(crate) stopping: Vec<TaskId>,
     /// Tasks whose run may have a pace other than the wanted one.
@@ -122,6 +124,7 @@
             open_jobs: Vec::new(),
             scheduled: Vec::new(),
             suspects: Vec::new(),
+            unsettled_crashes: UnsettledCrashes::default(),
             stopping: Vec::new(),
             pacing: Vec::new(),
             workers_with_ends: Vec::new(),
@@ -211,6 +214,7 @@
                 worker.isolated_task = Some(id);
             }
         }
+        self.restore_crashes(&state);
         self.jobs.insert(id, state);
         for id in suspects {
             self.add_suspect(id);
--- a/crates/jobs/tests/all/crashing/mod.rs
+++ b/crates/jobs/tests/all/crashing/mod.rs
@@ -6,6 +6,7 @@
 
 mod crowds;
 mod culprits;
+mod cuts;
 mod isolated;
 mod losses;
 mod owners;
