--- a/crates/jobs/src/drive.rs
+++ b/crates/jobs/src/drive.rs
@@ -186,7 +186,7 @@
 
     fn send_poll(&mut self, slot: u32) {
         let (now, settings) = (self.now, self.settings);
-        let worker = &mut self.fleet.workers[slot as usize];
+        let worker = self.fleet.get(slot);
         let is_needed = worker.announced || !worker.runs.is_empty() || !worker.orphans.is_empty();
         if worker.dead || worker.poll_in_flight || worker.info.is_none() || !is_needed {
             return;
@@ -196,7 +196,10 @@
         let renews = worker.start_time.is_none() || worker.silent_since.is_none();
         let deadline = worker.deadline(&settings, self.store_contact);
         let deadline = deadline.filter(|_| renews);
-        let due_at = worker.poll_due(deadline, &settings);
+        let droppable = worker.droppable_end();
+        let keeps_ends = droppable > 0 && self.must_keep_ends(slot);
+        let due_at = worker.poll_due(deadline, keeps_ends, &settings);
+        let worker = &mut self.fleet.workers[slot as usize];
         if now < due_at {
             if worker.timer_at != due_at {
                 worker.timer_at = due_at;
@@ -204,13 +207,14 @@
             }
             return;
         }
-        let wait = worker.poll_wait(&settings);
-        let observed = worker.droppable_end();
+        let observed = if keeps_ends { 0 } else { droppable };
+        let wait = worker.poll_wait(observed, &settings);
         if let Some(end) = deadline {
             worker.granted_until = worker.granted_until.max(end);
             worker.record_lease_order(now, &settings);
         }
         worker.poll_in_flight = true;
+        worker.poll_drops_ends = observed > 0 && worker.start_time.is_some();
         worker.polled_at = now;
         worker.poll_generation = worker.generation;
         worker.poll_has_effect = observed > 0 || deadline.is_some() && worker.start_time.is_some();
--- a/crates/jobs/src/runs/answers.rs
+++ b/crates/jobs/src/runs/answers.rs
@@ -115,7 +115,7 @@
         if worker.dead {
             return;
         }
-        worker.poll_in_flight = false;
+        worker.end_poll();
         worker.next_poll_at = now + SILENT_RETRY_MS;
         worker.unanswered_poll = Some(sent);
         if worker.silent_since.is_none() {
--- a/crates/jobs/src/runs/close.rs
+++ b/crates/jobs/src/runs/close.rs
@@ -62,6 +62,7 @@
             return;
         };
         let step = &job.spec.steps[id.step as usize];
+        self.fleet.keep_ends_after(run.worker, &run, self.now);
         let worker = self.fleet.get_mut(run.worker);
         worker.release(id, step);
         // A lost worker keeps its suspect, which explains the loss of the other runs there.
--- a/crates/jobs/src/runs/commit.rs
+++ b/crates/jobs/src/runs/commit.rs
@@ -257,7 +257,7 @@
         }
     }
 
-    fn send_start(&mut self, id: TaskId, number: u32) {
+    pub(super) fn send_start(&mut self, id: TaskId, number: u32) {
         let (now, settings) = (self.now, self.settings);
         let Some(state) = self.jobs.get_mut(&id.job) else {
             return;
@@ -272,6 +272,10 @@
         };
         let is_fresh = self.fleet.is_fresh(now, &settings);
         let worker = self.fleet.get_mut(run.worker);
+        if worker.poll_drops_ends {
+            worker.waiting_starts.push((id, number));
+            return;
+        }
         let reading = worker.clock.map_or(0, |(reading, _)| reading);
         let deadline = worker.deadline(&settings, self.store_contact);
         let is_long_enough = |d: &u64| *d >= reading + MIN_LEASE_MS;
--- a/crates/jobs/src/runs/fencing.rs
+++ b/crates/jobs/src/runs/fencing.rs
@@ -109,7 +109,7 @@
     pub(crate) fn handle_fenced_poll(&mut self, slot: u32, generation: u32) {
         if self.handle_fenced(slot, generation) {
             let worker = self.fleet.get_mut(slot);
-            worker.poll_in_flight = false;
+            worker.end_poll();
             worker.next_poll_at = self.now;
         }
     }
--- a/crates/jobs/src/runs/incarnations.rs
+++ b/crates/jobs/src/runs/incarnations.rs
@@ -34,6 +34,8 @@
     slots: Vec<u32>,
     /// Start times of the last replaced incarnations, the oldest first.
     replaced: VecDeque<u64>,
+    /// No poll lets ends go until this time.
+    pub(super) ends_kept_until: u64,
 }
 
 /// Which incarnation a report is from.
@@ -200,7 +202,7 @@
         let worker = self.get_mut(slot);
         worker.dead = true;
         worker.announced = false;
-        worker.poll_in_flight = false;
+        worker.end_poll();
         let (id, start_time) = (worker.id.clone(), worker.start_time);
         let incarnations = self.incarnations.or_default(&id);
         incarnations.slots.retain(|&s| s != slot);
--- a/crates/jobs/src/runs/lost.rs
+++ b/crates/jobs/src/runs/lost.rs
@@ -29,7 +29,7 @@
         log::warn!(worker = &*worker.id, born:? = worker.start_time, runs = worker.runs.len(), silent_ms = silent, absent = worker.process_ended; "worker: its life has ended");
         let worker = self.fleet.get_mut(slot);
         worker.dead = true;
-        worker.poll_in_flight = false;
+        worker.end_poll();
         self.record_loss(slot, Loss::Ended);
         self.confirm_end(slot);
         let ended = self.ended_runs(slot);
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -21,6 +21,7 @@
 mod incarnations;
 #[cfg(test)]
 mod incarnations_tests;
+mod late_drops;
 pub(crate) mod log;
 mod lost;
 pub(crate) mod orphan;
--- a/crates/jobs/src/runs/poll.rs
+++ b/crates/jobs/src/runs/poll.rs
@@ -44,9 +44,16 @@
     }
 
     /// Returns when the worker is to be polled; `deadline` is the lease that the poll would grant.
-    pub(crate) fn poll_due(&self, deadline: Option<u64>, settings: &Settings) -> u64 {
+    /// Where the poll would let no end go although there are some, the worker answers at once.
+    pub(crate) fn poll_due(
+        &self,
+        deadline: Option<u64>,
+        keeps_ends: bool,
+        settings: &Settings,
+    ) -> u64 {
         let gained = deadline.unwrap_or(0).saturating_sub(self.granted_until);
-        if self.has_pending_ends() && gained <= URGENT_LEASE_GAIN_MS {
+        let repeats_ends = keeps_ends || self.has_pending_ends();
+        if repeats_ends && gained <= URGENT_LEASE_GAIN_MS {
             self.next_poll_at
                 .max(self.polled_at + settings.repoll_delay)
         } else {
@@ -54,8 +61,9 @@
         }
     }
 
-    /// Returns how long a poll that is sent now waits for an end, in milliseconds.
-    pub(crate) fn poll_wait(&self, settings: &Settings) -> u64 {
+    /// Returns how long a poll that is sent now waits for an end, in milliseconds. One that lets
+    /// ends go up to `observed` does not wait, since starts wait for its answer.
+    pub(crate) fn poll_wait(&self, observed: u64, settings: &Settings) -> u64 {
         let Some((_, at)) = self.clock else {
             return 0;
         };
@@ -63,7 +71,8 @@
         // The report settles which of the orders that were fenced off have been carried out.
         let is_fencing = self.answered_generation < self.generation;
         let is_uncertain = self.silent_since.is_some() || self.contested || is_fencing;
-        if was_late || self.has_pending_ends() || is_uncertain {
+        let delays_starts = observed > 0 && self.start_time.is_some();
+        if was_late || delays_starts || self.has_pending_ends() || is_uncertain {
             return 0;
         }
         if self.runs.is_empty() {
--- a/crates/jobs/src/runs/report.rs
+++ b/crates/jobs/src/runs/report.rs
@@ -32,7 +32,7 @@
         report: WorkerReport,
     ) {
         let (now, settings) = (self.now, self.settings);
-        self.fleet.get_mut(slot).poll_in_flight = false;
+        self.fleet.get_mut(slot).end_poll();
         let Some(slot) = self.reporting_slot(slot, sent, report.start_time) else {
             return;
         };
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -155,6 +155,10 @@
     pub(crate) first_end: Option<u64>,
     /// Whether a poll is in flight.
     pub(crate) poll_in_flight: bool,
+    /// Whether the poll in flight lets the worker drop ends.
+    pub(crate) poll_drops_ends: bool,
+    /// Starts that wait for the answer to that poll, as task and number of the run.
+    pub(crate) waiting_starts: Vec<(TaskId, u32)>,
     /// When the last poll was sent.
     pub(crate) polled_at: u64,
     /// Generation of the last poll.
@@ -250,6 +254,8 @@
             durable_end: 0,
             first_end: None,
             poll_in_flight: false,
+            poll_drops_ends: false,
+            waiting_starts: Vec::new(),
             polled_at: 0,
             poll_generation: 0,
             answered_generation: 0,
@@ -303,6 +309,12 @@
         cpu as f64 / self.capacity().cpu.max(1) as f64
     }
 
+    /// Records that no poll is in flight any more.
+    pub(crate) fn end_poll(&mut self) {
+        self.poll_in_flight = false;
+        self.poll_drops_ends = false;
+    }
+
     /// Returns whether new runs may be placed on the worker.
     pub(crate) fn accepts_runs(&self, now: u64) -> bool {
         self.is_available() && !self.contested && self.closed_until <= now
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -334,6 +334,11 @@
     }
 
     fn handle_answer(&mut self, worker: u32, generation: u32, sent: u64, answer: Answer) {
+        self.apply_answer(worker, generation, sent, answer);
+        self.send_waiting_starts(worker);
+    }
+
+    fn apply_answer(&mut self, worker: u32, generation: u32, sent: u64, answer: Answer) {
         match answer {
             Answer::Report(report) => self.handle_report(worker, generation, sent, report),
             Answer::NoReply => self.handle_no_reply(worker, sent),
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod guards;
 mod held_ends;
 mod inherited_starts;
+mod late_drops;
 mod late_orders;
 mod ledger;
 mod lending;
