--- a/crates/jobs/src/model/job.rs
+++ b/crates/jobs/src/model/job.rs
@@ -92,9 +92,8 @@
     pub(crate) fn add_due_repetitions(&mut self, wall_clock: u64) {
         let spec = &self.job.spec;
         while (self.repetitions.len() as u32) < spec.repetitions() {
-            let schedule = spec.schedule;
-            let due = schedule.first + self.repetitions.len() as u64 * schedule.interval;
-            if schedule.repetitions > 0 && wall_clock < due {
+            let due = spec.schedule.due(self.repetitions.len());
+            if spec.schedule.repetitions > 0 && wall_clock < due {
                 return;
             }
             let steps = spec.steps.iter().map(|s| StepState::new(s.count));
--- a/crates/jobs/src/model/mod.rs
+++ b/crates/jobs/src/model/mod.rs
@@ -3,6 +3,7 @@
 //! This module holds state and makes no decisions. A job has at most 4,000 tasks, so that its
 //! state fits a few rows of the store.
 
+pub(crate) mod bounds;
 pub(crate) mod changes;
 pub(crate) mod checkpoint;
 pub(crate) mod crash;
--- a/crates/jobs/src/model/spec.rs
+++ b/crates/jobs/src/model/spec.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
 
-use crate::model::ids::JobId;
+use crate::model::{
+    bounds::{MAX_AMOUNT, MAX_DURATION_MS, MAX_TIME_MS},
+    ids::JobId,
+};
 
 /// Maximum number of tasks of a job over all repetitions, so that its state fits a few rows of
 /// the store.
@@ -34,6 +37,46 @@
         /// Number of tasks over all steps and repetitions.
         tasks: u64,
     },
+    /// A number of a step is too large.
+    #[snafu(display("step {step}: {field} is {value}, more than {max}"))]
+    StepNumber {
+        /// The step.
+        step: usize,
+        /// Name of the field.
+        field: &'static str,
+        /// The number.
+        value: u64,
+        /// The largest one that is allowed.
+        max: u64,
+    },
+    /// A number of the schedule is too large.
+    #[snafu(display("schedule: {field} is {value}, more than {max}"))]
+    ScheduleNumber {
+        /// Name of the field.
+        field: &'static str,
+        /// The number.
+        value: u64,
+        /// The largest one that is allowed.
+        max: u64,
+    },
+}
+
+/// A number that a caller states, and its bound.
+#[derive(Debug, Clone, Copy)]
+struct Number {
+    field: &'static str,
+    value: u64,
+    max: u64,
+}
+
+impl Number {
+    fn new(field: &'static str, value: u64, max: u64) -> Number {
+        Number { field, value, max }
+    }
+
+    fn is_exceeded(&self) -> bool {
+        self.value > self.max
+    }
 }
 
 /// A step of a job: a number of tasks of the same kind.
@@ -85,6 +128,26 @@
     pub disruption_budget: Option<u32>,
 }
 
+impl Step {
+    fn numbers(&self) -> [Number; 5] {
+        [
+            Number::new("cpu", self.cpu, MAX_AMOUNT),
+            Number::new("memory", self.memory, MAX_AMOUNT),
+            Number::new("gpu", self.gpu, MAX_AMOUNT),
+            Number::new("estimate", self.estimate, MAX_DURATION_MS),
+            Number::new("target", self.latency_target, MAX_DURATION_MS),
+        ]
+    }
+
+    fn limit_numbers(&mut self) {
+        self.cpu = self.cpu.min(MAX_AMOUNT);
+        self.memory = self.memory.min(MAX_AMOUNT);
+        self.gpu = self.gpu.min(MAX_AMOUNT);
+        self.estimate = self.estimate.min(MAX_DURATION_MS);
+        self.latency_target = self.latency_target.min(MAX_DURATION_MS);
+    }
+}
+
 /// When the repetitions of a job are due.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
@@ -97,6 +160,25 @@
     pub interval: u64,
 }
 
+impl Schedule {
+    fn numbers(&self) -> [Number; 2] {
+        [
+            Number::new("first", self.first, MAX_TIME_MS),
+            Number::new("interval", self.interval, MAX_DURATION_MS),
+        ]
+    }
+
+    fn limit_numbers(&mut self) {
+        self.first = self.first.min(MAX_TIME_MS);
+        self.interval = self.interval.min(MAX_DURATION_MS);
+    }
+
+    /// Returns when a repetition is due, in milliseconds since the Unix epoch.
+    pub(crate) fn due(&self, repetition: usize) -> u64 {
+        self.first + repetition as u64 * self.interval
+    }
+}
+
 /// The specification of a job: the payload for the workers, the steps and the schedule.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Spec {
@@ -123,11 +205,42 @@
             }
         }
         let per_repetition: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
-        let tasks = per_repetition * u64::from(self.repetitions());
+        let tasks = per_repetition.saturating_mul(u64::from(self.repetitions()));
         ensure!(tasks <= MAX_TASKS, TooManyTasksSnafu { tasks });
+        self.check_numbers()
+    }
+
+    /// Checks that all numbers are within their bounds.
+    fn check_numbers(&self) -> Result<(), SpecError> {
+        let exceeded = self
+            .schedule
+            .numbers()
+            .into_iter()
+            .find(Number::is_exceeded);
+        if let Some(Number { field, value, max }) = exceeded {
+            return ScheduleNumberSnafu { field, value, max }.fail();
+        }
+        for (step, s) in self.steps.iter().enumerate() {
+            let exceeded = s.numbers().into_iter().find(Number::is_exceeded);
+            if let Some(Number { field, value, max }) = exceeded {
+                return StepNumberSnafu {
+                    step,
+                    field,
+                    value,
+                    max,
+                }
+                .fail();
+            }
+        }
         Ok(())
     }
 
+    /// Reduces all numbers to their bounds. Such amounts are beyond any worker all the same.
+    fn limit_numbers(&mut self) {
+        self.schedule.limit_numbers();
+        self.steps.iter_mut().for_each(Step::limit_numbers);
+    }
+
     /// Returns how many times the steps run, at least once.
     pub fn repetitions(&self) -> u32 {
         self.schedule.repetitions.max(1)
@@ -156,3 +269,20 @@
     /// The specification.
     pub spec: Arc<Spec>,
 }
+
+impl Job {
+    /// Returns the job with all numbers within their bounds. Earlier versions accepted jobs without
+    /// checking them.
+    pub(crate) fn within_bounds(self: Arc<Job>) -> Arc<Job> {
+        let Err(err) = self.spec.check_numbers() else {
+            return self;
+        };
+        log::warn!(job = self.id.to_string().as_str(), err = err.to_string().as_str(); "jobs: numbers are limited");
+        let mut spec = Spec::clone(&self.spec);
+        spec.limit_numbers();
+        Arc::new(Job {
+            spec: Arc::new(spec),
+            ..Job::clone(&self)
+        })
+    }
+}
--- a/crates/jobs/src/order/estimates.rs
+++ b/crates/jobs/src/order/estimates.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::model::bounds::MAX_DURATION_MS;
+
 /// Weight of the prior that a task takes as long as estimated: a number of tasks for the
 /// mean, a sum of squared logarithms for the slope.
 const PRIOR_WEIGHT: f64 = 4.0;
@@ -114,7 +116,8 @@
         }
         let mean_log = (weight * model.expected_log(estimate) + self.log_sum) / total_weight;
         let spread = 1.0 + SPREAD_PER_LOG_COUNT * (tasks.max(1) as f64).ln();
-        (mean_log.exp() * spread) as u64
+        // An extrapolated logarithm may be of any size.
+        ((mean_log.exp() * spread) as u64).min(MAX_DURATION_MS)
     }
 }
 
--- a/crates/jobs/src/order/urgency.rs
+++ b/crates/jobs/src/order/urgency.rs
@@ -120,9 +120,10 @@
         let path = state
             .critical_path
             .map_or(CriticalPath::default(), |(path, _)| path);
-        let objective = (path.total as f64 * policy.stretch) as u64 + policy.latency;
+        let objective = (path.total as f64 * policy.stretch) as u64;
+        let objective = objective.saturating_add(policy.latency);
         let remaining = path.remaining * RUN_TIME_PERCENT / 100;
-        self.now + remaining > state.known_since + objective
+        self.now + remaining > state.known_since.saturating_add(objective)
     }
 
     /// Returns whether a task of a long-running job is overdue.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -177,6 +177,7 @@
     /// Restores a job of earlier owners from its record, which [`Scheduler::current_record`]
     /// returned.
     pub fn restore(&mut self, job: Arc<Job>, record: &Record) {
+        let job = job.within_bounds();
         let id = job.id;
         let images = match record.outcome.is_final() {
             true => vec![0; job.spec.steps.len()],
@@ -321,6 +322,7 @@
         if self.has_job(id) {
             return;
         }
+        let job = job.within_bounds();
         log::info!(job = id.to_string().as_str(), queue = &*job.queue, chain = job.spec.critical_path(); "jobs: taken up");
         let images = self.acquire_images(&job.spec);
         self.jobs.insert(id, JobState::new(job, images, self.now));
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod empty;
 mod entitlement;
 mod evacuation;
+mod extremes;
 mod gang_ends;
 mod gangs;
 mod guards;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -137,12 +137,12 @@
             Ok(spec) => spec,
             Err(err) => {
                 log::info!(job = id.to_string().as_str(), err = err.to_string().as_str(); "front: malformed job");
-                return Response::new(400, Vec::new());
+                return Response::new(400, err.to_string().into_bytes());
             }
         };
         if let Err(err) = spec.validate() {
             log::info!(job = id.to_string().as_str(), err = err.to_string().as_str(); "front: invalid job");
-            return Response::new(400, Vec::new());
+            return Response::new(400, err.to_string().into_bytes());
         }
         let row = JobRow {
             job: Job {
--- a/crates/node/src/write_limit.rs
+++ b/crates/node/src/write_limit.rs
@@ -21,6 +21,9 @@
 /// Timeout of a caller whose request states none, in milliseconds.
 const DEFAULT_CALLER_TIMEOUT_MS: u64 = 3000;
 
+/// Longest timeout of a caller that counts, in milliseconds. Callers may state any number.
+const MAX_CALLER_TIMEOUT_MS: u64 = 600_000;
+
 /// Returns the time from a request's arrival after which the result of its write is reported as
 /// unknown, in milliseconds, if the store's last answer took `answer_ms`.
 pub(crate) fn write_limit(caller_timeout: Option<u64>, answer_ms: u64) -> u64 {
@@ -28,5 +31,6 @@
         true => SLOW_WRITE_TIMEOUT_PERCENT,
         false => WRITE_TIMEOUT_PERCENT,
     };
-    caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT_MS) * percent / 100
+    let timeout = caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT_MS);
+    timeout.min(MAX_CALLER_TIMEOUT_MS) * percent / 100
 }
