--- a/crates/jobs/src/share/fit.rs
+++ b/crates/jobs/src/share/fit.rs
@@ -3,6 +3,7 @@
 use crate::share::{
     learned::PairWeight,
     sample::{Image, Pressure, Sample},
+    sums::Row,
 };
 
 /// Weight of [`INITIAL_WEIGHT`] in the fit, in squared CPU shares at a headroom of one: as much as
@@ -17,6 +18,9 @@
 /// of it is gone after some 15 seconds.
 const DECAY: f64 = 0.977;
 
+/// Below this evidence the weight of an image is that of an unknown one, within a thousandth.
+const MIN_EVIDENCE: f64 = PRIOR_PRECISION / 1000.0;
+
 /// Relative error of a measured headroom.
 const MEASUREMENT_ERROR: f64 = 0.1;
 
@@ -37,50 +41,98 @@
 /// Upper bound of the headroom that an image takes if it uses all CPUs.
 const MAX_WEIGHT: f64 = 64.0;
 
+/// What is known of one best-effort image.
+#[derive(Debug)]
+struct Estimate {
+    image: Image,
+    /// Weighted sums of products of the deviations in CPU share, by other best-effort image and
+    /// with itself.
+    squares: Row,
+    /// Weighted sum of products of the deviations in CPU share and the lost headroom.
+    product: f64,
+    /// Headroom taken at the full CPU of a worker.
+    weight: f64,
+}
+
+impl Estimate {
+    fn new(image: Image) -> Estimate {
+        Estimate {
+            image,
+            squares: Row::default(),
+            product: 0.0,
+            weight: INITIAL_WEIGHT,
+        }
+    }
+
+    /// Returns the weighted sum of the squared deviations.
+    fn evidence(&self) -> f64 {
+        self.squares.get(self.image)
+    }
+
+    /// Returns the number of entries.
+    fn size(&self) -> usize {
+        1 + self.squares.len()
+    }
+}
+
 /// Headroom that best-effort images take from one serving image, and the sums that it is fitted
 /// from.
 #[derive(Debug, Default)]
 pub(crate) struct Fit {
-    /// Weighted sums of products of the deviations in CPU share, by pair of best-effort images.
-    squares: Vec<Vec<f64>>,
-    /// Weighted sums of products of the deviations in CPU share and the lost headroom, by
-    /// best-effort image.
-    products: Vec<f64>,
-    /// Headroom taken at the full CPU of a worker, by best-effort image.
-    weights: Vec<f64>,
+    /// Sorted by image.
+    estimates: Vec<Estimate>,
 }
 
 impl Fit {
-    fn grow(&mut self, image_count: usize) {
-        if self.weights.len() >= image_count {
-            return;
+    fn find(&self, image: Image) -> Result<usize, usize> {
+        self.estimates.binary_search_by_key(&image, |e| e.image)
+    }
+
+    /// Returns the estimate of an image, adding one if there is room for it.
+    fn estimate(&mut self, image: Image, room: &mut usize) -> Option<&mut Estimate> {
+        if self.find(image).is_err() {
+            *room = room.checked_sub(1)?;
         }
-        self.weights.resize(image_count, INITIAL_WEIGHT);
-        self.products.resize(image_count, 0.0);
-        self.squares.resize(image_count, Vec::new());
-        for row in &mut self.squares {
-            row.resize(image_count, 0.0);
+        let at = self.find_or_insert(image);
+        Some(&mut self.estimates[at])
+    }
+
+    /// Returns the position of the estimate of an image, adding one if there is none.
+    fn find_or_insert(&mut self, image: Image) -> usize {
+        let found = self.find(image);
+        if let Err(at) = found {
+            self.estimates.insert(at, Estimate::new(image));
         }
+        found.unwrap_or_else(|at| at)
+    }
+
+    /// Returns the number of entries.
+    pub(crate) fn size(&self) -> usize {
+        let sizes = self.estimates.iter().map(Estimate::size);
+        sizes.sum()
+    }
+
+    /// Returns the evidence for each image.
+    pub(crate) fn evidence(&self) -> impl Iterator<Item = (Image, f64)> {
+        self.estimates.iter().map(|e| (e.image, e.evidence()))
     }
 
-    /// Forgets everything about a best-effort image.
-    pub(crate) fn forget(&mut self, image: Image) {
-        let at = usize::from(image);
-        if at >= self.weights.len() {
-            return;
+    /// Forgets everything about a best-effort image; returns the number of entries removed.
+    pub(crate) fn forget(&mut self, image: Image) -> usize {
+        let before = self.size();
+        if let Ok(at) = self.find(image) {
+            self.estimates.remove(at);
         }
-        self.weights[at] = INITIAL_WEIGHT;
-        self.products[at] = 0.0;
-        for row in &mut self.squares {
-            row[at] = 0.0;
+        for estimate in &mut self.estimates {
+            estimate.squares.remove(image);
         }
-        self.squares[at].fill(0.0);
+        before - self.size()
     }
 
     /// Returns the headroom that a best-effort image takes if it uses all CPUs of a worker.
     pub(crate) fn weight(&self, image: Image) -> f64 {
-        let weight = self.weights.get(image as usize);
-        weight.copied().unwrap_or(INITIAL_WEIGHT)
+        self.find(image)
+            .map_or(INITIAL_WEIGHT, |at| self.estimates[at].weight)
     }
 
     /// Returns the headroom that best-effort runs with these CPU shares take.
@@ -121,46 +173,50 @@
             .clamp(expected - max_deviation, expected + max_deviation)
     }
 
-    /// Adds samples of one step as deviations from the step's forecast headroom `base`.
-    pub(crate) fn add_with_forecast(&mut self, samples: &[Sample], base: f64) {
-        self.grow(image_count(samples));
+    /// Adds samples of one step as deviations from the step's forecast headroom `base`. At most
+    /// `room` entries are added.
+    pub(crate) fn add_with_forecast(&mut self, samples: &[Sample], base: f64, room: &mut usize) {
         for sample in samples {
-            self.accumulate(sample, base);
+            self.accumulate(sample, base, room);
         }
     }
 
     /// Adds samples of one step as deviations from their own mean, for a step without a forecast.
-    pub(crate) fn add(&mut self, samples: &[Sample], base: f64) {
-        let images = image_count(samples);
-        self.grow(images);
-        let (mut shares, mut taken, mut total) = (vec![0.0; images], 0.0, 0.0);
+    /// At most `room` entries are added.
+    pub(crate) fn add(&mut self, samples: &[Sample], base: f64, room: &mut usize) {
+        let (mut shares, mut taken, mut total) = (Row::default(), 0.0, 0.0);
         for sample in samples {
             let precision = sample.precision();
             total += precision;
-            taken += self.accumulate(sample, base) * precision;
+            taken += self.accumulate(sample, base, room) * precision;
             for pressure in sample.pressures.iter() {
-                shares[pressure.image as usize] += pressure.share * precision;
+                let before = shares.get(pressure.image);
+                shares.set(pressure.image, before + pressure.share * precision);
             }
         }
-        for a in 0..images {
-            if shares[a] == 0.0 {
+        for (a, share) in shares.iter().filter(|(_, share)| *share != 0.0) {
+            let Some(estimate) = self.estimate(a, room) else {
                 continue;
-            }
-            self.products[a] -= shares[a] * taken / total;
-            for b in 0..images {
-                self.squares[a][b] -= shares[a] * shares[b] / total;
+            };
+            estimate.product -= share * taken / total;
+            for (b, other) in shares.iter() {
+                estimate.squares.add(b, -share * other / total, room);
             }
         }
     }
 
     /// Adds a sample to the sums and returns the headroom that it has lost against `base`.
-    fn accumulate(&mut self, sample: &Sample, base: f64) -> f64 {
+    fn accumulate(&mut self, sample: &Sample, base: f64, room: &mut usize) -> f64 {
         let lost = base - self.plausible_headroom(sample, base);
         let precision = sample.precision();
         for a in sample.pressures.iter() {
-            self.products[a.image as usize] += a.share * lost * precision;
+            let Some(estimate) = self.estimate(a.image, room) else {
+                continue;
+            };
+            estimate.product += a.share * lost * precision;
             for b in sample.pressures.iter() {
-                self.squares[a.image as usize][b.image as usize] += a.share * b.share * precision;
+                let product = a.share * b.share * precision;
+                estimate.squares.add(b.image, product, room);
             }
         }
         lost
@@ -168,12 +224,11 @@
 
     /// Returns the weights of the best-effort images with at least one sample.
     pub(crate) fn known_weights(&self, serving: Image) -> Vec<PairWeight> {
-        let all = (0..).zip(&self.weights);
-        let pairs = all.map(|(best_effort, weight)| PairWeight {
-            best_effort_image: best_effort,
+        let pairs = self.estimates.iter().map(|e| PairWeight {
+            best_effort_image: e.image,
             serving_image: serving,
-            weight: *weight as f32,
-            seen: self.squares[best_effort as usize][best_effort as usize] as f32,
+            weight: e.weight as f32,
+            seen: e.evidence() as f32,
         });
         pairs.filter(|p| p.seen > 0.0).collect()
     }
@@ -181,38 +236,44 @@
     /// Restores the weight of a best-effort image from an earlier owner, as if the image had been
     /// observed alone.
     pub(crate) fn restore(&mut self, pair: &PairWeight) {
-        let at = pair.best_effort_image as usize;
-        self.grow(at + 1);
+        let image = pair.best_effort_image;
+        let at = self.find_or_insert(image);
+        let estimate = &mut self.estimates[at];
         let (weight, seen) = (f64::from(pair.weight), f64::from(pair.seen));
-        self.weights[at] = weight;
-        self.squares[at][at] = seen;
-        self.products[at] = weight * (seen + PRIOR_PRECISION) - PRIOR_PRECISION * INITIAL_WEIGHT;
+        estimate.weight = weight;
+        estimate.squares.set(image, seen);
+        estimate.product = weight * (seen + PRIOR_PRECISION) - PRIOR_PRECISION * INITIAL_WEIGHT;
     }
 
-    /// Solves for the weights by coordinate descent, keeps them non-negative, and decays the sums.
+    /// Solves for the weights by coordinate descent, keeps them non-negative, decays the sums, and
+    /// forgets the images whose evidence has decayed.
     pub(crate) fn solve(&mut self) {
         for _ in 0..ITERATIONS {
-            for at in 0..self.weights.len() {
-                let row = &self.squares[at];
-                let others: f64 = row.iter().zip(&self.weights).map(|(s, w)| s * w).sum();
-                let others = others - row[at] * self.weights[at];
-                let own = self.products[at] + PRIOR_PRECISION * INITIAL_WEIGHT - others;
-                self.weights[at] = (own / (row[at] + PRIOR_PRECISION)).clamp(0.0, MAX_WEIGHT);
+            for at in 0..self.estimates.len() {
+                let weight = self.solved_weight(&self.estimates[at]);
+                self.estimates[at].weight = weight;
             }
         }
-        for row in &mut self.squares {
-            for sum in row {
-                *sum *= DECAY;
-            }
+        for estimate in &mut self.estimates {
+            estimate.squares.scale(DECAY);
+            estimate.product *= DECAY;
         }
-        for sum in &mut self.products {
-            *sum *= DECAY;
+        let images: Vec<Image> = self
+            .evidence()
+            .filter(|(_, evidence)| *evidence < MIN_EVIDENCE)
+            .map(|(image, _)| image)
+            .collect();
+        for image in images {
+            self.forget(image);
         }
     }
-}
 
-/// Returns one more than the highest image number in the samples.
-fn image_count(samples: &[Sample]) -> usize {
-    let all = samples.iter().flat_map(|s| s.pressures.iter());
-    all.map(|p| p.image as usize + 1).max().unwrap_or(0)
+    /// Returns the weight of an image that fits its sums best while those of all others stay.
+    fn solved_weight(&self, estimate: &Estimate) -> f64 {
+        let products = estimate.squares.iter().map(|(b, s)| s * self.weight(b));
+        let evidence = estimate.evidence();
+        let others = products.sum::<f64>() - evidence * estimate.weight;
+        let own = estimate.product + PRIOR_PRECISION * INITIAL_WEIGHT - others;
+        (own / (evidence + PRIOR_PRECISION)).clamp(0.0, MAX_WEIGHT)
+    }
 }
--- a/crates/jobs/src/share/images.rs
+++ b/crates/jobs/src/share/images.rs
@@ -1,8 +1,9 @@
 //! Numbers of the images whose interference is learned.
 //!
-//! Callers may give each version of a program an image of its own. The memory of the model grows
-//! with the square of the number of images, so only a limited number of them have a number at a
-//! time: an image that no open job uses loses its number to a new one, the longest unused first.
+//! Callers may give each version of a program an image of its own. The model is bounded by the pairs
+//! that run beside each other, and here by the number of images: only a limited number of them have
+//! a number at a time. An image that no open job uses loses its number to a new one, the longest
+//! unused first.
 //!
 //! Limits: while open jobs use more images than there are numbers, the others share the number of
 //! steps without an image.
--- a/crates/jobs/src/share/interference.rs
+++ b/crates/jobs/src/share/interference.rs
@@ -35,6 +35,10 @@
 /// Fewest headrooms of one step that are compared with each other.
 const MIN_SAMPLES: usize = 3;
 
+/// Entries of all fits together at most; an entry takes 16 bytes, or 64 with the head of its row.
+/// The bench's deployments need some hundred.
+pub(super) const MAX_ENTRIES: usize = 50_000;
+
 /// Fits that a sample waits for others of its step. The load has changed by then.
 const MAX_SAMPLE_AGE: u8 = 4;
 
@@ -137,6 +141,7 @@
     pub(crate) fn fit(&mut self, forecast: impl Fn(StepKey) -> Option<f64>) -> Vec<BaseHeadroom> {
         let mut bases = Vec::new();
         let mut kept = Vec::new();
+        let mut room = MAX_ENTRIES.saturating_sub(self.size());
         self.samples.sort_by_key(|s| s.step_key);
         for samples in self.samples.chunk_by(|a, b| a.step_key == b.step_key) {
             let serving = samples[0].serving_image;
@@ -148,11 +153,11 @@
                 precision: fit.precision(samples),
             });
             if let Some(expected) = forecast(samples[0].step_key) {
-                fit.add_with_forecast(samples, expected);
+                fit.add_with_forecast(samples, expected, &mut room);
                 continue;
             }
             if samples.len() >= MIN_SAMPLES {
-                fit.add(samples, base);
+                fit.add(samples, base, &mut room);
                 continue;
             }
             let recent = samples.iter().filter(|s| s.age < MAX_SAMPLE_AGE);
@@ -165,8 +170,38 @@
         for (_, fit) in self.fits.iter_mut() {
             fit.solve();
         }
+        self.make_room();
         bases
     }
+
+    /// Returns the number of entries of all fits.
+    pub(crate) fn size(&self) -> usize {
+        self.fits.iter().map(|(_, f)| f.size()).sum()
+    }
+
+    /// Forgets the pairs with the least evidence while the entries take more than three quarters of
+    /// what they may, so that there is room for new pairs.
+    fn make_room(&mut self) {
+        let mut size = self.size();
+        if size <= MAX_ENTRIES / 4 * 3 {
+            return;
+        }
+        let mut pairs = Vec::new();
+        for (&serving, fit) in self.fits.iter() {
+            pairs.extend(fit.evidence().map(|(image, e)| (e, serving, image)));
+        }
+        pairs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let known = pairs.len();
+        for (_, serving, image) in pairs {
+            if size <= MAX_ENTRIES / 2 {
+                break;
+            }
+            if let Some(fit) = self.fits.get_mut(&serving) {
+                size -= fit.forget(image);
+            }
+        }
+        log::info!(known, size; "interference: forgot the pairs with the least evidence");
+    }
 }
 
 /// Returns whether an image with this weight interferes.
--- a/crates/jobs/src/share/mod.rs
+++ b/crates/jobs/src/share/mod.rs
@@ -15,6 +15,8 @@
 pub(crate) mod headroom_forecasts;
 pub(crate) mod images;
 pub(crate) mod interference;
+#[cfg(test)]
+mod interference_tests;
 pub(crate) mod learned;
 #[cfg(test)]
 mod learned_tests;
@@ -27,3 +29,4 @@
 mod seasonality_tests;
 pub(crate) mod slack;
 pub(crate) mod spare_cpu;
+pub(crate) mod sums;
