--- a/crates/jobs/src/runs/crashes.rs
+++ b/crates/jobs/src/runs/crashes.rs
@@ -23,6 +23,7 @@
         record::Outcome,
         task::{Run, Stage},
     },
+    runs::worker::Worker,
     scheduler::Scheduler,
 };
 
@@ -43,6 +44,13 @@
 /// A task whose run has been reported for longer than this crashes no workers, in milliseconds.
 const CLEAR_SUSPECT_MS: u64 = 30_000;
 
+impl Worker {
+    /// Returns since when the worker has not answered; `now` if it did until its end.
+    fn lost_at(&self, now: u64) -> u64 {
+        self.silent_since.unwrap_or(now)
+    }
+}
+
 impl Run {
     /// Returns whether the run had just started at `now`.
     fn has_just_started(&self, now: u64) -> bool {
@@ -75,11 +83,7 @@
         if std::mem::replace(&mut worker.crash_recorded, true) || worker.leaving_since.is_some() {
             return;
         }
-        let max_blame = match self.is_simultaneous_loss(slot) {
-            true => Blame::Shared,
-            false => Blame::Own,
-        };
-        self.attribute_crash(slot, max_blame);
+        self.attribute_crash(slot);
     }
 
     /// Clears the signs of a crash on a worker that answers although its machine refused
@@ -94,11 +98,19 @@
             .filter(|g| runs.binary_search(g).is_ok());
     }
 
-    /// Attributes the crash of a worker to the tasks there, with `max_blame` as the limit. If that is
-    /// below [`Blame::Own`], another cause is known, and runs that had not just started are not
-    /// suspected.
-    pub(super) fn attribute_crash(&mut self, slot: u32, max_blame: Blame) {
+    /// Attributes the crash of a worker to the tasks there.
+    ///
+    /// A machine that said nothing may have lost power, so that its crash is blamed on no task more
+    /// than [`Blame::Shared`]. Where many workers are lost at once, another cause is likely, and
+    /// only runs that had just started on a machine that was up are suspected.
+    fn attribute_crash(&mut self, slot: u32) {
+        let is_simultaneous = self.is_simultaneous_loss(slot);
         let worker = self.fleet.get(slot);
+        let max_blame = match (worker.process_ended, is_simultaneous) {
+            (true, false) => Blame::Own,
+            (false, true) => Blame::Unseen,
+            _ => Blame::Shared,
+        };
         let (incarnation, runs) = (worker.incarnation_name.clone(), worker.runs.clone());
         let end = worker.silent_since.unwrap_or(self.now);
         let just_started: Vec<TaskId> = runs
@@ -110,7 +122,7 @@
             let blame = match just_started.contains(&task) {
                 true if just_started.len() == 1 => Blame::Own,
                 true => Blame::Close,
-                false if max_blame < Blame::Own => Blame::Unseen,
+                false if is_simultaneous => Blame::Unseen,
                 false if runs.len() == 1 => Blame::Own,
                 false => Blame::Shared,
             };
@@ -145,21 +157,18 @@
         self.fail_proven_cause(id);
     }
 
-    /// Returns whether so many other workers crashed at the same time that none of their tasks is
+    /// Returns whether so many other workers were lost at the same time that none of their tasks is
     /// the cause. Workers with an isolated suspect do not count, since the suspect may be the cause
     /// there.
     fn is_simultaneous_loss(&self, slot: u32) -> bool {
-        let at = self.fleet.get(slot).silent_since;
-        let Some(at) = at else {
-            return false;
-        };
+        let worker = self.fleet.get(slot);
+        let (at, is_silent) = (worker.lost_at(self.now), !worker.process_ended);
         let workers = (0..).zip(&self.fleet.workers);
         let others = workers.filter(|&(other, w)| other != slot && w.isolated_task.is_none());
-        let others = others.filter(|(_, w)| w.process_ended && w.leaving_since.is_none());
-        let lost = others.filter(|(_, w)| {
-            w.silent_since
-                .is_some_and(|s| s.abs_diff(at) <= SIMULTANEOUS_MS)
-        });
+        let others = others.filter(|(_, w)| w.leaving_since.is_none());
+        let others =
+            others.filter(|(_, w)| w.process_ended || is_silent && w.silent_since.is_some());
+        let lost = others.filter(|(_, w)| w.lost_at(self.now).abs_diff(at) <= SIMULTANEOUS_MS);
         let announced = self.fleet.workers.iter().filter(|w| w.announced).count();
         lost.count() >= MIN_SIMULTANEOUS_LOSSES.max(announced / SIMULTANEOUS_LOSS_DIVISOR)
     }
--- a/crates/jobs/src/runs/evidence.rs
+++ b/crates/jobs/src/runs/evidence.rs
@@ -107,10 +107,16 @@
         let mut confirmed = 0;
         for &id in &crash.tasks {
             let task = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id));
-            if !task.is_some_and(|t| t.crashes.confirm(&crash.worker)) {
+            let Some(crashes) = task.map(|t| &mut t.crashes) else {
+                continue;
+            };
+            if !crashes.confirm(&crash.worker) {
                 continue;
             }
             confirmed += 1;
+            if crashes.is_suspect() {
+                self.add_suspect(id);
+            }
             self.mark_dirty(id.job);
             self.fail_proven_cause(id);
         }
--- a/crates/jobs/src/runs/lost.rs
+++ b/crates/jobs/src/runs/lost.rs
@@ -4,19 +4,7 @@
 //! leases on it have expired and it did not answer. Its machine may have lost power, it may be cut
 //! off, or its process may have ended; only in the last case does its address refuse connections.
 
-use crate::{
-    model::{crash::Blame, ids::TaskId},
-    scheduler::Scheduler,
-};
-
-/// How a worker was lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Loss {
-    /// Another incarnation answers at its address or under its name.
-    Ended,
-    /// It did not answer, and all leases on it have expired.
-    Lapsed,
-}
+use crate::{model::ids::TaskId, scheduler::Scheduler};
 
 impl Scheduler {
     /// Handles the end of a worker's incarnation, and of the runs there.
@@ -27,10 +15,12 @@
         }
         let silent = worker.silent_since.map_or(0, |at| self.now - at);
         log::warn!(worker = &*worker.id, born:? = worker.start_time, runs = worker.runs.len(), silent_ms = silent, absent = worker.process_ended; "worker: its life has ended");
+        let now = self.now;
         let worker = self.fleet.get_mut(slot);
         worker.dead = true;
+        worker.silent_since.get_or_insert(now);
         worker.end_poll();
-        self.record_loss(slot, Loss::Ended);
+        self.record_crash(slot);
         self.confirm_end(slot);
         let ended = self.ended_runs(slot);
         self.drop_runs(slot, &ended);
@@ -52,25 +42,12 @@
             log::warn!(worker = &*worker.id, runs, held, absent = worker.process_ended; "worker: its leases are over");
             self.stats.lapsed += runs as u64;
             if !worker.dead {
-                self.record_loss(slot, Loss::Lapsed);
+                self.record_crash(slot);
             }
             self.drop_runs(slot, &ended);
         }
     }
 
-    /// Records what the loss of a worker shows about the tasks there.
-    pub(super) fn record_loss(&mut self, slot: u32, loss: Loss) {
-        let worker = self.fleet.get(slot);
-        // A worker without an announcement can't be polled and may have crashed. One that was
-        // silent until its leases expired may only be cut off.
-        let may_have_crashed = loss == Loss::Ended || worker.info.is_none();
-        if worker.process_ended {
-            self.record_crash(slot);
-        } else if may_have_crashed && worker.leaving_since.is_none() {
-            self.attribute_crash(slot, Blame::Unseen);
-        }
-    }
-
     /// Clears the given runs, and all orphans, on a lost worker.
     pub(super) fn drop_runs(&mut self, slot: u32, runs: &[TaskId]) {
         self.log_lost_runs(slot, runs);
--- a/crates/jobs/src/runs/replaced.rs
+++ b/crates/jobs/src/runs/replaced.rs
@@ -12,7 +12,7 @@
         ids::TaskId,
         task::{Stage, UNKNOWN_PACE},
     },
-    runs::{incarnations::Attribution, lost::Loss, unreported::MAX_ORDER_DELAY_MS},
+    runs::{incarnations::Attribution, unreported::MAX_ORDER_DELAY_MS},
     scheduler::Scheduler,
     settings::lease_upper_bound,
 };
@@ -74,6 +74,7 @@
         let (now, settings) = (self.now, self.settings);
         let worker = self.fleet.get_mut(old);
         let was_dead = std::mem::replace(&mut worker.dead, true);
+        worker.silent_since.get_or_insert(now);
         let incarnation = worker.incarnation_name.clone();
         let order_delay = if worker.granted_until > 0 {
             MAX_ORDER_DELAY_MS
@@ -86,7 +87,7 @@
             worker.misdirected_lease_end = worker.misdirected_lease_end.max(end);
         }
         if !was_dead {
-            self.record_loss(old, Loss::Ended);
+            self.record_crash(old);
         }
         let unreported = self.unreported_runs(old);
         for &id in &unreported {
--- a/crates/jobs/src/runs/report.rs
+++ b/crates/jobs/src/runs/report.rs
@@ -43,13 +43,13 @@
         worker.record_clock(report.clock, now, &settings);
         worker.answered_generation = worker.answered_generation.max(generation);
         worker.first_end = report.finished.first().map(|e| e.number);
-        let was_absent = worker.process_ended;
+        let seemed_crashed = worker.process_ended || worker.crash_recorded;
         if let Some(since) = worker.silent_since.take() {
             log::info!(worker = &*worker.id, silent_ms = now - since; "worker: answers again");
             self.placement_due = true;
         }
         let counted = worker.counted_end;
-        if was_absent {
+        if seemed_crashed {
             self.clear_crash_signs(slot);
         }
         self.settle_crashes(slot);
--- a/crates/jobs/tests/all/common/world.rs
+++ b/crates/jobs/tests/all/common/world.rs
@@ -89,6 +89,8 @@
     pub store_down: bool,
     /// Tasks that crash each worker that starts them.
     pub crashers: Vec<Crasher>,
+    /// Whether the machine of a worker that a task crashes says nothing until the worker is back.
+    pub silent_crashes: bool,
     /// Names of earlier incarnations, each with the index of its worker.
     pub former_ids: BTreeMap<Arc<str>, usize>,
     /// Milliseconds until a crashed worker restarts.
@@ -157,6 +159,7 @@
             checker: Checker::default(),
             store_down: false,
             crashers: Vec::new(),
+            silent_crashes: false,
             former_ids: BTreeMap::new(),
             restart_ms: RESTART_MS,
             restart: Restart::default(),
--- a/crates/jobs/tests/all/crashing/mod.rs
+++ b/crates/jobs/tests/all/crashing/mod.rs
@@ -11,6 +11,7 @@
 mod losses;
 mod owners;
 mod returning;
+mod silent;
 
 use crate::common::{
     Crasher, World, WorldSettings, chain, check_invariants, long_running, serving, short,
