Odd entries: check what workers announce and report

What callers saw: with two live workers whose entries state a capacity of 1e308 or 1.2e19, the thread that decides panics in a debug build, under each owner, and no job runs; a release build decides on sums that have wrapped around.

Cause: a number of any size passes the decoder, and sums over workers overflow. A key with a line break went into the head of orders.

Entries that are nested deeply, or with ports out of range, held.

Change: an announcement beyond the bounds of model/bounds.rs, or whose name has control characters, is skipped and counted; a report with an impossible clock or number of an end counts as no answer (bad_reports). A metric counts for twice the worker's CPUs at most. The specification of jobs uses the same check.

Why it works: sums over all workers stay in 64 bits within the bounds, and what is beyond them never reaches the scheduler.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     model::{
+        bounds::{self, MAX_END_NUMBER, MAX_TIME_MS, Number, NumberError},
         ids::{JobId, TaskId},
         policy::QueuePolicy,
         spec::Job,
@@ -73,6 +74,18 @@
     pub finished: Vec<RunEnd>,
 }
 
+impl WorkerReport {
+    /// Checks that the numbers are within their bounds. Metrics beyond theirs are ignored where they
+    /// are used.
+    pub fn validate(&self) -> Result<(), NumberError> {
+        bounds::check(&[Number::new("clock", self.clock, MAX_TIME_MS)])?;
+        for end in &self.finished {
+            bounds::check(&[Number::new("number of an end", end.number, MAX_END_NUMBER)])?;
+        }
+        Ok(())
+    }
+}
+
 /// The result of a start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Started {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -63,6 +63,7 @@
 };
 pub use lending::settings::{Lending, LendingError};
 pub use model::{
+    bounds::NumberError,
     ids::{IdError, JobId, TaskId},
     policy::QueuePolicy,
     record::{Outcome, Record, RecordError},
@@ -71,7 +72,7 @@
 pub use queues::RemovedQueue;
 pub use runs::{
     fencing::MAX_GENERATION,
-    worker::{Capacity, WorkerInfo},
+    worker::{Capacity, WorkerError, WorkerInfo},
 };
 pub use scheduler::Scheduler;
 pub use settings::{Settings, lease_upper_bound};
--- a/crates/jobs/src/model/spec.rs
+++ b/crates/jobs/src/model/spec.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use snafu::{Snafu, ensure};
+use snafu::{ResultExt, Snafu, ensure};
 
 use crate::model::{
-    bounds::{MAX_AMOUNT, MAX_DURATION_MS, MAX_TIME_MS},
+    bounds::{self, MAX_AMOUNT, MAX_DURATION_MS, MAX_TIME_MS, Number, NumberError},
     ids::JobId,
 };
 
@@ -38,47 +38,21 @@
         tasks: u64,
     },
     /// A number of a step is too large.
-    #[snafu(display("step {step}: {field} is {value}, more than {max}"))]
+    #[snafu(display("step {step}: {source}"))]
     StepNumber {
         /// The step.
         step: usize,
-        /// Name of the field.
-        field: &'static str,
-        /// The number.
-        value: u64,
-        /// The largest one that is allowed.
-        max: u64,
+        /// The number and its bound.
+        source: NumberError,
     },
     /// A number of the schedule is too large.
-    #[snafu(display("schedule: {field} is {value}, more than {max}"))]
+    #[snafu(display("schedule: {source}"))]
     ScheduleNumber {
-        /// Name of the field.
-        field: &'static str,
-        /// The number.
-        value: u64,
-        /// The largest one that is allowed.
-        max: u64,
+        /// The number and its bound.
+        source: NumberError,
     },
 }
 
-/// A number that a caller states, and its bound.
-#[derive(Debug, Clone, Copy)]
-struct Number {
-    field: &'static str,
-    value: u64,
-    max: u64,
-}
-
-impl Number {
-    fn new(field: &'static str, value: u64, max: u64) -> Number {
-        Number { field, value, max }
-    }
-
-    fn is_exceeded(&self) -> bool {
-        self.value > self.max
-    }
-}
-
 /// A step of a job: a number of tasks of the same kind.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -212,25 +186,9 @@
 
     /// Checks that all numbers are within their bounds.
     fn check_numbers(&self) -> Result<(), SpecError> {
-        let exceeded = self
-            .schedule
-            .numbers()
-            .into_iter()
-            .find(Number::is_exceeded);
-        if let Some(Number { field, value, max }) = exceeded {
-            return ScheduleNumberSnafu { field, value, max }.fail();
-        }
+        bounds::check(&self.schedule.numbers()).context(ScheduleNumberSnafu)?;
         for (step, s) in self.steps.iter().enumerate() {
-            let exceeded = s.numbers().into_iter().find(Number::is_exceeded);
-            if let Some(Number { field, value, max }) = exceeded {
-                return StepNumberSnafu {
-                    step,
-                    field,
-                    value,
-                    max,
-                }
-                .fail();
-            }
+            bounds::check(&s.numbers()).context(StepNumberSnafu { step })?;
         }
         Ok(())
     }
--- a/crates/jobs/src/runs/worker.rs
+++ b/crates/jobs/src/runs/worker.rs
@@ -2,9 +2,16 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use snafu::{ResultExt, Snafu, ensure};
+
 use crate::{
     event::RunEnd,
-    model::{ids::TaskId, incarnation::Incarnation, spec::Step},
+    model::{
+        bounds::{self, MAX_AMOUNT, MAX_DURATION_MS, Number, NumberError},
+        ids::TaskId,
+        incarnation::Incarnation,
+        spec::Step,
+    },
     runs::{fencing::FIRST_GENERATION, orphan::Orphan},
     settings::{Settings, lease_upper_bound},
     share::{own_load::OwnLoad, slack::Slack, spare_cpu::unused_cpu},
@@ -108,6 +115,35 @@
     pub remaining_ms: u64,
 }
 
+/// The error for an announcement that can't be used.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum WorkerError {
+    /// A number is too large.
+    #[snafu(display("{source}"))]
+    Amount {
+        /// The number and its bound.
+        source: NumberError,
+    },
+    /// The name can't be part of a message.
+    #[snafu(display("the name has control characters"))]
+    Name,
+}
+
+impl WorkerInfo {
+    /// Checks that the numbers are within their bounds, and that the name can be part of a message.
+    /// Anything may write announcements.
+    pub fn validate(&self) -> Result<(), WorkerError> {
+        ensure!(!self.id.chars().any(char::is_control), NameSnafu);
+        let numbers = [
+            Number::new("cpu", self.capacity.cpu, MAX_AMOUNT),
+            Number::new("memory", self.capacity.memory, MAX_AMOUNT),
+            Number::new("gpu", self.capacity.gpu, MAX_AMOUNT),
+            Number::new("remaining time", self.remaining_ms, MAX_DURATION_MS),
+        ];
+        bounds::check(&numbers).context(AmountSnafu)
+    }
+}
+
 /// One incarnation of a worker.
 #[derive(Debug, Clone)]
 pub(crate) struct Worker {
--- a/crates/jobs/src/share/metrics.rs
+++ b/crates/jobs/src/share/metrics.rs
@@ -12,6 +12,9 @@
     },
 };
 
+/// Largest share of a worker's CPUs that a run counts with. Workers report any number.
+const MAX_SHARE: f64 = 2.0;
+
 /// Shortest interval at which the metrics of one worker are used. Each covers half a second.
 const MIN_METRICS_INTERVAL_MS: u64 = 450;
 
@@ -163,6 +166,7 @@
             }
             let image = state.images[task.step as usize];
             let share = self.fleet.get(slot).cpu_share(cpu_used.unwrap_or(step.cpu));
+            let share = share.min(MAX_SHARE);
             match out.iter_mut().find(|p| p.image == image) {
                 Some(p) => p.share += share,
                 None => out.push(Pressure { image, share }),
--- a/crates/jobs/tests/all/extremes.rs
+++ b/crates/jobs/tests/all/extremes.rs
@@ -2,7 +2,10 @@
 //! there.
 
 use crate::common::{World, WorldSettings, chain, check_invariants, long_running, serving, short};
-use gorsespur_jobs::{Outcome, Schedule, Spec, SpecError, Step};
+use gorsespur_jobs::{
+    Capacity, Ending, JobId, Outcome, RunEnd, Schedule, Spec, SpecError, Step, TaskId, WorkerInfo,
+    WorkerReport,
+};
 use test_case::test_case;
 
 /// Guards against owners that end one after the other: the number of tasks wraps around to 0.
@@ -138,3 +141,73 @@
     assert!(world.run_until_done(10_000));
     check_invariants(&world, 0);
 }
+
+fn worker_info(id: &str, capacity: Capacity, remaining_ms: u64) -> WorkerInfo {
+    WorkerInfo {
+        id: id.into(),
+        start_time: Some(u64::MAX),
+        addr: ([127, 0, 0, 1], 9).into(),
+        service: "s".into(),
+        zone: "z".into(),
+        labels: Vec::new(),
+        rack: "r".into(),
+        capacity,
+        ready: true,
+        remaining_ms,
+    }
+}
+
+fn capacity(cpu: u64, memory: u64, gpu: u64) -> Capacity {
+    Capacity { cpu, memory, gpu }
+}
+
+/// Guards against owners that end at sums over workers: an announcement with such a number is
+/// skipped, as is a name that would end a header.
+#[test_case("w", capacity(u64::MAX, 1, 1), 0, "cpu")]
+#[test_case("w", capacity(12_000_000_000_000_000_000, 1, 1), 0, "cpu")]
+#[test_case("w", capacity(1, u64::MAX, 1), 0, "memory")]
+#[test_case("w", capacity(1, 1, u64::MAX), 0, "gpu")]
+#[test_case("w", capacity(1, 1, 1), u64::MAX, "remaining")]
+#[test_case("w\r\nhost: h", capacity(1, 1, 1), 0, "name")]
+fn an_impossible_announcement_is_rejected(
+    id: &str,
+    capacity: Capacity,
+    remaining_ms: u64,
+    field: &str,
+) {
+    let error = worker_info(id, capacity, remaining_ms).validate();
+    let error = error.expect_err("impossible").to_string();
+    assert!(error.contains(field), "{error}");
+    let usual = Capacity {
+        cpu: 32_000,
+        memory: 125_000,
+        gpu: 8,
+    };
+    assert_eq!(worker_info("w-1", usual, 30_000).validate(), Ok(()));
+}
+
+#[test_case(u64::MAX, 1, "clock")]
+#[test_case(1, u64::MAX, "end")]
+fn an_impossible_report_is_rejected(clock: u64, number: u64, field: &str) {
+    let report = |clock, number| WorkerReport {
+        start_time: Some(1),
+        clock,
+        running: Vec::new(),
+        finished: vec![RunEnd {
+            number,
+            task: TaskId {
+                job: JobId(1),
+                repetition: 0,
+                step: 0,
+                index: 0,
+            },
+            run: 1,
+            ending: Ending::Done,
+            checkpoint: "".into(),
+        }],
+    };
+    let error = report(clock, number).validate();
+    let error = error.expect_err("impossible").to_string();
+    assert!(error.contains(field), "{error}");
+    assert_eq!(report(1 << 45, 1 << 40).validate(), Ok(()));
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -41,6 +41,8 @@
     LateTurns,
     /// Malformed rows.
     BadRows,
+    /// Reports of workers with impossible numbers.
+    BadReports,
     /// Rows that were shortened or left out because of a limit of the store, and rejected ones.
     RejectedRows,
     /// Short jobs refused because they can't meet their objective.
@@ -54,7 +56,7 @@
 }
 
 /// Names of the counters, in the order of [`Count`].
-const NAMES: [&str; 15] = [
+const NAMES: [&str; 16] = [
     "accepted",
     "refused",
     "unclear",
@@ -65,6 +67,7 @@
     "store_errors",
     "late_turns",
     "bad_rows",
+    "bad_reports",
     "rejected_rows",
     "refused_short",
     "refused_best_effort",
--- a/crates/node/src/owner/connections.rs
+++ b/crates/node/src/owner/connections.rs
@@ -14,7 +14,7 @@
 use super::worker_connections::{
     Call, CallDeadline, OrderResult, QueuedOrder, SLOTS, WorkerConnections,
 };
-use crate::{lease::fencing_token, protocol::Order, shared::Shared};
+use crate::{lease::fencing_token, metrics::Count, protocol::Order, shared::Shared};
 
 /// Time limit of a poll beyond the wait requested of the worker, in milliseconds. Longer than for
 /// orders, since little depends on a single poll.
@@ -292,6 +292,7 @@
             log::info!(worker = &*connections.id, order = order_name(&call.order), err = err.to_string().as_str(), took_ms = self.shared.clock.now() - call.sent_at; "order: no answer");
         }
         let answer = self.shared.protocol.answer(&call.order, result);
+        let answer = checked(&self.shared, &connections.id, answer);
         self.answers.push(OrderResult {
             worker,
             generation: call.generation,
@@ -301,6 +302,21 @@
     }
 }
 
+/// Returns the answer, or that there is none if it is a report with impossible numbers.
+fn checked(shared: &Shared, worker: &str, answer: Answer) -> Answer {
+    let Answer::Report(report) = &answer else {
+        return answer;
+    };
+    match report.validate() {
+        Ok(()) => answer,
+        Err(err) => {
+            shared.metrics.count(Count::BadReports);
+            log::error!(worker, err = err.to_string().as_str(); "worker: report can't be used");
+            Answer::NoReply
+        }
+    }
+}
+
 /// Withdraws a queued start; returns whether the order was one.
 fn withdraw_start(worker: u32, queued: &QueuedOrder, answers: &mut Vec<OrderResult>) -> bool {
     let Order::Start(start) = &queued.order else {
--- a/crates/node/src/owner/feed.rs
+++ b/crates/node/src/owner/feed.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use gorsespur_jobs::{Event, Job};
+use gorsespur_jobs::{Event, Job, WorkerInfo};
 use gorsespur_runtime::cancel::CancelToken;
 
 use super::{
@@ -11,6 +11,7 @@
 };
 use crate::{
     metrics::{Count, Duty},
+    protocol::ProtocolError,
     rows::{JOBS, JobRow, JobsRowKey, parse_jobs_key},
     shared::Shared,
     store::{Changes, Row, StoreError},
@@ -210,7 +211,7 @@
             }
             continue;
         }
-        match shared.protocol.worker(row) {
+        match read_worker(shared, row) {
             Ok(info) => {
                 events.push(Event::WorkerUpdated(info));
             }
@@ -227,6 +228,17 @@
     }
 }
 
+fn read_worker(shared: &Shared, row: &Row) -> Result<WorkerInfo, ProtocolError> {
+    let info = shared.protocol.worker(row)?;
+    match info.validate() {
+        Ok(()) => Ok(info),
+        Err(err) => Err(ProtocolError::Malformed {
+            what: "worker",
+            reason: err.to_string(),
+        }),
+    }
+}
+
 /// Returns the wait of a long poll: zero while the store is lost, so that its recovery is noticed a
 /// second sooner.
 fn poll_wait(shared: &Shared) -> Duration {
