Bound the nesting of rows that are decoded

What callers saw: nothing yet. In a debug build an instance that reads a deeply nested row overflows its stack and ends, as does each successor.

Cause: the decoder of MessagePack recurses for up to 1,024 levels, also in fields that it skips, on threads with a stack of 512 KB.

Why it works: the stack that is needed no longer depends on the row.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -37,6 +37,7 @@
 mod cancels;
 #[cfg(test)]
 mod cancels_tests;
+mod codec;
 mod drive;
 mod entitlement;
 mod event;
@@ -57,6 +58,7 @@
 pub use action::{Action, Batch, StartOrder};
 pub use admission::{QueueFigures, WaitForecast};
 pub use cancels::CANCEL_RETENTION_MS;
+pub use codec::{decode_next, decode_row};
 pub use entitlement::QueueShare;
 pub use event::{
     Answer, Ending, Event, Paced, ReportedRun, RunEnd, Started, Stopped, WorkerReport,
--- a/crates/jobs/src/model/changes.rs
+++ b/crates/jobs/src/model/changes.rs
@@ -6,6 +6,7 @@
 use snafu::ResultExt;
 
 use crate::{
+    codec::decode_next,
     model::{
         ids::JobId,
         record::{DecodeSnafu, Record, RecordError, TaskRecord},
@@ -40,7 +41,7 @@
     pub(crate) fn decode_all(row: &[u8]) -> Result<Vec<Changes>, RecordError> {
         let (mut changes, mut remaining) = (Vec::new(), row);
         while !remaining.is_empty() {
-            changes.push(rmp_serde::from_read(&mut remaining).context(DecodeSnafu)?);
+            changes.push(decode_next(&mut remaining).context(DecodeSnafu)?);
         }
         Ok(changes)
     }
--- a/crates/jobs/src/model/record.rs
+++ b/crates/jobs/src/model/record.rs
@@ -6,7 +6,10 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use crate::model::{crash::Crashes, spec::Spec};
+use crate::{
+    codec::decode_row,
+    model::{crash::Crashes, spec::Spec},
+};
 
 /// The error for a record that can't be used.
 #[derive(Debug, Snafu)]
@@ -130,6 +133,6 @@
 
     /// Decodes a record.
     pub fn decode(bytes: &[u8]) -> Result<Record, RecordError> {
-        rmp_serde::from_slice(bytes).context(DecodeSnafu)
+        decode_row(bytes).context(DecodeSnafu)
     }
 }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -1,10 +1,9 @@
 //! Tables, keys and values of the rows that nodes keep in the store.
 
-use std::{io::Cursor, sync::Arc};
+use std::sync::Arc;
 
 use gorsespur_core::hashing::stable_hash;
-use gorsespur_jobs::{Job, JobId, QueueFigures, QueuePolicy};
-use rmp_serde::Deserializer;
+use gorsespur_jobs::{Job, JobId, QueueFigures, QueuePolicy, decode_next, decode_row};
 use serde::{Deserialize, Serialize};
 
 use crate::census::Census;
@@ -171,15 +170,14 @@
 
     /// Decodes a row; logs a malformed one and returns `None`. A malformed policy is left out.
     pub(crate) fn decode(bytes: &[u8]) -> Option<JobRow> {
-        let mut decoder = Deserializer::new(Cursor::new(bytes));
-        let job = match Job::deserialize(&mut decoder) {
+        let mut rest = bytes;
+        let job: Job = match decode_next(&mut rest) {
             Ok(job) => job,
             Err(err) => {
                 log::error!(what = "job", err = err.to_string().as_str(); "store: row can't be read");
                 return None;
             }
         };
-        let rest = &bytes[decoder.position() as usize..];
         let policy = match rest {
             [] => None,
             _ => decode::<QueuePolicy>("policy of a job", rest),
@@ -197,7 +195,7 @@
 
 /// Decodes a row's value; logs a malformed one and returns `None`.
 pub(crate) fn decode<'a, T: Deserialize<'a>>(what: &str, bytes: &'a [u8]) -> Option<T> {
-    match rmp_serde::from_slice(bytes) {
+    match decode_row(bytes) {
         Ok(value) => Some(value),
         Err(err) => {
             log::error!(what, err = err.to_string().as_str(); "store: row can't be read");
--- a/crates/node/src/rows_tests.rs
+++ b/crates/node/src/rows_tests.rs
@@ -1,14 +1,17 @@
 //! Tests of the parts of the accepted jobs: how long callers wait for them while the store is slow;
 //! and of rows that other versions read.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, thread};
 
-use gorsespur_jobs::{Job, JobId, QueuePolicy, Spec, Step};
+use gorsespur_jobs::{Job, JobId, Learned, QueuePolicy, Record, Spec, Step};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::{Deserialize, Serialize};
 use test_case::test_case;
 
-use crate::rows::{JobRow, LeaseRow, decode, encode, job_part, job_parts};
+use crate::{
+    census::InstanceRow,
+    rows::{CancelRow, FiguresRow, HeadRow, JobRow, LeaseRow, decode, encode, job_part, job_parts},
+};
 
 /// Time of a write at a sixtieth of the store's speed, in milliseconds.
 const WRITE_MS: u64 = 480;
@@ -170,3 +173,43 @@
     let decoded = JobRow::decode(&row.encode()).expect("a job");
     assert_eq!(decoded.policy, None);
 }
+
+/// Stack of a thread that reads rows, in bytes.
+const READER_STACK_BYTES: usize = 512 << 10;
+
+/// Levels of the nested values: more than any decoder follows.
+const LEVELS: usize = 20_000;
+
+/// Returns nested arrays, or nested maps with one key each.
+fn nested(head: &[u8]) -> Vec<u8> {
+    let mut bytes = head.repeat(LEVELS);
+    bytes.push(0xc0);
+    bytes
+}
+
+/// Returns a map with an unknown field, whose value is nested.
+fn unknown_field(value: &[u8]) -> Vec<u8> {
+    [&[0x81, 0xa3, b'o', b'd', b'd'], value].concat()
+}
+
+/// Guards against readers that end at a row of another writer whose values are nested deeply.
+#[test]
+fn deeply_nested_rows_end_no_reader() {
+    let read_all = || {
+        let values = [nested(&[0x91]), nested(&[0x81, 0xa1, b'a'])];
+        for value in values.iter().flat_map(|v| [v.clone(), unknown_field(v)]) {
+            assert!(decode::<LeaseRow>("lease", &value).is_none());
+            assert!(decode::<FiguresRow>("figures", &value).is_none());
+            assert!(decode::<HeadRow>("head", &value).is_none());
+            assert!(decode::<CancelRow>("cancel", &value).is_none());
+            assert!(decode::<InstanceRow>("instance", &value).is_none());
+            assert!(decode::<QueuePolicy>("policy", &value).is_none());
+            assert!(decode::<Learned>("learned", &value).is_none());
+            assert!(Record::decode(&value).is_err());
+            assert!(JobRow::decode(&value).is_none());
+        }
+    };
+    let reader = thread::Builder::new().stack_size(READER_STACK_BYTES);
+    let reader = reader.spawn(read_all).expect("thread");
+    reader.join().expect("rows are skipped");
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -6,6 +6,9 @@
 /// Format byte of every message of this release.
 pub const FORMAT: u8 = 1;
 
+/// Most levels of nesting, which the decoder follows by recursion.
+const MAX_LEVELS: usize = 64;
+
 /// Content type of encoded messages.
 pub const CONTENT_TYPE: &str = "application/vnd.gorsespur.v1+msgpack";
 
@@ -46,5 +49,7 @@
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
     let (&found, rest) = bytes.split_first().context(EmptySnafu)?;
     ensure!(found == FORMAT, FormatSnafu { found });
-    rmp_serde::from_slice(rest).context(DecodeSnafu)
+    let mut decoder = rmp_serde::Deserializer::from_read_ref(rest);
+    decoder.set_max_depth(MAX_LEVELS);
+    T::deserialize(&mut decoder).context(DecodeSnafu)
 }
