End the process when a thread with a duty panics

What callers saw: the thread that decides had panicked, and the process answered on and did nothing of that duty (users' run of a debug build).

Cause: only the lease's thread was joined, at a stop. A request that panicked stayed counted, as did its connection.

Change: the process ends with a line and exit code 1, so that the platform starts it again. A panic in a request ends its connection alone.

Why it works: an owner without one of its threads can't go on renewing the lease.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -112,6 +112,15 @@
     }
 }
 
+/// A connection or request in a count, which it leaves when it is dropped.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 fn accept<H: Handler>(listener: &TcpListener, state: &Arc<ServerState>, handler: &Arc<H>) {
     for stream in listener.incoming() {
         let stream = match stream {
@@ -132,10 +141,11 @@
             .name("conn".into())
             .stack_size(STACK_BYTES)
             .spawn(move || {
+                // Dropped after a panic as well.
+                let _open = Counted(&conn_state.open_connections);
                 if let Err(err) = serve(stream, &conn_state, &*handler) {
                     log::debug!("http: connection ended: {err}");
                 }
-                conn_state.open_connections.fetch_sub(1, Ordering::SeqCst);
             });
         if let Err(err) = spawned {
             log::warn!("http: can't start a thread for a connection: {err}");
@@ -156,8 +166,9 @@
             return Ok(());
         };
         state.active_requests.fetch_add(1, Ordering::SeqCst);
+        let active = Counted(&state.active_requests);
         let result = respond(&mut stream, request, state, handler);
-        state.active_requests.fetch_sub(1, Ordering::SeqCst);
+        drop(active);
         if !result? {
             return Ok(());
         }
--- a/crates/http/tests/contract.rs
+++ b/crates/http/tests/contract.rs
@@ -170,6 +170,7 @@
     fn handle(&self, request: Request) -> Option<Response> {
         match request.path.as_str() {
             "/close" => None,
+            "/panic" => panic!("a fault of the handler"),
             _ => Some(Response::new(200, request.body)),
         }
     }
@@ -242,6 +243,21 @@
     client.call(&request, LIMIT).expect("first again");
 }
 
+/// Guards against a server that takes no connections any more, and that never drains: the request and
+/// its connection are no longer counted after a panic of the handler.
+#[test]
+fn a_panic_ends_one_connection() {
+    let server = server(1, LIMIT);
+    for _ in 0..3 {
+        let request = Request::new(Method::Get, "/panic", Vec::new());
+        let result = Client::new(server.addr()).call(&request, LIMIT);
+        assert!(result.is_err(), "{result:?}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    get(&Client::new(server.addr())).expect("response");
+    assert!(server.wait_until_idle(LIMIT));
+}
+
 #[test]
 fn a_draining_server_closes_its_connections() {
     let server = server(8, LIMIT);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,9 @@
 #[cfg(test)]
 mod census_tests;
 mod config;
+mod duty;
+#[cfg(test)]
+mod duty_tests;
 mod error;
 #[cfg(test)]
 mod fakes_tests;
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -41,7 +41,7 @@
     journal::JournalInput,
     load::Loaded,
 };
-use crate::{census::Census, shared::Shared};
+use crate::{census::Census, duty, shared::Shared};
 
 /// Capacity of the queues to the deciding thread and to the journal.
 const MAX_QUEUED_INPUTS: usize = 1024;
@@ -90,21 +90,30 @@
                 .name(name.into())
                 .stack_size(STACK_BYTES)
         };
-        let writer = spawn("journal")
-            .spawn_scoped(scope, || journal::write(shared, &tenure, &journal, &sender));
+        let writer = spawn("journal").spawn_scoped(scope, || {
+            duty::run("journal", || {
+                journal::write(shared, &tenure, &journal, &sender)
+            })
+        });
         if let Some(loaded) = load_jobs(shared, &tenure, &journal_inputs).filter(|_| writer.is_ok())
         {
             let (jobs, workers) = (loaded.jobs, loaded.workers);
             let jobs = spawn("jobs").spawn_scoped(scope, || {
-                feed::follow_jobs(shared, jobs, &sender, &owner_cancel)
+                duty::run("jobs", || {
+                    feed::follow_jobs(shared, jobs, &sender, &owner_cancel)
+                });
             });
             let workers = spawn("workers").spawn_scoped(scope, || {
-                feed::follow_workers(shared, workers, &sender, &owner_cancel)
+                duty::run("workers", || {
+                    feed::follow_workers(shared, workers, &sender, &owner_cancel)
+                });
             });
             let (expired_cancels, expired) = flume::bounded(MAX_QUEUED_INPUTS);
             let (sender, owner_cancel) = (&sender, &owner_cancel);
             let keeper = spawn("keeper").spawn_scoped(scope, move || {
-                housekeeping::run(shared, tenure.epoch, &expired, sender, owner_cancel)
+                duty::run("keeper", || {
+                    housekeeping::run(shared, tenure.epoch, &expired, sender, owner_cancel)
+                });
             });
             if jobs.is_err() || workers.is_err() || keeper.is_err() {
                 log::error!("owner: can't start threads");
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     census::announce,
+    duty::{self, LOG_FLUSH_TIME},
     error::{ListenSnafu, NodeError, SignalsSnafu, ThreadSnafu},
     follow::follow,
     front::Front,
@@ -43,9 +44,6 @@
 /// Time that requests in progress have to finish when the process stops.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time that the logging thread has to write the last lines; it writes every 50 ms.
-const LOG_FLUSH_TIME: Duration = Duration::from_millis(60);
-
 /// Answers the load balancer's readiness checks.
 struct ReadinessHandler {
     shared: Arc<Shared>,
@@ -235,6 +233,6 @@
     thread::Builder::new()
         .name(name.into())
         .stack_size(STACK_BYTES)
-        .spawn(move || thread_main(&shared, &cancel))
+        .spawn(move || duty::run(name, || thread_main(&shared, &cancel)))
         .context(ThreadSnafu { name })
 }
