Move announcements into a file of their own, and share a step of two tests

Change: runs/worker_info.rs holds what a worker announces; hold_start holds the start back for both.

--- a/crates/jobs/src/event.rs
+++ b/crates/jobs/src/event.rs
@@ -9,7 +9,7 @@
         policy::QueuePolicy,
         spec::Job,
     },
-    runs::worker::WorkerInfo,
+    runs::worker_info::WorkerInfo,
 };
 
 /// How a run ended.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -74,7 +74,8 @@
 pub use queues::RemovedQueue;
 pub use runs::{
     fencing::MAX_GENERATION,
-    worker::{Capacity, WorkerError, WorkerInfo},
+    worker::Capacity,
+    worker_info::{WorkerError, WorkerInfo},
 };
 pub use scheduler::Scheduler;
 pub use settings::{Settings, lease_upper_bound};
--- a/crates/jobs/src/runs/ends_tests.rs
+++ b/crates/jobs/src/runs/ends_tests.rs
@@ -7,7 +7,7 @@
     action::Action,
     event::{Answer, Ending, Event, ReportedRun, RunEnd, Started, WorkerReport},
     model::ids::{JobId, TaskId},
-    runs::worker::{Capacity, WorkerInfo},
+    runs::{worker::Capacity, worker_info::WorkerInfo},
 };
 
 /// Number of the end of the task's first run.
--- a/crates/jobs/src/runs/fleet.rs
+++ b/crates/jobs/src/runs/fleet.rs
@@ -3,10 +3,7 @@
 use std::{cmp::Reverse, collections::BinaryHeap, sync::Arc};
 
 use crate::{
-    runs::{
-        incarnations::Incarnations,
-        worker::{Worker, WorkerInfo},
-    },
+    runs::{incarnations::Incarnations, worker::Worker, worker_info::WorkerInfo},
     settings::Settings,
     sorted_map::SortedMap,
 };
--- a/crates/jobs/src/runs/incarnations.rs
+++ b/crates/jobs/src/runs/incarnations.rs
@@ -17,10 +17,7 @@
 
 use crate::{
     model::incarnation::Incarnation,
-    runs::{
-        fleet::Fleet,
-        worker::{Worker, WorkerInfo},
-    },
+    runs::{fleet::Fleet, worker::Worker, worker_info::WorkerInfo},
 };
 
 /// Replaced incarnations that are kept for each name. An answer arrives within three seconds,
--- a/crates/jobs/src/runs/incarnations_tests.rs
+++ b/crates/jobs/src/runs/incarnations_tests.rs
@@ -2,11 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{
-    fleet::Fleet,
-    incarnations::Attribution,
-    worker::{Capacity, WorkerInfo},
-};
+use super::{fleet::Fleet, incarnations::Attribution, worker::Capacity, worker_info::WorkerInfo};
 use crate::settings::Settings;
 
 /// A fleet with the incarnations of one worker.
--- a/crates/jobs/src/runs/mod.rs
+++ b/crates/jobs/src/runs/mod.rs
@@ -36,3 +36,4 @@
 mod unreported;
 mod unverified;
 pub(crate) mod worker;
+pub(crate) mod worker_info;
--- a/crates/jobs/src/runs/replaced_tests.rs
+++ b/crates/jobs/src/runs/replaced_tests.rs
@@ -4,7 +4,8 @@
 
 use super::{
     fencing::{FIRST_GENERATION, MAX_GENERATION},
-    worker::{Capacity, WorkerInfo},
+    worker::Capacity,
+    worker_info::WorkerInfo,
 };
 use crate::{
     action::Action,
--- a/crates/jobs/tests/all/late_drops.rs
+++ b/crates/jobs/tests/all/late_drops.rs
@@ -47,12 +47,24 @@
     check_invariants(world, 0);
 }
 
-/// Holds back the next start to the first worker, and submits the job.
-fn hold_start(world: &mut World) {
+/// Submits the job whose start to the first worker is held back.
+fn submit_late_job(world: &mut World) {
     world.hold(0, Held::Start);
     world.submit(LATE_JOB.0, chain(vec![short(1, TASK_MS)]));
 }
 
+/// Submits the job and waits until its start is held back. Then another owner may take over.
+fn hold_start(world: &mut World, takes_over: bool) {
+    submit_late_job(world);
+    let is_held = run_until(world, ORDER_LIMIT_MS, |w| w.held(Held::Start) == 1);
+    assert!(is_held, "no start");
+    if takes_over {
+        world.pause(true);
+        let end = world.lease_end();
+        world.take_over(end);
+    }
+}
+
 /// Guards against a task that starts again after it was done: a worker crashes before it has carried
 /// out a poll that lets ends go and a start. Its next incarnation carries out both.
 #[test_case(20)]
@@ -67,7 +79,7 @@
         });
         assert!(is_polled, "no poll lets an end go");
         world.run(sent_after_ms);
-        hold_start(&mut world);
+        submit_late_job(&mut world);
         run_until(&mut world, 100, |w| w.held(Held::Start) == 1);
         crash_and_deliver(&mut world, down_ms);
         check(&mut world, &format!("down {down_ms} ms"));
@@ -83,14 +95,7 @@
         let mut world = world(1, 3, true);
         world.submit(JOB.0, chain(vec![short(1, 350)]));
         world.run(300);
-        hold_start(&mut world);
-        let is_held = run_until(&mut world, ORDER_LIMIT_MS, |w| w.held(Held::Start) == 1);
-        assert!(is_held, "no start");
-        if takes_over {
-            world.pause(true);
-            let end = world.lease_end();
-            world.take_over(end);
-        }
+        hold_start(&mut world, takes_over);
         world.hold(0, Held::Confirmation);
         run_until(&mut world, 400, |w| w.held(Held::Confirmation) == 1);
         late_runs += u32::from(crash_and_deliver(&mut world, down_ms));
@@ -109,14 +114,7 @@
         let mut world = world(2, 3, true);
         partition(&mut world, &[1], true);
         world.run(2000);
-        hold_start(&mut world);
-        let is_held = run_until(&mut world, ORDER_LIMIT_MS, |w| w.held(Held::Start) == 1);
-        assert!(is_held, "no start");
-        if takes_over {
-            world.pause(true);
-            let end = world.lease_end();
-            world.take_over(end);
-        }
+        hold_start(&mut world, takes_over);
         // Its owner gives the run up. The next one is under way when the worker crashes.
         world.workers[0].task_ms = Some(900);
         let is_restarted = run_until(&mut world, 20_000, |w| !w.workers[0].runs.is_empty());
